--- a/cmd/ringstream-bench/emulate.go
+++ b/cmd/ringstream-bench/emulate.go
@@ -11,7 +11,7 @@
 	"gopkg.in/yaml.v3"
 
 	"ringstream.example/ringstream/internal/emulator"
-	"ringstream.example/ringstream/internal/platform"
+	"ringstream.example/ringstream/internal/backend"
 )
 
 // emulateOptions are the flags of emulate.
@@ -73,7 +73,7 @@
 	config.TableRate, config.ObjectsRate = options.tableRate, options.objectsRate
 	config.Pools = []emulator.Pool{{
 		Name: options.pool, Engines: options.engines, Capacities: options.capacities,
-		Models: []platform.LoadedModel{{Model: options.model, Version: "1"}},
+		Models: []backend.LoadedModel{{Model: options.model, Version: "1"}},
 	}}
 	for i := range config.Artifacts {
 		config.Artifacts[i].Model = options.model
--- a/internal/platform/platform.go
+++ b/internal/backend/backend.go
@@ -1,10 +1,10 @@
-// Package platform declares, as one narrow interface each, the outside systems
+// Package backend declares, as one narrow interface each, the outside systems
 // that ringstream runs on. No other package knows a URL or a wire field of
-// theirs; the HTTP adapters live in package platform/httpclient.
+// theirs; the HTTP adapters live in package backend/httpclient.
 //
 // Every method honours its context's deadline. A failed call returns *Error,
 // whose Effect says what is known of the call.
-package platform
+package backend
 
 import (
 	"fmt"
--- a/internal/platform/platformtest/storage.go
+++ b/internal/backend/backendtest/storage.go
@@ -1,7 +1,7 @@
-// Package platformtest is the table service and the object store in memory,
+// Package backendtest is the table service and the object store in memory,
 // for tests: outages, lost answers and pauses on demand. One lock a store; no
 // goroutine, so it works in testing/synctest bubbles.
-package platformtest
+package backendtest
 
 import (
 	"context"
@@ -9,7 +9,7 @@
 	"strings"
 	"sync"
 
-	"ringstream.example/ringstream/internal/platform"
+	"ringstream.example/ringstream/internal/backend"
 )
 
 // Faults say what a store does to the calls that come.
@@ -23,17 +23,17 @@
 	Hang  bool // calls do nothing and return when their context ends
 }
 
-// Table is a platform.Table.
+// Table is a backend.Table.
 type Table struct {
 	mu      sync.Mutex
 	faults  Faults
-	records map[string]platform.Record
+	records map[string]backend.Record
 	version uint64
 	commits int
 }
 
 // NewTable makes an empty table.
-func NewTable() *Table { return &Table{records: map[string]platform.Record{}} }
+func NewTable() *Table { return &Table{records: map[string]backend.Record{}} }
 
 // SetFaults replaces the faults.
 func (t *Table) SetFaults(faults Faults) {
@@ -49,8 +49,8 @@
 	return t.commits
 }
 
-func failure(system, operation string, effect platform.Effect) error {
-	return &platform.Error{Code: platform.CodeUnavailable, Effect: effect, System: system, Operation: operation}
+func failure(system, operation string, effect backend.Effect) error {
+	return &backend.Error{Code: backend.CodeUnavailable, Effect: effect, System: system, Operation: operation}
 }
 
 // hang waits for the context's end when the table is told to hang.
@@ -62,32 +62,32 @@
 		return nil
 	}
 	<-ctx.Done()
-	return failure("table", "call", platform.EffectUnknown)
+	return failure("table", "call", backend.EffectUnknown)
 }
 
-// Get implements platform.Table.
-func (t *Table) Get(ctx context.Context, key string) (platform.Record, error) {
+// Get implements backend.Table.
+func (t *Table) Get(ctx context.Context, key string) (backend.Record, error) {
 	if err := t.hang(ctx); err != nil {
-		return platform.Record{}, err
+		return backend.Record{}, err
 	}
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	if t.faults.Down {
-		return platform.Record{}, failure("table", "get", platform.EffectNone)
+		return backend.Record{}, failure("table", "get", backend.EffectNone)
 	}
 	record := t.records[key]
 	record.Key = key
 	return record, nil
 }
 
-// List implements platform.Table.
-func (t *Table) List(_ context.Context, prefix, after string, limit int) ([]platform.Record, error) {
+// List implements backend.Table.
+func (t *Table) List(_ context.Context, prefix, after string, limit int) ([]backend.Record, error) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	if t.faults.Down {
-		return nil, failure("table", "list", platform.EffectNone)
+		return nil, failure("table", "list", backend.EffectNone)
 	}
-	var page []platform.Record
+	var page []backend.Record
 	for _, key := range firstPage(t.records, prefix, after, limit) {
 		page = append(page, t.records[key])
 	}
@@ -106,17 +106,17 @@
 	return keys[:min(limit, len(keys))]
 }
 
-// Commit implements platform.Table.
-func (t *Table) Commit(ctx context.Context, transaction platform.Transaction) (platform.CommitResult, error) {
+// Commit implements backend.Table.
+func (t *Table) Commit(ctx context.Context, transaction backend.Transaction) (backend.CommitResult, error) {
 	if err := t.hang(ctx); err != nil {
-		return platform.CommitResult{}, err
+		return backend.CommitResult{}, err
 	}
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	if t.faults.Down {
-		return platform.CommitResult{}, failure("table", "commit", platform.EffectNone)
+		return backend.CommitResult{}, failure("table", "commit", backend.EffectNone)
 	}
-	var result platform.CommitResult
+	var result backend.CommitResult
 	for _, compare := range transaction.Compares {
 		if record := t.records[compare.Key]; record.Version != compare.Version {
 			record.Key = compare.Key
@@ -134,22 +134,22 @@
 		t.faults.Spare--
 	case t.faults.LoseAnswers > 0:
 		t.faults.LoseAnswers--
-		return platform.CommitResult{}, failure("table", "commit", platform.EffectUnknown)
+		return backend.CommitResult{}, failure("table", "commit", backend.EffectUnknown)
 	}
 	return result, nil
 }
 
-func (t *Table) write(id string, write platform.Write) uint64 {
+func (t *Table) write(id string, write backend.Write) uint64 {
 	t.version++
 	if write.Delete {
 		delete(t.records, write.Key)
 		return t.version
 	}
-	t.records[write.Key] = platform.Record{Key: write.Key, Version: t.version, TransactionID: id, Value: slices.Clone(write.Value)}
+	t.records[write.Key] = backend.Record{Key: write.Key, Version: t.version, TransactionID: id, Value: slices.Clone(write.Value)}
 	return t.version
 }
 
-// Objects is a platform.Objects.
+// Objects is a backend.Objects.
 type Objects struct {
 	mu     sync.Mutex
 	faults Faults
@@ -166,51 +166,51 @@
 	o.faults = faults
 }
 
-// Put implements platform.Objects.
+// Put implements backend.Objects.
 func (o *Objects) Put(_ context.Context, name string, body []byte) error {
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	if o.faults.Down {
-		return failure("objects", "put", platform.EffectNone)
+		return failure("objects", "put", backend.EffectNone)
 	}
 	o.bodies[name] = slices.Clone(body)
 	if o.faults.LoseAnswers > 0 {
 		o.faults.LoseAnswers--
-		return failure("objects", "put", platform.EffectUnknown)
+		return failure("objects", "put", backend.EffectUnknown)
 	}
 	return nil
 }
 
-// Get implements platform.Objects.
+// Get implements backend.Objects.
 func (o *Objects) Get(_ context.Context, name string) ([]byte, error) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	if o.faults.Down {
-		return nil, failure("objects", "get", platform.EffectNone)
+		return nil, failure("objects", "get", backend.EffectNone)
 	}
 	body, found := o.bodies[name]
 	if !found {
-		return nil, &platform.Error{Code: platform.CodeNotFound, Effect: platform.EffectNone, System: "objects", Operation: "get"}
+		return nil, &backend.Error{Code: backend.CodeNotFound, Effect: backend.EffectNone, System: "objects", Operation: "get"}
 	}
 	return body, nil
 }
 
-// List implements platform.Objects.
+// List implements backend.Objects.
 func (o *Objects) List(_ context.Context, prefix, after string, limit int) ([]string, error) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	if o.faults.Down {
-		return nil, failure("objects", "list", platform.EffectNone)
+		return nil, failure("objects", "list", backend.EffectNone)
 	}
 	return firstPage(o.bodies, prefix, after, limit), nil
 }
 
-// Delete implements platform.Objects.
+// Delete implements backend.Objects.
 func (o *Objects) Delete(_ context.Context, name string) error {
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	if o.faults.Down {
-		return failure("objects", "delete", platform.EffectNone)
+		return failure("objects", "delete", backend.EffectNone)
 	}
 	delete(o.bodies, name)
 	return nil
--- a/internal/platform/httpclient/call.go
+++ b/internal/backend/httpclient/call.go
@@ -12,8 +12,8 @@
 	"sync/atomic"
 	"time"
 
-	"ringstream.example/ringstream/internal/platform"
-	"ringstream.example/ringstream/internal/platform/wire"
+	"ringstream.example/ringstream/internal/backend"
+	"ringstream.example/ringstream/internal/backend/wire"
 )
 
 // caller sends requests to one system.
@@ -46,7 +46,7 @@
 		return err
 	}
 	if err := json.Unmarshal(body, answer); err != nil {
-		return c.fail(call, platform.CodeUnavailable, platform.EffectUnknown, err)
+		return c.fail(call, backend.CodeUnavailable, backend.EffectUnknown, err)
 	}
 	return nil
 }
@@ -62,7 +62,7 @@
 	defer func() { _ = response.Body.Close() }()
 	body, err := io.ReadAll(io.LimitReader(response.Body, maxAnswerBytes))
 	if err != nil {
-		return nil, c.fail(call, platform.CodeUnavailable, platform.EffectUnknown, err)
+		return nil, c.fail(call, backend.CodeUnavailable, backend.EffectUnknown, err)
 	}
 	return body, nil
 }
@@ -85,7 +85,7 @@
 // have been written, and its effect is unknown unless the answer says otherwise.
 func (c *caller) exchange(ctx context.Context, call request) (*http.Response, error) {
 	if err := ctx.Err(); err != nil {
-		return nil, c.fail(call, platform.CodeUnavailable, platform.EffectNone, err)
+		return nil, c.fail(call, backend.CodeUnavailable, backend.EffectNone, err)
 	}
 	var asked, connected atomic.Bool
 	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
@@ -94,18 +94,18 @@
 	})
 	outgoing, err := http.NewRequestWithContext(ctx, call.method, c.base+call.path, bytes.NewReader(call.body))
 	if err != nil {
-		return nil, c.fail(call, platform.CodeInvalid, platform.EffectNone, err)
+		return nil, c.fail(call, backend.CodeInvalid, backend.EffectNone, err)
 	}
 	if call.header != nil {
 		outgoing.Header = call.header
 	}
 	response, err := c.client.Do(outgoing)
 	if err != nil {
-		effect := platform.EffectUnknown
+		effect := backend.EffectUnknown
 		if asked.Load() && !connected.Load() {
-			effect = platform.EffectNone
+			effect = backend.EffectNone
 		}
-		return nil, c.fail(call, platform.CodeUnavailable, effect, err)
+		return nil, c.fail(call, backend.CodeUnavailable, effect, err)
 	}
 	return response, nil
 }
@@ -113,8 +113,8 @@
 // refusal reads the system's own word on a failed call. Only its word makes
 // the effect none: a bare status may come from anything on the way.
 func (c *caller) refusal(call request, response *http.Response) error {
-	failure := &platform.Error{
-		Code: codeOfStatus(response.StatusCode), Effect: platform.EffectUnknown,
+	failure := &backend.Error{
+		Code: codeOfStatus(response.StatusCode), Effect: backend.EffectUnknown,
 		System: c.system, Operation: call.operation,
 		RetryAfter: retryAfter(response.Header.Get("Retry-After")),
 	}
@@ -127,9 +127,9 @@
 		failure.Cause = errors.New(response.Status)
 		return failure
 	}
-	failure.Code = platform.ErrorCode(body.Code)
+	failure.Code = backend.ErrorCode(body.Code)
 	if body.Effect == wire.EffectNone {
-		failure.Effect = platform.EffectNone
+		failure.Effect = backend.EffectNone
 	}
 	if body.RetryAfterMillis > 0 {
 		failure.RetryAfter = time.Duration(body.RetryAfterMillis) * time.Millisecond
@@ -138,21 +138,21 @@
 	return failure
 }
 
-func (c *caller) fail(call request, code platform.ErrorCode, effect platform.Effect, cause error) error {
-	return &platform.Error{Code: code, Effect: effect, System: c.system, Operation: call.operation, Cause: cause}
+func (c *caller) fail(call request, code backend.ErrorCode, effect backend.Effect, cause error) error {
+	return &backend.Error{Code: code, Effect: effect, System: c.system, Operation: call.operation, Cause: cause}
 }
 
 // codeOfStatus is for answers without the system's own code.
-func codeOfStatus(status int) platform.ErrorCode {
+func codeOfStatus(status int) backend.ErrorCode {
 	switch {
 	case status == http.StatusNotFound:
-		return platform.CodeNotFound
+		return backend.CodeNotFound
 	case status == http.StatusTooManyRequests:
-		return platform.CodeRateLimited
+		return backend.CodeRateLimited
 	case status >= http.StatusInternalServerError:
-		return platform.CodeUnavailable
+		return backend.CodeUnavailable
 	default:
-		return platform.CodeInvalid
+		return backend.CodeInvalid
 	}
 }
 
--- a/internal/platform/httpclient/clients.go
+++ b/internal/backend/httpclient/clients.go
@@ -6,18 +6,18 @@
 	"net/http"
 	"time"
 
-	"ringstream.example/ringstream/internal/platform"
+	"ringstream.example/ringstream/internal/backend"
 )
 
 // Clients holds one adapter for each of the platform's systems.
 type Clients struct {
-	Table    platform.Table
-	Objects  platform.Objects
-	Weights  platform.Weights
-	Machines platform.MachineList
+	Table    backend.Table
+	Objects  backend.Objects
+	Weights  backend.Weights
+	Machines backend.MachineList
 	// Site is nil when there is no other site.
-	Site    platform.Site
-	Engines platform.Engines
+	Site    backend.Site
+	Engines backend.Engines
 
 	transport *http.Transport
 }
--- a/internal/platform/httpclient/config.go
+++ b/internal/backend/httpclient/config.go
@@ -1,5 +1,5 @@
 // Package httpclient reaches the platform's systems over HTTP: one adapter for
-// each interface of package platform. It owns URLs, wire forms, connections
+// each interface of package backend. It owns URLs, wire forms, connections
 // and the judgement of a failed call's effect. It never retries: that is for
 // its callers, who know what may be asked again.
 package httpclient
--- a/internal/platform/httpclient/engine.go
+++ b/internal/backend/httpclient/engine.go
@@ -9,8 +9,8 @@
 	"time"
 
 	"ringstream.example/ringstream/internal/core/identity"
-	"ringstream.example/ringstream/internal/platform"
-	"ringstream.example/ringstream/internal/platform/wire"
+	"ringstream.example/ringstream/internal/backend"
+	"ringstream.example/ringstream/internal/backend/wire"
 )
 
 // engines opens engines by their address.
@@ -18,8 +18,8 @@
 	caller func(system, base string) *caller
 }
 
-// Engine implements platform.Engines.
-func (e *engines) Engine(machine platform.Machine) platform.Engine {
+// Engine implements backend.Engines.
+func (e *engines) Engine(machine backend.Machine) backend.Engine {
 	return &engine{e.caller("engine "+machine.ID, "http://"+machine.Address)}
 }
 
@@ -29,8 +29,8 @@
 // errNotAccepted ends a call that the engine did not take in time.
 var errNotAccepted = errors.New("not taken within the accept timeout")
 
-// Generate implements platform.Engine. The stream lives as long as ctx.
-func (e *engine) Generate(ctx context.Context, generate platform.GenerateRequest) (platform.TokenStream, error) {
+// Generate implements backend.Engine. The stream lives as long as ctx.
+func (e *engine) Generate(ctx context.Context, generate backend.GenerateRequest) (backend.TokenStream, error) {
 	body := encode(wire.GenerateRequest{
 		Attempt: string(generate.Attempt), Model: generate.Model, Version: generate.Version, Adapter: generate.Adapter,
 		Prompt: generate.Prompt, Kept: generate.Kept, MaxTokens: generate.MaxTokens, Priority: uint8(generate.Priority),
@@ -40,21 +40,21 @@
 	return e.stream(ctx, call, generate.Attempt, len(generate.Kept))
 }
 
-// Resume implements platform.Engine. The stream lives as long as ctx.
-func (e *engine) Resume(ctx context.Context, attempt identity.AttemptID, offset int) (platform.TokenStream, error) {
+// Resume implements backend.Engine. The stream lives as long as ctx.
+func (e *engine) Resume(ctx context.Context, attempt identity.AttemptID, offset int) (backend.TokenStream, error) {
 	path := attemptPath(attempt, wire.SuffixStream) + "?offset=" + strconv.Itoa(offset)
 	return e.stream(ctx, request{operation: "resume", method: http.MethodGet, path: path}, attempt, offset)
 }
 
 // stream opens a token stream; the engine answers as soon as it has taken the
 // attempt, so that the wait for its headers is bounded and the stream is not.
-func (e *engine) stream(ctx context.Context, call request, attempt identity.AttemptID, offset int) (platform.TokenStream, error) {
+func (e *engine) stream(ctx context.Context, call request, attempt identity.AttemptID, offset int) (backend.TokenStream, error) {
 	ctx, cancel := context.WithCancelCause(ctx)
 	timer := time.AfterFunc(e.acceptTimeout, func() { cancel(errNotAccepted) })
 	response, err := e.send(ctx, call)
 	if err == nil && !timer.Stop() {
 		_ = response.Body.Close()
-		err = e.fail(call, platform.CodeUnavailable, platform.EffectUnknown, errNotAccepted)
+		err = e.fail(call, backend.CodeUnavailable, backend.EffectUnknown, errNotAccepted)
 	}
 	if err != nil {
 		timer.Stop()
@@ -64,35 +64,35 @@
 	return newTokenStream(response.Body, cancel, e.system, string(attempt), offset), nil
 }
 
-// Cancel implements platform.Engine.
-func (e *engine) Cancel(ctx context.Context, attempt identity.AttemptID) (platform.CancelReport, error) {
+// Cancel implements backend.Engine.
+func (e *engine) Cancel(ctx context.Context, attempt identity.AttemptID) (backend.CancelReport, error) {
 	var report wire.CancelReport
 	call := request{operation: "cancel", method: http.MethodPost, path: attemptPath(attempt, wire.SuffixCancel)}
 	err := e.call(ctx, call, &report)
-	return platform.CancelReport(report), err
+	return backend.CancelReport(report), err
 }
 
-// ExportKV implements platform.Engine.
+// ExportKV implements backend.Engine.
 func (e *engine) ExportKV(ctx context.Context, attempt identity.AttemptID) ([]byte, error) {
 	return e.raw(ctx, request{operation: "export_kv", method: http.MethodGet, path: attemptPath(attempt, wire.SuffixKV)})
 }
 
-// ImportKV implements platform.Engine.
+// ImportKV implements backend.Engine.
 func (e *engine) ImportKV(ctx context.Context, block []byte) error {
 	return e.call(ctx, request{operation: "import_kv", method: http.MethodPost, path: wire.PathImportKV, body: block}, nil)
 }
 
-// Load implements platform.Engine.
-func (e *engine) Load(ctx context.Context) (platform.EngineLoad, error) {
+// Load implements backend.Engine.
+func (e *engine) Load(ctx context.Context) (backend.EngineLoad, error) {
 	var load wire.Load
 	if err := e.call(ctx, request{operation: "load", method: http.MethodGet, path: wire.PathLoad}, &load); err != nil {
-		return platform.EngineLoad{}, err
+		return backend.EngineLoad{}, err
 	}
-	models := make([]platform.LoadedModel, 0, len(load.Models))
+	models := make([]backend.LoadedModel, 0, len(load.Models))
 	for _, model := range load.Models {
-		models = append(models, platform.LoadedModel(model))
+		models = append(models, backend.LoadedModel(model))
 	}
-	return platform.EngineLoad{
+	return backend.EngineLoad{
 		Engine: identity.EngineID(load.Engine), ReportedAt: load.ReportedAt,
 		RunningOnline: load.RunningOnline, RunningBatch: load.RunningBatch, Waiting: load.Waiting,
 		MaxRunning: load.MaxRunning, KVUsed: load.KVUsed, KVCapacity: load.KVCapacity,
@@ -101,22 +101,22 @@
 	}, nil
 }
 
-// CacheEvents implements platform.Engine.
-func (e *engine) CacheEvents(ctx context.Context, since uint64) ([]platform.CacheEvent, error) {
+// CacheEvents implements backend.Engine.
+func (e *engine) CacheEvents(ctx context.Context, since uint64) ([]backend.CacheEvent, error) {
 	var answer wire.CacheEvents
 	path := wire.PathCacheEvents + "?since=" + strconv.FormatUint(since, 10)
 	if err := e.call(ctx, request{operation: "cache_events", method: http.MethodGet, path: path}, &answer); err != nil {
 		return nil, err
 	}
-	events := make([]platform.CacheEvent, 0, len(answer.Events))
+	events := make([]backend.CacheEvent, 0, len(answer.Events))
 	for _, event := range answer.Events {
-		events = append(events, platform.CacheEvent(event))
+		events = append(events, backend.CacheEvent(event))
 	}
 	return events, nil
 }
 
-// Order implements platform.Engine.
-func (e *engine) Order(ctx context.Context, order platform.Order) error {
+// Order implements backend.Engine.
+func (e *engine) Order(ctx context.Context, order backend.Order) error {
 	body := encode(wire.Order{
 		ID: order.ID, Epoch: order.Epoch, Kind: string(order.Kind),
 		Model: order.Model, Version: order.Version, Adapter: order.Adapter, Role: order.Role,
--- a/internal/platform/httpclient/httpclient_test.go
+++ b/internal/backend/httpclient/httpclient_test.go
@@ -13,7 +13,7 @@
 
 	"go.uber.org/goleak"
 
-	"ringstream.example/ringstream/internal/platform"
+	"ringstream.example/ringstream/internal/backend"
 )
 
 func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
@@ -46,7 +46,7 @@
 }
 
 // clientsOf serves a handler on loopback.
-func clientsOf(t *testing.T, handler http.HandlerFunc, edit func(*Config)) (*Clients, platform.Engine) {
+func clientsOf(t *testing.T, handler http.HandlerFunc, edit func(*Config)) (*Clients, backend.Engine) {
 	t.Helper()
 	server := httptest.NewServer(handler)
 	t.Cleanup(server.Close)
@@ -59,13 +59,13 @@
 		t.Fatal(err)
 	}
 	t.Cleanup(clients.Close)
-	engine := clients.Engines.Engine(platform.Machine{ID: "e", Address: strings.TrimPrefix(server.URL, "http://")})
+	engine := clients.Engines.Engine(backend.Machine{ID: "e", Address: strings.TrimPrefix(server.URL, "http://")})
 	return clients, engine
 }
 
-func wantFailure(t *testing.T, err error, code platform.ErrorCode, effect platform.Effect) {
+func wantFailure(t *testing.T, err error, code backend.ErrorCode, effect backend.Effect) {
 	t.Helper()
-	var failure *platform.Error
+	var failure *backend.Error
 	if !errors.As(err, &failure) || failure.Code != code || failure.Effect != effect {
 		t.Errorf("got %v (%+v), want %s with effect %v", err, failure, code, effect)
 	}
@@ -74,33 +74,33 @@
 func TestOnlyTheSystemsOwnWordMakesTheEffectNone(t *testing.T) {
 	for name, test := range map[string]struct {
 		handler http.HandlerFunc
-		code    platform.ErrorCode
-		effect  platform.Effect
+		code    backend.ErrorCode
+		effect  backend.Effect
 	}{
 		"bare 503": {func(w http.ResponseWriter, _ *http.Request) {
 			w.WriteHeader(http.StatusServiceUnavailable)
-		}, platform.CodeUnavailable, platform.EffectUnknown},
+		}, backend.CodeUnavailable, backend.EffectUnknown},
 		"bare 429": {func(w http.ResponseWriter, _ *http.Request) {
 			w.WriteHeader(http.StatusTooManyRequests)
-		}, platform.CodeRateLimited, platform.EffectUnknown},
+		}, backend.CodeRateLimited, backend.EffectUnknown},
 		"its own word": {func(w http.ResponseWriter, _ *http.Request) {
 			w.WriteHeader(http.StatusTooManyRequests)
 			_, _ = io.WriteString(w, `{"code":"saturated","effect":"none","message":"full"}`)
-		}, platform.CodeSaturated, platform.EffectNone},
+		}, backend.CodeSaturated, backend.EffectNone},
 		"its word of an effect": {func(w http.ResponseWriter, _ *http.Request) {
 			w.WriteHeader(http.StatusInternalServerError)
 			_, _ = io.WriteString(w, `{"code":"unavailable","effect":"unknown","message":"crashed"}`)
-		}, platform.CodeUnavailable, platform.EffectUnknown},
+		}, backend.CodeUnavailable, backend.EffectUnknown},
 		"cut": {func(http.ResponseWriter, *http.Request) {
 			panic(http.ErrAbortHandler)
-		}, platform.CodeUnavailable, platform.EffectUnknown},
+		}, backend.CodeUnavailable, backend.EffectUnknown},
 		"not JSON": {func(w http.ResponseWriter, _ *http.Request) {
 			_, _ = io.WriteString(w, "<html>")
-		}, platform.CodeUnavailable, platform.EffectUnknown},
+		}, backend.CodeUnavailable, backend.EffectUnknown},
 	} {
 		t.Run(name, func(t *testing.T) {
 			clients, _ := clientsOf(t, test.handler, nil)
-			_, err := clients.Table.Commit(t.Context(), platform.Transaction{ID: "t"})
+			_, err := clients.Table.Commit(t.Context(), backend.Transaction{ID: "t"})
 			wantFailure(t, err, test.code, test.effect)
 		})
 	}
@@ -110,13 +110,13 @@
 	clients, engine := clientsOf(t, func(http.ResponseWriter, *http.Request) {}, nil)
 	done, cancel := context.WithCancel(t.Context())
 	cancel()
-	_, err := clients.Table.Commit(done, platform.Transaction{ID: "t"})
-	wantFailure(t, err, platform.CodeUnavailable, platform.EffectNone)
-	_, err = engine.Generate(done, platform.GenerateRequest{Attempt: "a"})
-	wantFailure(t, err, platform.CodeUnavailable, platform.EffectNone)
-	nobody := clients.Engines.Engine(platform.Machine{ID: "e", Address: "127.0.0.1:1"})
-	_, err = nobody.Generate(t.Context(), platform.GenerateRequest{Attempt: "a"})
-	wantFailure(t, err, platform.CodeUnavailable, platform.EffectNone)
+	_, err := clients.Table.Commit(done, backend.Transaction{ID: "t"})
+	wantFailure(t, err, backend.CodeUnavailable, backend.EffectNone)
+	_, err = engine.Generate(done, backend.GenerateRequest{Attempt: "a"})
+	wantFailure(t, err, backend.CodeUnavailable, backend.EffectNone)
+	nobody := clients.Engines.Engine(backend.Machine{ID: "e", Address: "127.0.0.1:1"})
+	_, err = nobody.Generate(t.Context(), backend.GenerateRequest{Attempt: "a"})
+	wantFailure(t, err, backend.CodeUnavailable, backend.EffectNone)
 }
 
 func TestAGenerateIsSentOnceThoughItsIdleConnectionWasClosed(t *testing.T) {
@@ -131,8 +131,8 @@
 	if _, err := engine.Load(t.Context()); err != nil { // leaves an idle connection
 		t.Fatal(err)
 	}
-	_, err := engine.Generate(t.Context(), platform.GenerateRequest{Attempt: "a"})
-	wantFailure(t, err, platform.CodeUnavailable, platform.EffectUnknown)
+	_, err := engine.Generate(t.Context(), backend.GenerateRequest{Attempt: "a"})
+	wantFailure(t, err, backend.CodeUnavailable, backend.EffectUnknown)
 	if sent := generates.Load(); sent != 1 {
 		t.Errorf("sent %d times", sent)
 	}
@@ -143,8 +143,8 @@
 		_, _ = io.Copy(io.Discard, r.Body)
 		<-r.Context().Done()
 	}, func(c *Config) { c.AcceptTimeout = 20 * time.Millisecond })
-	_, err := engine.Generate(t.Context(), platform.GenerateRequest{Attempt: "a"})
-	wantFailure(t, err, platform.CodeUnavailable, platform.EffectUnknown)
+	_, err := engine.Generate(t.Context(), backend.GenerateRequest{Attempt: "a"})
+	wantFailure(t, err, backend.CodeUnavailable, backend.EffectUnknown)
 }
 
 func TestStreamsThatAreNotWholeAreBroken(t *testing.T) {
@@ -161,7 +161,7 @@
 	} {
 		t.Run(name, func(t *testing.T) {
 			_, engine := clientsOf(t, func(w http.ResponseWriter, _ *http.Request) { _, _ = io.WriteString(w, body) }, nil)
-			stream, err := engine.Generate(t.Context(), platform.GenerateRequest{Attempt: "x"})
+			stream, err := engine.Generate(t.Context(), backend.GenerateRequest{Attempt: "x"})
 			if err != nil {
 				t.Fatal(err)
 			}
@@ -170,7 +170,7 @@
 				t.Fatalf("%+v, %v", token, err)
 			}
 			_, err = stream.Next()
-			wantFailure(t, err, platform.CodeBroken, platform.EffectUnknown)
+			wantFailure(t, err, backend.CodeBroken, backend.EffectUnknown)
 			if errors.Is(err, io.EOF) {
 				t.Errorf("%v passes for the end of a whole stream", err)
 			}
--- a/internal/platform/httpclient/site.go
+++ b/internal/backend/httpclient/site.go
@@ -4,18 +4,18 @@
 	"context"
 	"net/http"
 
-	"ringstream.example/ringstream/internal/platform"
+	"ringstream.example/ringstream/internal/backend"
 )
 
 // site reaches the other site's callers' API.
 type site struct{ *caller }
 
-// Forward implements platform.Site. Every answer of the other site, refusals
+// Forward implements backend.Site. Every answer of the other site, refusals
 // included, is passed through: what it says of the run is its own word.
-func (s *site) Forward(ctx context.Context, forwarded platform.SiteRequest) (platform.SiteResponse, error) {
+func (s *site) Forward(ctx context.Context, forwarded backend.SiteRequest) (backend.SiteResponse, error) {
 	header := http.Header{
 		"Content-Type":     {"application/json"},
-		platform.HopHeader: {"1"},
+		backend.HopHeader: {"1"},
 	}
 	setHeader(header, "Authorization", forwarded.Authorization)
 	setHeader(header, "X-Request-Id", forwarded.RequestID)
@@ -24,9 +24,9 @@
 		operation: "forward", method: http.MethodPost, path: forwarded.Path, body: forwarded.Body, header: header,
 	})
 	if err != nil {
-		return platform.SiteResponse{}, err
+		return backend.SiteResponse{}, err
 	}
-	return platform.SiteResponse{
+	return backend.SiteResponse{
 		Status:      response.StatusCode,
 		ContentType: response.Header.Get("Content-Type"),
 		RetryAfter:  response.Header.Get("Retry-After"),
--- a/internal/platform/httpclient/storage.go
+++ b/internal/backend/httpclient/storage.go
@@ -6,26 +6,26 @@
 	"net/url"
 	"strconv"
 
-	"ringstream.example/ringstream/internal/platform"
-	"ringstream.example/ringstream/internal/platform/wire"
+	"ringstream.example/ringstream/internal/backend"
+	"ringstream.example/ringstream/internal/backend/wire"
 )
 
 // table reaches the table service.
 type table struct{ *caller }
 
-// Get implements platform.Table.
-func (t *table) Get(ctx context.Context, key string) (platform.Record, error) {
+// Get implements backend.Table.
+func (t *table) Get(ctx context.Context, key string) (backend.Record, error) {
 	var record wire.Record
 	query := url.Values{"key": {key}}
 	err := t.call(ctx, request{operation: "get", method: http.MethodGet, path: wire.PathRecord + "?" + query.Encode()}, &record)
 	if err != nil {
-		return platform.Record{}, err
+		return backend.Record{}, err
 	}
 	return recordOf(record), nil
 }
 
-// List implements platform.Table.
-func (t *table) List(ctx context.Context, prefix, after string, limit int) ([]platform.Record, error) {
+// List implements backend.Table.
+func (t *table) List(ctx context.Context, prefix, after string, limit int) ([]backend.Record, error) {
 	var answer wire.Records
 	path := wire.PathRecords + "?" + pageQuery(prefix, after, limit)
 	if err := t.call(ctx, request{operation: "list", method: http.MethodGet, path: path}, &answer); err != nil {
@@ -34,8 +34,8 @@
 	return recordsOf(answer.Records), nil
 }
 
-// Commit implements platform.Table.
-func (t *table) Commit(ctx context.Context, transaction platform.Transaction) (platform.CommitResult, error) {
+// Commit implements backend.Table.
+func (t *table) Commit(ctx context.Context, transaction backend.Transaction) (backend.CommitResult, error) {
 	body := wire.Transaction{ID: transaction.ID}
 	for _, compare := range transaction.Compares {
 		body.Compares = append(body.Compares, wire.Compare(compare))
@@ -46,15 +46,15 @@
 	var answer wire.CommitResult
 	err := t.call(ctx, request{operation: "commit", method: http.MethodPost, path: wire.PathCommit, body: encode(body)}, &answer)
 	if err != nil {
-		return platform.CommitResult{}, err
+		return backend.CommitResult{}, err
 	}
-	return platform.CommitResult{Applied: answer.Applied, Conflicts: recordsOf(answer.Conflicts), Versions: answer.Versions}, nil
+	return backend.CommitResult{Applied: answer.Applied, Conflicts: recordsOf(answer.Conflicts), Versions: answer.Versions}, nil
 }
 
-func recordOf(record wire.Record) platform.Record { return platform.Record(record) }
+func recordOf(record wire.Record) backend.Record { return backend.Record(record) }
 
-func recordsOf(records []wire.Record) []platform.Record {
-	var converted []platform.Record
+func recordsOf(records []wire.Record) []backend.Record {
+	var converted []backend.Record
 	for _, record := range records {
 		converted = append(converted, recordOf(record))
 	}
@@ -68,17 +68,17 @@
 // objects reaches the object store.
 type objects struct{ *caller }
 
-// Put implements platform.Objects.
+// Put implements backend.Objects.
 func (o *objects) Put(ctx context.Context, name string, body []byte) error {
 	return o.call(ctx, request{operation: "put", method: http.MethodPut, path: objectPath(name), body: body}, nil)
 }
 
-// Get implements platform.Objects.
+// Get implements backend.Objects.
 func (o *objects) Get(ctx context.Context, name string) ([]byte, error) {
 	return o.raw(ctx, request{operation: "get", method: http.MethodGet, path: objectPath(name)})
 }
 
-// List implements platform.Objects.
+// List implements backend.Objects.
 func (o *objects) List(ctx context.Context, prefix, after string, limit int) ([]string, error) {
 	var answer wire.Names
 	path := wire.PathObjects + "?" + pageQuery(prefix, after, limit)
@@ -88,7 +88,7 @@
 	return answer.Names, nil
 }
 
-// Delete implements platform.Objects.
+// Delete implements backend.Objects.
 func (o *objects) Delete(ctx context.Context, name string) error {
 	return o.call(ctx, request{operation: "delete", method: http.MethodDelete, path: objectPath(name)}, nil)
 }
@@ -100,21 +100,21 @@
 // weights reaches the weight store.
 type weights struct{ *caller }
 
-// Artifacts implements platform.Weights.
-func (w *weights) Artifacts(ctx context.Context) ([]platform.Artifact, error) {
+// Artifacts implements backend.Weights.
+func (w *weights) Artifacts(ctx context.Context) ([]backend.Artifact, error) {
 	var answer wire.Artifacts
 	err := w.call(ctx, request{operation: "artifacts", method: http.MethodGet, path: wire.PathArtifacts}, &answer)
 	if err != nil {
 		return nil, err
 	}
-	var artifacts []platform.Artifact
+	var artifacts []backend.Artifact
 	for _, artifact := range answer.Artifacts {
-		artifacts = append(artifacts, platform.Artifact(artifact))
+		artifacts = append(artifacts, backend.Artifact(artifact))
 	}
 	return artifacts, nil
 }
 
-// Budget implements platform.Weights.
+// Budget implements backend.Weights.
 func (w *weights) Budget(ctx context.Context) (int64, error) {
 	var answer wire.Budget
 	err := w.call(ctx, request{operation: "budget", method: http.MethodGet, path: wire.PathBudget}, &answer)
@@ -124,17 +124,17 @@
 // machines reaches the machine list.
 type machines struct{ *caller }
 
-// Machines implements platform.MachineList.
-func (m *machines) Machines(ctx context.Context, since uint64) (platform.MachineSnapshot, error) {
+// Machines implements backend.MachineList.
+func (m *machines) Machines(ctx context.Context, since uint64) (backend.MachineSnapshot, error) {
 	var answer wire.MachineList
 	path := wire.PathMachineList + "?since=" + strconv.FormatUint(since, 10)
 	if err := m.call(ctx, request{operation: "list", method: http.MethodGet, path: path}, &answer); err != nil {
-		return platform.MachineSnapshot{}, err
+		return backend.MachineSnapshot{}, err
 	}
-	snapshot := platform.MachineSnapshot{Version: answer.Version}
+	snapshot := backend.MachineSnapshot{Version: answer.Version}
 	for _, machine := range answer.Machines {
-		snapshot.Machines = append(snapshot.Machines, platform.Machine{
-			ID: machine.ID, Kind: platform.MachineKind(machine.Kind), Address: machine.Address,
+		snapshot.Machines = append(snapshot.Machines, backend.Machine{
+			ID: machine.ID, Kind: backend.MachineKind(machine.Kind), Address: machine.Address,
 			Zone: machine.Zone, Region: machine.Region, Pool: machine.Pool,
 			Capacity: machine.Capacity, Leaving: machine.Leaving,
 		})
--- a/internal/platform/httpclient/stream.go
+++ b/internal/backend/httpclient/stream.go
@@ -8,8 +8,8 @@
 	"io"
 	"time"
 
-	"ringstream.example/ringstream/internal/platform"
-	"ringstream.example/ringstream/internal/platform/wire"
+	"ringstream.example/ringstream/internal/backend"
+	"ringstream.example/ringstream/internal/backend/wire"
 )
 
 // tokenStream reads one attempt's lines. A line of another attempt, a gap in
@@ -22,7 +22,7 @@
 	lines  *wire.LineReader
 	system string
 	next   int // the offset that must come next
-	finish platform.Finish
+	finish backend.Finish
 	end    error // io.EOF or the failure, once known
 }
 
@@ -34,8 +34,8 @@
 	}
 }
 
-// Next implements platform.TokenStream.
-func (s *tokenStream) Next() (platform.Token, error) {
+// Next implements backend.TokenStream.
+func (s *tokenStream) Next() (backend.Token, error) {
 	for s.end == nil {
 		raw, err := s.reader.ReadSlice('\n')
 		if err != nil {
@@ -55,17 +55,17 @@
 		}
 		s.special(line)
 	}
-	return platform.Token{}, s.end
+	return backend.Token{}, s.end
 }
 
 // take passes a token on when it is the next one.
-func (s *tokenStream) take(offset int, text string) (platform.Token, error) {
+func (s *tokenStream) take(offset int, text string) (backend.Token, error) {
 	if offset != s.next {
 		s.end = s.broken(fmt.Errorf("offset %d came where %d was due", offset, s.next))
-		return platform.Token{}, s.end
+		return backend.Token{}, s.end
 	}
 	s.next++
-	return platform.Token{Offset: offset, Text: text}, nil
+	return backend.Token{Offset: offset, Text: text}, nil
 }
 
 // special takes a line that is not a token.
@@ -74,11 +74,11 @@
 	case line.Finish != nil && line.Finish.Reason != finishCancelled && line.Finish.OutputTokens != s.next:
 		s.end = s.broken(fmt.Errorf("finished with %d tokens after %d", line.Finish.OutputTokens, s.next))
 	case line.Finish != nil:
-		s.finish = platform.Finish(*line.Finish)
+		s.finish = backend.Finish(*line.Finish)
 		s.end = io.EOF
 	case line.Error != nil:
-		s.end = &platform.Error{
-			Code: platform.ErrorCode(line.Error.Code), Effect: platform.EffectUnknown,
+		s.end = &backend.Error{
+			Code: backend.ErrorCode(line.Error.Code), Effect: backend.EffectUnknown,
 			RetryAfter: time.Duration(line.Error.RetryAfterMillis) * time.Millisecond,
 			System:     s.system, Operation: "stream", Cause: errors.New(line.Error.Message),
 		}
@@ -98,8 +98,8 @@
 const finishCancelled = "cancelled"
 
 func (s *tokenStream) broken(cause error) error {
-	return &platform.Error{
-		Code: platform.CodeBroken, Effect: platform.EffectUnknown,
+	return &backend.Error{
+		Code: backend.CodeBroken, Effect: backend.EffectUnknown,
 		System: s.system, Operation: "stream", Cause: cause,
 	}
 }
@@ -107,10 +107,10 @@
 // drainTimeout bounds the wait for the end of a body after its last line.
 const drainTimeout = 100 * time.Millisecond
 
-// Finish implements platform.TokenStream.
-func (s *tokenStream) Finish() platform.Finish { return s.finish }
+// Finish implements backend.TokenStream.
+func (s *tokenStream) Finish() backend.Finish { return s.finish }
 
-// Close implements platform.TokenStream. A stream read to its end gives its
+// Close implements backend.TokenStream. A stream read to its end gives its
 // connection back; any other is cut.
 func (s *tokenStream) Close() error {
 	if errors.Is(s.end, io.EOF) {
--- a/internal/platform/prefix_test.go
+++ b/internal/backend/prefix_test.go
@@ -1,4 +1,4 @@
-package platform_test
+package backend_test
 
 import (
 	"strings"
@@ -6,13 +6,13 @@
 
 	"github.com/google/go-cmp/cmp"
 
-	"ringstream.example/ringstream/internal/platform"
+	"ringstream.example/ringstream/internal/backend"
 )
 
 func TestPrefixHashesShareTheCommonPrefixOnly(t *testing.T) {
-	common := strings.Repeat("a", 2*platform.PrefixBlockBytes)
-	first := platform.AppendPrefixHashes(nil, "m", "", common+strings.Repeat("b", 300), 8)
-	second := platform.AppendPrefixHashes(nil, "m", "", common+strings.Repeat("c", 300), 8)
+	common := strings.Repeat("a", 2*backend.PrefixBlockBytes)
+	first := backend.AppendPrefixHashes(nil, "m", "", common+strings.Repeat("b", 300), 8)
+	second := backend.AppendPrefixHashes(nil, "m", "", common+strings.Repeat("c", 300), 8)
 	if len(first) != 3 || len(second) != 3 {
 		t.Fatalf("blocks: %d and %d, want 3 each", len(first), len(second))
 	}
@@ -22,10 +22,10 @@
 	if first[2] == second[2] {
 		t.Error("different blocks have one hash")
 	}
-	if other := platform.AppendPrefixHashes(nil, "m", "adapter", common, 8); other[0] == first[0] {
+	if other := backend.AppendPrefixHashes(nil, "m", "adapter", common, 8); other[0] == first[0] {
 		t.Error("the adapter does not change the hash")
 	}
-	if limited := platform.AppendPrefixHashes(nil, "m", "", common, 1); len(limited) != 1 {
+	if limited := backend.AppendPrefixHashes(nil, "m", "", common, 1); len(limited) != 1 {
 		t.Errorf("limit 1 gave %d blocks", len(limited))
 	}
 }
@@ -34,7 +34,7 @@
 	prompt := strings.Repeat("x", 4096)
 	buffer := make([]uint64, 0, 16)
 	if allocations := testing.AllocsPerRun(100, func() {
-		buffer = platform.AppendPrefixHashes(buffer[:0], "model", "adapter", prompt, 16)
+		buffer = backend.AppendPrefixHashes(buffer[:0], "model", "adapter", prompt, 16)
 	}); allocations != 0 {
 		t.Errorf("%v allocations, want 0", allocations)
 	}
--- a/internal/bench/faults/bugs.go
+++ b/internal/bench/faults/bugs.go
@@ -11,8 +11,8 @@
 	"time"
 
 	"ringstream.example/ringstream/internal/emulator"
-	"ringstream.example/ringstream/internal/platform"
-	"ringstream.example/ringstream/internal/platform/wire"
+	"ringstream.example/ringstream/internal/backend"
+	"ringstream.example/ringstream/internal/backend/wire"
 	"ringstream.example/ringstream/internal/wait"
 )
 
@@ -174,7 +174,7 @@
 	}
 	r.Body = io.NopCloser(bytes.NewReader(body))
 	var request wire.GenerateRequest
-	if json.Unmarshal(body, &request) == nil && platform.Priority(request.Priority) == platform.PriorityBatch {
+	if json.Unmarshal(body, &request) == nil && backend.Priority(request.Priority) == backend.PriorityBatch {
 		b.mutex.Lock()
 		b.sent[request.Attempt] = body
 		b.mutex.Unlock()
--- a/internal/bench/faults/fleet.go
+++ b/internal/bench/faults/fleet.go
@@ -19,7 +19,7 @@
 	"ringstream.example/ringstream/internal/emulator"
 	"ringstream.example/ringstream/internal/emulator/netsim"
 	"ringstream.example/ringstream/internal/node"
-	"ringstream.example/ringstream/internal/platform"
+	"ringstream.example/ringstream/internal/backend"
 	"ringstream.example/ringstream/internal/settings"
 	"ringstream.example/ringstream/internal/wait"
 )
@@ -89,7 +89,7 @@
 	config.Network, config.Seed, config.Wrap = f.network, seed, wrap
 	config.Region, config.Zones, config.MachinesLag = region, zones, machinesLag
 	config.Engine.MaxRunning = places
-	config.Pools = []emulator.Pool{{Name: pool, Engines: enginesInAll, Models: []platform.LoadedModel{{Model: model, Version: "1"}}}}
+	config.Pools = []emulator.Pool{{Name: pool, Engines: enginesInAll, Models: []backend.LoadedModel{{Model: model, Version: "1"}}}}
 	var err error
 	if f.platform, err = emulator.StartFleet(config); err != nil {
 		return nil, err
--- a/internal/bench/faults/judge.go
+++ b/internal/bench/faults/judge.go
@@ -11,7 +11,7 @@
 	"ringstream.example/ringstream/internal/bench/workload"
 	"ringstream.example/ringstream/internal/emulator"
 	"ringstream.example/ringstream/internal/jobs"
-	"ringstream.example/ringstream/internal/platform"
+	"ringstream.example/ringstream/internal/backend"
 )
 
 // judge gathers the records and checks them.
@@ -143,7 +143,7 @@
 // complete adds what the engines recorded.
 func complete(into *ledger.Evidence, names map[uint64]string, stand *emulator.Fleet) {
 	for _, entry := range stand.Ledger() {
-		online := entry.Priority == platform.PriorityOnline
+		online := entry.Priority == backend.PriorityOnline
 		name := names[entry.PromptHash]
 		if entry.Refused != "" {
 			into.Refusals = append(into.Refusals, ledger.EngineRefusal{
--- a/internal/bench/faults/steps.go
+++ b/internal/bench/faults/steps.go
@@ -13,8 +13,8 @@
 
 	"ringstream.example/ringstream/internal/core/batch"
 	"ringstream.example/ringstream/internal/emulator"
-	"ringstream.example/ringstream/internal/platform"
-	"ringstream.example/ringstream/internal/platform/wire"
+	"ringstream.example/ringstream/internal/backend"
+	"ringstream.example/ringstream/internal/backend/wire"
 )
 
 // Step is a point in the course of some work, as the stand-ins see it.
@@ -118,15 +118,15 @@
 }
 
 // generates tells whether the call sends an attempt of a priority.
-func (s *sight) generates(priority platform.Priority) bool {
+func (s *sight) generates(priority backend.Priority) bool {
 	if s.Operation != "generate" {
 		return false
 	}
 	var sent wire.GenerateRequest
-	return json.Unmarshal(s.Body, &sent) == nil && platform.Priority(sent.Priority) == priority
+	return json.Unmarshal(s.Body, &sent) == nil && backend.Priority(sent.Priority) == priority
 }
 
-func (s *sight) streams(operation string, priority platform.Priority) bool {
+func (s *sight) streams(operation string, priority backend.Priority) bool {
 	return s.Operation == operation && s.Priority == priority
 }
 
@@ -134,12 +134,12 @@
 func Steps() []Step {
 	var steps []Step
 	steps = append(steps, around("request", "key_claim", func(s *sight) bool { return s.writes(keyPrefix) && s.keyWrites == 0 })...)
-	steps = append(steps, attempt("request", platform.PriorityOnline)...)
+	steps = append(steps, attempt("request", backend.PriorityOnline)...)
 	steps = append(steps, around("request", "key_answer", func(s *sight) bool { return s.writes(keyPrefix) && s.keyWrites == 1 })...)
 	steps = append(steps, around("job", "input_put", func(s *sight) bool { return s.put(inputPrefix) })...)
 	steps = append(steps, around("job", "accept", func(s *sight) bool { return s.commitOf("accept-") })...)
 	steps = append(steps, around("item", "intent", func(s *sight) bool { return s.newIntents })...)
-	steps = append(steps, attempt("item", platform.PriorityBatch)...)
+	steps = append(steps, attempt("item", backend.PriorityBatch)...)
 	steps = append(steps, around("item", "result_put", func(s *sight) bool { return s.put(resultPrefix) })...)
 	steps = append(steps, around("item", "final", func(s *sight) bool { return s.newItems })...)
 	steps = append(steps, around("job", "end", func(s *sight) bool { return s.commitOf("items-") && s.deletes(openPrefix) })...)
@@ -166,7 +166,7 @@
 }
 
 // attempt gives the steps of an attempt on an engine.
-func attempt(of string, priority platform.Priority) []Step {
+func attempt(of string, priority backend.Priority) []Step {
 	steps := around(of, "send", func(s *sight) bool { return s.generates(priority) })
 	for _, point := range []string{emulator.OperationFirstToken, emulator.OperationHalfway, emulator.OperationFinish} {
 		steps = append(steps, Step{Name: of + "." + point, Of: of, reached: func(s *sight) bool { return s.streams(point, priority) }})
--- a/internal/bench/fleet/fleet.go
+++ b/internal/bench/fleet/fleet.go
@@ -23,7 +23,7 @@
 	"ringstream.example/ringstream/internal/bench/workload"
 	"ringstream.example/ringstream/internal/core/identity"
 	"ringstream.example/ringstream/internal/emulator"
-	"ringstream.example/ringstream/internal/platform"
+	"ringstream.example/ringstream/internal/backend"
 )
 
 // OperatorKey is the key that every node takes for the operator "bench".
@@ -44,10 +44,10 @@
 	const gigabyte = 1 << 30
 	config := emulator.DefaultFleetConfig()
 	config.Region, config.Zones, config.Seed = from.Region, from.Zones, seed
-	models := []platform.LoadedModel{{Model: from.Model, Version: firstVersion}}
+	models := []backend.LoadedModel{{Model: from.Model, Version: firstVersion}}
 	config.Engine = EngineConfig(from)
 	config.Pools = []emulator.Pool{{Name: from.Pool, Engines: from.EngineCount(), Models: models, Capacities: from.Capacities()}}
-	config.Artifacts = []platform.Artifact{
+	config.Artifacts = []backend.Artifact{
 		{Model: from.Model, Version: firstVersion, Bytes: 2 * gigabyte},
 		{Model: from.Model, Version: "v2", Bytes: 2 * gigabyte},
 	}
@@ -299,7 +299,7 @@
 }
 
 func add(into *ledger.Evidence, engine string, entry emulator.LedgerEntry, name string) {
-	online := entry.Priority == platform.PriorityOnline
+	online := entry.Priority == backend.PriorityOnline
 	if entry.Refused != "" {
 		into.Refusals = append(into.Refusals, ledger.EngineRefusal{
 			At: entry.OfferedAt, Engine: engine, Name: name, Online: online, Code: entry.Refused,
--- a/internal/bench/hollow/fleet.go
+++ b/internal/bench/hollow/fleet.go
@@ -14,7 +14,7 @@
 	"ringstream.example/ringstream/internal/limits"
 	"ringstream.example/ringstream/internal/peer"
 	"ringstream.example/ringstream/internal/peer/memnet"
-	"ringstream.example/ringstream/internal/platform/platformtest"
+	"ringstream.example/ringstream/internal/backend/backendtest"
 	"ringstream.example/ringstream/internal/rows"
 	"ringstream.example/ringstream/internal/store"
 )
@@ -60,7 +60,7 @@
 type fleet struct {
 	options  Options
 	network  *memnet.Network
-	table    *platformtest.Table
+	table    *backendtest.Table
 	engines  *engines
 	observer *observer
 	seeds    []string
@@ -76,7 +76,7 @@
 
 func newFleet(options Options) (*fleet, error) {
 	f := &fleet{
-		options: options, network: memnet.New(), table: platformtest.NewTable(),
+		options: options, network: memnet.New(), table: backendtest.NewTable(),
 		engines: newEngines(options), observer: newObserver(),
 		byName: map[string]*place{}, past: traffic{}, random: rand.New(rand.NewPCG(options.Seed, 1)), //nolint:gosec // a seeded run
 	}
--- a/internal/bench/naive/naive.go
+++ b/internal/bench/naive/naive.go
@@ -18,12 +18,12 @@
 	"ringstream.example/ringstream/internal/bench/ledger"
 	"ringstream.example/ringstream/internal/bench/workload"
 	"ringstream.example/ringstream/internal/core/identity"
-	"ringstream.example/ringstream/internal/platform"
+	"ringstream.example/ringstream/internal/backend"
 )
 
 // Engine is one engine and the number of sequences that it runs at once.
 type Engine struct {
-	Engine platform.Engine
+	Engine backend.Engine
 	Places int
 }
 
@@ -103,7 +103,7 @@
 }
 
 // serve is one place on one engine.
-func (s *System) serve(from *queue, engine platform.Engine) {
+func (s *System) serve(from *queue, engine backend.Engine) {
 	const longest = 2 * time.Minute
 	for {
 		next, ok := from.take()
@@ -116,10 +116,10 @@
 	}
 }
 
-func (s *System) run(ctx context.Context, engine platform.Engine, next task) error {
-	stream, err := engine.Generate(ctx, platform.GenerateRequest{
+func (s *System) run(ctx context.Context, engine backend.Engine, next task) error {
+	stream, err := engine.Generate(ctx, backend.GenerateRequest{
 		Attempt: identity.AttemptID("naive-" + next.name), Model: s.model, Prompt: next.prompt,
-		MaxTokens: next.maxTokens, Priority: platform.PriorityBatch,
+		MaxTokens: next.maxTokens, Priority: backend.PriorityBatch,
 	})
 	if err != nil {
 		return err
--- a/internal/bench/runner/runner.go
+++ b/internal/bench/runner/runner.go
@@ -17,7 +17,7 @@
 	"ringstream.example/ringstream/internal/bench/workload"
 	"ringstream.example/ringstream/internal/core/identity"
 	"ringstream.example/ringstream/internal/emulator"
-	"ringstream.example/ringstream/internal/platform"
+	"ringstream.example/ringstream/internal/backend"
 )
 
 // Run runs a scenario against three systems on the same arrivals and gives its
@@ -163,10 +163,10 @@
 	return outside[len(outside)/2], nil
 }
 
-func firstToken(ctx context.Context, engine platform.Engine, model string, call int) error {
-	stream, err := engine.Generate(ctx, platform.GenerateRequest{
+func firstToken(ctx context.Context, engine backend.Engine, model string, call int) error {
+	stream, err := engine.Generate(ctx, backend.GenerateRequest{
 		Attempt: identity.AttemptID(fmt.Sprintf("direct-%d", call)), Model: model, Prompt: fmt.Sprintf("direct call %d", call),
-		MaxTokens: 1, Priority: platform.PriorityOnline,
+		MaxTokens: 1, Priority: backend.PriorityOnline,
 	})
 	if err != nil {
 		return err
--- a/internal/dispatch/attempt.go
+++ b/internal/dispatch/attempt.go
@@ -15,7 +15,7 @@
 	"ringstream.example/ringstream/internal/core/routing"
 	"ringstream.example/ringstream/internal/events"
 	"ringstream.example/ringstream/internal/fleet"
-	"ringstream.example/ringstream/internal/platform"
+	"ringstream.example/ringstream/internal/backend"
 	"ringstream.example/ringstream/internal/wait"
 )
 
@@ -50,7 +50,7 @@
 	service *Service
 	run     *run
 	id      identity.AttemptID
-	client  platform.Engine
+	client  backend.Engine
 	engine  *fleet.Engine // nil when the attempt was begun by another node
 	// incarnation is the engine's, set for what may run once only.
 	incarnation identity.Incarnation
@@ -85,11 +85,11 @@
 	a.watchdog = time.AfterFunc(a.service.config.FirstTokenTimeout, func() { cancel(errStalled) })
 	defer a.watchdog.Stop()
 	request := &a.run.request
-	priority := platform.PriorityOnline
+	priority := backend.PriorityOnline
 	if a.run.class == routing.Batch {
-		priority = platform.PriorityBatch
+		priority = backend.PriorityBatch
 	}
-	stream, err := a.client.Generate(streamCtx, platform.GenerateRequest{
+	stream, err := a.client.Generate(streamCtx, backend.GenerateRequest{
 		Attempt: a.id, Model: request.Model, Adapter: request.Adapter, Prompt: request.Prompt,
 		Kept: a.run.tokens, MaxTokens: request.MaxTokens, Sampling: request.Sampling, Priority: priority,
 		Incarnation: a.incarnation,
@@ -107,7 +107,7 @@
 }
 
 // read takes a stream's tokens and decides what its end means.
-func (a *attempt) read(ctx, streamCtx context.Context, stream platform.TokenStream) ending {
+func (a *attempt) read(ctx, streamCtx context.Context, stream backend.TokenStream) ending {
 	finish, err := a.take(stream)
 	_ = stream.Close()
 	if err != nil {
@@ -121,14 +121,14 @@
 
 // take reads tokens in offset order. A token seen before is dropped; a token
 // of a later offset breaks the stream, which is then joined at the exact offset.
-func (a *attempt) take(stream platform.TokenStream) (platform.Finish, error) {
+func (a *attempt) take(stream backend.TokenStream) (backend.Finish, error) {
 	for {
 		token, err := stream.Next()
 		if errors.Is(err, io.EOF) {
 			return a.finish(stream.Finish())
 		}
 		if err != nil {
-			return platform.Finish{}, err
+			return backend.Finish{}, err
 		}
 		expected := len(a.run.tokens)
 		if token.Offset < expected {
@@ -136,7 +136,7 @@
 		}
 		if token.Offset > expected {
 			a.crossed(expected, token.Offset)
-			return platform.Finish{}, errWrongOffset
+			return backend.Finish{}, errWrongOffset
 		}
 		a.watchdog.Reset(a.service.config.NextTokenTimeout)
 		a.run.started()
@@ -145,13 +145,13 @@
 		}
 		a.run.tokens = append(a.run.tokens, token.Text)
 		if err := a.run.sink(token); err != nil {
-			return platform.Finish{}, errCallerGone
+			return backend.Finish{}, errCallerGone
 		}
 	}
 }
 
 // finish checks that the engine's end fits what was received.
-func (a *attempt) finish(finish platform.Finish) (platform.Finish, error) {
+func (a *attempt) finish(finish backend.Finish) (backend.Finish, error) {
 	if finish.Reason == "cancelled" {
 		return finish, errStopped
 	}
@@ -211,18 +211,18 @@
 		if errors.Is(err, errCallerGone) || ctx.Err() != nil {
 			return a.broken(ctx, err)
 		}
-		if code(err) == platform.CodeNotFound {
+		if code(err) == backend.CodeNotFound {
 			break
 		}
 	}
-	if a.engine != nil && !errors.Is(cause, errWrongOffset) && code(cause) != platform.CodeNotFound {
+	if a.engine != nil && !errors.Is(cause, errWrongOffset) && code(cause) != backend.CodeNotFound {
 		a.hung()
 	}
 	if a.run.request.Repeatable {
 		a.cancel(ctx)
 		return ending{err: cause}
 	}
-	if code(cause) == platform.CodeNotFound && a.neverRan(ctx) {
+	if code(cause) == backend.CodeNotFound && a.neverRan(ctx) {
 		return final(outcome.Outcome{
 			Kind: outcome.Refused, Code: codeNeverRan, RetryAfter: a.service.config.RetryAfter,
 			Reason: "the engine never ran the attempt and never will: " + cause.Error(),
@@ -262,11 +262,11 @@
 	}
 	a.failed(err)
 	switch code(err) {
-	case platform.CodeInvalid:
+	case backend.CodeInvalid:
 		return final(a.run.refuse(codeInvalid, err.Error(), 0))
-	case platform.CodeLeaving:
+	case backend.CodeLeaving:
 		a.service.fleet.Left(a.engine)
-	case platform.CodeUnavailable:
+	case backend.CodeUnavailable:
 		a.service.fleet.Unreachable(a.engine, err.Error())
 	}
 	return ending{err: err}
@@ -299,11 +299,11 @@
 
 // cancelOnce tries once, and says whether the engine has taken the cancel or
 // does not know the attempt.
-func (s *Service) cancelOnce(ctx context.Context, client platform.Engine, intent Intent) (report platform.CancelReport, heard bool) {
+func (s *Service) cancelOnce(ctx context.Context, client backend.Engine, intent Intent) (report backend.CancelReport, heard bool) {
 	ctx, stop := context.WithTimeout(context.WithoutCancel(ctx), s.config.CancelTimeout)
 	defer stop()
 	report, err := client.Cancel(ctx, intent.Attempt)
-	return report, err == nil || code(err) == platform.CodeNotFound
+	return report, err == nil || code(err) == backend.CodeNotFound
 }
 
 // The pauses between tries to cancel an attempt: a cancel reaches an engine
@@ -315,7 +315,7 @@
 
 // cancelUntilHeard asks again while the engine does not answer: an engine that
 // hung or was cut off has gone on with its work. It ends with the service.
-func (s *Service) cancelUntilHeard(ctx context.Context, client platform.Engine, intent Intent) {
+func (s *Service) cancelUntilHeard(ctx context.Context, client backend.Engine, intent Intent) {
 	deadline := time.Now().Add(s.config.CancelPatience)
 	for pause := firstCancelPause; ; pause = min(2*pause, longestCancelPause) {
 		if _, heard := s.cancelOnce(ctx, client, intent); heard {
@@ -373,12 +373,12 @@
 }
 
 func notRun(err error) bool {
-	var failure *platform.Error
-	return errors.As(err, &failure) && failure.Effect == platform.EffectNone
+	var failure *backend.Error
+	return errors.As(err, &failure) && failure.Effect == backend.EffectNone
 }
 
-func code(err error) platform.ErrorCode {
-	var failure *platform.Error
+func code(err error) backend.ErrorCode {
+	var failure *backend.Error
 	if errors.As(err, &failure) {
 		return failure.Code
 	}
--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -10,7 +10,7 @@
 	"ringstream.example/ringstream/internal/core/identity"
 	"ringstream.example/ringstream/internal/core/outcome"
 	"ringstream.example/ringstream/internal/core/policy"
-	"ringstream.example/ringstream/internal/platform"
+	"ringstream.example/ringstream/internal/backend"
 )
 
 // Request is one unit of model work, online or a batch item.
@@ -23,7 +23,7 @@
 	Adapter   string
 	Prompt    string
 	MaxTokens int
-	Sampling  platform.Sampling
+	Sampling  backend.Sampling
 	// Kept holds tokens of an earlier attempt that gave way.
 	Kept []string
 	// Repeatable false: sent to an engine at most once, ever.
@@ -41,7 +41,7 @@
 
 // Sink takes the tokens of a request in offset order, each offset once. An
 // error means that the caller has gone: the engine's work is cancelled.
-type Sink func(token platform.Token) error
+type Sink func(token backend.Token) error
 
 // Online runs online requests.
 type Online interface {
--- a/internal/dispatch/dispatch_test.go
+++ b/internal/dispatch/dispatch_test.go
@@ -18,7 +18,7 @@
 	"ringstream.example/ringstream/internal/dispatch"
 	"ringstream.example/ringstream/internal/fleet"
 	"ringstream.example/ringstream/internal/peer/peertest"
-	"ringstream.example/ringstream/internal/platform"
+	"ringstream.example/ringstream/internal/backend"
 )
 
 // site is one node with its engines, in a synctest bubble.
@@ -72,7 +72,7 @@
 
 // collect is a sink that checks that offsets rise by one.
 func collect(t *testing.T, into *[]string) dispatch.Sink {
-	return func(token platform.Token) error {
+	return func(token backend.Token) error {
 		if token.Offset != len(*into) {
 			t.Errorf("token %d delivered at %d", token.Offset, len(*into))
 		}
@@ -111,7 +111,7 @@
 		"gap":          func(f *fakeEngine) { f.skewAt = 4 },
 		"repeated":     func(f *fakeEngine) { f.repeatAt = 4 },
 		"down":         func(f *fakeEngine) { f.down = true },
-		"saturated":    func(f *fakeEngine) { f.refuse = f.fault(platform.CodeSaturated, platform.EffectNone) },
+		"saturated":    func(f *fakeEngine) { f.refuse = f.fault(backend.CodeSaturated, backend.EffectNone) },
 		"hung at once": func(f *fakeEngine) { f.hangAt = 0 },
 		"hung later":   func(f *fakeEngine) { f.hangAt = 5 },
 	}
@@ -131,7 +131,7 @@
 	runSite(t, 2, func(t *testing.T, s *site) {
 		var got []string
 		sink := collect(t, &got)
-		end := s.Run(t.Context(), request("r", 10), func(token platform.Token) error {
+		end := s.Run(t.Context(), request("r", 10), func(token backend.Token) error {
 			if token.Offset == 4 {
 				for _, engine := range s.engines {
 					engine.set(func(f *fakeEngine) { f.down = len(f.attempts) > 0 })
@@ -249,7 +249,7 @@
 
 func TestCallerGoneCancelsTheEnginesWork(t *testing.T) {
 	runSite(t, 1, func(t *testing.T, s *site) {
-		end := s.Run(t.Context(), request("r", 50), func(token platform.Token) error {
+		end := s.Run(t.Context(), request("r", 50), func(token backend.Token) error {
 			if token.Offset == 3 {
 				return errSinkClosed
 			}
--- a/internal/dispatch/fake_test.go
+++ b/internal/dispatch/fake_test.go
@@ -9,7 +9,7 @@
 	"time"
 
 	"ringstream.example/ringstream/internal/core/identity"
-	"ringstream.example/ringstream/internal/platform"
+	"ringstream.example/ringstream/internal/backend"
 )
 
 const (
@@ -26,7 +26,7 @@
 
 	mutex     sync.Mutex
 	attempts  map[identity.AttemptID]*fakeAttempt
-	refuse    *platform.Error // answers Generate while set
+	refuse    *backend.Error // answers Generate while set
 	lose      int             // so many Generates run and lose their answer
 	breakAt   map[int]bool    // a stream breaks before this offset, once each
 	hangAt    int             // streams stand still before this offset; -1: never
@@ -41,7 +41,7 @@
 }
 
 type fakeAttempt struct {
-	request platform.GenerateRequest
+	request backend.GenerateRequest
 	started time.Time
 }
 
@@ -72,12 +72,12 @@
 	return len(f.cancelled)
 }
 
-func (f *fakeEngine) fault(code platform.ErrorCode, effect platform.Effect) *platform.Error {
-	return &platform.Error{Code: code, Effect: effect, System: f.id, Operation: "fake"}
+func (f *fakeEngine) fault(code backend.ErrorCode, effect backend.Effect) *backend.Error {
+	return &backend.Error{Code: code, Effect: effect, System: f.id, Operation: "fake"}
 }
 
 // running counts attempts that are neither cancelled nor finished.
-func (f *fakeEngine) running(priority platform.Priority) int {
+func (f *fakeEngine) running(priority backend.Priority) int {
 	count := 0
 	for id, attempt := range f.attempts {
 		left := time.Duration(attempt.request.MaxTokens-len(attempt.request.Kept)) * tokenPause
@@ -88,68 +88,68 @@
 	return count
 }
 
-func (f *fakeEngine) Generate(ctx context.Context, request platform.GenerateRequest) (platform.TokenStream, error) {
+func (f *fakeEngine) Generate(ctx context.Context, request backend.GenerateRequest) (backend.TokenStream, error) {
 	f.mutex.Lock()
 	defer f.mutex.Unlock()
 	f.generates++
 	switch {
 	case f.down:
-		return nil, f.fault(platform.CodeUnavailable, platform.EffectNone)
+		return nil, f.fault(backend.CodeUnavailable, backend.EffectNone)
 	case f.refuse != nil:
 		return nil, f.refuse
 	case f.leaving:
-		return nil, f.fault(platform.CodeLeaving, platform.EffectNone)
+		return nil, f.fault(backend.CodeLeaving, backend.EffectNone)
 	}
 	f.attempts[request.Attempt] = &fakeAttempt{request: request, started: time.Now()}
 	if f.lose > 0 {
 		f.lose--
-		return nil, f.fault(platform.CodeUnavailable, platform.EffectUnknown)
+		return nil, f.fault(backend.CodeUnavailable, backend.EffectUnknown)
 	}
 	return &fakeStream{ctx: ctx, engine: f, id: request.Attempt, offset: len(request.Kept)}, nil
 }
 
-func (f *fakeEngine) Resume(ctx context.Context, id identity.AttemptID, offset int) (platform.TokenStream, error) {
+func (f *fakeEngine) Resume(ctx context.Context, id identity.AttemptID, offset int) (backend.TokenStream, error) {
 	f.mutex.Lock()
 	defer f.mutex.Unlock()
 	if f.down {
-		return nil, f.fault(platform.CodeUnavailable, platform.EffectNone)
+		return nil, f.fault(backend.CodeUnavailable, backend.EffectNone)
 	}
 	if f.attempts[id] == nil {
-		return nil, f.fault(platform.CodeNotFound, platform.EffectNone)
+		return nil, f.fault(backend.CodeNotFound, backend.EffectNone)
 	}
 	return &fakeStream{ctx: ctx, engine: f, id: id, offset: offset}, nil
 }
 
-func (f *fakeEngine) Cancel(_ context.Context, id identity.AttemptID) (platform.CancelReport, error) {
+func (f *fakeEngine) Cancel(_ context.Context, id identity.AttemptID) (backend.CancelReport, error) {
 	f.mutex.Lock()
 	defer f.mutex.Unlock()
 	if f.down {
-		return platform.CancelReport{}, f.fault(platform.CodeUnavailable, platform.EffectNone)
+		return backend.CancelReport{}, f.fault(backend.CodeUnavailable, backend.EffectNone)
 	}
 	f.cancelled[id] = true
 	found := f.attempts[id] != nil
-	return platform.CancelReport{Found: found, Never: !found, Incarnation: f.life}, nil
+	return backend.CancelReport{Found: found, Never: !found, Incarnation: f.life}, nil
 }
 
 func (f *fakeEngine) ExportKV(context.Context, identity.AttemptID) ([]byte, error) { return nil, nil }
 func (f *fakeEngine) ImportKV(context.Context, []byte) error                       { return nil }
-func (f *fakeEngine) Order(context.Context, platform.Order) error                  { return nil }
+func (f *fakeEngine) Order(context.Context, backend.Order) error                  { return nil }
 
-func (f *fakeEngine) CacheEvents(context.Context, uint64) ([]platform.CacheEvent, error) {
+func (f *fakeEngine) CacheEvents(context.Context, uint64) ([]backend.CacheEvent, error) {
 	return nil, nil
 }
 
-func (f *fakeEngine) Load(context.Context) (platform.EngineLoad, error) {
+func (f *fakeEngine) Load(context.Context) (backend.EngineLoad, error) {
 	f.mutex.Lock()
 	defer f.mutex.Unlock()
 	f.loads++
 	if f.down {
-		return platform.EngineLoad{}, f.fault(platform.CodeUnavailable, platform.EffectNone)
+		return backend.EngineLoad{}, f.fault(backend.CodeUnavailable, backend.EffectNone)
 	}
-	return platform.EngineLoad{
+	return backend.EngineLoad{
 		Engine: identity.EngineID(f.id), ReportedAt: time.Now(), MaxRunning: fakeRunning, Leaving: f.leaving,
-		RunningOnline: f.running(platform.PriorityOnline), RunningBatch: f.running(platform.PriorityBatch),
-		Models: []platform.LoadedModel{{Model: fakeModel, Version: "1"}}, Incarnation: f.life,
+		RunningOnline: f.running(backend.PriorityOnline), RunningBatch: f.running(backend.PriorityBatch),
+		Models: []backend.LoadedModel{{Model: fakeModel, Version: "1"}}, Incarnation: f.life,
 	}, nil
 }
 
@@ -160,7 +160,7 @@
 	offset int
 }
 
-func (s *fakeStream) Next() (platform.Token, error) {
+func (s *fakeStream) Next() (backend.Token, error) {
 	s.engine.mutex.Lock()
 	hang := s.engine.hangAt >= 0 && s.offset >= s.engine.hangAt
 	s.engine.mutex.Unlock()
@@ -169,7 +169,7 @@
 	}
 	select {
 	case <-s.ctx.Done():
-		return platform.Token{}, s.engine.fault(platform.CodeBroken, platform.EffectUnknown)
+		return backend.Token{}, s.engine.fault(backend.CodeBroken, backend.EffectUnknown)
 	case <-time.After(tokenPause):
 	}
 	s.engine.mutex.Lock()
@@ -177,12 +177,12 @@
 	attempt := s.engine.attempts[s.id]
 	switch {
 	case s.engine.down || s.engine.cancelled[s.id]:
-		return platform.Token{}, s.engine.fault(platform.CodeBroken, platform.EffectUnknown)
+		return backend.Token{}, s.engine.fault(backend.CodeBroken, backend.EffectUnknown)
 	case s.offset >= attempt.request.MaxTokens:
-		return platform.Token{}, io.EOF
+		return backend.Token{}, io.EOF
 	case s.engine.breakAt[s.offset]:
 		delete(s.engine.breakAt, s.offset)
-		return platform.Token{}, s.engine.fault(platform.CodeBroken, platform.EffectUnknown)
+		return backend.Token{}, s.engine.fault(backend.CodeBroken, backend.EffectUnknown)
 	case s.engine.skewAt == s.offset:
 		s.engine.skewAt = -1
 		s.offset++
@@ -190,13 +190,13 @@
 		s.engine.repeatAt = -1
 		s.offset--
 	}
-	token := platform.Token{Offset: s.offset, Text: attempt.request.Prompt + "/" + strconv.Itoa(s.offset)}
+	token := backend.Token{Offset: s.offset, Text: attempt.request.Prompt + "/" + strconv.Itoa(s.offset)}
 	s.offset++
 	return token, nil
 }
 
-func (s *fakeStream) Finish() platform.Finish {
-	return platform.Finish{Reason: "length", OutputTokens: s.offset}
+func (s *fakeStream) Finish() backend.Finish {
+	return backend.Finish{Reason: "length", OutputTokens: s.offset}
 }
 
 func (s *fakeStream) Close() error { return nil }
@@ -205,7 +205,7 @@
 type fakeFleet struct {
 	mutex    sync.Mutex
 	version  uint64
-	machines []platform.Machine
+	machines []backend.Machine
 	engines  map[string]*fakeEngine
 }
 
@@ -213,20 +213,20 @@
 	fleet := &fakeFleet{version: 1, engines: map[string]*fakeEngine{}}
 	for _, engine := range engines {
 		fleet.engines[engine.id] = engine
-		fleet.machines = append(fleet.machines, platform.Machine{
-			ID: engine.id, Kind: platform.MachineEngine, Address: engine.id, Zone: "zone-a", Region: "region", Pool: fakePool, Capacity: 1,
+		fleet.machines = append(fleet.machines, backend.Machine{
+			ID: engine.id, Kind: backend.MachineEngine, Address: engine.id, Zone: "zone-a", Region: "region", Pool: fakePool, Capacity: 1,
 		})
 	}
 	return fleet
 }
 
-func (f *fakeFleet) Machines(_ context.Context, since uint64) (platform.MachineSnapshot, error) {
+func (f *fakeFleet) Machines(_ context.Context, since uint64) (backend.MachineSnapshot, error) {
 	f.mutex.Lock()
 	defer f.mutex.Unlock()
 	if since == f.version {
-		return platform.MachineSnapshot{Version: since}, nil
+		return backend.MachineSnapshot{Version: since}, nil
 	}
-	return platform.MachineSnapshot{Version: f.version, Machines: append([]platform.Machine(nil), f.machines...)}, nil
+	return backend.MachineSnapshot{Version: f.version, Machines: append([]backend.Machine(nil), f.machines...)}, nil
 }
 
 func (f *fakeFleet) leave(id string) {
@@ -240,6 +240,6 @@
 	}
 }
 
-func (f *fakeFleet) Engine(machine platform.Machine) platform.Engine { return f.engines[machine.ID] }
+func (f *fakeFleet) Engine(machine backend.Machine) backend.Engine { return f.engines[machine.ID] }
 
 var errSinkClosed = errors.New("the reader closed")
--- a/internal/dispatch/forward.go
+++ b/internal/dispatch/forward.go
@@ -15,7 +15,7 @@
 	"ringstream.example/ringstream/internal/core/routing"
 	"ringstream.example/ringstream/internal/events"
 	"ringstream.example/ringstream/internal/peer"
-	"ringstream.example/ringstream/internal/platform"
+	"ringstream.example/ringstream/internal/backend"
 )
 
 // A request goes to another node, one hop at most, when no engine of this
@@ -133,7 +133,7 @@
 				continue // taken before; the other node gives offsets without gaps
 			}
 			run.tokens = append(run.tokens, message.Text)
-			if err := run.sink(platform.Token(message)); err != nil {
+			if err := run.sink(backend.Token(message)); err != nil {
 				return final(outcome.Outcome{Kind: outcome.Cancelled, Code: codeCancelled, Reason: errCallerGone.Error(), Tokens: run.tokens})
 			}
 		case forwardEnd:
@@ -220,7 +220,7 @@
 		Model: forwarded.Model, Adapter: forwarded.Adapter, Prompt: forwarded.Prompt, MaxTokens: forwarded.MaxTokens,
 		Kept: forwarded.Kept, Repeatable: forwarded.Repeatable, Deadline: forwarded.Deadline,
 	}
-	run := s.newRun(request, func(token platform.Token) error { return stream.Send(forwardToken(token)) }, routing.Online)
+	run := s.newRun(request, func(token backend.Token) error { return stream.Send(forwardToken(token)) }, routing.Online)
 	run.forwarded = true
 	end := s.runWithin(ctx, run)
 	s.metrics.requests.WithLabelValues("forwarded", end.Kind.String()).Inc()
--- a/internal/dispatch/forward_test.go
+++ b/internal/dispatch/forward_test.go
@@ -16,7 +16,7 @@
 	"ringstream.example/ringstream/internal/dispatch"
 	"ringstream.example/ringstream/internal/fleet"
 	"ringstream.example/ringstream/internal/peer/peertest"
-	"ringstream.example/ringstream/internal/platform"
+	"ringstream.example/ringstream/internal/backend"
 )
 
 const rarePool = "rare"
@@ -100,7 +100,7 @@
 
 func TestForwardedRequestIsCancelledWhenItsCallerGoes(t *testing.T) {
 	runNodes(t, func(t *testing.T, n *nodes) {
-		end := n.stranger(t).Run(t.Context(), rareRequest("r", 100), func(token platform.Token) error {
+		end := n.stranger(t).Run(t.Context(), rareRequest("r", 100), func(token backend.Token) error {
 			if token.Offset == 3 {
 				return errSinkClosed
 			}
@@ -115,7 +115,7 @@
 
 func TestRefusalOfTheOtherNodeIsNotRun(t *testing.T) {
 	runNodes(t, func(t *testing.T, n *nodes) {
-		n.rare.set(func(f *fakeEngine) { f.refuse = f.fault(platform.CodeSaturated, platform.EffectNone) })
+		n.rare.set(func(f *fakeEngine) { f.refuse = f.fault(backend.CodeSaturated, backend.EffectNone) })
 		end := n.stranger(t).Run(t.Context(), rareRequest("r", 5), nil)
 		if end.Kind != outcome.Refused || end.RetryAfter == 0 {
 			t.Errorf("outcome %+v, want refused with a retry time", end)
@@ -134,7 +134,7 @@
 				once.Repeatable = repeatable
 				var got []string
 				sink := collect(t, &got)
-				end := stranger.Run(t.Context(), once, func(token platform.Token) error {
+				end := stranger.Run(t.Context(), once, func(token backend.Token) error {
 					if token.Offset == 5 {
 						for i, watch := range n.fleets { // all that dispatch to the engine, so also the right one
 							if own, _ := onlineOn(watch); own > 0 {
--- a/internal/dispatch/run.go
+++ b/internal/dispatch/run.go
@@ -11,7 +11,7 @@
 	"ringstream.example/ringstream/internal/core/outcome"
 	"ringstream.example/ringstream/internal/core/routing"
 	"ringstream.example/ringstream/internal/fleet"
-	"ringstream.example/ringstream/internal/platform"
+	"ringstream.example/ringstream/internal/backend"
 )
 
 // The codes of outcomes other than Completed; docs/operations/errors.md has them.
@@ -55,11 +55,11 @@
 
 func (s *Service) newRun(request Request, sink Sink, class routing.Class) *run {
 	if sink == nil {
-		sink = func(platform.Token) error { return nil }
+		sink = func(backend.Token) error { return nil }
 	}
 	return &run{
 		request: request, sink: sink, class: class,
-		prefix: platform.AppendPrefixHashes(nil, request.Model, request.Adapter, request.Prompt, maxPrefixBlocks),
+		prefix: backend.AppendPrefixHashes(nil, request.Model, request.Adapter, request.Prompt, maxPrefixBlocks),
 		tokens: append([]string(nil), request.Kept...),
 	}
 }
@@ -67,8 +67,8 @@
 // expect counts the prompt tokens that an engine must compute for the run,
 // when it has these blocks of the prefix cached. Service.mutex is held.
 func (r *run) expect(engine *fleet.Engine, blocks int) {
-	uncached := r.request.Prompt[blocks*platform.PrefixBlockBytes:]
-	r.prefill = platform.PromptTokens(uncached) + len(r.tokens)
+	uncached := r.request.Prompt[blocks*backend.PrefixBlockBytes:]
+	r.prefill = backend.PromptTokens(uncached) + len(r.tokens)
 	r.prefillOn = engine
 	engine.AddPrefill(r.prefill)
 }
@@ -90,7 +90,7 @@
 	}
 	return &admission.Ticket{
 		Row: r.request.Row.ID, Weight: r.request.Row.Weight,
-		Cost:     float64(1 + len(r.request.Prompt)/platform.PrefixBlockBytes + r.request.MaxTokens),
+		Cost:     float64(1 + len(r.request.Prompt)/backend.PrefixBlockBytes + r.request.MaxTokens),
 		Deadline: deadline,
 	}
 }
@@ -123,15 +123,15 @@
 	}
 	return outcome.Outcome{
 		Kind: outcome.Completed, FinishReason: "length", Tokens: r.tokens,
-		PromptTokens: platform.PromptTokens(r.request.Prompt), OutputTokens: len(r.tokens),
+		PromptTokens: backend.PromptTokens(r.request.Prompt), OutputTokens: len(r.tokens),
 	}, true
 }
 
 // giveUp ends a request after its last attempt.
 func (r *run) giveUp(cause error, retryAfter time.Duration) outcome.Outcome {
 	code := codeEngine
-	var failure *platform.Error
-	if errors.As(cause, &failure) && failure.Code == platform.CodeSaturated {
+	var failure *backend.Error
+	if errors.As(cause, &failure) && failure.Code == backend.CodeSaturated {
 		code = codeNoCapacity
 		retryAfter = max(retryAfter, failure.RetryAfter)
 	}
--- a/internal/dispatch/service.go
+++ b/internal/dispatch/service.go
@@ -16,7 +16,7 @@
 	"ringstream.example/ringstream/internal/core/routing"
 	"ringstream.example/ringstream/internal/fleet"
 	"ringstream.example/ringstream/internal/peer"
-	"ringstream.example/ringstream/internal/platform"
+	"ringstream.example/ringstream/internal/backend"
 	"ringstream.example/ringstream/internal/rows"
 )
 
@@ -26,7 +26,7 @@
 	// Changed signals that capacity may have changed; Notify raises it.
 	Changed() <-chan struct{}
 	Notify()
-	Client(id identity.EngineID) (platform.Engine, bool)
+	Client(id identity.EngineID) (backend.Engine, bool)
 	// Elsewhere gives a node that dispatches to other engines of the pool.
 	Elsewhere(pool string, random routing.Random) (identity.NodeID, bool)
 	WithPrefixes(decide func(*routing.PrefixIndex))
--- a/internal/emulator/cache.go
+++ b/internal/emulator/cache.go
@@ -5,12 +5,12 @@
 	"strconv"
 	"time"
 
-	"ringstream.example/ringstream/internal/platform"
-	"ringstream.example/ringstream/internal/platform/wire"
+	"ringstream.example/ringstream/internal/backend"
+	"ringstream.example/ringstream/internal/backend/wire"
 )
 
 // blockTokens is the length of one cached block in tokens.
-const blockTokens = platform.PrefixBlockBytes / 4
+const blockTokens = backend.PrefixBlockBytes / 4
 
 // cacheEventLog bounds the cache events that can still be read.
 const cacheEventLog = 4096
@@ -36,8 +36,8 @@
 // prefixHashes names a sequence's whole prompt blocks.
 func prefixHashes(s *sequence) []uint64 {
 	request := s.request
-	blocks := len(request.Prompt) / platform.PrefixBlockBytes
-	return platform.AppendPrefixHashes(make([]uint64, 0, blocks), request.Model, request.Adapter, request.Prompt, blocks)
+	blocks := len(request.Prompt) / backend.PrefixBlockBytes
+	return backend.AppendPrefixHashes(make([]uint64, 0, blocks), request.Model, request.Adapter, request.Prompt, blocks)
 }
 
 // match counts the leading blocks that are cached.
--- a/internal/emulator/engine.go
+++ b/internal/emulator/engine.go
@@ -12,8 +12,8 @@
 	"time"
 
 	"ringstream.example/ringstream/internal/core/identity"
-	"ringstream.example/ringstream/internal/platform"
-	"ringstream.example/ringstream/internal/platform/wire"
+	"ringstream.example/ringstream/internal/backend"
+	"ringstream.example/ringstream/internal/backend/wire"
 )
 
 // EngineConfig describes an engine stand-in.
@@ -22,7 +22,7 @@
 	Capacity float64 // relative size; scales MaxRunning, KVTokens and CacheTokens
 	Seed     uint64
 	Role     string
-	Models   []platform.LoadedModel
+	Models   []backend.LoadedModel
 
 	MaxRunning  int // sequences in the batch
 	MaxWaiting  int // sequences queued, of each priority
@@ -49,7 +49,7 @@
 func DefaultEngineConfig() EngineConfig {
 	return EngineConfig{
 		ID: "engine", Capacity: 1, Role: "mixed",
-		Models:     []platform.LoadedModel{{Model: "fleetlink-llm", Version: "1"}},
+		Models:     []backend.LoadedModel{{Model: "fleetlink-llm", Version: "1"}},
 		MaxRunning: 32, MaxWaiting: 64, KVTokens: 64_000, CacheTokens: 32_000,
 		StepBase: 13 * time.Millisecond, StepPerSequence: 280 * time.Microsecond,
 		StepPerPrefill: 15 * time.Microsecond, PrefillChunk: 512,
@@ -83,7 +83,7 @@
 	cache     *prefixCache
 	step      step
 	reports   []wire.Load
-	models    []platform.LoadedModel
+	models    []backend.LoadedModel
 	loading   []loading
 	role      string
 	epoch     uint64 // the highest of any order
@@ -236,7 +236,7 @@
 
 // refusal is a call that the engine turned down without effect.
 type refusal struct {
-	code    platform.ErrorCode
+	code    backend.ErrorCode
 	message string
 }
 
@@ -244,7 +244,7 @@
 func (r *refusal) Error() string { return string(r.code) + ": " + r.message }
 
 // errNoAttempt answers calls on attempts that the engine does not hold.
-var errNoAttempt = &refusal{platform.CodeNotFound, "no such attempt"}
+var errNoAttempt = &refusal{backend.CodeNotFound, "no such attempt"}
 
 // generate takes a new attempt, or gives the one that it already holds.
 func (e *Engine) generate(request wire.GenerateRequest, from string) (*sequence, error) {
@@ -274,7 +274,7 @@
 	e.ledger.add(s.entry)
 	e.attempts[request.Attempt] = s
 	e.seen[request.Attempt] = true
-	if s.priority == platform.PriorityOnline {
+	if s.priority == backend.PriorityOnline {
 		e.online = append(e.online, s)
 	} else {
 		e.batch = append(e.batch, s)
@@ -286,35 +286,35 @@
 // admissible says why a request cannot be taken; nil when it can.
 func (e *Engine) admissible(request wire.GenerateRequest) error {
 	e.settleLoads(time.Now())
-	need := platform.PromptTokens(request.Prompt) + request.MaxTokens
+	need := backend.PromptTokens(request.Prompt) + request.MaxTokens
 	switch {
 	case request.Attempt == "" || request.Model == "" || request.MaxTokens <= 0:
-		return &refusal{platform.CodeInvalid, "attempt, model and max_tokens are required"}
+		return &refusal{backend.CodeInvalid, "attempt, model and max_tokens are required"}
 	case len(request.Kept) >= request.MaxTokens:
-		return &refusal{platform.CodeInvalid, "as many kept tokens as max_tokens"}
+		return &refusal{backend.CodeInvalid, "as many kept tokens as max_tokens"}
 	case need > e.config.KVTokens:
-		return &refusal{platform.CodeInvalid, fmt.Sprintf("needs %d tokens of KV memory of %d", need, e.config.KVTokens)}
+		return &refusal{backend.CodeInvalid, fmt.Sprintf("needs %d tokens of KV memory of %d", need, e.config.KVTokens)}
 	}
 	if request.Incarnation != "" && request.Incarnation != e.incarnation() {
-		return &refusal{platform.CodeFenced, "the engine was restarted"}
+		return &refusal{backend.CodeFenced, "the engine was restarted"}
 	}
 	if e.cancelled[request.Attempt] {
-		return &refusal{platform.CodeInvalid, "the attempt was cancelled before it came"}
+		return &refusal{backend.CodeInvalid, "the attempt was cancelled before it came"}
 	}
 	if !e.leaving.IsZero() {
-		return &refusal{platform.CodeLeaving, "the engine is leaving"}
+		return &refusal{backend.CodeLeaving, "the engine is leaving"}
 	}
 	if !e.loaded(request.Model, request.Version, request.Adapter) {
-		return &refusal{platform.CodeNotLoaded, "model, version or adapter not loaded"}
+		return &refusal{backend.CodeNotLoaded, "model, version or adapter not loaded"}
 	}
 	waiting, room := len(e.batch), e.config.MaxWaiting
-	if platform.Priority(request.Priority) == platform.PriorityOnline {
+	if backend.Priority(request.Priority) == backend.PriorityOnline {
 		// Places that batch holds, or no one, are taken at the next step.
 		online, _ := e.runningByClass()
 		waiting, room = len(e.online), e.config.MaxWaiting+e.config.MaxRunning-online
 	}
 	if waiting >= room {
-		return &refusal{platform.CodeSaturated, "the queue is full"}
+		return &refusal{backend.CodeSaturated, "the queue is full"}
 	}
 	return nil
 }
@@ -369,7 +369,7 @@
 // MaxRunning is the number of sequences that the engine runs at once.
 func (e *Engine) MaxRunning() int { return e.config.MaxRunning }
 
-func cloneModels(models []platform.LoadedModel) []platform.LoadedModel {
+func cloneModels(models []backend.LoadedModel) []backend.LoadedModel {
 	cloned := slices.Clone(models)
 	for i := range cloned {
 		cloned[i].Adapters = slices.Clone(cloned[i].Adapters)
--- a/internal/emulator/engine_http.go
+++ b/internal/emulator/engine_http.go
@@ -8,8 +8,8 @@
 	"strconv"
 	"time"
 
-	"ringstream.example/ringstream/internal/platform"
-	"ringstream.example/ringstream/internal/platform/wire"
+	"ringstream.example/ringstream/internal/backend"
+	"ringstream.example/ringstream/internal/backend/wire"
 )
 
 // Handler is the engine's HTTP API.
@@ -41,19 +41,19 @@
 }
 
 // statusOf gives the HTTP status of a refusal.
-var statusOf = map[platform.ErrorCode]int{
-	platform.CodeNotFound:  http.StatusNotFound,
-	platform.CodeFenced:    http.StatusConflict,
-	platform.CodeSaturated: http.StatusTooManyRequests,
-	platform.CodeNotLoaded: http.StatusConflict,
-	platform.CodeLeaving:   http.StatusServiceUnavailable,
-	platform.CodeInvalid:   http.StatusBadRequest,
+var statusOf = map[backend.ErrorCode]int{
+	backend.CodeNotFound:  http.StatusNotFound,
+	backend.CodeFenced:    http.StatusConflict,
+	backend.CodeSaturated: http.StatusTooManyRequests,
+	backend.CodeNotLoaded: http.StatusConflict,
+	backend.CodeLeaving:   http.StatusServiceUnavailable,
+	backend.CodeInvalid:   http.StatusBadRequest,
 }
 
 func writeRefusal(w http.ResponseWriter, err error) {
 	var refused *refusal
 	if !errors.As(err, &refused) {
-		refused = &refusal{platform.CodeInvalid, err.Error()}
+		refused = &refusal{backend.CodeInvalid, err.Error()}
 	}
 	refuse(w, statusOf[refused.code], refused.code, refused.message)
 }
@@ -80,7 +80,7 @@
 	case !found:
 		writeRefusal(w, errNoAttempt)
 	case err != nil || offset < 0 || offset > s.request.MaxTokens:
-		refuse(w, http.StatusBadRequest, platform.CodeInvalid, "bad offset")
+		refuse(w, http.StatusBadRequest, backend.CodeInvalid, "bad offset")
 	default:
 		e.stream(w, r, s, offset)
 	}
@@ -121,7 +121,7 @@
 		err = json.Unmarshal(body, &block)
 	}
 	if err != nil {
-		refuse(w, http.StatusBadRequest, platform.CodeInvalid, err.Error())
+		refuse(w, http.StatusBadRequest, backend.CodeInvalid, err.Error())
 		return
 	}
 	e.mu.Lock()
--- a/internal/emulator/engine_step.go
+++ b/internal/emulator/engine_step.go
@@ -4,14 +4,14 @@
 	"slices"
 	"time"
 
-	"ringstream.example/ringstream/internal/platform"
-	"ringstream.example/ringstream/internal/platform/wire"
+	"ringstream.example/ringstream/internal/backend"
+	"ringstream.example/ringstream/internal/backend/wire"
 )
 
 // sequence is one attempt on an engine, guarded by the engine's lock.
 type sequence struct {
 	request  wire.GenerateRequest
-	priority platform.Priority
+	priority backend.Priority
 	hash     uint64
 	entry    *LedgerEntry
 
@@ -28,9 +28,9 @@
 
 func newSequence(request wire.GenerateRequest, now time.Time) *sequence {
 	s := &sequence{
-		request: request, priority: platform.Priority(request.Priority),
+		request: request, priority: backend.Priority(request.Priority),
 		hash:         PromptHash(request.Model, request.Prompt),
-		promptTokens: platform.PromptTokens(request.Prompt), made: len(request.Kept),
+		promptTokens: backend.PromptTokens(request.Prompt), made: len(request.Kept),
 		watchers: map[chan struct{}]struct{}{},
 	}
 	s.entry = &LedgerEntry{
@@ -74,7 +74,7 @@
 	budget := e.config.PrefillChunk
 	prefilled := 0
 	e.step.decoding = e.step.decoding[:0]
-	for _, priority := range []platform.Priority{platform.PriorityOnline, platform.PriorityBatch} {
+	for _, priority := range []backend.Priority{backend.PriorityOnline, backend.PriorityBatch} {
 		for _, s := range e.running {
 			if s.priority != priority {
 				continue
@@ -140,7 +140,7 @@
 // queue; false when none runs. Only its stream is told.
 func (e *Engine) preempt() bool {
 	for _, s := range slices.Backward(e.running) {
-		if s.priority == platform.PriorityBatch {
+		if s.priority == backend.PriorityBatch {
 			e.setBack(s)
 			return true
 		}
@@ -152,7 +152,7 @@
 	e.drop(s)
 	s.preemptions++
 	s.entry.Preemptions++
-	if s.priority == platform.PriorityOnline {
+	if s.priority == backend.PriorityOnline {
 		e.online = append([]*sequence{s}, e.online...)
 	} else {
 		e.batch = append([]*sequence{s}, e.batch...)
@@ -213,14 +213,14 @@
 	e.usage.Steps++
 	e.usage.BusySeconds += seconds
 	for _, s := range e.running {
-		if s.priority == platform.PriorityOnline {
+		if s.priority == backend.PriorityOnline {
 			e.usage.OnlineSequenceSeconds += seconds
 		} else {
 			e.usage.BatchSequenceSeconds += seconds
 		}
 	}
 	for _, s := range e.step.decoding {
-		if s.priority == platform.PriorityOnline {
+		if s.priority == backend.PriorityOnline {
 			e.usage.OnlineTokens++
 		} else {
 			e.usage.BatchTokens++
@@ -276,7 +276,7 @@
 // runningByClass counts the sequences in the batch.
 func (e *Engine) runningByClass() (online, batch int) {
 	for _, s := range e.running {
-		if s.priority == platform.PriorityOnline {
+		if s.priority == backend.PriorityOnline {
 			online++
 		} else {
 			batch++
--- a/internal/emulator/engine_stream.go
+++ b/internal/emulator/engine_stream.go
@@ -6,8 +6,8 @@
 	"net/netip"
 	"time"
 
-	"ringstream.example/ringstream/internal/platform"
-	"ringstream.example/ringstream/internal/platform/wire"
+	"ringstream.example/ringstream/internal/backend"
+	"ringstream.example/ringstream/internal/backend/wire"
 	"ringstream.example/ringstream/internal/wait"
 )
 
@@ -114,7 +114,7 @@
 // streamWriter writes the lines of one stream.
 type streamWriter struct {
 	request     *http.Request
-	priority    platform.Priority
+	priority    backend.Priority
 	half        int // the offset that counts as halfway
 	w           http.ResponseWriter
 	flush       *http.ResponseController
--- a/internal/emulator/engine_test.go
+++ b/internal/emulator/engine_test.go
@@ -14,13 +14,13 @@
 
 	"ringstream.example/ringstream/internal/core/identity"
 	"ringstream.example/ringstream/internal/emulator/netsim"
-	"ringstream.example/ringstream/internal/platform"
+	"ringstream.example/ringstream/internal/backend"
 )
 
 const model = "fleetlink-llm"
 
 // testFleet starts an in-memory fleet within a synctest bubble.
-func testFleet(t *testing.T, edit func(*FleetConfig)) (*Fleet, platform.Engine) {
+func testFleet(t *testing.T, edit func(*FleetConfig)) (*Fleet, backend.Engine) {
 	t.Helper()
 	config := DefaultFleetConfig()
 	config.Network = netsim.New(nil)
@@ -40,15 +40,15 @@
 	return fleet, clients.Engines.Engine(fleet.Machines.Current()[0])
 }
 
-func request(attempt string, tokens int, priority platform.Priority) platform.GenerateRequest {
-	return platform.GenerateRequest{
+func request(attempt string, tokens int, priority backend.Priority) backend.GenerateRequest {
+	return backend.GenerateRequest{
 		Attempt: identity.AttemptID(attempt), Model: model, Prompt: "prompt of " + attempt,
 		MaxTokens: tokens, Priority: priority,
 	}
 }
 
 // drain reads a stream to its end.
-func drain(stream platform.TokenStream) ([]string, platform.Finish, error) {
+func drain(stream backend.TokenStream) ([]string, backend.Finish, error) {
 	defer stream.Close()
 	var texts []string
 	for {
@@ -57,13 +57,13 @@
 			return texts, stream.Finish(), nil
 		}
 		if err != nil {
-			return texts, platform.Finish{}, err
+			return texts, backend.Finish{}, err
 		}
 		texts = append(texts, token.Text)
 	}
 }
 
-func mustGenerate(t *testing.T, engine platform.Engine, generate platform.GenerateRequest) platform.TokenStream {
+func mustGenerate(t *testing.T, engine backend.Engine, generate backend.GenerateRequest) backend.TokenStream {
 	t.Helper()
 	stream, err := engine.Generate(t.Context(), generate)
 	if err != nil {
@@ -72,8 +72,8 @@
 	return stream
 }
 
-func codeOf(err error) (platform.ErrorCode, platform.Effect) {
-	var failure *platform.Error
+func codeOf(err error) (backend.ErrorCode, backend.Effect) {
+	var failure *backend.Error
 	if errors.As(err, &failure) {
 		return failure.Code, failure.Effect
 	}
@@ -85,7 +85,7 @@
 		fleet, engine := testFleet(t, nil)
 		defer fleet.Close()
 		start := time.Now()
-		texts, finish, err := drain(mustGenerate(t, engine, request("a", 50, platform.PriorityOnline)))
+		texts, finish, err := drain(mustGenerate(t, engine, request("a", 50, backend.PriorityOnline)))
 		if err != nil {
 			t.Fatal(err)
 		}
@@ -104,7 +104,7 @@
 		if diff := cmp.Diff(want[20:], texts); diff != "" || err != nil {
 			t.Errorf("resumed: %v, -want +got:\n%s", err, diff)
 		}
-		kept := request("b", 50, platform.PriorityBatch)
+		kept := request("b", 50, backend.PriorityBatch)
 		kept.Prompt, kept.Kept = "prompt of a", want[:30]
 		texts, finish, err = drain(mustGenerate(t, engine, kept))
 		if diff := cmp.Diff(want[30:], texts); diff != "" || err != nil || finish.OutputTokens != 50 {
@@ -117,8 +117,8 @@
 	synctest.Test(t, func(t *testing.T) {
 		fleet, engine := testFleet(t, nil)
 		defer fleet.Close()
-		first := mustGenerate(t, engine, request("a", 20, platform.PriorityOnline))
-		second := mustGenerate(t, engine, request("a", 20, platform.PriorityOnline))
+		first := mustGenerate(t, engine, request("a", 20, backend.PriorityOnline))
+		second := mustGenerate(t, engine, request("a", 20, backend.PriorityOnline))
 		one, _, firstErr := drain(first)
 		two, _, secondErr := drain(second)
 		if diff := cmp.Diff(one, two); diff != "" || firstErr != nil || secondErr != nil {
@@ -135,12 +135,12 @@
 	synctest.Test(t, func(t *testing.T) {
 		fleet, engine := testFleet(t, func(c *FleetConfig) { c.Engine.MaxRunning = 2 })
 		defer fleet.Close()
-		batch := []platform.TokenStream{
-			mustGenerate(t, engine, request("b1", 40, platform.PriorityBatch)),
-			mustGenerate(t, engine, request("b2", 40, platform.PriorityBatch)),
+		batch := []backend.TokenStream{
+			mustGenerate(t, engine, request("b1", 40, backend.PriorityBatch)),
+			mustGenerate(t, engine, request("b2", 40, backend.PriorityBatch)),
 		}
 		time.Sleep(200 * time.Millisecond)
-		_, _, err := drain(mustGenerate(t, engine, request("o", 5, platform.PriorityOnline)))
+		_, _, err := drain(mustGenerate(t, engine, request("o", 5, backend.PriorityOnline)))
 		if err != nil {
 			t.Fatal(err)
 		}
@@ -168,7 +168,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		fleet, engine := testFleet(t, nil)
 		defer fleet.Close()
-		stream := mustGenerate(t, engine, request("a", 100, platform.PriorityBatch))
+		stream := mustGenerate(t, engine, request("a", 100, backend.PriorityBatch))
 		time.Sleep(100 * time.Millisecond)
 		report, err := engine.Cancel(t.Context(), "a")
 		if err != nil || !report.Found || !report.Running || report.OutputTokens == 0 {
@@ -180,8 +180,8 @@
 		if report, err := engine.Cancel(t.Context(), "later"); err != nil || report.Found {
 			t.Errorf("%+v, %v", report, err)
 		}
-		_, err = engine.Generate(t.Context(), request("later", 10, platform.PriorityBatch))
-		if code, effect := codeOf(err); code != platform.CodeInvalid || effect != platform.EffectNone {
+		_, err = engine.Generate(t.Context(), request("later", 10, backend.PriorityBatch))
+		if code, effect := codeOf(err); code != backend.CodeInvalid || effect != backend.EffectNone {
 			t.Errorf("a cancelled attempt was taken: %v", err)
 		}
 	})
@@ -198,15 +198,15 @@
 			synctest.Test(t, func(t *testing.T) {
 				fleet, engine := testFleet(t, nil)
 				defer fleet.Close()
-				other := mustGenerate(t, engine, request("other", 60, platform.PriorityOnline))
+				other := mustGenerate(t, engine, request("other", 60, backend.PriorityOnline))
 				fleet.Engines[0].Faults.Set(faults)
 				want := ExpectedTokens(model, "prompt of a", 30)
 				var texts []string
-				stream, err := engine.Generate(t.Context(), request("a", 30, platform.PriorityOnline))
+				stream, err := engine.Generate(t.Context(), request("a", 30, backend.PriorityOnline))
 				if err == nil {
 					texts, _, err = drain(stream)
 				}
-				if _, effect := codeOf(err); err == nil || effect != platform.EffectUnknown {
+				if _, effect := codeOf(err); err == nil || effect != backend.EffectUnknown {
 					t.Fatalf("got %d tokens and %v, want a failure of unknown effect", len(texts), err)
 				}
 				resumed, err := engine.Resume(t.Context(), "a", len(texts))
@@ -229,7 +229,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		fleet, engine := testFleet(t, nil)
 		defer fleet.Close()
-		stream := mustGenerate(t, engine, request("a", 100, platform.PriorityOnline))
+		stream := mustGenerate(t, engine, request("a", 100, backend.PriorityOnline))
 		time.Sleep(100 * time.Millisecond)
 		if err := fleet.Kill(fleet.Engines[0].ID()); err != nil {
 			t.Fatal(err)
@@ -237,17 +237,17 @@
 		if _, _, err := drain(stream); err == nil {
 			t.Error("the stream of a killed engine ended well")
 		}
-		_, err := engine.Generate(t.Context(), request("b", 10, platform.PriorityOnline))
-		if _, effect := codeOf(err); err == nil || effect != platform.EffectNone {
+		_, err := engine.Generate(t.Context(), request("b", 10, backend.PriorityOnline))
+		if _, effect := codeOf(err); err == nil || effect != backend.EffectNone {
 			t.Errorf("a refused connection is EffectNone, got %v", err)
 		}
 		if err := fleet.Restart(fleet.Engines[0].ID()); err != nil {
 			t.Fatal(err)
 		}
-		if _, err := engine.Resume(t.Context(), "a", 0); !isCode(err, platform.CodeNotFound) {
+		if _, err := engine.Resume(t.Context(), "a", 0); !isCode(err, backend.CodeNotFound) {
 			t.Errorf("resume gave %v", err)
 		}
-		if _, _, err := drain(mustGenerate(t, engine, request("b", 10, platform.PriorityOnline))); err != nil {
+		if _, _, err := drain(mustGenerate(t, engine, request("b", 10, backend.PriorityOnline))); err != nil {
 			t.Error(err)
 		}
 		if entry := fleet.Engines[0].Ledger()[0]; entry.End != "crashed" {
@@ -256,7 +256,7 @@
 	})
 }
 
-func isCode(err error, want platform.ErrorCode) bool {
+func isCode(err error, want backend.ErrorCode) bool {
 	code, _ := codeOf(err)
 	return code == want
 }
@@ -265,8 +265,8 @@
 	synctest.Test(t, func(t *testing.T) {
 		fleet, engine := testFleet(t, func(c *FleetConfig) { c.Engine.CacheLoss = 0.5 })
 		defer fleet.Close()
-		long := request("a", 100, platform.PriorityOnline)
-		long.Prompt = strings.Repeat("x", 40*platform.PrefixBlockBytes)
+		long := request("a", 100, backend.PriorityOnline)
+		long.Prompt = strings.Repeat("x", 40*backend.PrefixBlockBytes)
 		stream := mustGenerate(t, engine, long)
 		time.Sleep(250 * time.Millisecond)
 		load, err := engine.Load(t.Context())
@@ -299,17 +299,17 @@
 	synctest.Test(t, func(t *testing.T) {
 		fleet, engine := testFleet(t, nil)
 		defer fleet.Close()
-		order := platform.Order{ID: "o1", Epoch: 5, Kind: platform.OrderLoadModel, Model: model, Version: "2"}
+		order := backend.Order{ID: "o1", Epoch: 5, Kind: backend.OrderLoadModel, Model: model, Version: "2"}
 		if err := engine.Order(t.Context(), order); err != nil {
 			t.Fatal(err)
 		}
-		stale := platform.Order{ID: "o2", Epoch: 4, Kind: platform.OrderUnloadModel, Model: model}
-		if err := engine.Order(t.Context(), stale); !isCode(err, platform.CodeFenced) {
+		stale := backend.Order{ID: "o2", Epoch: 4, Kind: backend.OrderUnloadModel, Model: model}
+		if err := engine.Order(t.Context(), stale); !isCode(err, backend.CodeFenced) {
 			t.Errorf("a stale order gave %v", err)
 		}
-		second := request("a", 5, platform.PriorityOnline)
+		second := request("a", 5, backend.PriorityOnline)
 		second.Version = "2"
-		if _, err := engine.Generate(t.Context(), second); !isCode(err, platform.CodeNotLoaded) {
+		if _, err := engine.Generate(t.Context(), second); !isCode(err, backend.CodeNotLoaded) {
 			t.Errorf("while loading: %v", err)
 		}
 		time.Sleep(2100 * time.Millisecond) // 8 GiB at 4 GiB a second
@@ -324,11 +324,11 @@
 	synctest.Test(t, func(t *testing.T) {
 		fleet, engine := testFleet(t, nil)
 		defer fleet.Close()
-		stream := mustGenerate(t, engine, request("a", 50, platform.PriorityOnline))
+		stream := mustGenerate(t, engine, request("a", 50, backend.PriorityOnline))
 		if err := fleet.Leave(fleet.Engines[0].ID()); err != nil {
 			t.Fatal(err)
 		}
-		if _, err := engine.Generate(t.Context(), request("b", 5, platform.PriorityOnline)); !isCode(err, platform.CodeLeaving) {
+		if _, err := engine.Generate(t.Context(), request("b", 5, backend.PriorityOnline)); !isCode(err, backend.CodeLeaving) {
 			t.Errorf("new work: %v", err)
 		}
 		if texts, _, err := drain(stream); err != nil || len(texts) != 50 {
@@ -357,7 +357,7 @@
 		t.Fatalf("%d machines, %v", len(snapshot.Machines), err)
 	}
 	engine := clients.Engines.Engine(snapshot.Machines[3])
-	stream, err := engine.Generate(ctx, request("a", 30, platform.PriorityOnline))
+	stream, err := engine.Generate(ctx, request("a", 30, backend.PriorityOnline))
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -369,8 +369,8 @@
 		t.Fatal(err)
 	}
 	clients.Close() // a request sent on an idle connection could have arrived
-	_, err = engine.Generate(ctx, request("b", 30, platform.PriorityOnline))
-	if _, effect := codeOf(err); err == nil || effect != platform.EffectNone {
+	_, err = engine.Generate(ctx, request("b", 30, backend.PriorityOnline))
+	if _, effect := codeOf(err); err == nil || effect != backend.EffectNone {
 		t.Errorf("a refused connection is EffectNone, got %v", err)
 	}
 }
--- a/internal/emulator/faults.go
+++ b/internal/emulator/faults.go
@@ -14,8 +14,8 @@
 
 	"golang.org/x/time/rate"
 
-	"ringstream.example/ringstream/internal/platform"
-	"ringstream.example/ringstream/internal/platform/wire"
+	"ringstream.example/ringstream/internal/backend"
+	"ringstream.example/ringstream/internal/backend/wire"
 	"ringstream.example/ringstream/internal/wait"
 )
 
@@ -83,7 +83,7 @@
 	// Body is what was sent; it must not be changed.
 	Body []byte
 	// Priority is that of the attempt, for an engine's streams.
-	Priority platform.Priority
+	Priority backend.Priority
 }
 
 // Faults makes one stand-in misbehave. It is safe for concurrent use.
@@ -181,7 +181,7 @@
 	if f.limiter != nil {
 		if wait := f.reserve(); wait > 0 {
 			f.refused++
-			return refusedCall(http.StatusTooManyRequests, platform.CodeRateLimited, "over the rate", wait)
+			return refusedCall(http.StatusTooManyRequests, backend.CodeRateLimited, "over the rate", wait)
 		}
 	}
 	if len(s.Operations) > 0 && !slices.Contains(s.Operations, operation) {
@@ -189,7 +189,7 @@
 	}
 	if s.Outage || (s.ErrorRate > 0 && f.random.Float64() < s.ErrorRate) {
 		f.refused++
-		return refusedCall(http.StatusServiceUnavailable, platform.CodeUnavailable, "out of service", 0)
+		return refusedCall(http.StatusServiceUnavailable, backend.CodeUnavailable, "out of service", 0)
 	}
 	v := verdict{delay: time.Duration(s.DelayMillis) * time.Millisecond, hang: s.Hang}
 	if s.JitterMillis > 0 {
@@ -213,7 +213,7 @@
 	return wait
 }
 
-func refusedCall(status int, code platform.ErrorCode, message string, wait time.Duration) verdict {
+func refusedCall(status int, code backend.ErrorCode, message string, wait time.Duration) verdict {
 	return verdict{status: status, refusal: &wire.Error{
 		Code: string(code), Effect: wire.EffectNone, Message: message, RetryAfterMillis: wait.Milliseconds(),
 	}}
@@ -332,7 +332,7 @@
 		decoder := json.NewDecoder(r.Body)
 		decoder.DisallowUnknownFields()
 		if err := decoder.Decode(&settings); err != nil {
-			refuse(w, http.StatusBadRequest, platform.CodeInvalid, err.Error())
+			refuse(w, http.StatusBadRequest, backend.CodeInvalid, err.Error())
 			return
 		}
 		f.Set(settings)
@@ -347,7 +347,7 @@
 }
 
 // refuse answers a call that did nothing.
-func refuse(w http.ResponseWriter, status int, code platform.ErrorCode, message string) {
+func refuse(w http.ResponseWriter, status int, code backend.ErrorCode, message string) {
 	writeError(w, status, wire.Error{Code: string(code), Effect: wire.EffectNone, Message: message})
 }
 
@@ -364,7 +364,7 @@
 // decode reads a JSON body; false after it has refused the call.
 func decode(w http.ResponseWriter, r *http.Request, into any) bool {
 	if err := json.NewDecoder(r.Body).Decode(into); err != nil {
-		refuse(w, http.StatusBadRequest, platform.CodeInvalid, err.Error())
+		refuse(w, http.StatusBadRequest, backend.CodeInvalid, err.Error())
 		return false
 	}
 	return true
--- a/internal/emulator/fleet.go
+++ b/internal/emulator/fleet.go
@@ -12,15 +12,15 @@
 	"time"
 
 	"ringstream.example/ringstream/internal/emulator/netsim"
-	"ringstream.example/ringstream/internal/platform"
-	"ringstream.example/ringstream/internal/platform/httpclient"
+	"ringstream.example/ringstream/internal/backend"
+	"ringstream.example/ringstream/internal/backend/httpclient"
 )
 
 // Pool is a set of engines that serve the same models.
 type Pool struct {
 	Name    string
 	Engines int
-	Models  []platform.LoadedModel
+	Models  []backend.LoadedModel
 	// Capacities are given to the engines in turn; empty: all 1.
 	Capacities []float64
 }
@@ -35,7 +35,7 @@
 
 	TableRate, ObjectsRate float64 // calls a second; zero: no bound
 	WeightsBudget          int64   // bytes a second
-	Artifacts              []platform.Artifact
+	Artifacts              []backend.Artifact
 	MachinesLag            time.Duration
 	SiteStep               time.Duration // a token of the other site
 
@@ -52,13 +52,13 @@
 // three zones.
 func DefaultFleetConfig() FleetConfig {
 	const gigabyte = 1 << 30
-	models := []platform.LoadedModel{{Model: "fleetlink-llm", Version: "1"}}
+	models := []backend.LoadedModel{{Model: "fleetlink-llm", Version: "1"}}
 	return FleetConfig{
 		Region: "ie-west", Zones: []string{"galway-hall", "athlone-hall", "limerick-hall"},
 		Pools:  []Pool{{Name: "fleetlink", Engines: 12, Models: models}},
 		Engine: DefaultEngineConfig(), Seed: 1,
 		TableRate: 500, ObjectsRate: 1000, WeightsBudget: 4 * gigabyte, MachinesLag: 2 * time.Second,
-		Artifacts: []platform.Artifact{
+		Artifacts: []backend.Artifact{
 			{Model: "fleetlink-llm", Version: "1", Bytes: 8 * gigabyte},
 			{Model: "fleetlink-llm", Version: "2", Bytes: 8 * gigabyte},
 			{Model: "fleetlink-llm", Version: "1", Adapter: "alerts", Bytes: gigabyte / 8},
@@ -133,7 +133,7 @@
 
 // startEngines starts the engines and puts them on the machine list.
 func (f *Fleet) startEngines() error {
-	var list []platform.Machine
+	var list []backend.Machine
 	for _, pool := range f.config.Pools {
 		for i := range pool.Engines {
 			machine := f.machine(pool, i, len(list))
@@ -151,9 +151,9 @@
 	return nil
 }
 
-func (f *Fleet) machine(pool Pool, index, total int) platform.Machine {
-	machine := platform.Machine{
-		ID: fmt.Sprintf("%s-%03d", pool.Name, index), Kind: platform.MachineEngine,
+func (f *Fleet) machine(pool Pool, index, total int) backend.Machine {
+	machine := backend.Machine{
+		ID: fmt.Sprintf("%s-%03d", pool.Name, index), Kind: backend.MachineEngine,
 		Region: f.config.Region, Pool: pool.Name, Capacity: 1,
 	}
 	if zones := f.config.Zones; len(zones) > 0 {
@@ -165,7 +165,7 @@
 	return machine
 }
 
-func (f *Fleet) engineConfig(pool Pool, machine platform.Machine, total int) EngineConfig {
+func (f *Fleet) engineConfig(pool Pool, machine backend.Machine, total int) EngineConfig {
 	config := f.config.Engine
 	config.ID = machine.ID
 	config.Capacity = machine.Capacity
--- a/internal/emulator/intent_test.go
+++ b/internal/emulator/intent_test.go
@@ -4,8 +4,8 @@
 	"errors"
 	"testing"
 
-	"ringstream.example/ringstream/internal/platform"
-	"ringstream.example/ringstream/internal/platform/wire"
+	"ringstream.example/ringstream/internal/backend"
+	"ringstream.example/ringstream/internal/backend/wire"
 )
 
 // An attempt that was cancelled before it came never runs, and neither does
@@ -29,7 +29,7 @@
 	}
 	engine.crash()
 	var refused *refusal
-	if _, err := engine.generate(other, ""); !errors.As(err, &refused) || refused.code != platform.CodeFenced {
+	if _, err := engine.generate(other, ""); !errors.As(err, &refused) || refused.code != backend.CodeFenced {
 		t.Errorf("an attempt of an earlier life: %v", err)
 	}
 }
--- a/internal/emulator/ledger.go
+++ b/internal/emulator/ledger.go
@@ -3,7 +3,7 @@
 import (
 	"time"
 
-	"ringstream.example/ringstream/internal/platform"
+	"ringstream.example/ringstream/internal/backend"
 )
 
 // The ends of an attempt in a ledger. The first two are also finish reasons.
@@ -19,7 +19,7 @@
 	Attempt    string            `json:"attempt"`
 	Model      string            `json:"model"`
 	PromptHash uint64            `json:"prompt_hash"` // PromptHash(model, prompt)
-	Priority   platform.Priority `json:"priority"`
+	Priority   backend.Priority `json:"priority"`
 	Kept       int               `json:"kept"` // tokens that came with the request
 	MaxTokens  int               `json:"max_tokens"`
 	// From is the address that the request came from, without its port.
--- a/internal/emulator/orders.go
+++ b/internal/emulator/orders.go
@@ -4,8 +4,8 @@
 	"slices"
 	"time"
 
-	"ringstream.example/ringstream/internal/platform"
-	"ringstream.example/ringstream/internal/platform/wire"
+	"ringstream.example/ringstream/internal/backend"
+	"ringstream.example/ringstream/internal/backend/wire"
 )
 
 // loading is a model version or adapter on its way from the weight store.
@@ -21,32 +21,32 @@
 	defer e.mu.Unlock()
 	now := time.Now()
 	if order.Epoch < e.epoch {
-		return &refusal{platform.CodeFenced, "an order of a higher epoch was taken"}
+		return &refusal{backend.CodeFenced, "an order of a higher epoch was taken"}
 	}
 	e.settleLoads(now)
 	if e.orders[order.ID] {
 		return nil
 	}
-	switch platform.OrderKind(order.Kind) {
-	case platform.OrderLoadModel, platform.OrderLoadAdapter:
+	switch backend.OrderKind(order.Kind) {
+	case backend.OrderLoadModel, backend.OrderLoadAdapter:
 		if err := e.load(order, now); err != nil {
 			return err
 		}
-	case platform.OrderUnloadModel:
-		e.models = slices.DeleteFunc(e.models, func(m platform.LoadedModel) bool {
+	case backend.OrderUnloadModel:
+		e.models = slices.DeleteFunc(e.models, func(m backend.LoadedModel) bool {
 			return m.Model == order.Model && (order.Version == "" || m.Version == order.Version)
 		})
-	case platform.OrderUnloadAdapter:
-		e.eachVersion(order, func(m *platform.LoadedModel) {
+	case backend.OrderUnloadAdapter:
+		e.eachVersion(order, func(m *backend.LoadedModel) {
 			m.Adapters = slices.DeleteFunc(m.Adapters, func(adapter string) bool { return adapter == order.Adapter })
 		})
-	case platform.OrderSetRole:
+	case backend.OrderSetRole:
 		if !slices.Contains([]string{"mixed", "prefill", "decode"}, order.Role) {
-			return &refusal{platform.CodeInvalid, "no such role"}
+			return &refusal{backend.CodeInvalid, "no such role"}
 		}
 		e.role = order.Role
 	default:
-		return &refusal{platform.CodeInvalid, "no such kind of order"}
+		return &refusal{backend.CodeInvalid, "no such kind of order"}
 	}
 	e.epoch = order.Epoch
 	e.orders[order.ID] = true
@@ -59,7 +59,7 @@
 	if e.weights != nil {
 		booked, found := e.weights.reserve(order.Model, order.Version, order.Adapter)
 		if !found {
-			return &refusal{platform.CodeNotFound, "the weight store does not give it"}
+			return &refusal{backend.CodeNotFound, "the weight store does not give it"}
 		}
 		done = booked
 	}
@@ -81,8 +81,8 @@
 }
 
 func (e *Engine) loadedNow(order wire.Order) {
-	if platform.OrderKind(order.Kind) == platform.OrderLoadAdapter {
-		e.eachVersion(order, func(m *platform.LoadedModel) {
+	if backend.OrderKind(order.Kind) == backend.OrderLoadAdapter {
+		e.eachVersion(order, func(m *backend.LoadedModel) {
 			if !slices.Contains(m.Adapters, order.Adapter) {
 				m.Adapters = append(m.Adapters, order.Adapter)
 			}
@@ -90,11 +90,11 @@
 		return
 	}
 	if !e.loaded(order.Model, order.Version, "") || order.Version == "" {
-		e.models = append(e.models, platform.LoadedModel{Model: order.Model, Version: order.Version})
+		e.models = append(e.models, backend.LoadedModel{Model: order.Model, Version: order.Version})
 	}
 }
 
-func (e *Engine) eachVersion(order wire.Order, do func(*platform.LoadedModel)) {
+func (e *Engine) eachVersion(order wire.Order, do func(*backend.LoadedModel)) {
 	for i := range e.models {
 		if m := &e.models[i]; m.Model == order.Model && (order.Version == "" || m.Version == order.Version) {
 			do(m)
@@ -105,7 +105,7 @@
 // loaded says whether the engine can run the model; an empty version or
 // adapter asks for none in particular.
 func (e *Engine) loaded(model, version, adapter string) bool {
-	return slices.ContainsFunc(e.models, func(m platform.LoadedModel) bool {
+	return slices.ContainsFunc(e.models, func(m backend.LoadedModel) bool {
 		return m.Model == model && (version == "" || m.Version == version) &&
 			(adapter == "" || slices.Contains(m.Adapters, adapter))
 	})
--- a/internal/emulator/site.go
+++ b/internal/emulator/site.go
@@ -11,7 +11,7 @@
 	"time"
 
 	"ringstream.example/ringstream/internal/core/chatprompt"
-	"ringstream.example/ringstream/internal/platform"
+	"ringstream.example/ringstream/internal/backend"
 	"ringstream.example/ringstream/internal/wait"
 )
 
@@ -110,7 +110,7 @@
 		err = json.Unmarshal(body, &request)
 	}
 	if err != nil {
-		refuse(w, http.StatusBadRequest, platform.CodeInvalid, err.Error())
+		refuse(w, http.StatusBadRequest, backend.CodeInvalid, err.Error())
 		return
 	}
 	target, client := s.record(r, request)
@@ -130,7 +130,7 @@
 		_, _ = fmt.Fprintf(w, `{"id":"other-site","object":%q,"created":%d,"model":%q,"choices":[{"index":0,%s,"finish_reason":"length"}],`+
 			`"usage":{"prompt_tokens":%d,"completion_tokens":%d,"total_tokens":%d}}`,
 			object(chat, false), time.Now().Unix(), request.Model, choice(chat, "message", text),
-			platform.PromptTokens(request.prompt()), len(tokens), platform.PromptTokens(request.prompt())+len(tokens))
+			backend.PromptTokens(request.prompt()), len(tokens), backend.PromptTokens(request.prompt())+len(tokens))
 	}
 }
 
@@ -140,7 +140,7 @@
 	defer s.mu.Unlock()
 	run := SiteRun{
 		At: time.Now(), PromptHash: PromptHash(request.Model, request.prompt()),
-		IdempotencyKey: r.Header.Get("Idempotency-Key"), Hop: r.Header.Get(platform.HopHeader) != "",
+		IdempotencyKey: r.Header.Get("Idempotency-Key"), Hop: r.Header.Get(backend.HopHeader) != "",
 	}
 	run.Forwarded = s.forwardTo != "" && !run.Hop
 	if run.IdempotencyKey != "" && !run.Forwarded {
@@ -158,11 +158,11 @@
 func (s *Site) forward(w http.ResponseWriter, r *http.Request, body []byte, target string, client *http.Client) {
 	outgoing, err := http.NewRequestWithContext(r.Context(), http.MethodPost, target+r.URL.Path, bytes.NewReader(body))
 	if err != nil {
-		refuse(w, http.StatusBadGateway, platform.CodeUnavailable, err.Error())
+		refuse(w, http.StatusBadGateway, backend.CodeUnavailable, err.Error())
 		return
 	}
 	outgoing.Header = r.Header.Clone()
-	outgoing.Header.Set(platform.HopHeader, "1")
+	outgoing.Header.Set(backend.HopHeader, "1")
 	response, err := client.Do(outgoing)
 	if err != nil {
 		panic(http.ErrAbortHandler) // whether it ran is not known
--- a/internal/emulator/storage.go
+++ b/internal/emulator/storage.go
@@ -9,8 +9,8 @@
 	"sync"
 	"time"
 
-	"ringstream.example/ringstream/internal/platform"
-	"ringstream.example/ringstream/internal/platform/wire"
+	"ringstream.example/ringstream/internal/backend"
+	"ringstream.example/ringstream/internal/backend/wire"
 )
 
 // Objects is the object store.
@@ -43,7 +43,7 @@
 func (o *Objects) put(w http.ResponseWriter, r *http.Request) {
 	body, err := io.ReadAll(r.Body)
 	if err != nil {
-		refuse(w, http.StatusBadRequest, platform.CodeInvalid, err.Error())
+		refuse(w, http.StatusBadRequest, backend.CodeInvalid, err.Error())
 		return
 	}
 	o.mu.Lock()
@@ -55,7 +55,7 @@
 func (o *Objects) get(w http.ResponseWriter, r *http.Request) {
 	body, found := o.Object(r.URL.Query().Get("name"))
 	if !found {
-		refuse(w, http.StatusNotFound, platform.CodeNotFound, "no such object")
+		refuse(w, http.StatusNotFound, backend.CodeNotFound, "no such object")
 		return
 	}
 	w.Header().Set("Content-Type", "application/octet-stream")
@@ -113,7 +113,7 @@
 }
 
 // NewWeights makes a weight store that gives budget bytes a second.
-func NewWeights(seed uint64, budget int64, artifacts []platform.Artifact) *Weights {
+func NewWeights(seed uint64, budget int64, artifacts []backend.Artifact) *Weights {
 	w := &Weights{Faults: newFaults("weights", seed, FaultSettings{}), budget: budget}
 	for _, artifact := range artifacts {
 		w.artifacts = append(w.artifacts, wire.Artifact(artifact))
@@ -172,11 +172,11 @@
 type machineVersion struct {
 	at       time.Time
 	version  uint64
-	machines []platform.Machine
+	machines []backend.Machine
 }
 
 // NewMachines makes a list with these machines, visible at once.
-func NewMachines(seed uint64, lag time.Duration, machines []platform.Machine) *Machines {
+func NewMachines(seed uint64, lag time.Duration, machines []backend.Machine) *Machines {
 	return &Machines{
 		Faults: newFaults("machines", seed, FaultSettings{}), lag: lag,
 		versions: []machineVersion{{at: time.Now().Add(-lag), version: 1, machines: slices.Clone(machines)}},
@@ -216,8 +216,8 @@
 }
 
 // Put adds a machine or replaces it.
-func (m *Machines) Put(machine platform.Machine) {
-	m.change(func(machines []platform.Machine) []platform.Machine {
+func (m *Machines) Put(machine backend.Machine) {
+	m.change(func(machines []backend.Machine) []backend.Machine {
 		for i := range machines {
 			if machines[i].ID == machine.ID {
 				machines[i] = machine
@@ -230,14 +230,14 @@
 
 // Remove takes a machine off the list.
 func (m *Machines) Remove(id string) {
-	m.change(func(machines []platform.Machine) []platform.Machine {
-		return slices.DeleteFunc(machines, func(machine platform.Machine) bool { return machine.ID == id })
+	m.change(func(machines []backend.Machine) []backend.Machine {
+		return slices.DeleteFunc(machines, func(machine backend.Machine) bool { return machine.ID == id })
 	})
 }
 
 // Leave marks a machine as leaving.
 func (m *Machines) Leave(id string, leaving bool) {
-	m.change(func(machines []platform.Machine) []platform.Machine {
+	m.change(func(machines []backend.Machine) []backend.Machine {
 		for i := range machines {
 			if machines[i].ID == id {
 				machines[i].Leaving = leaving
@@ -254,7 +254,7 @@
 	m.lag = lag
 }
 
-func (m *Machines) change(edit func([]platform.Machine) []platform.Machine) {
+func (m *Machines) change(edit func([]backend.Machine) []backend.Machine) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	last := m.versions[len(m.versions)-1]
@@ -264,7 +264,7 @@
 }
 
 // Current gives the list as it really is.
-func (m *Machines) Current() []platform.Machine {
+func (m *Machines) Current() []backend.Machine {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	return slices.Clone(m.versions[len(m.versions)-1].machines)
--- a/internal/emulator/table.go
+++ b/internal/emulator/table.go
@@ -9,7 +9,7 @@
 
 	"github.com/google/btree"
 
-	"ringstream.example/ringstream/internal/platform/wire"
+	"ringstream.example/ringstream/internal/backend/wire"
 )
 
 // Commit is one transaction that the table service decided.
--- a/internal/emulator/table_test.go
+++ b/internal/emulator/table_test.go
@@ -7,8 +7,8 @@
 
 	"github.com/google/go-cmp/cmp"
 
-	"ringstream.example/ringstream/internal/platform"
-	"ringstream.example/ringstream/internal/platform/httpclient"
+	"ringstream.example/ringstream/internal/backend"
+	"ringstream.example/ringstream/internal/backend/httpclient"
 )
 
 func inBubble(t *testing.T, test func(t *testing.T, fleet *Fleet, clients *httpclient.Clients)) {
@@ -25,10 +25,10 @@
 	})
 }
 
-func put(id, key, value string, version uint64) platform.Transaction {
-	return platform.Transaction{
-		ID: id, Compares: []platform.Compare{{Key: key, Version: version}},
-		Writes: []platform.Write{{Key: key, Value: []byte(value)}},
+func put(id, key, value string, version uint64) backend.Transaction {
+	return backend.Transaction{
+		ID: id, Compares: []backend.Compare{{Key: key, Version: version}},
+		Writes: []backend.Write{{Key: key, Value: []byte(value)}},
 	}
 }
 
@@ -43,7 +43,7 @@
 		if err != nil || lost.Applied || len(lost.Conflicts) != 1 || lost.Conflicts[0].TransactionID != "t1" {
 			t.Errorf("%+v, %v", lost, err)
 		}
-		remove := platform.Transaction{ID: "t3", Writes: []platform.Write{{Key: "k", Delete: true}}}
+		remove := backend.Transaction{ID: "t3", Writes: []backend.Write{{Key: "k", Delete: true}}}
 		if result, err := table.Commit(t.Context(), remove); err != nil || !result.Applied {
 			t.Errorf("%+v, %v", result, err)
 		}
@@ -52,7 +52,7 @@
 			t.Errorf("%+v, %v", again, err)
 		}
 		record, err := table.Get(t.Context(), "k")
-		want := platform.Record{Key: "k", Version: again.Versions[0], TransactionID: "t4", Value: []byte("three")}
+		want := backend.Record{Key: "k", Version: again.Versions[0], TransactionID: "t4", Value: []byte("three")}
 		if diff := cmp.Diff(want, record); diff != "" || err != nil {
 			t.Errorf("%v, -want +got:\n%s", err, diff)
 		}
@@ -90,20 +90,20 @@
 func TestTableFaultsSayTheTruthOfTheirEffect(t *testing.T) {
 	for name, test := range map[string]struct {
 		faults  FaultSettings
-		code    platform.ErrorCode
-		effect  platform.Effect
+		code    backend.ErrorCode
+		effect  backend.Effect
 		applied bool
 	}{
-		"outage":       {FaultSettings{Outage: true}, platform.CodeUnavailable, platform.EffectNone, false},
-		"lost answer":  {FaultSettings{LoseAnswers: 1}, platform.CodeUnavailable, platform.EffectUnknown, true},
-		"lost request": {FaultSettings{LoseRequests: 1}, platform.CodeUnavailable, platform.EffectUnknown, false},
-		"hang":         {FaultSettings{Hang: true}, platform.CodeUnavailable, platform.EffectUnknown, false},
-		"over rate":    {FaultSettings{RatePerSecond: 0.001}, platform.CodeRateLimited, platform.EffectNone, false},
+		"outage":       {FaultSettings{Outage: true}, backend.CodeUnavailable, backend.EffectNone, false},
+		"lost answer":  {FaultSettings{LoseAnswers: 1}, backend.CodeUnavailable, backend.EffectUnknown, true},
+		"lost request": {FaultSettings{LoseRequests: 1}, backend.CodeUnavailable, backend.EffectUnknown, false},
+		"hang":         {FaultSettings{Hang: true}, backend.CodeUnavailable, backend.EffectUnknown, false},
+		"over rate":    {FaultSettings{RatePerSecond: 0.001}, backend.CodeRateLimited, backend.EffectNone, false},
 	} {
 		t.Run(name, func(t *testing.T) {
 			inBubble(t, func(t *testing.T, fleet *Fleet, clients *httpclient.Clients) {
 				fleet.Table.Faults.Set(test.faults)
-				if test.code == platform.CodeRateLimited {
+				if test.code == backend.CodeRateLimited {
 					_, _ = clients.Table.Get(t.Context(), "takes the only place")
 				}
 				_, err := clients.Table.Commit(t.Context(), put("t", "k", "v", 0))
@@ -124,7 +124,7 @@
 			t.Fatal(err)
 		}
 		_, err := clients.Table.Commit(t.Context(), put("t", "k", "v", 0))
-		if _, effect := codeOf(err); err == nil || effect != platform.EffectNone {
+		if _, effect := codeOf(err); err == nil || effect != backend.EffectNone {
 			t.Errorf("got %v", err)
 		}
 		if err := fleet.Restart("table"); err != nil {
@@ -152,7 +152,7 @@
 		if err := clients.Objects.Delete(t.Context(), "jobs/a b/1"); err != nil {
 			t.Error(err)
 		}
-		if _, err := clients.Objects.Get(t.Context(), "jobs/a b/1"); !isCode(err, platform.CodeNotFound) {
+		if _, err := clients.Objects.Get(t.Context(), "jobs/a b/1"); !isCode(err, backend.CodeNotFound) {
 			t.Errorf("%v", err)
 		}
 	})
@@ -178,7 +178,7 @@
 
 func TestTheOtherSiteRunsAKeyOnce(t *testing.T) {
 	inBubble(t, func(t *testing.T, fleet *Fleet, clients *httpclient.Clients) {
-		forwarded := platform.SiteRequest{
+		forwarded := backend.SiteRequest{
 			Path: "/v1/completions", Body: []byte(`{"model":"fleetlink-llm","prompt":"p","max_tokens":3}`), IdempotencyKey: "key",
 		}
 		for range 2 {
--- a/internal/fleet/engine.go
+++ b/internal/fleet/engine.go
@@ -8,18 +8,18 @@
 	"ringstream.example/ringstream/internal/core/health"
 	"ringstream.example/ringstream/internal/core/identity"
 	"ringstream.example/ringstream/internal/core/routing"
-	"ringstream.example/ringstream/internal/platform"
+	"ringstream.example/ringstream/internal/backend"
 )
 
 // Engine is this node's handle of one engine: its client, its last report and
 // what this node has running on it. Reading it takes no lock.
 type Engine struct {
 	ID     identity.EngineID
-	Client platform.Engine
+	Client backend.Engine
 	// Dispatchers names the nodes that send to this engine, this one included.
 	dispatchers atomic.Pointer[[]identity.NodeID]
 
-	machine  atomic.Pointer[platform.Machine]
+	machine  atomic.Pointer[backend.Machine]
 	distance routing.Distance
 	order    atomic.Int32 // place in the order that all nodes share
 	slot     int
@@ -44,14 +44,14 @@
 
 // report is a load report and this node's part in it.
 type report struct {
-	load     platform.EngineLoad
+	load     backend.EngineLoad
 	variants []routing.Variant
 	// ownOnline and ownBatch are what this node had running when it was measured.
 	ownOnline, ownBatch int
 }
 
 // Machine is the engine's latest entry in the machine list.
-func (e *Engine) Machine() platform.Machine { return *e.machine.Load() }
+func (e *Engine) Machine() backend.Machine { return *e.machine.Load() }
 
 // Dispatchers names the nodes that send work to this engine.
 func (e *Engine) Dispatchers() []identity.NodeID {
@@ -62,11 +62,11 @@
 }
 
 // Load is the engine's last report; false before the first.
-func (e *Engine) Load() (platform.EngineLoad, bool) {
+func (e *Engine) Load() (backend.EngineLoad, bool) {
 	if last := e.report.Load(); last != nil {
 		return last.load, true
 	}
-	return platform.EngineLoad{}, false
+	return backend.EngineLoad{}, false
 }
 
 // Begin counts one sequence as sent.
@@ -134,7 +134,7 @@
 const oldestReport = 10 * time.Second
 
 // take stores a load report that arrived now.
-func (e *Engine) take(now time.Time, load platform.EngineLoad) {
+func (e *Engine) take(now time.Time, load backend.EngineLoad) {
 	measured := load.ReportedAt
 	if measured.After(now) {
 		measured = now
--- a/internal/fleet/service.go
+++ b/internal/fleet/service.go
@@ -29,7 +29,7 @@
 	"ringstream.example/ringstream/internal/core/subset"
 	"ringstream.example/ringstream/internal/events"
 	"ringstream.example/ringstream/internal/peer"
-	"ringstream.example/ringstream/internal/platform"
+	"ringstream.example/ringstream/internal/backend"
 )
 
 // Snapshot is the engines that this node dispatches to. It never changes; the
@@ -48,8 +48,8 @@
 // Service keeps the picture up to date.
 type Service struct {
 	config   Config
-	machines platform.MachineList
-	clients  platform.Engines
+	machines backend.MachineList
+	clients  backend.Engines
 	bus      peer.Bus
 	logger   *zap.Logger
 	metrics  *metrics
@@ -59,7 +59,7 @@
 
 	mutex   sync.Mutex
 	version uint64
-	list    map[identity.EngineID]platform.Machine
+	list    map[identity.EngineID]backend.Machine
 	engines map[identity.EngineID]*Engine // the subset
 	slots   [routing.MaxSlots]bool
 	chooser *subset.Chooser
@@ -72,12 +72,12 @@
 }
 
 // New makes a service; it does nothing before Run.
-func New(config Config, machines platform.MachineList, engines platform.Engines, bus peer.Bus, logger *zap.Logger, registerer prometheus.Registerer) *Service {
+func New(config Config, machines backend.MachineList, engines backend.Engines, bus peer.Bus, logger *zap.Logger, registerer prometheus.Registerer) *Service {
 	service := &Service{
 		config: config, machines: machines, clients: engines, bus: bus, logger: logger,
 		metrics: newMetrics(registerer),
 		changed: make(chan struct{}, 1),
-		list:    make(map[identity.EngineID]platform.Machine),
+		list:    make(map[identity.EngineID]backend.Machine),
 		engines: make(map[identity.EngineID]*Engine),
 
 		elsewhere: make(map[string][]identity.EngineID),
@@ -105,7 +105,7 @@
 
 // Client opens any engine of the machine list, also one outside the subset;
 // false when the list does not have it.
-func (s *Service) Client(id identity.EngineID) (platform.Engine, bool) {
+func (s *Service) Client(id identity.EngineID) (backend.Engine, bool) {
 	if engine, ok := s.Snapshot().byID[id]; ok {
 		return engine.Client, true
 	}
@@ -193,7 +193,7 @@
 	s.version = reading.Version
 	clear(s.list)
 	for _, machine := range reading.Machines {
-		if machine.Kind == platform.MachineEngine {
+		if machine.Kind == backend.MachineEngine {
 			s.list[machine.EngineID()] = machine
 		}
 	}
@@ -236,7 +236,7 @@
 }
 
 // open makes the handle of an engine that is new to the subset.
-func (s *Service) open(machine platform.Machine, self membership.Member) *Engine {
+func (s *Service) open(machine backend.Machine, self membership.Member) *Engine {
 	engine := &Engine{ID: machine.EngineID(), Client: s.clients.Engine(machine), slot: s.takeSlot()}
 	switch {
 	case machine.Zone == self.Zone:
--- a/internal/fleet/service_test.go
+++ b/internal/fleet/service_test.go
@@ -13,38 +13,38 @@
 	"ringstream.example/ringstream/internal/core/identity"
 	"ringstream.example/ringstream/internal/core/membership"
 	"ringstream.example/ringstream/internal/peer/peertest"
-	"ringstream.example/ringstream/internal/platform"
+	"ringstream.example/ringstream/internal/backend"
 )
 
 // countingEngine counts the load reports that it is asked for.
 type countingEngine struct {
-	platform.Engine
+	backend.Engine
 	polls atomic.Int64
 }
 
-func (e *countingEngine) Load(context.Context) (platform.EngineLoad, error) {
+func (e *countingEngine) Load(context.Context) (backend.EngineLoad, error) {
 	e.polls.Add(1)
-	return platform.EngineLoad{ReportedAt: time.Now(), MaxRunning: 1}, nil
+	return backend.EngineLoad{ReportedAt: time.Now(), MaxRunning: 1}, nil
 }
 
-func (e *countingEngine) CacheEvents(context.Context, uint64) ([]platform.CacheEvent, error) {
+func (e *countingEngine) CacheEvents(context.Context, uint64) ([]backend.CacheEvent, error) {
 	return nil, nil
 }
 
 // countingPlatform is a machine list and its engines.
 type countingPlatform struct {
-	machines []platform.Machine
+	machines []backend.Machine
 	engines  map[string]*countingEngine
 }
 
-func (p *countingPlatform) Machines(_ context.Context, since uint64) (platform.MachineSnapshot, error) {
+func (p *countingPlatform) Machines(_ context.Context, since uint64) (backend.MachineSnapshot, error) {
 	if since == 1 {
-		return platform.MachineSnapshot{Version: 1}, nil
+		return backend.MachineSnapshot{Version: 1}, nil
 	}
-	return platform.MachineSnapshot{Version: 1, Machines: p.machines}, nil
+	return backend.MachineSnapshot{Version: 1, Machines: p.machines}, nil
 }
 
-func (p *countingPlatform) Engine(machine platform.Machine) platform.Engine {
+func (p *countingPlatform) Engine(machine backend.Machine) backend.Engine {
 	return p.engines[machine.ID]
 }
 
@@ -57,7 +57,7 @@
 		target := &countingPlatform{engines: map[string]*countingEngine{}}
 		for i := range engines {
 			id := fmt.Sprintf("engine-%d", i)
-			target.machines = append(target.machines, platform.Machine{ID: id, Kind: platform.MachineEngine, Zone: "z", Region: "r", Pool: "p"})
+			target.machines = append(target.machines, backend.Machine{ID: id, Kind: backend.MachineEngine, Zone: "z", Region: "r", Pool: "p"})
 			target.engines[id] = &countingEngine{}
 		}
 		network := peertest.New(peertest.Options{})
--- a/internal/gateway/bench_test.go
+++ b/internal/gateway/bench_test.go
@@ -19,7 +19,7 @@
 	"ringstream.example/ringstream/internal/core/outcome"
 	"ringstream.example/ringstream/internal/dispatch"
 	"ringstream.example/ringstream/internal/limits"
-	"ringstream.example/ringstream/internal/platform"
+	"ringstream.example/ringstream/internal/backend"
 )
 
 // discard is a client that keeps up: it signals each flush.
@@ -46,7 +46,7 @@
 	server := benchServer(func(_ context.Context, _ dispatch.Request, sink dispatch.Sink) outcome.Outcome {
 		b.ResetTimer()
 		for i := range b.N {
-			if err := sink(platform.Token{Offset: i, Text: " harvester"}); err != nil {
+			if err := sink(backend.Token{Offset: i, Text: " harvester"}); err != nil {
 				b.Error(err)
 			}
 			<-client.flushed
@@ -80,7 +80,7 @@
 // includes the client's own part.
 func BenchmarkFirstTokenOverLoopback(b *testing.B) {
 	server := benchServer(func(_ context.Context, _ dispatch.Request, sink dispatch.Sink) outcome.Outcome {
-		_ = sink(platform.Token{Text: "first"})
+		_ = sink(backend.Token{Text: "first"})
 		return outcome.Outcome{Kind: outcome.Completed, OutputTokens: 1}
 	})
 	listener := httptest.NewServer(server.http.Echo)
@@ -132,7 +132,7 @@
 		defer ticker.Stop()
 		for i := range perStream {
 			<-ticker.C
-			if sink(platform.Token{Offset: i, Text: " harvester"}) != nil {
+			if sink(backend.Token{Offset: i, Text: " harvester"}) != nil {
 				return outcome.Outcome{Kind: outcome.Cancelled}
 			}
 		}
--- a/internal/gateway/complete.go
+++ b/internal/gateway/complete.go
@@ -21,7 +21,7 @@
 	"ringstream.example/ringstream/internal/events"
 	"ringstream.example/ringstream/internal/httpserver"
 	"ringstream.example/ringstream/internal/idempotency"
-	"ringstream.example/ringstream/internal/platform"
+	"ringstream.example/ringstream/internal/backend"
 )
 
 // The headers that callers may set beside the body.
@@ -109,7 +109,7 @@
 	return &call{
 		id: string(httpserver.RequestID(c)), tenant: tenant, row: row, request: request, arrived: arrived, deadline: arrived.Add(timeout),
 		path: c.Path(), body: body, authorization: c.Request().Header.Get(echo.HeaderAuthorization),
-		key: idempotency.Key{Tenant: tenant, Key: key}, hopped: c.Request().Header.Get(platform.HopHeader) != "",
+		key: idempotency.Key{Tenant: tenant, Key: key}, hopped: c.Request().Header.Get(backend.HopHeader) != "",
 	}, nil
 }
 
@@ -173,7 +173,7 @@
 
 // admit takes the request against the limits of its row and tenant.
 func (s *Server) admit(taken *call) (release func(used int), err error) {
-	estimate := platform.PromptTokens(taken.request.prompt) + taken.request.maxTokens
+	estimate := backend.PromptTokens(taken.request.prompt) + taken.request.maxTokens
 	release, decision := s.deps.Limits.Admit(taken.row, taken.tenant, estimate)
 	if decision.Allowed {
 		return release, nil
@@ -250,7 +250,7 @@
 }
 
 // token is the run's dispatch.Sink.
-func (t *collector) token(token platform.Token) error {
+func (t *collector) token(token backend.Token) error {
 	t.mutex.Lock()
 	defer t.mutex.Unlock()
 	if t.cause != nil {
@@ -296,7 +296,7 @@
 	case errors.Is(t.cause, errStopped):
 		prompt := ended.PromptTokens
 		if prompt == 0 { // the engine was stopped before it could say
-			prompt = platform.PromptTokens(t.taken.request.prompt)
+			prompt = backend.PromptTokens(t.taken.request.prompt)
 		}
 		return ending{reason: finishStop, used: usage{prompt: prompt, output: t.count}}
 	case errors.Is(t.cause, errDisorder):
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -22,8 +22,8 @@
 	"ringstream.example/ringstream/internal/dispatch"
 	"ringstream.example/ringstream/internal/idempotency"
 	"ringstream.example/ringstream/internal/limits"
-	"ringstream.example/ringstream/internal/platform"
-	"ringstream.example/ringstream/internal/platform/platformtest"
+	"ringstream.example/ringstream/internal/backend"
+	"ringstream.example/ringstream/internal/backend/backendtest"
 	"ringstream.example/ringstream/internal/store"
 )
 
@@ -40,7 +40,7 @@
 func say(words ...string) runFunc {
 	return func(_ context.Context, _ dispatch.Request, sink dispatch.Sink) outcome.Outcome {
 		for i, word := range words {
-			if err := sink(platform.Token{Offset: i, Text: word}); err != nil {
+			if err := sink(backend.Token{Offset: i, Text: word}); err != nil {
 				return outcome.Outcome{Kind: outcome.Cancelled, PromptTokens: 3, OutputTokens: i + 1}
 			}
 		}
@@ -188,7 +188,7 @@
 
 func TestOfficialClientSeesAFailureInTheMiddleOfAStream(t *testing.T) {
 	client := start(t, online(func(_ context.Context, _ dispatch.Request, sink dispatch.Sink) outcome.Outcome {
-		_ = sink(platform.Token{Text: "half"})
+		_ = sink(backend.Token{Text: "half"})
 		return outcome.Outcome{Kind: outcome.Unknown, Reason: "the engine fell silent", OutputTokens: 1}
 	})).openAI()
 	stream := client.Completions.NewStreaming(t.Context(), openai.CompletionNewParams{
@@ -282,9 +282,9 @@
 
 func TestATokenOutOfOrderNeverReachesTheCaller(t *testing.T) {
 	server := start(t, online(func(_ context.Context, _ dispatch.Request, sink dispatch.Sink) outcome.Outcome {
-		_ = sink(platform.Token{Offset: 0, Text: "mine"})
-		_ = sink(platform.Token{Offset: 2, Text: "another's"})
-		_ = sink(platform.Token{Offset: 1, Text: "late"})
+		_ = sink(backend.Token{Offset: 0, Text: "mine"})
+		_ = sink(backend.Token{Offset: 2, Text: "another's"})
+		_ = sink(backend.Token{Offset: 1, Text: "late"})
 		return outcome.Outcome{Kind: outcome.Completed, OutputTokens: 1}
 	}))
 	_, text := server.post(t, "/v1/completions", `{"model":"scribe","prompt":"x","stream":true}`)
@@ -296,7 +296,7 @@
 func TestClientGoneCancelsTheRun(t *testing.T) {
 	cancelled := make(chan struct{})
 	server := start(t, online(func(ctx context.Context, _ dispatch.Request, sink dispatch.Sink) outcome.Outcome {
-		_ = sink(platform.Token{Text: "first"})
+		_ = sink(backend.Token{Text: "first"})
 		<-ctx.Done()
 		close(cancelled)
 		return outcome.Outcome{Kind: outcome.Cancelled}
@@ -317,10 +317,10 @@
 func TestPlannedStopCutsNoStream(t *testing.T) {
 	begun, proceed := make(chan struct{}), make(chan struct{})
 	server := start(t, online(func(_ context.Context, _ dispatch.Request, sink dispatch.Sink) outcome.Outcome {
-		_ = sink(platform.Token{Text: "before"})
+		_ = sink(backend.Token{Text: "before"})
 		close(begun)
 		<-proceed
-		_ = sink(platform.Token{Offset: 1, Text: "after"})
+		_ = sink(backend.Token{Offset: 1, Text: "after"})
 		return outcome.Outcome{Kind: outcome.Completed, OutputTokens: 2}
 	}))
 	answered := make(chan string, 1)
@@ -345,13 +345,13 @@
 
 func TestPlannedStopFinishesAKeyedRunWithoutClients(t *testing.T) {
 	begun, proceed := make(chan struct{}), make(chan struct{})
-	table := platformtest.NewTable()
+	table := backendtest.NewTable()
 	server := start(t, func(_ *Config, deps *Dependencies) {
-		deps.Keys = idempotency.New(idempotency.DefaultConfig(), store.New(table), platformtest.NewObjects(), view{&nodes{}, "a"}, zap.NewNop())
+		deps.Keys = idempotency.New(idempotency.DefaultConfig(), store.New(table), backendtest.NewObjects(), view{&nodes{}, "a"}, zap.NewNop())
 		deps.Online = runFunc(func(_ context.Context, _ dispatch.Request, sink dispatch.Sink) outcome.Outcome {
 			close(begun)
 			<-proceed
-			_ = sink(platform.Token{Text: "whole"})
+			_ = sink(backend.Token{Text: "whole"})
 			return outcome.Outcome{Kind: outcome.Completed, OutputTokens: 1}
 		})
 	})
--- a/internal/gateway/harness_test.go
+++ b/internal/gateway/harness_test.go
@@ -17,8 +17,8 @@
 	"ringstream.example/ringstream/internal/core/outcome"
 	"ringstream.example/ringstream/internal/dispatch"
 	"ringstream.example/ringstream/internal/idempotency"
-	"ringstream.example/ringstream/internal/platform"
-	"ringstream.example/ringstream/internal/platform/platformtest"
+	"ringstream.example/ringstream/internal/backend"
+	"ringstream.example/ringstream/internal/backend/backendtest"
 	"ringstream.example/ringstream/internal/store"
 )
 
@@ -79,7 +79,7 @@
 			return outcome.Outcome{Kind: outcome.Cancelled}
 		case <-time.After(pace):
 		}
-		if sink(platform.Token{Offset: i, Text: fmt.Sprintf("run%d-%d ", run, i)}) != nil {
+		if sink(backend.Token{Offset: i, Text: fmt.Sprintf("run%d-%d ", run, i)}) != nil {
 			return outcome.Outcome{Kind: outcome.Cancelled}
 		}
 	}
@@ -90,10 +90,10 @@
 type nodes struct {
 	t       *testing.T
 	engine  *engine
-	table   *platformtest.Table
-	objects *platformtest.Objects
+	table   *backendtest.Table
+	objects *backendtest.Objects
 	rows    fixedRows
-	site    platform.Site
+	site    backend.Site
 	mutex   sync.Mutex
 	dead    identity.NodeID
 	split   bool // nodes a and b hold each other for dead
@@ -102,7 +102,7 @@
 func newNodes(t *testing.T) *nodes {
 	return &nodes{
 		t: t, engine: &engine{attempts: map[identity.AttemptID]int{}}, rows: testRows(),
-		table: platformtest.NewTable(), objects: platformtest.NewObjects(),
+		table: backendtest.NewTable(), objects: backendtest.NewObjects(),
 	}
 }
 
--- a/internal/gateway/keyed_test.go
+++ b/internal/gateway/keyed_test.go
@@ -13,8 +13,8 @@
 	"ringstream.example/ringstream/internal/core/identity"
 	"ringstream.example/ringstream/internal/core/outcome"
 	"ringstream.example/ringstream/internal/dispatch"
-	"ringstream.example/ringstream/internal/platform"
-	"ringstream.example/ringstream/internal/platform/platformtest"
+	"ringstream.example/ringstream/internal/backend"
+	"ringstream.example/ringstream/internal/backend/backendtest"
 	"ringstream.example/ringstream/internal/store"
 )
 
@@ -127,10 +127,10 @@
 			dying := n.gateway("a")
 			go keyed(t, dying, onceBody)
 			time.Sleep(5 * tokenTime)
-			n.table.SetFaults(platformtest.Faults{Down: true})
+			n.table.SetFaults(backendtest.Faults{Down: true})
 			dying.keyed.cancel() // the node dies: its run stops and writes nothing
 			synctest.Wait()
-			n.table.SetFaults(platformtest.Faults{})
+			n.table.SetFaults(backendtest.Faults{})
 			n.die("a")
 			n.engine.forget = forget
 			b, c := keyed(t, n.gateway("b"), onceBody), keyed(t, n.gateway("c"), onceBody)
@@ -158,13 +158,13 @@
 			if err := request.BeforeSend(ctx, dispatch.Intent{Attempt: "unsent", Engine: "e1", Incarnation: "i1"}); err != nil {
 				t.Error(err)
 			}
-			n.table.SetFaults(platformtest.Faults{Down: true}) // the node dies before it sends
+			n.table.SetFaults(backendtest.Faults{Down: true}) // the node dies before it sends
 			dying.keyed.cancel()
 			return outcome.Outcome{Kind: outcome.Cancelled}
 		})
 		keyed(t, dying, onceBody)
 		synctest.Wait()
-		n.table.SetFaults(platformtest.Faults{})
+		n.table.SetFaults(backendtest.Faults{})
 		n.die("a")
 		n.engine.never = "unsent/e1/i1"
 		wantCode(t, keyed(t, n.gateway("b"), onceBody), http.StatusOK, "run1-19")
@@ -196,14 +196,14 @@
 	synctest.Test(t, func(t *testing.T) {
 		n := newNodes(t)
 		a := n.gateway("a")
-		n.table.SetFaults(platformtest.Faults{Down: true})
+		n.table.SetFaults(backendtest.Faults{Down: true})
 		refused := keyed(t, a, wholeBody)
 		wantCode(t, refused, http.StatusServiceUnavailable, "store_unavailable", `"run":"not_run"`)
 		if refused.Header().Get("Retry-After") == "" || n.engine.runs != 0 {
 			t.Errorf("%v, %d runs", refused.Header(), n.engine.runs)
 		}
 		wantCode(t, send(t.Context(), a, wholeBody), http.StatusOK, "run1-19")
-		n.table.SetFaults(platformtest.Faults{})
+		n.table.SetFaults(backendtest.Faults{})
 		wantCode(t, keyed(t, a, wholeBody), http.StatusOK, "run2-19")
 	})
 }
@@ -211,7 +211,7 @@
 func TestALostClaimDoesNotHoldItsKey(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		n := newNodes(t)
-		n.table.SetFaults(platformtest.Faults{LoseAnswers: store.DefaultRetry.Attempts})
+		n.table.SetFaults(backendtest.Faults{LoseAnswers: store.DefaultRetry.Attempts})
 		wantCode(t, keyed(t, n.gateway("a"), wholeBody), http.StatusServiceUnavailable, `"run":"not_run"`)
 		begun := time.Now()
 		wantCode(t, keyed(t, n.gateway("b"), wholeBody), http.StatusOK, "run1-19")
@@ -224,7 +224,7 @@
 func TestAStoreThatHangsRefusesInTime(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		n := newNodes(t)
-		n.table.SetFaults(platformtest.Faults{Hang: true})
+		n.table.SetFaults(backendtest.Faults{Hang: true})
 		begun := time.Now()
 		wantCode(t, keyed(t, n.gateway("a"), wholeBody), http.StatusServiceUnavailable, "store_unavailable", `"run":"not_run"`)
 		if waited := time.Since(begun); waited > DefaultConfig().RecordWait {
@@ -241,14 +241,14 @@
 		begun := time.Now()
 		go func() { first <- keyed(t, a, streamBody) }()
 		time.Sleep(5 * tokenTime)
-		n.table.SetFaults(platformtest.Faults{Down: true})
+		n.table.SetFaults(backendtest.Faults{Down: true})
 		if told := <-first; strings.Contains(told.Body.String(), "[DONE]") || !strings.Contains(told.Body.String(), `"run":"unknown"`) {
 			t.Errorf("told %s", told.Body)
 		}
 		if waited := time.Since(begun); waited > DefaultConfig().RecordWait+time.Second {
 			t.Errorf("told after %v", waited)
 		}
-		n.table.SetFaults(platformtest.Faults{})
+		n.table.SetFaults(backendtest.Faults{})
 		time.Sleep(10 * time.Second)
 		wantCode(t, keyed(t, n.gateway("b"), streamBody), http.StatusOK, "run1-19", streamDone)
 		if n.engine.runs != 1 {
@@ -260,9 +260,9 @@
 func TestLostAnswersOfTheStoreCostNoSecondRun(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		n := newNodes(t)
-		n.table.SetFaults(platformtest.Faults{LoseAnswers: 2})
+		n.table.SetFaults(backendtest.Faults{LoseAnswers: 2})
 		wantCode(t, keyed(t, n.gateway("a"), onceBody), http.StatusOK, "run1-19")
-		n.table.SetFaults(platformtest.Faults{LoseAnswers: 1})
+		n.table.SetFaults(backendtest.Faults{LoseAnswers: 1})
 		wantCode(t, keyed(t, n.gateway("b"), onceBody), http.StatusOK, "run1-19")
 	})
 }
@@ -286,8 +286,8 @@
 		a := n.gateway("a")
 		late := make(chan error, 1)
 		a.deps.Online = runFunc(func(_ context.Context, _ dispatch.Request, sink dispatch.Sink) outcome.Outcome {
-			_ = sink(platform.Token{Text: "only"})
-			time.AfterFunc(time.Second, func() { late <- sink(platform.Token{Offset: 1, Text: "late"}) })
+			_ = sink(backend.Token{Text: "only"})
+			time.AfterFunc(time.Second, func() { late <- sink(backend.Token{Offset: 1, Text: "late"}) })
 			return outcome.Outcome{Kind: outcome.Completed, OutputTokens: 1}
 		})
 		got := keyed(t, a, streamBody)
--- a/internal/gateway/request.go
+++ b/internal/gateway/request.go
@@ -7,7 +7,7 @@
 	"strings"
 
 	"ringstream.example/ringstream/internal/apierror"
-	"ringstream.example/ringstream/internal/platform"
+	"ringstream.example/ringstream/internal/backend"
 )
 
 // generation is a parsed completion request, of either form.
@@ -21,7 +21,7 @@
 	stop         []string
 	user         string
 	adapter      string
-	sampling     platform.Sampling
+	sampling     backend.Sampling
 	repeatable   bool
 }
 
@@ -56,7 +56,7 @@
 }
 
 // within reads a number of the sampling and holds it to its range.
-func within(place func(*platform.Sampling) **float64, least, most float64) fieldRule {
+func within(place func(*backend.Sampling) **float64, least, most float64) fieldRule {
 	return func(value json.RawMessage, request *generation) error {
 		number := place(&request.sampling)
 		if err := json.Unmarshal(value, number); err != nil || (*number != nil && (**number < least || **number > most)) {
@@ -79,10 +79,10 @@
 	"repeatable":     into(func(r *generation) *bool { return &r.repeatable }, "true or false"),
 
 	"n":                 only("1", "null"),
-	"temperature":       within(func(s *platform.Sampling) **float64 { return &s.Temperature }, 0, 2),
-	"top_p":             within(func(s *platform.Sampling) **float64 { return &s.TopP }, 0, 1),
-	"presence_penalty":  within(func(s *platform.Sampling) **float64 { return &s.PresencePenalty }, -2, 2),
-	"frequency_penalty": within(func(s *platform.Sampling) **float64 { return &s.FrequencyPenalty }, -2, 2),
+	"temperature":       within(func(s *backend.Sampling) **float64 { return &s.Temperature }, 0, 2),
+	"top_p":             within(func(s *backend.Sampling) **float64 { return &s.TopP }, 0, 1),
+	"presence_penalty":  within(func(s *backend.Sampling) **float64 { return &s.PresencePenalty }, -2, 2),
+	"frequency_penalty": within(func(s *backend.Sampling) **float64 { return &s.FrequencyPenalty }, -2, 2),
 	"seed":              into(func(r *generation) **int64 { return &r.sampling.Seed }, "a whole number"),
 	"logit_bias":        only("null", "{}"),
 
--- a/internal/gateway/request_test.go
+++ b/internal/gateway/request_test.go
@@ -7,7 +7,7 @@
 
 	"github.com/google/go-cmp/cmp"
 
-	"ringstream.example/ringstream/internal/platform"
+	"ringstream.example/ringstream/internal/backend"
 )
 
 func TestWrongRequestsNameTheField(t *testing.T) {
@@ -47,7 +47,7 @@
 
 func TestSamplingReachesTheDispatcher(t *testing.T) {
 	temperature, seed := 0.2, int64(7)
-	want := platform.Sampling{Temperature: &temperature, Seed: &seed}
+	want := backend.Sampling{Temperature: &temperature, Seed: &seed}
 	request, err := parseGeneration([]byte(`{"model":"m","prompt":"x","temperature":0.2,"seed":7,"top_p":null}`), false)
 	if diff := cmp.Diff(want, request.sampling); err != nil || diff != "" {
 		t.Errorf("%v (-want +got):\n%s", err, diff)
--- a/internal/gateway/server.go
+++ b/internal/gateway/server.go
@@ -23,7 +23,7 @@
 	"ringstream.example/ringstream/internal/idempotency"
 	"ringstream.example/ringstream/internal/jobs"
 	"ringstream.example/ringstream/internal/limits"
-	"ringstream.example/ringstream/internal/platform"
+	"ringstream.example/ringstream/internal/backend"
 	"ringstream.example/ringstream/internal/rows"
 )
 
@@ -81,7 +81,7 @@
 	// Resume joins the stream of an intent after its node died.
 	Resume Resumer
 	// Site is the other site; nil: every request runs here.
-	Site platform.Site
+	Site backend.Site
 	// Models is what GET /v1/models shows beside the models that rows name; may be nil.
 	Models ModelLister
 	// TableReady says whether Rows has been read since the start; nil: it has.
--- a/internal/gateway/site.go
+++ b/internal/gateway/site.go
@@ -17,7 +17,7 @@
 	"ringstream.example/ringstream/internal/core/site"
 	"ringstream.example/ringstream/internal/events"
 	"ringstream.example/ringstream/internal/idempotency"
-	"ringstream.example/ringstream/internal/platform"
+	"ringstream.example/ringstream/internal/backend"
 )
 
 // siteOf gives the site of a request by its row's share. A request that the
@@ -42,8 +42,8 @@
 	}
 }
 
-func (s *Server) forward(ctx context.Context, taken *call) (platform.SiteResponse, error) {
-	response, err := s.deps.Site.Forward(ctx, platform.SiteRequest{
+func (s *Server) forward(ctx context.Context, taken *call) (backend.SiteResponse, error) {
+	response, err := s.deps.Site.Forward(ctx, backend.SiteRequest{
 		Path: taken.path, Body: taken.body, Authorization: taken.authorization, RequestID: taken.id, IdempotencyKey: taken.key.Key,
 	})
 	label := "answered"
@@ -61,8 +61,8 @@
 
 // notRun says whether a forward provably did nothing.
 func notRun(err error) bool {
-	var failure *platform.Error
-	return errors.As(err, &failure) && failure.Effect == platform.EffectNone
+	var failure *backend.Error
+	return errors.As(err, &failure) && failure.Effect == backend.EffectNone
 }
 
 // errSiteLost ends a request that the other site may have run.
@@ -154,14 +154,14 @@
 // handover holds the other site's answer until a client takes it.
 type handover struct {
 	mutex    sync.Mutex
-	response *platform.SiteResponse
+	response *backend.SiteResponse
 	expiry   *time.Timer
 }
 
 // handoverTime is how long an answer waits for its client.
 const handoverTime = time.Second
 
-func (h *handover) put(response platform.SiteResponse) {
+func (h *handover) put(response backend.SiteResponse) {
 	h.mutex.Lock()
 	defer h.mutex.Unlock()
 	h.response = &response
@@ -172,11 +172,11 @@
 	})
 }
 
-func (h *handover) take() (response platform.SiteResponse, had bool) {
+func (h *handover) take() (response backend.SiteResponse, had bool) {
 	h.mutex.Lock()
 	defer h.mutex.Unlock()
 	if h.response == nil {
-		return platform.SiteResponse{}, false
+		return backend.SiteResponse{}, false
 	}
 	response, h.response = *h.response, nil
 	h.expiry.Stop()
@@ -200,7 +200,7 @@
 
 // passThrough gives the other site's answer unchanged. One that breaks off is
 // an error: before its first byte as a status, in a stream as an error event.
-func passThrough(c echo.Context, response platform.SiteResponse, deadline time.Time) error {
+func passThrough(c echo.Context, response backend.SiteResponse, deadline time.Time) error {
 	defer func() { _ = response.Body.Close() }()
 	_ = http.NewResponseController(c.Response()).SetWriteDeadline(deadline.Add(writeGrace))
 	header := c.Response().Header()
--- a/internal/gateway/site_test.go
+++ b/internal/gateway/site_test.go
@@ -13,7 +13,7 @@
 	"time"
 
 	"ringstream.example/ringstream/internal/core/policy"
-	"ringstream.example/ringstream/internal/platform"
+	"ringstream.example/ringstream/internal/backend"
 )
 
 // otherSite answers with its own words, or fails as told.
@@ -22,12 +22,12 @@
 	fail   error
 	broken bool // its streams break off
 	hang   bool // a request arrives, and no answer comes
-	asked  []platform.SiteRequest
+	asked  []backend.SiteRequest
 }
 
 const otherEvents = "data: {\"other\":1}\n\ndata: [DONE]\n\n"
 
-func (o *otherSite) Forward(ctx context.Context, request platform.SiteRequest) (platform.SiteResponse, error) {
+func (o *otherSite) Forward(ctx context.Context, request backend.SiteRequest) (backend.SiteResponse, error) {
 	o.mutex.Lock()
 	defer o.mutex.Unlock()
 	o.asked = append(o.asked, request)
@@ -35,19 +35,19 @@
 		o.mutex.Unlock()
 		<-ctx.Done()
 		o.mutex.Lock()
-		return platform.SiteResponse{}, siteError(platform.EffectUnknown)
+		return backend.SiteResponse{}, siteError(backend.EffectUnknown)
 	}
 	if o.fail != nil {
-		return platform.SiteResponse{}, o.fail
+		return backend.SiteResponse{}, o.fail
 	}
 	if strings.Contains(string(request.Body), `"stream":true`) {
 		body := io.Reader(strings.NewReader(otherEvents))
 		if o.broken {
 			body = io.MultiReader(strings.NewReader("data: {\"oth"), brokenReader{})
 		}
-		return platform.SiteResponse{Status: http.StatusOK, ContentType: contentTypeEvents, Body: io.NopCloser(body)}, nil
+		return backend.SiteResponse{Status: http.StatusOK, ContentType: contentTypeEvents, Body: io.NopCloser(body)}, nil
 	}
-	return platform.SiteResponse{
+	return backend.SiteResponse{
 		Status: http.StatusTooManyRequests, ContentType: "application/json", RetryAfter: "7", Body: io.NopCloser(strings.NewReader(`{"other":1}`)),
 	}, nil
 }
@@ -56,8 +56,8 @@
 
 func (brokenReader) Read([]byte) (int, error) { return 0, errors.New("connection reset") }
 
-func siteError(effect platform.Effect) error {
-	return &platform.Error{Code: platform.CodeUnavailable, Effect: effect, System: "site", Operation: "forward"}
+func siteError(effect backend.Effect) error {
+	return &backend.Error{Code: backend.CodeUnavailable, Effect: effect, System: "site", Operation: "forward"}
 }
 
 // sitesWith gives gateways whose row puts a share of the keys here.
@@ -92,7 +92,7 @@
 		other.broken = true
 		wantCode(t, send(t.Context(), a, streamBody), http.StatusOK, "event: error", `"run":"unknown"`)
 		other.broken = false
-		wantCode(t, send(t.Context(), a, wholeBody, platform.HopHeader, "1"), http.StatusOK, "run1-19")
+		wantCode(t, send(t.Context(), a, wholeBody, backend.HopHeader, "1"), http.StatusOK, "run1-19")
 		if len(other.asked) != 3 {
 			t.Errorf("%d forwards", len(other.asked))
 		}
@@ -103,10 +103,10 @@
 	synctest.Test(t, func(t *testing.T) {
 		n, other := sitesWith(t, 0)
 		a := n.gateway("a")
-		other.fail = siteError(platform.EffectNone)
+		other.fail = siteError(backend.EffectNone)
 		wantCode(t, send(t.Context(), a, onceBody), http.StatusOK, "run1-19") // unkeyed: provably not run there
 		wantCode(t, keyed(t, a, onceBody), http.StatusOK, "run2-19")          // keyed, first forward
-		other.fail = siteError(platform.EffectUnknown)
+		other.fail = siteError(backend.EffectUnknown)
 		wantCode(t, send(t.Context(), a, wholeBody), http.StatusBadGateway, `"run":"unknown"`)
 		other.fail = nil
 		wantCode(t, keyed(t, n.gateway("b"), onceBody), http.StatusOK, "run2-19") // recorded here
@@ -132,17 +132,17 @@
 func TestAKeyThatMayHaveRunThereNeverRunsHere(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		n, other := sitesWith(t, 0)
-		other.fail = siteError(platform.EffectUnknown)
+		other.fail = siteError(backend.EffectUnknown)
 		wantCode(t, keyed(t, n.gateway("a"), streamBody), http.StatusBadGateway, `"run":"unknown"`)
 		synctest.Wait()
 		n.setShare(1)
-		other.fail = siteError(platform.EffectNone)
+		other.fail = siteError(backend.EffectNone)
 		wantCode(t, keyed(t, n.gateway("b"), streamBody), http.StatusServiceUnavailable, `"run":"unknown"`)
 		other.fail = nil
 		if answer := keyed(t, n.gateway("c"), streamBody); answer.Body.String() != otherEvents {
 			t.Errorf("%s", answer.Body)
 		}
-		hopped := send(t.Context(), n.gateway("d"), streamBody, headerIdempotencyKey, "k1", platform.HopHeader, "1")
+		hopped := send(t.Context(), n.gateway("d"), streamBody, headerIdempotencyKey, "k1", backend.HopHeader, "1")
 		wantCode(t, hopped, http.StatusConflict, `"run":"unknown"`)
 		if n.engine.runs != 0 {
 			t.Errorf("%d runs here", n.engine.runs)
@@ -160,7 +160,7 @@
 		synctest.Wait()
 		n.die("a")
 		other.mutex.Lock()
-		other.hang, other.fail = false, siteError(platform.EffectNone)
+		other.hang, other.fail = false, siteError(backend.EffectNone)
 		other.mutex.Unlock()
 		wantCode(t, keyed(t, n.gateway("b"), streamBody), http.StatusServiceUnavailable, `"run":"unknown"`)
 		if n.engine.runs != 0 {
--- a/internal/idempotency/claim.go
+++ b/internal/idempotency/claim.go
@@ -8,7 +8,7 @@
 	"strings"
 
 	core "ringstream.example/ringstream/internal/core/idempotency"
-	"ringstream.example/ringstream/internal/platform"
+	"ringstream.example/ringstream/internal/backend"
 )
 
 // Claim is this node's claim of one key. It is used by one goroutine at a
@@ -99,6 +99,6 @@
 
 // notFound says whether an object is absent.
 func notFound(err error) bool {
-	var failure *platform.Error
-	return errors.As(err, &failure) && failure.Code == platform.CodeNotFound
+	var failure *backend.Error
+	return errors.As(err, &failure) && failure.Code == backend.CodeNotFound
 }
--- a/internal/idempotency/store.go
+++ b/internal/idempotency/store.go
@@ -24,7 +24,7 @@
 	"ringstream.example/ringstream/internal/core/identity"
 	"ringstream.example/ringstream/internal/core/membership"
 	"ringstream.example/ringstream/internal/core/site"
-	"ringstream.example/ringstream/internal/platform"
+	"ringstream.example/ringstream/internal/backend"
 	"ringstream.example/ringstream/internal/store"
 )
 
@@ -62,13 +62,13 @@
 type Store struct {
 	config  Config
 	client  *store.Client
-	objects platform.Objects
+	objects backend.Objects
 	members Members
 	logger  *zap.Logger
 }
 
 // New makes a store; Run sweeps expired keys.
-func New(config Config, client *store.Client, objects platform.Objects, members Members, logger *zap.Logger) *Store {
+func New(config Config, client *store.Client, objects backend.Objects, members Members, logger *zap.Logger) *Store {
 	return &Store{config: config, client: client, objects: objects, members: members, logger: logger}
 }
 
@@ -188,10 +188,10 @@
 		return 0, err
 	}
 	id := ulid.Make().String()
-	result := s.client.Commit(ctx, platform.Transaction{
+	result := s.client.Commit(ctx, backend.Transaction{
 		ID:       id,
-		Compares: []platform.Compare{{Key: name, Version: version}},
-		Writes:   []platform.Write{{Key: name, Value: value}},
+		Compares: []backend.Compare{{Key: name, Version: version}},
+		Writes:   []backend.Write{{Key: name, Value: value}},
 	})
 	switch result.Status {
 	case store.Applied:
@@ -224,7 +224,7 @@
 	return 0, conflictWith(stored)
 }
 
-func conflictWith(stored platform.Record) error {
+func conflictWith(stored backend.Record) error {
 	found := current{version: stored.Version}
 	if stored.Version != 0 {
 		if err := json.Unmarshal(stored.Value, &found.record); err != nil {
--- a/internal/idempotency/store_test.go
+++ b/internal/idempotency/store_test.go
@@ -16,7 +16,7 @@
 	"ringstream.example/ringstream/internal/core/identity"
 	"ringstream.example/ringstream/internal/core/membership"
 	"ringstream.example/ringstream/internal/core/site"
-	"ringstream.example/ringstream/internal/platform/platformtest"
+	"ringstream.example/ringstream/internal/backend/backendtest"
 	"ringstream.example/ringstream/internal/store"
 )
 
@@ -31,13 +31,13 @@
 
 // fleet is stores of many nodes over one table and one object store.
 type fleet struct {
-	table   *platformtest.Table
-	objects *platformtest.Objects
+	table   *backendtest.Table
+	objects *backendtest.Objects
 	dead    identity.NodeID
 }
 
 func newFleet() *fleet {
-	return &fleet{table: platformtest.NewTable(), objects: platformtest.NewObjects()}
+	return &fleet{table: backendtest.NewTable(), objects: backendtest.NewObjects()}
 }
 
 func (f *fleet) node(id identity.NodeID) *Store {
@@ -145,14 +145,14 @@
 func TestLostAnswersAreSettled(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		f := newFleet()
-		f.table.SetFaults(platformtest.Faults{LoseAnswers: 1})
+		f.table.SetFaults(backendtest.Faults{LoseAnswers: 1})
 		claim := must(t, f.node("a"), ask("d"), core.Run).Claim
 		// Every answer of one whole call is lost: the claim learns it later.
-		f.table.SetFaults(platformtest.Faults{LoseAnswers: store.DefaultRetry.Attempts})
+		f.table.SetFaults(backendtest.Faults{LoseAnswers: store.DefaultRetry.Attempts})
 		if err := claim.RecordIntent(t.Context(), core.Intent{Attempt: "a1"}); err == nil {
 			t.Fatal("an intent whose write is not known was taken for written")
 		}
-		f.objects.SetFaults(platformtest.Faults{LoseAnswers: 1})
+		f.objects.SetFaults(backendtest.Faults{LoseAnswers: 1})
 		result := []byte(strings.Repeat("y", 10<<10))
 		if err := claim.Complete(t.Context(), result); err == nil {
 			t.Fatal("a lost put was taken for done")
@@ -170,7 +170,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		for _, released := range []bool{false, true} { // over nothing, over an earlier record
 			f := newFleet()
-			faults := platformtest.Faults{LoseAnswers: store.DefaultRetry.Attempts}
+			faults := backendtest.Faults{LoseAnswers: store.DefaultRetry.Attempts}
 			if released {
 				faults.Spare = 1 // the conflict that brings the earlier record along
 				if err := must(t, f.node("a"), ask("d"), core.Run).Claim.Release(t.Context()); err != nil {
@@ -202,7 +202,7 @@
 func TestAStoreThatIsDownRefuses(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		f := newFleet()
-		f.table.SetFaults(platformtest.Faults{Down: true})
+		f.table.SetFaults(backendtest.Faults{Down: true})
 		if _, err := f.node("a").Ask(t.Context(), ask("d")); err == nil {
 			t.Error("an ask without a store gave a decision")
 		}
--- a/internal/idempotency/sweep.go
+++ b/internal/idempotency/sweep.go
@@ -14,7 +14,7 @@
 	"ringstream.example/ringstream/internal/core/identity"
 	"ringstream.example/ringstream/internal/core/rendezvous"
 	"ringstream.example/ringstream/internal/events"
-	"ringstream.example/ringstream/internal/platform"
+	"ringstream.example/ringstream/internal/backend"
 	"ringstream.example/ringstream/internal/store"
 )
 
@@ -82,11 +82,11 @@
 
 // expiredRecord is a record whose retention has ended.
 type expiredRecord struct {
-	stored platform.Record
+	stored backend.Record
 	record core.Record
 }
 
-func expired(records []platform.Record, now time.Time) []expiredRecord {
+func expired(records []backend.Record, now time.Time) []expiredRecord {
 	var old []expiredRecord
 	for _, stored := range records {
 		var record core.Record
@@ -104,13 +104,13 @@
 	if len(old) == 0 {
 		return
 	}
-	transaction := platform.Transaction{ID: ulid.Make().String()}
+	transaction := backend.Transaction{ID: ulid.Make().String()}
 	for _, each := range old {
 		if !s.deleteObjects(ctx, each.stored.Key, each.record) {
 			return
 		}
-		transaction.Compares = append(transaction.Compares, platform.Compare{Key: each.stored.Key, Version: each.stored.Version})
-		transaction.Writes = append(transaction.Writes, platform.Write{Key: each.stored.Key, Delete: true})
+		transaction.Compares = append(transaction.Compares, backend.Compare{Key: each.stored.Key, Version: each.stored.Version})
+		transaction.Writes = append(transaction.Writes, backend.Write{Key: each.stored.Key, Delete: true})
 	}
 	if s.client.Commit(ctx, transaction).Status == store.Applied {
 		events.KeysCollected.Log(s.logger, zap.Int("keys", len(old)))
--- a/internal/idempotency/withdraw.go
+++ b/internal/idempotency/withdraw.go
@@ -9,7 +9,7 @@
 	"github.com/oklog/ulid/v2"
 
 	core "ringstream.example/ringstream/internal/core/idempotency"
-	"ringstream.example/ringstream/internal/platform"
+	"ringstream.example/ringstream/internal/backend"
 	"ringstream.example/ringstream/internal/store"
 )
 
@@ -42,16 +42,16 @@
 	if stored.TransactionID != claim.transaction {
 		return nil // it had no effect, or was taken over
 	}
-	undo := platform.Write{Key: claim.name, Delete: claim.before.Phase == 0}
+	undo := backend.Write{Key: claim.name, Delete: claim.before.Phase == 0}
 	if !undo.Delete {
 		if undo.Value, err = json.Marshal(claim.before); err != nil {
 			return err
 		}
 	}
-	result := s.client.Commit(ctx, platform.Transaction{
+	result := s.client.Commit(ctx, backend.Transaction{
 		ID:       ulid.Make().String(),
-		Compares: []platform.Compare{{Key: claim.name, Version: stored.Version}},
-		Writes:   []platform.Write{undo},
+		Compares: []backend.Compare{{Key: claim.name, Version: stored.Version}},
+		Writes:   []backend.Write{undo},
 	})
 	if result.Status == store.Applied || result.Status == store.Conflict {
 		return nil
--- a/internal/jobs/blob/blob.go
+++ b/internal/jobs/blob/blob.go
@@ -9,13 +9,13 @@
 
 	"github.com/cenkalti/backoff/v4"
 
-	"ringstream.example/ringstream/internal/platform"
+	"ringstream.example/ringstream/internal/backend"
 	"ringstream.example/ringstream/internal/store"
 )
 
 // Store is the object store with retries. It is safe for concurrent use.
 type Store struct {
-	Objects platform.Objects
+	Objects backend.Objects
 	// Elapsed bounds one call with its retries.
 	Elapsed time.Duration
 }
@@ -73,8 +73,8 @@
 
 // NotFound says that an error means an absent object.
 func NotFound(err error) bool {
-	var failure *platform.Error
-	return errors.As(err, &failure) && failure.Code == platform.CodeNotFound
+	var failure *backend.Error
+	return errors.As(err, &failure) && failure.Code == backend.CodeNotFound
 }
 
 func (s Store) retry(ctx context.Context, call func() error) error {
--- a/internal/jobs/gate_test.go
+++ b/internal/jobs/gate_test.go
@@ -5,7 +5,7 @@
 	"strings"
 	"sync"
 
-	"ringstream.example/ringstream/internal/platform"
+	"ringstream.example/ringstream/internal/backend"
 )
 
 // gateMode is what becomes of a node's calls.
@@ -74,7 +74,7 @@
 		case running:
 			return nil
 		case dead:
-			return &platform.Error{Code: platform.CodeInvalid, System: "gate", Operation: "pass"}
+			return &backend.Error{Code: backend.CodeInvalid, System: "gate", Operation: "pass"}
 		}
 		<-change
 	}
@@ -94,47 +94,47 @@
 
 type gatedTable struct {
 	gate *gate
-	next platform.Table
+	next backend.Table
 }
 
-// Get implements platform.Table.
-func (t gatedTable) Get(ctx context.Context, key string) (platform.Record, error) {
-	return through(t.gate, func() (platform.Record, error) { return t.next.Get(ctx, key) })
+// Get implements backend.Table.
+func (t gatedTable) Get(ctx context.Context, key string) (backend.Record, error) {
+	return through(t.gate, func() (backend.Record, error) { return t.next.Get(ctx, key) })
 }
 
-// List implements platform.Table.
-func (t gatedTable) List(ctx context.Context, prefix, after string, limit int) ([]platform.Record, error) {
-	return through(t.gate, func() ([]platform.Record, error) { return t.next.List(ctx, prefix, after, limit) })
+// List implements backend.Table.
+func (t gatedTable) List(ctx context.Context, prefix, after string, limit int) ([]backend.Record, error) {
+	return through(t.gate, func() ([]backend.Record, error) { return t.next.List(ctx, prefix, after, limit) })
 }
 
-// Commit implements platform.Table.
-func (t gatedTable) Commit(ctx context.Context, transaction platform.Transaction) (platform.CommitResult, error) {
+// Commit implements backend.Table.
+func (t gatedTable) Commit(ctx context.Context, transaction backend.Transaction) (backend.CommitResult, error) {
 	t.gate.await(transaction.ID)
-	return through(t.gate, func() (platform.CommitResult, error) { return t.next.Commit(ctx, transaction) })
+	return through(t.gate, func() (backend.CommitResult, error) { return t.next.Commit(ctx, transaction) })
 }
 
 type gatedObjects struct {
 	gate *gate
-	next platform.Objects
+	next backend.Objects
 }
 
-// Put implements platform.Objects.
+// Put implements backend.Objects.
 func (o gatedObjects) Put(ctx context.Context, name string, body []byte) error {
 	_, err := through(o.gate, func() (struct{}, error) { return struct{}{}, o.next.Put(ctx, name, body) })
 	return err
 }
 
-// Get implements platform.Objects.
+// Get implements backend.Objects.
 func (o gatedObjects) Get(ctx context.Context, name string) ([]byte, error) {
 	return through(o.gate, func() ([]byte, error) { return o.next.Get(ctx, name) })
 }
 
-// List implements platform.Objects.
+// List implements backend.Objects.
 func (o gatedObjects) List(ctx context.Context, prefix, after string, limit int) ([]string, error) {
 	return through(o.gate, func() ([]string, error) { return o.next.List(ctx, prefix, after, limit) })
 }
 
-// Delete implements platform.Objects.
+// Delete implements backend.Objects.
 func (o gatedObjects) Delete(ctx context.Context, name string) error {
 	_, err := through(o.gate, func() (struct{}, error) { return struct{}{}, o.next.Delete(ctx, name) })
 	return err
--- a/internal/jobs/harness_test.go
+++ b/internal/jobs/harness_test.go
@@ -19,8 +19,8 @@
 	"ringstream.example/ringstream/internal/emulator"
 	"ringstream.example/ringstream/internal/emulator/netsim"
 	"ringstream.example/ringstream/internal/peer/peertest"
-	"ringstream.example/ringstream/internal/platform"
-	"ringstream.example/ringstream/internal/platform/httpclient"
+	"ringstream.example/ringstream/internal/backend"
+	"ringstream.example/ringstream/internal/backend/httpclient"
 	"ringstream.example/ringstream/internal/store"
 )
 
@@ -355,7 +355,7 @@
 			return outcome.Outcome{Kind: outcome.Unknown, Reason: "the engine is gone"}
 		}
 		for ; offset < made; offset++ {
-			if sink(platform.Token{Offset: offset, Text: fmt.Sprintf("[%s/%d]", sent.prompt, offset)}) != nil {
+			if sink(backend.Token{Offset: offset, Text: fmt.Sprintf("[%s/%d]", sent.prompt, offset)}) != nil {
 				return outcome.Outcome{Kind: outcome.Cancelled}
 			}
 		}
--- a/internal/jobs/intake/intake.go
+++ b/internal/jobs/intake/intake.go
@@ -20,7 +20,7 @@
 	"ringstream.example/ringstream/internal/events"
 	"ringstream.example/ringstream/internal/jobs/blob"
 	"ringstream.example/ringstream/internal/jobs/record"
-	"ringstream.example/ringstream/internal/platform"
+	"ringstream.example/ringstream/internal/backend"
 	"ringstream.example/ringstream/internal/store"
 )
 
@@ -71,10 +71,10 @@
 // create commits the job; the loser of a race for the key gets the winner's job.
 func (in *Intake) create(ctx context.Context, header record.Job) (record.Job, bool, error) {
 	key := record.IdempotencyKey(header.Tenant, header.Key)
-	result := in.Store.Commit(ctx, platform.Transaction{
+	result := in.Store.Commit(ctx, backend.Transaction{
 		ID:       "accept-" + string(header.ID),
-		Compares: []platform.Compare{{Key: key}, {Key: record.JobKey(header.ID)}},
-		Writes: []platform.Write{
+		Compares: []backend.Compare{{Key: key}, {Key: record.JobKey(header.ID)}},
+		Writes: []backend.Write{
 			{Key: key, Value: record.Encode(record.KeyHolder{Job: header.ID, Digest: header.Digest})},
 			{Key: record.JobKey(header.ID), Value: record.Encode(header)},
 			{Key: record.OpenKey(header.Shard, header.ID)},
@@ -103,7 +103,7 @@
 }
 
 // resent checks a job sent again against the one that holds its key.
-func (in *Intake) resent(ctx context.Context, keyRecord platform.Record, items *Scanner) (record.Job, error) {
+func (in *Intake) resent(ctx context.Context, keyRecord backend.Record, items *Scanner) (record.Job, error) {
 	content, err := items.ReadAll(func(int, []byte) error { return ctx.Err() })
 	if err != nil {
 		return record.Job{}, err
@@ -111,7 +111,7 @@
 	return in.existing(ctx, keyRecord, content.Digest)
 }
 
-func (in *Intake) existing(ctx context.Context, keyRecord platform.Record, digest string) (record.Job, error) {
+func (in *Intake) existing(ctx context.Context, keyRecord backend.Record, digest string) (record.Job, error) {
 	holder, err := record.Decode[record.KeyHolder](keyRecord.Value)
 	if err != nil {
 		return record.Job{}, err
--- a/internal/jobs/manager.go
+++ b/internal/jobs/manager.go
@@ -18,7 +18,7 @@
 	"ringstream.example/ringstream/internal/jobs/shard"
 	"ringstream.example/ringstream/internal/limits"
 	"ringstream.example/ringstream/internal/peer"
-	"ringstream.example/ringstream/internal/platform"
+	"ringstream.example/ringstream/internal/backend"
 	"ringstream.example/ringstream/internal/rows"
 	"ringstream.example/ringstream/internal/store"
 )
@@ -26,7 +26,7 @@
 // Dependencies are what the Manager works with.
 type Dependencies struct {
 	Store   *store.Client
-	Objects platform.Objects
+	Objects backend.Objects
 	Bus     peer.Bus
 	Batch   dispatch.Batch
 	Rows    rows.Source
--- a/internal/jobs/measure_test.go
+++ b/internal/jobs/measure_test.go
@@ -14,7 +14,7 @@
 
 	"ringstream.example/ringstream/internal/core/membership"
 	"ringstream.example/ringstream/internal/peer/peertest"
-	"ringstream.example/ringstream/internal/platform"
+	"ringstream.example/ringstream/internal/backend"
 	"ringstream.example/ringstream/internal/store"
 )
 
@@ -61,7 +61,7 @@
 // countingObjects takes objects without keeping them, and looks at the heap
 // while each is written.
 type countingObjects struct {
-	platform.Objects
+	backend.Objects
 	base, peak uint64
 	bytes      int
 }
@@ -73,7 +73,7 @@
 	return stats.HeapAlloc
 }
 
-// Put implements platform.Objects.
+// Put implements backend.Objects.
 func (o *countingObjects) Put(_ context.Context, _ string, body []byte) error {
 	o.bytes += len(body)
 	o.peak = max(o.peak, heap())
--- a/internal/jobs/retention/retention.go
+++ b/internal/jobs/retention/retention.go
@@ -17,7 +17,7 @@
 	"ringstream.example/ringstream/internal/events"
 	"ringstream.example/ringstream/internal/jobs/blob"
 	"ringstream.example/ringstream/internal/jobs/record"
-	"ringstream.example/ringstream/internal/platform"
+	"ringstream.example/ringstream/internal/backend"
 	"ringstream.example/ringstream/internal/store"
 )
 
@@ -79,7 +79,7 @@
 
 // removeJob removes the objects first and the records after, the entry in the
 // list of expired jobs last of all, so that a round cut short is done again.
-func (c *Collector) removeJob(ctx context.Context, entry platform.Record, id identity.JobID) error {
+func (c *Collector) removeJob(ctx context.Context, entry backend.Record, id identity.JobID) error {
 	found, err := c.Store.Get(ctx, record.JobKey(id))
 	if err != nil {
 		return err
@@ -89,10 +89,10 @@
 			return err
 		}
 	}
-	transaction := platform.Transaction{
+	transaction := backend.Transaction{
 		ID:       "expire-" + ulid.Make().String(),
-		Compares: []platform.Compare{{Key: entry.Key, Version: entry.Version}},
-		Writes:   []platform.Write{{Key: entry.Key, Delete: true}, {Key: record.JobKey(id), Delete: true}},
+		Compares: []backend.Compare{{Key: entry.Key, Version: entry.Version}},
+		Writes:   []backend.Write{{Key: entry.Key, Delete: true}, {Key: record.JobKey(id), Delete: true}},
 	}
 	if found.Version != 0 {
 		header, err := record.Decode[record.Job](found.Value)
@@ -100,8 +100,8 @@
 			return err
 		}
 		transaction.Writes = append(transaction.Writes,
-			platform.Write{Key: record.IdempotencyKey(header.Tenant, header.Key), Delete: true},
-			platform.Write{Key: record.TenantKey(header.Tenant, id), Delete: true})
+			backend.Write{Key: record.IdempotencyKey(header.Tenant, header.Key), Delete: true},
+			backend.Write{Key: record.TenantKey(header.Tenant, id), Delete: true})
 		if err := c.removeSegments(ctx, &header); err != nil {
 			return err
 		}
@@ -113,12 +113,12 @@
 // be asked again and need no compare.
 func (c *Collector) removeSegments(ctx context.Context, header *record.Job) error {
 	const deletes = 96 // in one transaction
-	keys := make([]platform.Write, len(header.Segments))
+	keys := make([]backend.Write, len(header.Segments))
 	for number := range keys {
-		keys[number] = platform.Write{Key: record.SegmentKey(header.ID, number), Delete: true}
+		keys[number] = backend.Write{Key: record.SegmentKey(header.ID, number), Delete: true}
 	}
 	for group := range slices.Chunk(keys, deletes) {
-		result := c.Store.Commit(ctx, platform.Transaction{ID: "expire-" + ulid.Make().String(), Writes: group})
+		result := c.Store.Commit(ctx, backend.Transaction{ID: "expire-" + ulid.Make().String(), Writes: group})
 		if result.Status != store.Applied {
 			return result.Cause
 		}
@@ -151,10 +151,10 @@
 	if after == string(cursor.Value) {
 		return
 	}
-	c.Store.Commit(ctx, platform.Transaction{
+	c.Store.Commit(ctx, backend.Transaction{
 		ID:       "orphans-" + ulid.Make().String(),
-		Compares: []platform.Compare{{Key: record.OrphanCursorKey, Version: cursor.Version}},
-		Writes:   []platform.Write{{Key: record.OrphanCursorKey, Value: []byte(after)}},
+		Compares: []backend.Compare{{Key: record.OrphanCursorKey, Version: cursor.Version}},
+		Writes:   []backend.Write{{Key: record.OrphanCursorKey, Value: []byte(after)}},
 	})
 }
 
@@ -194,10 +194,10 @@
 		return true
 	}
 	void := record.Encode(record.Job{ID: id, State: record.StateVoid})
-	result := c.Store.Commit(ctx, platform.Transaction{
+	result := c.Store.Commit(ctx, backend.Transaction{
 		ID:       "void-" + ulid.Make().String(),
-		Compares: []platform.Compare{{Key: key}},
-		Writes:   []platform.Write{{Key: key, Value: void}, {Key: record.ExpiryKey(0, now.Add(voidRetention), id)}},
+		Compares: []backend.Compare{{Key: key}},
+		Writes:   []backend.Write{{Key: key, Value: void}, {Key: record.ExpiryKey(0, now.Add(voidRetention), id)}},
 	})
 	if result.Status != store.Applied {
 		return result.Status == store.Conflict
--- a/internal/jobs/runner/commit.go
+++ b/internal/jobs/runner/commit.go
@@ -10,7 +10,7 @@
 	"ringstream.example/ringstream/internal/core/batch"
 	"ringstream.example/ringstream/internal/events"
 	"ringstream.example/ringstream/internal/jobs/record"
-	"ringstream.example/ringstream/internal/platform"
+	"ringstream.example/ringstream/internal/backend"
 	"ringstream.example/ringstream/internal/store"
 	"ringstream.example/ringstream/internal/wait"
 )
@@ -168,7 +168,7 @@
 
 // conflict reads from the records that did not compare what has changed hands
 // or ended, drops that, and gives the rest back for the next plan.
-func (r *Runner) conflict(p *plan, conflicts []platform.Record) {
+func (r *Runner) conflict(p *plan, conflicts []backend.Record) {
 	var lost []int
 	var stale []*shardWork
 	r.mu.Lock()
@@ -201,7 +201,7 @@
 }
 
 // ended says that a header's record is of a job that has ended or is gone.
-func ended(current platform.Record) bool {
+func ended(current backend.Record) bool {
 	if current.Version == 0 {
 		return true
 	}
@@ -236,7 +236,7 @@
 
 // plan is one transaction and what it stands for.
 type plan struct {
-	transaction platform.Transaction
+	transaction backend.Transaction
 	parts       []*planPart
 	renews      bool // the leases, by its last write
 }
@@ -262,7 +262,7 @@
 }
 
 // wrote says whether one of the records was written by this plan's transaction.
-func (p *plan) wrote(records []platform.Record) bool {
+func (p *plan) wrote(records []backend.Record) bool {
 	for _, current := range records {
 		if current.TransactionID == p.transaction.ID {
 			return true
--- a/internal/jobs/runner/execute.go
+++ b/internal/jobs/runner/execute.go
@@ -17,7 +17,7 @@
 	"ringstream.example/ringstream/internal/events"
 	"ringstream.example/ringstream/internal/jobs/record"
 	"ringstream.example/ringstream/internal/limits"
-	"ringstream.example/ringstream/internal/platform"
+	"ringstream.example/ringstream/internal/backend"
 	"ringstream.example/ringstream/internal/wait"
 )
 
@@ -245,7 +245,7 @@
 
 var errOffset = errors.New("runner: token out of order")
 
-func (o *output) take(token platform.Token) error {
+func (o *output) take(token backend.Token) error {
 	if token.Offset != len(o.tokens) {
 		return errOffset
 	}
--- a/internal/jobs/runner/job.go
+++ b/internal/jobs/runner/job.go
@@ -9,13 +9,13 @@
 	"ringstream.example/ringstream/internal/core/batch"
 	"ringstream.example/ringstream/internal/events"
 	"ringstream.example/ringstream/internal/jobs/record"
-	"ringstream.example/ringstream/internal/platform"
+	"ringstream.example/ringstream/internal/backend"
 )
 
 // job is an open job of a held shard. Runner.mu guards it.
 type job struct {
 	header   record.Job
-	fence    platform.Compare // on the header
+	fence    backend.Compare // on the header
 	versions []uint64         // of the segments' records
 	state    *batch.Job
 	shard    *shardWork
--- a/internal/jobs/runner/load.go
+++ b/internal/jobs/runner/load.go
@@ -16,7 +16,7 @@
 	"ringstream.example/ringstream/internal/core/identity"
 	"ringstream.example/ringstream/internal/events"
 	"ringstream.example/ringstream/internal/jobs/record"
-	"ringstream.example/ringstream/internal/platform"
+	"ringstream.example/ringstream/internal/backend"
 )
 
 // listFrom is the number of shards from which on one list of all open jobs is
@@ -119,7 +119,7 @@
 		})
 		return false
 	}
-	byPrefix := make(map[string][]platform.Record)
+	byPrefix := make(map[string][]backend.Record)
 	for _, entry := range all {
 		prefix := entry.Key[:strings.LastIndexByte(entry.Key, '/')+1]
 		byPrefix[prefix] = append(byPrefix[prefix], entry)
@@ -137,7 +137,7 @@
 
 // reconcile loads the shard's open jobs that are not known yet, and drops those
 // that were known before the list was read and are not on it: they have ended.
-func (r *Runner) reconcile(work *shardWork, known map[identity.JobID]*job, open []platform.Record) {
+func (r *Runner) reconcile(work *shardWork, known map[identity.JobID]*job, open []backend.Record) {
 	for _, entry := range open {
 		id := record.JobOfOpenKey(entry.Key)
 		if known[id] != nil {
@@ -173,7 +173,7 @@
 		return err
 	}
 	j := &job{
-		header: header, fence: platform.Compare{Key: found.Key, Version: found.Version},
+		header: header, fence: backend.Compare{Key: found.Key, Version: found.Version},
 		versions: versions, state: batch.NewJob(segments), shard: work,
 		inputs: make(map[int]*input), kept: make(map[int]unit),
 	}
--- a/internal/jobs/runner/plan.go
+++ b/internal/jobs/runner/plan.go
@@ -9,7 +9,7 @@
 	"ringstream.example/ringstream/internal/core/batch"
 	"ringstream.example/ringstream/internal/events"
 	"ringstream.example/ringstream/internal/jobs/record"
-	"ringstream.example/ringstream/internal/platform"
+	"ringstream.example/ringstream/internal/backend"
 )
 
 // writesPerCommit bounds one transaction; a job's part is never divided, and
@@ -19,7 +19,7 @@
 // plan makes the next transaction of what is ready; nil when nothing is. What
 // belongs to closed jobs is dropped. r.mu is held.
 func (r *Runner) plan() *plan {
-	next := &plan{transaction: platform.Transaction{ID: "items-" + ulid.Make().String()}}
+	next := &plan{transaction: backend.Transaction{ID: "items-" + ulid.Make().String()}}
 	fenced := make(map[*shardWork]bool)
 	for _, part := range r.collect() {
 		if len(next.transaction.Writes) >= writesPerCommit {
@@ -85,8 +85,8 @@
 	part.firstWrite = len(transaction.Writes)
 	for _, update := range part.updates {
 		key := record.SegmentKey(j.header.ID, update.Number)
-		transaction.Compares = append(transaction.Compares, platform.Compare{Key: key, Version: j.versions[update.Number]})
-		transaction.Writes = append(transaction.Writes, platform.Write{Key: key, Value: update.Segment.Encode()})
+		transaction.Compares = append(transaction.Compares, backend.Compare{Key: key, Version: j.versions[update.Number]})
+		transaction.Writes = append(transaction.Writes, backend.Write{Key: key, Value: update.Segment.Encode()})
 	}
 	if part.done {
 		header := j.header
@@ -114,8 +114,8 @@
 
 // EndWrites are the writes that end a job, whose header says how and when: it
 // leaves its shard's list of open jobs, and waits for its collection.
-func EndWrites(header *record.Job, retention time.Duration) []platform.Write {
-	return []platform.Write{
+func EndWrites(header *record.Job, retention time.Duration) []backend.Write {
+	return []backend.Write{
 		{Key: record.JobKey(header.ID), Value: record.Encode(header)},
 		{Key: record.OpenKey(header.Shard, header.ID), Delete: true},
 		{Key: record.ExpiryKey(header.Shard, header.EndedAt.Add(retention), header.ID)},
--- a/internal/jobs/runner/runner.go
+++ b/internal/jobs/runner/runner.go
@@ -25,7 +25,7 @@
 	"ringstream.example/ringstream/internal/jobs/record"
 	"ringstream.example/ringstream/internal/jobs/shard"
 	"ringstream.example/ringstream/internal/limits"
-	"ringstream.example/ringstream/internal/platform"
+	"ringstream.example/ringstream/internal/backend"
 	"ringstream.example/ringstream/internal/rows"
 	"ringstream.example/ringstream/internal/store"
 )
@@ -51,7 +51,7 @@
 	Lost(shard int)
 	// Renewal gives the write by which a transaction renews the leases, if it
 	// is due, and Renewed tells that one took effect.
-	Renewal() (write platform.Write, due bool)
+	Renewal() (write backend.Write, due bool)
 	Renewed()
 }
 
--- a/internal/jobs/service.go
+++ b/internal/jobs/service.go
@@ -19,7 +19,7 @@
 	"ringstream.example/ringstream/internal/jobs/intake"
 	"ringstream.example/ringstream/internal/jobs/record"
 	"ringstream.example/ringstream/internal/jobs/runner"
-	"ringstream.example/ringstream/internal/platform"
+	"ringstream.example/ringstream/internal/backend"
 	"ringstream.example/ringstream/internal/store"
 )
 
@@ -100,7 +100,7 @@
 
 func readFailed(err error) error {
 	const comeBack = 2 * time.Second
-	var failure *platform.Error
+	var failure *backend.Error
 	if errors.As(err, &failure) {
 		return apierror.Unavailable(max(comeBack, failure.RetryAfter), "the job cannot be read now: %v", err)
 	}
@@ -235,9 +235,9 @@
 			return m.view(ctx, &header)
 		}
 		header.State, header.EndedAt = record.StateCancelled, time.Now().UTC()
-		result := m.store.Commit(ctx, platform.Transaction{
+		result := m.store.Commit(ctx, backend.Transaction{
 			ID:       "cancel-" + ulid.Make().String(),
-			Compares: []platform.Compare{{Key: record.JobKey(id), Version: version}},
+			Compares: []backend.Compare{{Key: record.JobKey(id), Version: version}},
 			Writes:   runner.EndWrites(&header, m.config.Retention),
 		})
 		switch result.Status {
--- a/internal/jobs/shard/claim.go
+++ b/internal/jobs/shard/claim.go
@@ -12,7 +12,7 @@
 	"ringstream.example/ringstream/internal/core/lease"
 	"ringstream.example/ringstream/internal/events"
 	"ringstream.example/ringstream/internal/jobs/record"
-	"ringstream.example/ringstream/internal/platform"
+	"ringstream.example/ringstream/internal/backend"
 	"ringstream.example/ringstream/internal/store"
 	"ringstream.example/ringstream/internal/wait"
 )
@@ -55,18 +55,18 @@
 }
 
 // conflicting says whether one of the keys is among the records.
-func conflicting(conflicts []platform.Record, keys ...string) bool {
-	return slices.ContainsFunc(conflicts, func(current platform.Record) bool { return slices.Contains(keys, current.Key) })
+func conflicting(conflicts []backend.Record, keys ...string) bool {
+	return slices.ContainsFunc(conflicts, func(current backend.Record) bool { return slices.Contains(keys, current.Key) })
 }
 
 // claimTransaction compares each shard's record and its holder's session, so
 // that a holder which has renewed meanwhile keeps its shards, and ends the
 // lapsed sessions. It gives the shards that are still wanted, in the order of
 // the first writes, and the session that each is taken from.
-func (k *Keeper) claimTransaction(shards []int) (transaction platform.Transaction, claimed []int, sessions []string) {
+func (k *Keeper) claimTransaction(shards []int) (transaction backend.Transaction, claimed []int, sessions []string) {
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	transaction = platform.Transaction{ID: "claim-" + ulid.Make().String()}
+	transaction = backend.Transaction{ID: "claim-" + ulid.Make().String()}
 	ended := make(map[string]uint64)
 	for _, number := range shards {
 		machine := k.machines[number]
@@ -76,17 +76,17 @@
 		key := record.ShardKey(number)
 		session, version, needed := machine.SessionFence()
 		claimed, sessions = append(claimed, number), append(sessions, session)
-		transaction.Compares = append(transaction.Compares, platform.Compare{Key: key, Version: machine.Lease().Version})
-		transaction.Writes = append(transaction.Writes, platform.Write{Key: key, Value: record.Encode(machine.ClaimRecord())})
+		transaction.Compares = append(transaction.Compares, backend.Compare{Key: key, Version: machine.Lease().Version})
+		transaction.Writes = append(transaction.Writes, backend.Write{Key: key, Value: record.Encode(machine.ClaimRecord())})
 		if needed {
 			ended[session] = version
 		}
 	}
 	for session, version := range ended {
 		key := record.SessionKey(session)
-		transaction.Compares = append(transaction.Compares, platform.Compare{Key: key, Version: version})
+		transaction.Compares = append(transaction.Compares, backend.Compare{Key: key, Version: version})
 		if version != 0 {
-			transaction.Writes = append(transaction.Writes, platform.Write{Key: key, Delete: true})
+			transaction.Writes = append(transaction.Writes, backend.Write{Key: key, Delete: true})
 		}
 	}
 	return transaction, claimed, sessions
@@ -131,11 +131,11 @@
 // not due: the session was renewed lately, or is not begun. The write needs no
 // compare: a session that was ended meanwhile and is revived by it still owns
 // only the shards whose records name it.
-func (k *Keeper) Renewal() (write platform.Write, due bool) {
+func (k *Keeper) Renewal() (write backend.Write, due bool) {
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	if k.version == 0 || time.Since(k.renewal) < k.config.Renew/2 {
-		return platform.Write{}, false
+		return backend.Write{}, false
 	}
 	return k.renewalWrite(), true
 }
@@ -148,9 +148,9 @@
 }
 
 // renewalWrite is the session's record as of now. k.mu is held.
-func (k *Keeper) renewalWrite() platform.Write {
+func (k *Keeper) renewalWrite() backend.Write {
 	value := record.Encode(lease.Session{Node: k.bus.Self(), RenewedAt: time.Now().UTC()})
-	return platform.Write{Key: record.SessionKey(k.session), Value: value}
+	return backend.Write{Key: record.SessionKey(k.session), Value: value}
 }
 
 // renewLoop renews the session while it is begun and no other transaction does.
@@ -179,10 +179,10 @@
 	k.mu.Lock()
 	session, version, write := k.session, k.version, k.renewalWrite()
 	k.mu.Unlock()
-	result := k.store.Patient().Commit(ctx, platform.Transaction{
+	result := k.store.Patient().Commit(ctx, backend.Transaction{
 		ID:       "renew-" + ulid.Make().String(),
-		Compares: []platform.Compare{{Key: write.Key, Version: version}},
-		Writes:   []platform.Write{write},
+		Compares: []backend.Compare{{Key: write.Key, Version: version}},
+		Writes:   []backend.Write{write},
 	})
 	switch result.Status {
 	case store.Applied:
--- a/internal/jobs/shard/handover.go
+++ b/internal/jobs/shard/handover.go
@@ -14,7 +14,7 @@
 	"ringstream.example/ringstream/internal/core/rendezvous"
 	"ringstream.example/ringstream/internal/events"
 	"ringstream.example/ringstream/internal/jobs/record"
-	"ringstream.example/ringstream/internal/platform"
+	"ringstream.example/ringstream/internal/backend"
 	"ringstream.example/ringstream/internal/store"
 )
 
@@ -76,7 +76,7 @@
 		return nil
 	}
 	for group := range slices.Chunk(shards, claimsPerCommit) {
-		transaction := platform.Transaction{ID: "stray-" + ulid.Make().String()}
+		transaction := backend.Transaction{ID: "stray-" + ulid.Make().String()}
 		var named []int
 		for _, number := range group {
 			seen, err := versioned(read[number])
@@ -85,8 +85,8 @@
 			}
 			named = append(named, number)
 			key := record.ShardKey(number)
-			transaction.Compares = append(transaction.Compares, platform.Compare{Key: key, Version: seen.Version})
-			transaction.Writes = append(transaction.Writes, platform.Write{Key: key, Value: record.Encode(lease.Record{Epoch: seen.Record.Epoch})})
+			transaction.Compares = append(transaction.Compares, backend.Compare{Key: key, Version: seen.Version})
+			transaction.Writes = append(transaction.Writes, backend.Write{Key: key, Value: record.Encode(lease.Record{Epoch: seen.Record.Epoch})})
 		}
 		if len(named) > 0 && k.store.Commit(ctx, transaction).Status == store.Applied {
 			freed = append(freed, named...)
@@ -173,7 +173,7 @@
 
 // commitRelease releases shards, or gives those whose compares did not fail.
 func (k *Keeper) commitRelease(ctx context.Context, shards []int) (rest []int) {
-	transaction := platform.Transaction{ID: "release-" + ulid.Make().String()}
+	transaction := backend.Transaction{ID: "release-" + ulid.Make().String()}
 	k.mu.Lock()
 	for _, number := range shards {
 		machine := k.machines[number]
@@ -182,8 +182,8 @@
 		}
 		key := record.ShardKey(number)
 		rest = append(rest, number)
-		transaction.Compares = append(transaction.Compares, platform.Compare{Key: key, Version: machine.Lease().Version})
-		transaction.Writes = append(transaction.Writes, platform.Write{Key: key, Value: record.Encode(machine.ReleaseRecord())})
+		transaction.Compares = append(transaction.Compares, backend.Compare{Key: key, Version: machine.Lease().Version})
+		transaction.Writes = append(transaction.Writes, backend.Write{Key: key, Value: record.Encode(machine.ReleaseRecord())})
 	}
 	k.mu.Unlock()
 	if len(rest) == 0 {
@@ -240,8 +240,8 @@
 		return
 	}
 	// Without a compare: a delete may be asked again, and nobody else writes it.
-	k.store.Commit(ctx, platform.Transaction{
+	k.store.Commit(ctx, backend.Transaction{
 		ID:     "end-" + ulid.Make().String(),
-		Writes: []platform.Write{{Key: record.SessionKey(session), Delete: true}},
+		Writes: []backend.Write{{Key: record.SessionKey(session), Delete: true}},
 	})
 }
--- a/internal/jobs/shard/keeper.go
+++ b/internal/jobs/shard/keeper.go
@@ -26,7 +26,7 @@
 	"ringstream.example/ringstream/internal/events"
 	"ringstream.example/ringstream/internal/jobs/record"
 	"ringstream.example/ringstream/internal/peer"
-	"ringstream.example/ringstream/internal/platform"
+	"ringstream.example/ringstream/internal/backend"
 	"ringstream.example/ringstream/internal/store"
 )
 
@@ -49,7 +49,7 @@
 	Shard int
 	Epoch uint64
 	// Compare holds while this node holds the shard.
-	Compare platform.Compare
+	Compare backend.Compare
 }
 
 // Worker runs the jobs of held shards.
@@ -292,8 +292,8 @@
 // reading their records one by one.
 const listFrom = 8
 
-func (k *Keeper) readShards(ctx context.Context, shards []int) (map[int]platform.Record, error) {
-	read := make(map[int]platform.Record, len(shards))
+func (k *Keeper) readShards(ctx context.Context, shards []int) (map[int]backend.Record, error) {
+	read := make(map[int]backend.Record, len(shards))
 	if len(shards) >= listFrom {
 		all, err := k.store.List(ctx, record.ShardPrefix, "")
 		if err != nil {
@@ -317,7 +317,7 @@
 }
 
 // decide steps the machines of the wanted shards by what was read.
-func (k *Keeper) decide(ctx context.Context, read map[int]platform.Record) (claims []int, asks map[identity.NodeID][]int) {
+func (k *Keeper) decide(ctx context.Context, read map[int]backend.Record) (claims []int, asks map[identity.NodeID][]int) {
 	view := k.bus.View()
 	asks = make(map[identity.NodeID][]int)
 	sessions := make(map[string][]int)
@@ -386,7 +386,7 @@
 	return claims
 }
 
-func versioned(found platform.Record) (lease.Versioned, error) {
+func versioned(found backend.Record) (lease.Versioned, error) {
 	if found.Version == 0 {
 		return lease.Versioned{}, nil
 	}
@@ -394,7 +394,7 @@
 	return lease.Versioned{Record: value, Version: found.Version}, err
 }
 
-func decodeSession(found platform.Record) (lease.Session, error) {
+func decodeSession(found backend.Record) (lease.Session, error) {
 	if found.Version == 0 {
 		return lease.Session{}, nil
 	}
@@ -406,6 +406,6 @@
 	held := k.machines[number].Lease()
 	return Fence{
 		Shard: number, Epoch: held.Record.Epoch,
-		Compare: platform.Compare{Key: record.ShardKey(number), Version: held.Version},
+		Compare: backend.Compare{Key: record.ShardKey(number), Version: held.Version},
 	}
 }
--- a/internal/node/compose.go
+++ b/internal/node/compose.go
@@ -16,7 +16,7 @@
 	"ringstream.example/ringstream/internal/jobs"
 	"ringstream.example/ringstream/internal/limits"
 	"ringstream.example/ringstream/internal/peer"
-	"ringstream.example/ringstream/internal/platform/httpclient"
+	"ringstream.example/ringstream/internal/backend/httpclient"
 	"ringstream.example/ringstream/internal/rows"
 	"ringstream.example/ringstream/internal/store"
 	"ringstream.example/ringstream/internal/tlsconfig"
--- a/internal/rows/audit.go
+++ b/internal/rows/audit.go
@@ -13,7 +13,7 @@
 
 	"ringstream.example/ringstream/internal/core/rendezvous"
 	"ringstream.example/ringstream/internal/events"
-	"ringstream.example/ringstream/internal/platform"
+	"ringstream.example/ringstream/internal/backend"
 	"ringstream.example/ringstream/internal/wait"
 )
 
@@ -56,7 +56,7 @@
 }
 
 // Audit gives accepted edits after a revision, oldest first, up to limit. The
-// error is a *platform.Error when the store cannot be read.
+// error is a *backend.Error when the store cannot be read.
 func (s *Service) Audit(ctx context.Context, after uint64, limit int) ([]AuditEntry, error) {
 	if limit <= 0 || limit > maxAudit {
 		limit = maxAudit
@@ -91,7 +91,7 @@
 	if err != nil {
 		return 0, err
 	}
-	var writes []platform.Write
+	var writes []backend.Write
 	deleted := 0
 	highest := s.Table().Revision()
 	for _, record := range records {
@@ -103,13 +103,13 @@
 		if !expired && entry.Revision+uint64(s.config.LogMaximum) > highest {
 			break
 		}
-		writes = append(writes, platform.Write{Key: record.Key, Delete: true}, platform.Write{Key: markerKey(entry.EditID), Delete: true})
+		writes = append(writes, backend.Write{Key: record.Key, Delete: true}, backend.Write{Key: markerKey(entry.EditID), Delete: true})
 		deleted++
 	}
 	if deleted == 0 {
 		return 0, nil
 	}
 	// No compare: deleting twice does nothing, so that a lost answer is harmless.
-	_, err = s.store.Table.Commit(ctx, platform.Transaction{ID: fmt.Sprintf("rows-compact-%d", now.UnixNano()), Writes: writes})
+	_, err = s.store.Table.Commit(ctx, backend.Transaction{ID: fmt.Sprintf("rows-compact-%d", now.UnixNano()), Writes: writes})
 	return deleted, err
 }
--- a/internal/rows/edit.go
+++ b/internal/rows/edit.go
@@ -14,7 +14,7 @@
 	"ringstream.example/ringstream/internal/core/outcome"
 	"ringstream.example/ringstream/internal/core/policy"
 	"ringstream.example/ringstream/internal/events"
-	"ringstream.example/ringstream/internal/platform"
+	"ringstream.example/ringstream/internal/backend"
 	"ringstream.example/ringstream/internal/store"
 	"ringstream.example/ringstream/internal/wait"
 )
@@ -116,20 +116,20 @@
 
 // editTransaction writes the head, the row, the audit record and the edit's
 // marker. The head's version stands for every row's: no row changes without it.
-func editTransaction(edit Edit, entry AuditEntry, current head) platform.Transaction {
+func editTransaction(edit Edit, entry AuditEntry, current head) backend.Transaction {
 	marker := markerRecord{Revision: entry.Revision, Digest: editDigest(edit)}
-	row := platform.Write{Key: rowKey(edit.Row.ID), Delete: true}
+	row := backend.Write{Key: rowKey(edit.Row.ID), Delete: true}
 	if entry.After != nil {
 		marker.Row = *entry.After
-		row = platform.Write{Key: rowKey(edit.Row.ID), Value: encode(entry.After)}
+		row = backend.Write{Key: rowKey(edit.Row.ID), Value: encode(entry.After)}
 	}
-	return platform.Transaction{
+	return backend.Transaction{
 		ID: fmt.Sprintf("%s@%d", edit.ID, entry.Revision),
-		Compares: []platform.Compare{
+		Compares: []backend.Compare{
 			{Key: headKey, Version: current.version},
 			{Key: markerKey(edit.ID), Version: 0},
 		},
-		Writes: []platform.Write{
+		Writes: []backend.Write{
 			{Key: headKey, Value: encode(headRecord{Revision: entry.Revision})},
 			row,
 			{Key: logKey(entry.Revision), Value: encode(entry)},
@@ -199,7 +199,7 @@
 }
 
 // settled answers from an edit's marker.
-func (s *Service) settled(edit Edit, record platform.Record) (EditResult, error) {
+func (s *Service) settled(edit Edit, record backend.Record) (EditResult, error) {
 	var marker markerRecord
 	if err := json.Unmarshal(record.Value, &marker); err != nil {
 		return refused(fmt.Errorf("record %s: %w", record.Key, err))
