--- a/internal/rows/fake_test.go
+++ b/internal/rows/fake_test.go
@@ -7,14 +7,14 @@
 	"sync"
 	"time"
 
-	"ringstream.example/ringstream/internal/platform"
+	"ringstream.example/ringstream/internal/backend"
 	"ringstream.example/ringstream/internal/wait"
 )
 
 // fakeTable is the table service in memory, with its failures on demand.
 type fakeTable struct {
 	mu       sync.Mutex
-	records  map[string]platform.Record
+	records  map[string]backend.Record
 	version  uint64
 	delay    time.Duration
 	down     bool
@@ -26,7 +26,7 @@
 }
 
 func newFakeTable() *fakeTable {
-	return &fakeTable{records: map[string]platform.Record{}, delay: 5 * time.Millisecond}
+	return &fakeTable{records: map[string]backend.Record{}, delay: 5 * time.Millisecond}
 }
 
 func (f *fakeTable) set(change func(*fakeTable)) {
@@ -44,19 +44,19 @@
 // enter waits out the delay, then takes the lock; false when down.
 func (f *fakeTable) enter(ctx context.Context) error {
 	if !wait.For(ctx, f.delay) {
-		return &platform.Error{Code: platform.CodeUnavailable, Effect: platform.EffectNone, Cause: ctx.Err()}
+		return &backend.Error{Code: backend.CodeUnavailable, Effect: backend.EffectNone, Cause: ctx.Err()}
 	}
 	f.mu.Lock()
 	if f.down {
 		f.mu.Unlock()
-		return &platform.Error{Code: platform.CodeUnavailable, Effect: platform.EffectNone}
+		return &backend.Error{Code: backend.CodeUnavailable, Effect: backend.EffectNone}
 	}
 	return nil
 }
 
-func (f *fakeTable) Get(ctx context.Context, key string) (platform.Record, error) {
+func (f *fakeTable) Get(ctx context.Context, key string) (backend.Record, error) {
 	if err := f.enter(ctx); err != nil {
-		return platform.Record{}, err
+		return backend.Record{}, err
 	}
 	defer f.mu.Unlock()
 	f.reads++
@@ -65,29 +65,29 @@
 	return record, nil
 }
 
-func (f *fakeTable) List(ctx context.Context, prefix, after string, limit int) ([]platform.Record, error) {
+func (f *fakeTable) List(ctx context.Context, prefix, after string, limit int) ([]backend.Record, error) {
 	if err := f.enter(ctx); err != nil {
 		return nil, err
 	}
 	defer f.mu.Unlock()
 	f.reads++
-	var found []platform.Record
+	var found []backend.Record
 	for key, record := range f.records {
 		if strings.HasPrefix(key, prefix) && key > after {
 			found = append(found, record)
 		}
 	}
-	slices.SortFunc(found, func(a, b platform.Record) int { return strings.Compare(a.Key, b.Key) })
+	slices.SortFunc(found, func(a, b backend.Record) int { return strings.Compare(a.Key, b.Key) })
 	return found[:min(limit, len(found))], nil
 }
 
-func (f *fakeTable) Commit(ctx context.Context, transaction platform.Transaction) (platform.CommitResult, error) {
+func (f *fakeTable) Commit(ctx context.Context, transaction backend.Transaction) (backend.CommitResult, error) {
 	if err := f.enter(ctx); err != nil {
-		return platform.CommitResult{}, err
+		return backend.CommitResult{}, err
 	}
 	defer f.mu.Unlock()
 	f.commits++
-	var result platform.CommitResult
+	var result backend.CommitResult
 	for _, compare := range transaction.Compares {
 		record := f.records[compare.Key]
 		if record.Version != compare.Version {
@@ -103,7 +103,7 @@
 		if write.Delete {
 			delete(f.records, write.Key)
 		} else {
-			f.records[write.Key] = platform.Record{Key: write.Key, Version: f.version, TransactionID: transaction.ID, Value: write.Value}
+			f.records[write.Key] = backend.Record{Key: write.Key, Version: f.version, TransactionID: transaction.ID, Value: write.Value}
 		}
 		result.Versions = append(result.Versions, f.version)
 	}
@@ -111,12 +111,12 @@
 	if f.loseNext > 0 {
 		f.loseNext--
 		f.down, f.downAfterLoss = f.downAfterLoss, false
-		return platform.CommitResult{}, &platform.Error{Code: platform.CodeUnavailable, Effect: platform.EffectUnknown}
+		return backend.CommitResult{}, &backend.Error{Code: backend.CodeUnavailable, Effect: backend.EffectUnknown}
 	}
 	return result, nil
 }
 
 // record gives a record as an edit would have written it.
-func record(key string, version uint64, value any) platform.Record {
-	return platform.Record{Key: key, Version: version, TransactionID: "preload", Value: encode(value)}
+func record(key string, version uint64, value any) backend.Record {
+	return backend.Record{Key: key, Version: version, TransactionID: "preload", Value: encode(value)}
 }
--- a/internal/rows/records.go
+++ b/internal/rows/records.go
@@ -9,7 +9,7 @@
 
 	"ringstream.example/ringstream/internal/core/identity"
 	"ringstream.example/ringstream/internal/core/policy"
-	"ringstream.example/ringstream/internal/platform"
+	"ringstream.example/ringstream/internal/backend"
 )
 
 // The keys of the table's records.
@@ -49,7 +49,7 @@
 	Digest uint64 `json:"digest"`
 }
 
-func decodeHead(record platform.Record) (head, error) {
+func decodeHead(record backend.Record) (head, error) {
 	if record.Version == 0 {
 		return head{known: true}, nil
 	}
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -18,7 +18,7 @@
 	"ringstream.example/ringstream/internal/jobs"
 	"ringstream.example/ringstream/internal/limits"
 	"ringstream.example/ringstream/internal/peer"
-	"ringstream.example/ringstream/internal/platform/httpclient"
+	"ringstream.example/ringstream/internal/backend/httpclient"
 	"ringstream.example/ringstream/internal/rows"
 	"ringstream.example/ringstream/internal/tlsconfig"
 )
--- a/internal/store/store.go
+++ b/internal/store/store.go
@@ -9,7 +9,7 @@
 	"math/rand/v2"
 	"time"
 
-	"ringstream.example/ringstream/internal/platform"
+	"ringstream.example/ringstream/internal/backend"
 )
 
 // Status is what is known of a transaction.
@@ -32,7 +32,7 @@
 type Result struct {
 	Status Status
 	// Conflicts holds the current records whose compares failed.
-	Conflicts []platform.Record
+	Conflicts []backend.Record
 	// Versions of the writes, in order; empty when Applied was settled by reading.
 	Versions []uint64
 	// Cause is the last error, when NotApplied or Uncertain.
@@ -51,12 +51,12 @@
 
 // Client commits and reads. It is safe for concurrent use.
 type Client struct {
-	Table platform.Table
+	Table backend.Table
 	Retry Retry
 }
 
 // New makes a client with the default retry.
-func New(table platform.Table) *Client {
+func New(table backend.Table) *Client {
 	return &Client{Table: table, Retry: DefaultRetry}
 }
 
@@ -72,7 +72,7 @@
 // must be on a key that the transaction also writes: repeats are then safe,
 // since the second application fails that compare. When others may overwrite
 // that key soon, the transaction also writes a marker key of its own.
-func (c *Client) Commit(ctx context.Context, transaction platform.Transaction) Result {
+func (c *Client) Commit(ctx context.Context, transaction backend.Transaction) Result {
 	lost := false
 	var cause error
 	for attempt := 1; attempt <= c.Retry.Attempts; attempt++ {
@@ -96,7 +96,7 @@
 
 // settle reads a definite answer; after a lost one, a conflict with a record
 // that this transaction wrote itself means that it had taken effect.
-func settle(transaction platform.Transaction, answer platform.CommitResult, lost bool) Result {
+func settle(transaction backend.Transaction, answer backend.CommitResult, lost bool) Result {
 	if answer.Applied {
 		return Result{Status: Applied, Versions: answer.Versions}
 	}
@@ -111,16 +111,16 @@
 }
 
 // Get reads a record, with retries.
-func (c *Client) Get(ctx context.Context, key string) (platform.Record, error) {
-	return retry(ctx, c, func() (platform.Record, error) { return c.Table.Get(ctx, key) })
+func (c *Client) Get(ctx context.Context, key string) (backend.Record, error) {
+	return retry(ctx, c, func() (backend.Record, error) { return c.Table.Get(ctx, key) })
 }
 
 // List reads all records with a prefix, page by page, with retries.
-func (c *Client) List(ctx context.Context, prefix, after string) ([]platform.Record, error) {
+func (c *Client) List(ctx context.Context, prefix, after string) ([]backend.Record, error) {
 	const page = 500
-	var all []platform.Record
+	var all []backend.Record
 	for {
-		records, err := retry(ctx, c, func() ([]platform.Record, error) { return c.Table.List(ctx, prefix, after, page) })
+		records, err := retry(ctx, c, func() ([]backend.Record, error) { return c.Table.List(ctx, prefix, after, page) })
 		if err != nil {
 			return nil, err
 		}
@@ -133,8 +133,8 @@
 }
 
 // Page reads up to limit records with a prefix after the key given, with retries.
-func (c *Client) Page(ctx context.Context, prefix, after string, limit int) ([]platform.Record, error) {
-	return retry(ctx, c, func() ([]platform.Record, error) { return c.Table.List(ctx, prefix, after, limit) })
+func (c *Client) Page(ctx context.Context, prefix, after string, limit int) ([]backend.Record, error) {
+	return retry(ctx, c, func() ([]backend.Record, error) { return c.Table.List(ctx, prefix, after, limit) })
 }
 
 func retry[T any](ctx context.Context, c *Client, call func() (T, error)) (T, error) {
@@ -150,7 +150,7 @@
 func (c *Client) pause(ctx context.Context, attempt int, err error) bool {
 	longest := min(c.Retry.First<<(attempt-1), c.Retry.Longest)
 	wait := rand.N(longest + 1) //nolint:gosec // jitter, not a secret
-	var failure *platform.Error
+	var failure *backend.Error
 	if errors.As(err, &failure) {
 		wait += failure.RetryAfter
 	}
@@ -166,14 +166,14 @@
 
 // Retryable says whether asking again can help.
 func Retryable(err error) bool {
-	var failure *platform.Error
+	var failure *backend.Error
 	if !errors.As(err, &failure) {
 		return false
 	}
-	return failure.Code == platform.CodeUnavailable || failure.Code == platform.CodeRateLimited
+	return failure.Code == backend.CodeUnavailable || failure.Code == backend.CodeRateLimited
 }
 
 func effectUnknown(err error) bool {
-	var failure *platform.Error
-	return !errors.As(err, &failure) || failure.Effect == platform.EffectUnknown
+	var failure *backend.Error
+	return !errors.As(err, &failure) || failure.Effect == backend.EffectUnknown
 }
