edge: the node ends only when the requests under way have ended

Ruled out: the grace running out; the engines. Change: the front door's actor waits for the planned stop to be over.

--- a/internal/passthrough/edge/edge.go
+++ b/internal/passthrough/edge/edge.go
@@ -117,8 +117,19 @@
 	}
 	add(n.sweep)
 	add(n.watchClock)
-	group.Add(func() error { return n.front.Serve(front) }, func(error) { _ = front.Close() })
-	group.Add(func() error { n.stopAsPlanned(ctx, background); return nil }, func(error) { stop() })
+	stopped := make(chan struct{})
+	group.Add(func() error {
+		if err := n.front.Serve(front); err != nil {
+			return err
+		}
+		<-stopped // the requests under way end after the listener
+		return nil
+	}, func(error) { _ = front.Close() })
+	group.Add(func() error {
+		defer close(stopped)
+		n.stopAsPlanned(ctx, background)
+		return nil
+	}, func(error) { stop() })
 	return group.Run()
 }
 
