--- a/internal/core/enginechoice/enginechoice.go
+++ b/internal/core/enginechoice/enginechoice.go
@@ -19,7 +19,7 @@
 	Ready   State = iota
 	Leaving       // told so, or its entry went: takes no new work
 	// Unlisted engines lost their entry while the list could not be trusted;
-	// they are used until GraceEnds unless they are listed again.
+	// they are used until ExpireUnlisted.
 	Unlisted
 )
 
@@ -74,7 +74,6 @@
 	entry     Entry
 	state     State
 	since     time.Time // of state
-	graceEnds time.Time // Unlisted only
 
 	own, remote    Counts
 	reported       int // running and waiting, from the last answer's head
@@ -127,22 +126,34 @@
 	return changed
 }
 
-// Remove takes word that an engine's entry went. With grace above zero the
-// engine is used that long, since the list could not be trusted.
-func (s *Set) Remove(id string, grace time.Duration, now time.Time) {
+// Remove takes word that an engine's entry went. A doubtful removal leaves the
+// engine in use until ExpireUnlisted, since the list could not be trusted.
+func (s *Set) Remove(id string, doubtful bool, now time.Time) {
 	known := s.engines[id]
 	if known == nil {
 		return
 	}
 	known.since = now
 	known.state = Leaving
-	if grace > 0 {
+	if doubtful {
 		known.state = Unlisted
-		known.graceEnds = now.Add(grace)
 	}
 	s.forgetIdle(now)
 }
 
+// ExpireUnlisted takes engines as gone that lost their entry before a time and
+// were not listed again. It gives their ids.
+func (s *Set) ExpireUnlisted(before, now time.Time) []string {
+	var expired []string
+	for id, known := range s.engines {
+		if known.state == Unlisted && known.since.Before(before) {
+			known.state, known.since = Leaving, now
+			expired = append(expired, id)
+		}
+	}
+	return expired
+}
+
 // forgetAfter keeps an engine's counts while requests may still run there.
 const forgetAfter = time.Minute
 
@@ -166,19 +177,17 @@
 }
 
 // Serving counts the engines of a pool that take new work.
-func (s *Set) Serving(pool string, now time.Time) int {
+func (s *Set) Serving(pool string) int {
 	count := 0
 	for _, known := range s.pools[pool] {
-		if known.usable(now) {
+		if known.usable() {
 			count++
 		}
 	}
 	return count
 }
 
-func (e *engine) usable(now time.Time) bool {
-	return e.state == Ready || (e.state == Unlisted && now.Before(e.graceEnds))
-}
+func (e *engine) usable() bool { return e.state != Leaving }
 
 // SetRemote replaces what other nodes have under way at each engine.
 func (s *Set) SetRemote(counts map[string]Counts) {
--- a/internal/core/enginechoice/pick.go
+++ b/internal/core/enginechoice/pick.go
@@ -58,7 +58,7 @@
 	var best Choice
 	found := false
 	for id, known := range s.pools[query.Pool] {
-		if query.Exclude[id] || !known.usable(now) {
+		if query.Exclude[id] || !known.usable() {
 			continue
 		}
 		inFlight := known.inFlight(now)
@@ -178,3 +178,37 @@
 	}
 	return score
 }
+
+// Crowd is an engine with more requests than slots, online ones among them.
+type Crowd struct {
+	Engine string
+	// Yield is how many of this node's batch requests should give way.
+	Yield int
+}
+
+// Crowded gives the engines at which batch requests of this node keep online
+// requests waiting. Each node yields its part of what is too much.
+func (s *Set) Crowded(now time.Time) []Crowd {
+	var list []Crowd
+	for id, known := range s.engines {
+		batch := known.own.Batch + known.remote.Batch
+		slots := known.entry.Slots
+		if known.own.Batch == 0 || slots == 0 || known.own.Online+known.remote.Online == 0 {
+			continue
+		}
+		excess := known.inFlight(now) - slots
+		if excess <= 0 {
+			continue
+		}
+		yield := (excess*known.own.Batch + batch - 1) / batch
+		list = append(list, Crowd{Engine: id, Yield: min(yield, known.own.Batch)})
+	}
+	return list
+}
+
+// Full says whether an engine is believed to have no free slot, so that a
+// request there may wait in silence.
+func (s *Set) Full(id string, now time.Time) bool {
+	known := s.engines[id]
+	return known != nil && known.entry.Slots > 0 && known.inFlight(now) > known.entry.Slots
+}
--- a/internal/events/passthrough.go
+++ b/internal/events/passthrough.go
@@ -13,7 +13,7 @@
 	RoutesRefused = Define(Event{Number: 8011, Name: "routes refused", Level: zapcore.ErrorLevel, Fields: []string{"source", "error"}, Action: "The configuration document cannot be read; the version before stays in force. Correct the document."})
 
 	EngineSeen       = Define(Event{Number: 8020, Name: "engine entry", Level: zapcore.InfoLevel, Fields: []string{"engine", "address", "state", "store_version"}})
-	EngineGone       = Define(Event{Number: 8021, Name: "engine entry gone", Level: zapcore.InfoLevel, Fields: []string{"engine", "store_was_sick", "grace", "store_version"}})
+	EngineGone       = Define(Event{Number: 8021, Name: "engine entry gone", Level: zapcore.InfoLevel, Fields: []string{"engine", "store_was_sick", "store_version"}})
 	EngineUnreadable = Define(Event{Number: 8022, Name: "engine entry unreadable", Level: zapcore.ErrorLevel, Fields: []string{"engine", "error"}, Action: "The engine's entry in the store is malformed; look at what wrote it."})
 
 	RequestTaken   = Define(Event{Number: 8101, Name: "request taken", Level: zapcore.DebugLevel, Fields: []string{"request", "route", "routes_version", "left"}})
@@ -27,6 +27,10 @@
 	NotReadable    = Define(Event{Number: 8109, Name: "request body not read", Level: zapcore.InfoLevel, Fields: []string{"request", "error"}})
 	RequestRefused = Define(Event{Number: 8110, Name: "request refused, not run", Level: zapcore.InfoLevel, Fields: []string{"request", "reason", "retry_after"}})
 
+	PeerNotAsked  = Define(Event{Number: 8030, Name: "peer did not answer", Level: zapcore.DebugLevel, Fields: []string{"peer", "error"}})
+	PeerTold      = Define(Event{Number: 8031, Name: "documents taken from a peer", Level: zapcore.InfoLevel, Fields: []string{"peer", "routes_version", "rows", "age"}})
+	EngineExpired = Define(Event{Number: 8023, Name: "unlisted engine not listed again", Level: zapcore.InfoLevel, Fields: []string{"engine", "after"}})
+
 	ClockGap         = Define(Event{Number: 8201, Name: "process was paused", Level: zapcore.WarnLevel, Fields: []string{"gap"}, Action: "The machine stood still, or gave the process no time; what the node believes may be that old. Look at the machine if it repeats."})
 	LogLinesShed     = Define(Event{Number: 8202, Name: "log lines shed", Level: zapcore.WarnLevel, Fields: []string{"lines"}, Action: "Standard output was not read fast enough, and lines were dropped rather than hold requests up. Read it faster or raise log.level."})
 	SettingsReread   = Define(Event{Number: 8203, Name: "settings read again", Level: zapcore.InfoLevel, Fields: []string{"changed", "error"}})
@@ -47,6 +51,7 @@
 	ItemStarted      = Define(Event{Number: 8320, Name: "item started", Level: zapcore.InfoLevel, Fields: []string{"job", "request", "epoch", "engine", "in_flight", "last_event", "routes_version", "routes_age"}})
 	ItemRunEnded     = Define(Event{Number: 8321, Name: "item run ended", Level: zapcore.InfoLevel, Fields: []string{"job", "request", "epoch", "engine", "outcome", "status", "events_kept", "elapsed", "error"}})
 	ItemFinished     = Define(Event{Number: 8322, Name: "item finished", Level: zapcore.InfoLevel, Fields: []string{"job", "request", "succeeded", "why"}})
+	ItemYields     = Define(Event{Number: 8323, Name: "item yields to online work", Level: zapcore.InfoLevel, Fields: []string{"job", "request", "engine", "events_kept"}})
 	SignNotWritten   = Define(Event{Number: 8330, Name: "sign of life not written", Level: zapcore.WarnLevel, Fields: []string{"count", "error"}, Action: "The store did not take this node's sign of life. After batch.dead_after the others take its jobs over; look at the store and the way to it."})
 	PassStarting     = Define(Event{Number: 8207, Name: "pass-through starting", Level: zapcore.InfoLevel, Fields: []string{"node", "incarnation", "zone", "version"}})
 )
--- a/internal/passthrough/batch/nodes.go
+++ b/internal/passthrough/batch/nodes.go
@@ -21,7 +21,7 @@
 		s.mu.Lock()
 		leaving := s.leaving
 		s.mu.Unlock()
-		sign := nodeSign{Name: s.Name, Zone: s.Zone, Started: started, Count: count, Leaving: leaving}
+		sign := nodeSign{Name: s.Name, Zone: s.Zone, Peer: s.Peer, Started: started, Count: count, Leaving: leaving}
 		s.writeSign(ctx, sign)
 		if !wait.For(ctx, s.config.Heartbeat) {
 			return nil
@@ -82,6 +82,20 @@
 	return seen
 }
 
+// Peers gives the addresses of the other nodes that may be alive.
+func (s *Service) Peers() []string {
+	seen := s.lookAtNodes(time.Now())
+	s.view.mu.Lock()
+	defer s.view.mu.Unlock()
+	var peers []string
+	for id, node := range s.view.nodes {
+		if id != s.Self && seen.live[id] && node.sign.Peer != "" {
+			peers = append(peers, node.sign.Peer)
+		}
+	}
+	return peers
+}
+
 // rank gives this node's place among those that may claim a job.
 func (f fleet) rank(job, self string) int {
 	own := rendezvous.Score(job, identity.NodeID(self))
--- a/internal/passthrough/batch/owned.go
+++ b/internal/passthrough/batch/owned.go
@@ -16,7 +16,9 @@
 // itemWork is the owner's work on one item; guarded by Service.mu.
 type itemWork struct {
 	running   bool
-	notBefore time.Time // of the next run
+	engine    string             // that runs it
+	yield     context.CancelFunc // stops the run, to make room
+	notBefore time.Time          // of the next run
 	unrun     int       // engines that turned it away in a row
 	text      progress
 	saved     int  // events of the text that the store has
--- a/internal/passthrough/batch/run.go
+++ b/internal/passthrough/batch/run.go
@@ -39,9 +39,10 @@
 	runFailed                 // the engine says that it failed
 	runRejected               // the engine says that it can never be done
 	runStopped                // this node stopped it
+	runYielded                // this node stopped it to make room for online work
 )
 
-var runNames = [...]string{"whole", "not_run", "broken", "failed", "rejected", "stopped"}
+var runNames = [...]string{"whole", "not_run", "broken", "failed", "rejected", "stopped", "yielded"}
 
 // String gives the name for logs and metrics.
 func (r runEnd) String() string { return runNames[r] }
@@ -58,14 +59,25 @@
 	pauseMost   = time.Second
 	pauseBroken = 50 * time.Millisecond
 	pauseFailed = 100 * time.Millisecond
+	pauseYield  = 300 * time.Millisecond
 )
 
 func (s *Service) runItem(r itemRun) {
 	defer s.running.Done()
 	started := time.Now()
-	end, status, err := s.sendItem(r)
-	if r.job.runs.Err() != nil && end != runWhole {
+	ctx, stop := context.WithCancel(r.job.runs)
+	defer stop()
+	s.mu.Lock()
+	r.job.work[r.index].engine = r.choice.Entry.ID
+	r.job.work[r.index].yield = stop
+	s.mu.Unlock()
+	end, status, err := s.sendItem(ctx, r)
+	switch {
+	case end == runWhole || end == runFailed || end == runRejected:
+	case r.job.runs.Err() != nil:
 		end = runStopped
+	case ctx.Err() != nil:
+		end = runYielded
 	}
 	s.metrics.runs.WithLabelValues(end.String()).Inc()
 	s.settleEngine(r, end, err)
@@ -84,6 +96,7 @@
 	s.mu.Lock()
 	work := &r.job.work[r.index]
 	work.running = false
+	work.yield = nil
 	now := time.Now()
 	state := passjob.Open
 	why := ""
@@ -103,6 +116,8 @@
 		work.unrun++
 	case runBroken:
 		work.notBefore = now.Add(pauseBroken)
+	case runYielded:
+		work.notBefore = now.Add(pauseYield)
 	case runStopped:
 	}
 	if end != runNot {
@@ -126,7 +141,7 @@
 		}
 	case runBroken:
 		result = enginechoice.Failed
-	case runStopped:
+	case runStopped, runYielded:
 		result = enginechoice.Abandoned
 	}
 	s.Engines.Use(func(set *enginechoice.Set, now time.Time) {
@@ -138,8 +153,8 @@
 }
 
 // sendItem sends the item to the engine and keeps the events that come.
-func (s *Service) sendItem(r itemRun) (end runEnd, status int, err error) {
-	ctx, cancel := context.WithCancel(r.job.runs)
+func (s *Service) sendItem(parent context.Context, r itemRun) (end runEnd, status int, err error) {
+	ctx, cancel := context.WithCancel(parent)
 	defer cancel()
 	silence := time.AfterFunc(headSilence, cancel)
 	defer silence.Stop()
@@ -191,7 +206,7 @@
 	case said.NotRun:
 		_, _ = io.Copy(io.Discard, io.LimitReader(answer, bodyLimit)) // so that the connection can be kept
 		if response.StatusCode == http.StatusMisdirectedRequest {
-			s.Engines.Use(func(set *enginechoice.Set, now time.Time) { set.Remove(r.choice.Entry.ID, 0, now) })
+			s.Engines.Use(func(set *enginechoice.Set, now time.Time) { set.Remove(r.choice.Entry.ID, false, now) })
 		}
 		return runNot, nil
 	case response.StatusCode == http.StatusUnprocessableEntity && said.Sealed:
--- a/internal/passthrough/batch/schedule.go
+++ b/internal/passthrough/batch/schedule.go
@@ -36,6 +36,7 @@
 		case <-s.wake:
 		}
 		s.giveUpOverdue()
+		s.makeRoom()
 		if !s.blind() {
 			s.startItems()
 		}
@@ -122,6 +123,37 @@
 	return true
 }
 
+// makeRoom stops runs at engines where batch work keeps online work waiting.
+func (s *Service) makeRoom() {
+	var crowds []enginechoice.Crowd
+	s.Engines.Use(func(set *enginechoice.Set, now time.Time) { crowds = set.Crowded(now) })
+	for _, crowd := range crowds {
+		s.Yield(crowd.Engine, crowd.Yield)
+	}
+}
+
+// Yield stops some of this node's runs at an engine, those due last first; what
+// came of their texts is kept.
+func (s *Service) Yield(engine string, count int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	var runs []candidate
+	for _, job := range s.owned {
+		for index := range job.work {
+			if work := &job.work[index]; work.yield != nil && work.engine == engine {
+				runs = append(runs, candidate{job: job, index: index, due: job.record.AcceptedAt + job.record.Due})
+			}
+		}
+	}
+	slices.SortFunc(runs, func(a, b candidate) int { return int(b.due - a.due) })
+	for _, run := range runs[:min(count, len(runs))] {
+		work := &run.job.work[run.index]
+		events.ItemYields.Log(s.Logger, zap.String("job", run.job.record.ID), zap.String("request", run.job.record.Items[run.index].ID), zap.String("engine", engine), zap.Int("events_kept", work.text.events))
+		work.yield()
+		work.yield = nil
+	}
+}
+
 // finish sets the state that an item is to be listed under.
 func (s *Service) finish(job *ownedJob, index int, state passjob.ItemState, why string) {
 	s.mu.Lock()
--- a/internal/passthrough/batch/service.go
+++ b/internal/passthrough/batch/service.go
@@ -26,6 +26,8 @@
 	Logger  *zap.Logger
 	// Self names this life of the node, unlike any other.
 	Self, Name, Zone string
+	// Peer is where this node hears others; empty: nowhere.
+	Peer string
 	// Follow says how the table of jobs is followed.
 	Follow     catalog.FollowConfig
 	Registerer prometheus.Registerer
--- a/internal/passthrough/batch/view.go
+++ b/internal/passthrough/batch/view.go
@@ -25,6 +25,7 @@
 	Zone    string `json:"zone"`
 	Started int64  `json:"started"` // rises with each start of the same name
 	Count   int64  `json:"count"`
+	Peer    string `json:"peer,omitempty"` // where it hears other nodes
 	Leaving bool   `json:"leaving,omitempty"`
 }
 
--- a/internal/passthrough/catalog/engines.go
+++ b/internal/passthrough/catalog/engines.go
@@ -1,6 +1,7 @@
 package catalog
 
 import (
+	"context"
 	"sync"
 	"time"
 
@@ -9,14 +10,18 @@
 	"ringstream.example/ringstream/internal/core/enginechoice"
 	"ringstream.example/ringstream/internal/events"
 	"ringstream.example/ringstream/internal/passthrough"
+	"ringstream.example/ringstream/internal/wait"
 )
 
 // An entry that goes while the store was sick within sickBefore says little:
 // leases of live engines run out meanwhile, and they list themselves again
-// with their next heartbeat. Such an engine is used for goneGrace longer.
+// with their next heartbeat. Such an engine is used until the store was heard
+// well for relistTime: longer than a heartbeat, and shorter than a leaving
+// engine may get work.
 const (
-	sickBefore = 4 * time.Second
-	goneGrace  = 4 * time.Second
+	sickBefore  = 4 * time.Second
+	relistTime  = 1500 * time.Millisecond
+	expireEvery = 100 * time.Millisecond
 )
 
 // Engines keeps the engines of all pools, shared by all requests of a node.
@@ -28,7 +33,7 @@
 
 	mu       sync.Mutex // guards the rest
 	set      *enginechoice.Set
-	versions map[string]int64 // of rows, the removed ones too
+	rows     map[string]passthrough.Row // the newest of each engine, removed ones too
 	byID     map[string]passthrough.EngineEntry
 }
 
@@ -38,7 +43,7 @@
 		documents: documents, routes: routes, logger: logger,
 		health:   func() Health { return Health{} },
 		set:      enginechoice.NewSet(zone),
-		versions: make(map[string]int64),
+		rows:     make(map[string]passthrough.Row),
 		byID:     make(map[string]passthrough.EngineEntry),
 	}
 }
@@ -64,7 +69,7 @@
 		e.apply(row)
 	}
 	for id := range e.byID {
-		if !listed[id] && e.versions[id] <= version {
+		if !listed[id] && e.rows[id].Version <= version {
 			e.remove(id, version)
 		}
 	}
@@ -80,14 +85,14 @@
 }
 
 func (e *Engines) apply(row passthrough.Row) {
-	if row.Version < e.versions[row.Key] {
+	if row.Version < e.rows[row.Key].Version {
 		return
 	}
 	if row.Gone {
 		e.remove(row.Key, row.Version)
 		return
 	}
-	e.versions[row.Key] = row.Version
+	e.rows[row.Key] = row
 	entry, err := e.documents.Engine(row.Key, row.Value)
 	if err != nil {
 		events.EngineUnreadable.Log(e.logger, zap.String("engine", row.Key), zap.Error(err))
@@ -120,14 +125,54 @@
 		return
 	}
 	delete(e.byID, id)
-	e.versions[id] = version
-	grace := time.Duration(0)
+	e.rows[id] = passthrough.Row{Key: id, Version: version, Gone: true}
 	now := time.Now()
 	health := e.health()
 	sick := !health.LastBad.IsZero() && now.Sub(health.LastBad) < sickBefore
-	if sick {
-		grace = goneGrace
+	e.set.Remove(id, sick, now)
+	events.EngineGone.Log(e.logger, zap.String("engine", id), zap.Bool("store_was_sick", sick), zap.Int64("store_version", version))
+}
+
+// Run expires engines that were not listed again, until ctx ends.
+func (e *Engines) Run(ctx context.Context) error {
+	for wait.For(ctx, expireEvery) {
+		e.expire(time.Now())
+	}
+	return nil
+}
+
+func (e *Engines) expire(now time.Time) {
+	health := e.health()
+	if now.Sub(health.LastBad) < relistTime || now.Sub(health.LastGood) > relistTime {
+		return // the list still says little
+	}
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	for _, id := range e.set.ExpireUnlisted(now.Add(-relistTime), now) {
+		events.EngineExpired.Log(e.logger, zap.String("engine", id), zap.Duration("after", relistTime))
+	}
+}
+
+// Newest gives the newest version of a row that is known.
+func (e *Engines) Newest() int64 {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	var newest int64
+	for _, row := range e.rows {
+		newest = max(newest, row.Version)
+	}
+	return newest
+}
+
+// Since gives the rows with versions above one, removed ones too.
+func (e *Engines) Since(version int64) []passthrough.Row {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	var rows []passthrough.Row
+	for _, row := range e.rows {
+		if row.Version > version {
+			rows = append(rows, row)
+		}
 	}
-	e.set.Remove(id, grace, now)
-	events.EngineGone.Log(e.logger, zap.String("engine", id), zap.Bool("store_was_sick", sick), zap.Duration("grace", grace), zap.Int64("store_version", version))
+	return rows
 }
--- a/internal/passthrough/edge/edge.go
+++ b/internal/passthrough/edge/edge.go
@@ -23,6 +23,7 @@
 	"ringstream.example/ringstream/internal/passthrough/engineconn"
 	"ringstream.example/ringstream/internal/passthrough/ingress"
 	"ringstream.example/ringstream/internal/passthrough/relay"
+	"ringstream.example/ringstream/internal/peer/sharing"
 	"ringstream.example/ringstream/internal/version"
 	"ringstream.example/ringstream/internal/wait"
 )
@@ -83,7 +84,7 @@
 	node.batch = batch.New(config.Batch, batch.Dependencies{
 		Store: platform.Rows, Objects: platform.Objects, Headers: platform.Headers, Format: platform.Format,
 		Routes: node.routes, Engines: node.engines, Pool: node.pool, Logger: node.logger,
-		Self: node.self, Name: identity.Name, Zone: identity.Zone, Follow: follow, Registerer: node.registry,
+		Self: node.self, Name: identity.Name, Zone: identity.Zone, Peer: config.PeerAddress, Follow: follow, Registerer: node.registry,
 	})
 	node.front = ingress.New(ingress.Dependencies{
 		Headers: platform.Headers, Format: platform.Format, Routes: node.routes, Batch: node.batch, Logger: node.logger,
@@ -115,6 +116,10 @@
 	if n.config.MetricsAt != "" {
 		add(n.serveMetrics)
 	}
+	add(n.engines.Run)
+	if n.config.PeerAddress != "" {
+		add(sharing.New(sharing.DefaultConfig(n.config.PeerAddress), n.self, &sharer{node: n}, n.logger).Run)
+	}
 	add(n.sweep)
 	add(n.watchClock)
 	stopped := make(chan struct{})
--- /dev/null
+++ b/internal/passthrough/edge/sharer.go
@@ -0,0 +1,82 @@
+package edge
+
+import (
+	"slices"
+	"time"
+
+	"go.uber.org/zap"
+
+	"ringstream.example/ringstream/internal/core/enginechoice"
+	"ringstream.example/ringstream/internal/events"
+	"ringstream.example/ringstream/internal/passthrough"
+	"ringstream.example/ringstream/internal/peer/sharing"
+)
+
+// sharer is the node as package sharing sees it.
+type sharer struct{ node *Node }
+
+var _ sharing.Local = (*sharer)(nil)
+
+// blindAfter is how long the store may be silent before peers are asked.
+const blindAfter = 1300 * time.Millisecond
+
+// Loads implements sharing.Local.
+func (s *sharer) Loads() map[string]enginechoice.Counts {
+	var counts map[string]enginechoice.Counts
+	s.node.engines.Use(func(set *enginechoice.Set, _ time.Time) { counts = set.Own() })
+	return counts
+}
+
+// Told implements sharing.Local.
+func (s *sharer) Told(counts map[string]enginechoice.Counts) {
+	s.node.engines.Use(func(set *enginechoice.Set, _ time.Time) { set.SetRemote(counts) })
+}
+
+// Peers implements sharing.Local: the nodes that the store tells of, and the
+// seeds while it tells of none.
+func (s *sharer) Peers() []string {
+	peers := s.node.batch.Peers()
+	if len(peers) > 0 {
+		return peers
+	}
+	return slices.DeleteFunc(slices.Clone(s.node.config.Seeds), func(seed string) bool { return seed == s.node.config.PeerAddress })
+}
+
+// Blind implements sharing.Local.
+func (s *sharer) Blind() bool {
+	now := time.Now()
+	return now.Sub(s.node.routesFollower.Health().LastGood) > blindAfter || now.Sub(s.node.engineFollower.Health().LastGood) > blindAfter
+}
+
+// Question implements sharing.Local.
+func (s *sharer) Question() sharing.Question {
+	_, version := s.node.routes.Document()
+	return sharing.Question{RoutesVersion: version, RowsSince: s.node.engines.Newest()}
+}
+
+// Answer implements sharing.Local.
+func (s *sharer) Answer(question sharing.Question) sharing.Documents {
+	health := s.node.routesFollower.Health()
+	documents := sharing.Documents{Rows: s.node.engines.Since(question.RowsSince), Age: time.Since(health.LastGood)}
+	document, version := s.node.routes.Document()
+	documents.RoutesVersion = version
+	if version > question.RoutesVersion {
+		documents.Routes = document
+	}
+	return documents
+}
+
+// Learn implements sharing.Local.
+func (s *sharer) Learn(documents sharing.Documents, from string) {
+	if documents.Routes == nil && len(documents.Rows) == 0 {
+		return
+	}
+	events.PeerTold.Log(s.node.logger, zap.String("peer", from), zap.Int64("routes_version", documents.RoutesVersion), zap.Int("rows", len(documents.Rows)), zap.Duration("age", documents.Age))
+	if documents.Routes != nil {
+		s.node.routes.Take(documents.Routes, "peer "+from)
+	}
+	if len(documents.Rows) > 0 {
+		slices.SortFunc(documents.Rows, func(a, b passthrough.Row) int { return int(a.Version - b.Version) })
+		s.node.engines.Change(documents.Rows)
+	}
+}
--- a/internal/passthrough/relay/attempt.go
+++ b/internal/passthrough/relay/attempt.go
@@ -83,9 +83,8 @@
 	e.headers.SetForEngine(header, time.Until(e.deadline), engine.ID, lastEvent)
 	e.headTimer = nil
 	if silence := e.silence(); silence > 0 {
-		timer := time.AfterFunc(silence, cancel)
-		context.AfterFunc(ctx, func() { timer.Stop() })
-		e.headTimer = timer
+		e.headTimer = newPatience(silence, cancel, func() bool { return e.waitsItsTurn(engine.ID) })
+		context.AfterFunc(ctx, e.headTimer.Stop)
 	}
 	return engineconn.Request{
 		Method: e.call.Request.Method, Target: e.call.Request.RequestURI, Host: e.call.Request.Host,
@@ -119,6 +118,14 @@
 	return max(silenceLeast, silencePauses*e.call.Route.PauseObjective)
 }
 
+// waitsItsTurn says whether an engine is believed to be full, so that its
+// silence means a queue; leaving it would only queue elsewhere.
+func (e *exchange) waitsItsTurn(engine string) bool {
+	full := false
+	e.engines.Use(func(set *enginechoice.Set, now time.Time) { full = set.Full(engine, now) })
+	return full
+}
+
 // handOn gives the engine's answer to the client.
 func (e *exchange) handOn(answer *engineconn.Exchange, choice enginechoice.Choice, work *enginechoice.Work) (Outcome, error) {
 	if e.headTimer != nil {
@@ -149,7 +156,7 @@
 func (e *exchange) notRun(answer *engineconn.Exchange, choice enginechoice.Choice) (Outcome, error) {
 	_, err := io.Copy(io.Discard, io.LimitReader(answer, maxBuffered))
 	if answer.Response.StatusCode == http.StatusMisdirectedRequest {
-		e.engines.Use(func(set *enginechoice.Set, now time.Time) { set.Remove(choice.Entry.ID, 0, now) })
+		e.engines.Use(func(set *enginechoice.Set, now time.Time) { set.Remove(choice.Entry.ID, false, now) })
 	}
 	return NotRun, err
 }
