batch: nodes with waiting items take turns at the engines

Cause: 13 nodes that each saw the same free slots filled them all at once and all gave way again (1801 yields at one node, half after one event). Change: nodes with waiting items, told of in the datagrams, take turns of 100 ms at each engine by the store's clock; an excess of up to 0.3 of the online requests is tolerated.

--- a/internal/core/enginechoice/pick.go
+++ b/internal/core/enginechoice/pick.go
@@ -22,6 +22,8 @@
 	// and all requests, under way there before this one.
 	BatchLimit, RoomLimit int
 	Exclude               map[string]bool
+	// Turn, if given, says at which engines this node may add batch work now.
+	Turn func(engine string) bool
 }
 
 // Choice is the engine picked and why.
@@ -62,7 +64,7 @@
 			continue
 		}
 		inFlight := known.inFlight(now)
-		if query.Batch && !known.hasBatchRoom(query, inFlight, now) {
+		if query.Batch && (!known.hasBatchRoom(query, inFlight, now) || (query.Turn != nil && !query.Turn(id))) {
 			continue
 		}
 		prefill := known.missing(query, preferred)
@@ -186,6 +188,10 @@
 	Yield int
 }
 
+// tolerableWait is the excess, in per cent of the online requests, at which
+// those that wait get a slot soon enough from those that end.
+const tolerableWait = 30
+
 // Crowded gives the engines at which batch requests of this node keep online
 // requests waiting. Each node yields its part of what is too much.
 func (s *Set) Crowded(now time.Time) []Crowd {
@@ -196,8 +202,9 @@
 		if known.own.Batch == 0 || slots == 0 || known.own.Online+known.remote.Online == 0 {
 			continue
 		}
+		online := known.own.Online + known.remote.Online
 		excess := known.inFlight(now) - slots
-		if excess <= 0 {
+		if excess <= online*tolerableWait/100 {
 			continue
 		}
 		yield := (excess*known.own.Batch + batch - 1) / batch
--- a/internal/passthrough/batch/schedule.go
+++ b/internal/passthrough/batch/schedule.go
@@ -1,6 +1,7 @@
 package batch
 
 import (
+	"cmp"
 	"context"
 	"slices"
 	"time"
@@ -45,10 +46,20 @@
 
 // startItems starts the items that are due first until no engine has room.
 func (s *Service) startItems() {
-	for _, next := range s.candidates() {
-		if !s.startItem(next) {
-			return
+	waiting := s.candidates()
+	s.mu.Lock()
+	s.wants = len(waiting) > 0
+	s.mu.Unlock()
+	turn := s.turns()
+	started := 0
+	for _, next := range waiting {
+		if !s.startItem(next, turn) {
+			break
 		}
+		started++
+	}
+	if started > 0 {
+		s.onStart()
 	}
 }
 
@@ -74,8 +85,8 @@
 		}
 	}
 	slices.SortFunc(list, func(a, b candidate) int {
-		if a.due != b.due {
-			return int(a.due - b.due)
+		if order := cmp.Compare(a.due, b.due); order != 0 {
+			return order
 		}
 		return a.index - b.index
 	})
@@ -83,7 +94,7 @@
 }
 
 // startItem starts one item; false when no engine has room for batch work.
-func (s *Service) startItem(next candidate) bool {
+func (s *Service) startItem(next candidate, turn func(engine string) bool) bool {
 	item := next.job.items[next.index]
 	table, learned := s.Routes.Table()
 	if table == nil {
@@ -96,7 +107,7 @@
 	}
 	demand := s.Headers.Demand(item.Header)
 	query := relay.Query(s.Routes.Pool(route), demand)
-	query.Batch = true
+	query.Batch, query.Turn = true, turn
 	var choice enginechoice.Choice
 	work := &enginechoice.Work{Batch: true}
 	s.Engines.Use(func(set *enginechoice.Set, now time.Time) {
@@ -145,7 +156,7 @@
 			}
 		}
 	}
-	slices.SortFunc(runs, func(a, b candidate) int { return int(b.due - a.due) })
+	slices.SortFunc(runs, func(a, b candidate) int { return cmp.Compare(b.due, a.due) })
 	for _, run := range runs[:min(count, len(runs))] {
 		work := &run.job.work[run.index]
 		events.ItemYields.Log(s.Logger, zap.String("job", run.job.record.ID), zap.String("request", run.job.record.Items[run.index].ID), zap.String("engine", engine), zap.Int("events_kept", work.text.events))
--- a/internal/passthrough/batch/service.go
+++ b/internal/passthrough/batch/service.go
@@ -53,6 +53,9 @@
 	leaving bool
 	running sync.WaitGroup
 	wake    chan struct{} // has one token when there may be items to start
+	wanting []string      // other nodes with items that wait
+	wants   bool          // this node has some
+	onStart func()        // hears of each item sent to an engine
 	storeAt time.Duration // the store's clock, as of storeAtLocal
 	storeAs time.Time
 }
@@ -63,7 +66,7 @@
 		Dependencies: dependencies, config: config, store: dependencies.Store,
 		view: newView(config, dependencies.Logger), metrics: newMetrics(dependencies.Registerer),
 		texts: newTextCache(config.TextCacheBytes), started: time.Now(),
-		owned: make(map[string]*ownedJob), orphans: make(map[string]time.Time), wake: make(chan struct{}, 1),
+		owned: make(map[string]*ownedJob), orphans: make(map[string]time.Time), wake: make(chan struct{}, 1), onStart: func() {},
 	}
 	service.follower = catalog.NewFollower(dependencies.Follow, dependencies.Store, tableJobs, config.parts(), service.view, dependencies.Logger)
 	service.follower.OnStoreClock(service.tellTime)
--- a/internal/passthrough/edge/edge.go
+++ b/internal/passthrough/edge/edge.go
@@ -118,7 +118,9 @@
 	}
 	add(n.engines.Run)
 	if n.config.PeerAddress != "" {
-		add(sharing.New(sharing.DefaultConfig(n.config.PeerAddress), n.self, &sharer{node: n}, n.logger).Run)
+		share := sharing.New(sharing.DefaultConfig(n.config.PeerAddress), n.self, &sharer{node: n}, n.logger)
+		n.batch.OnStart(share.Nudge)
+		add(share.Run)
 	}
 	add(n.sweep)
 	add(n.watchClock)
--- a/internal/passthrough/edge/sharer.go
+++ b/internal/passthrough/edge/sharer.go
@@ -1,6 +1,7 @@
 package edge
 
 import (
+	"cmp"
 	"slices"
 	"time"
 
@@ -28,10 +29,14 @@
 }
 
 // Told implements sharing.Local.
-func (s *sharer) Told(counts map[string]enginechoice.Counts) {
+func (s *sharer) Told(counts map[string]enginechoice.Counts, wanting []string) {
+	s.node.batch.Contend(wanting)
 	s.node.engines.Use(func(set *enginechoice.Set, _ time.Time) { set.SetRemote(counts) })
 }
 
+// Wants implements sharing.Local.
+func (s *sharer) Wants() bool { return s.node.batch.Wants() }
+
 // Peers implements sharing.Local: the nodes that the store tells of, and the
 // seeds while it tells of none.
 func (s *sharer) Peers() []string {
@@ -76,7 +81,7 @@
 		s.node.routes.Take(documents.Routes, "peer "+from)
 	}
 	if len(documents.Rows) > 0 {
-		slices.SortFunc(documents.Rows, func(a, b passthrough.Row) int { return int(a.Version - b.Version) })
+		slices.SortFunc(documents.Rows, func(a, b passthrough.Row) int { return cmp.Compare(a.Version, b.Version) })
 		s.node.engines.Change(documents.Rows)
 	}
 }
--- a/internal/peer/sharing/sharing.go
+++ b/internal/peer/sharing/sharing.go
@@ -37,6 +37,8 @@
 	Node     string // this life of the node
 	Sequence uint64
 	Loads    []Load
+	// Wants says that the node has batch items that wait for an engine.
+	Wants bool
 }
 
 // Question asks for the documents that the asker lacks.
@@ -68,8 +70,11 @@
 	Answer(Question) Documents
 	// Learn takes an answer; from is the peer's address.
 	Learn(documents Documents, from string)
-	// Told takes the sum of the other nodes' work at the engines.
-	Told(map[string]enginechoice.Counts)
+	// Wants says whether this node has batch items that wait for an engine.
+	Wants() bool
+	// Told takes the sum of the other nodes' work at the engines, and the nodes
+	// that have batch items waiting.
+	Told(counts map[string]enginechoice.Counts, wanting []string)
 }
 
 // Config says how often nodes tell and ask.
@@ -108,13 +113,15 @@
 	self   string
 	logger *zap.Logger
 
+	nudges chan struct{} // has one token when there is news to tell
+
 	mu    sync.Mutex // guards nodes
 	nodes map[string]heard
 }
 
 // New makes a share for a life of a node.
 func New(config Config, self string, local Local, logger *zap.Logger) *Share {
-	return &Share{config: config, local: local, self: self, logger: logger, nodes: make(map[string]heard)}
+	return &Share{config: config, local: local, self: self, logger: logger, nodes: make(map[string]heard), nudges: make(chan struct{}, 1)}
 }
 
 // Run tells and listens until ctx ends.
@@ -147,6 +154,14 @@
 	return nil
 }
 
+// Nudge has the node tell its work soon, not only when its time has come.
+func (s *Share) Nudge() {
+	select {
+	case s.nudges <- struct{}{}:
+	default:
+	}
+}
+
 // tell sends this node's report to all peers, and sums up theirs. A node that
 // has nothing under way says so once.
 func (s *Share) tell(ctx context.Context, datagrams net.PacketConn) {
@@ -154,20 +169,40 @@
 	for sequence := uint64(1); ; sequence++ {
 		peers := s.local.Peers()
 		report := s.report(sequence)
-		if len(report.Loads) > 0 || !silent {
+		if len(report.Loads) > 0 || report.Wants || !silent {
 			s.send(datagrams, report, peers)
 		}
-		silent = len(report.Loads) == 0
+		silent = len(report.Loads) == 0 && !report.Wants
 		s.local.Told(s.sum(time.Now()))
 		pause := max(s.config.Every, time.Duration(len(peers))*s.config.PerPeer)
-		if !wait.For(ctx, pause) {
+		if !s.pause(ctx, pause) {
 			return
 		}
 	}
 }
 
+// pause waits for the time to tell again, or less when there is news.
+func (s *Share) pause(ctx context.Context, pause time.Duration) bool {
+	least := pause / nudgeShare
+	if !wait.For(ctx, least) {
+		return false
+	}
+	timer := time.NewTimer(pause - least)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+		return false
+	case <-timer.C:
+	case <-s.nudges:
+	}
+	return true
+}
+
+// nudgeShare is the part of the pause that news waits for at least.
+const nudgeShare = 5
+
 func (s *Share) report(sequence uint64) Report {
-	report := Report{Node: s.self, Sequence: sequence}
+	report := Report{Node: s.self, Sequence: sequence, Wants: s.local.Wants()}
 	for engine, counts := range s.local.Loads() {
 		report.Loads = append(report.Loads, Load{Engine: engine, Online: counts.Online, Batch: counts.Batch, Prefill: counts.PrefillTokens, Memory: counts.MemoryTokens})
 	}
@@ -213,16 +248,19 @@
 }
 
 // sum adds up the reports that still count.
-func (s *Share) sum(now time.Time) map[string]enginechoice.Counts {
+func (s *Share) sum(now time.Time) (total map[string]enginechoice.Counts, wanting []string) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	total := make(map[string]enginechoice.Counts)
+	total = make(map[string]enginechoice.Counts)
 	trust := s.config.Trust + 2*time.Duration(len(s.nodes))*s.config.PerPeer
 	for node, told := range s.nodes {
 		if now.Sub(told.at) > trust {
 			delete(s.nodes, node)
 			continue
 		}
+		if told.report.Wants {
+			wanting = append(wanting, node)
+		}
 		for _, load := range told.report.Loads {
 			counts := total[load.Engine]
 			counts.Online += load.Online
@@ -232,7 +270,7 @@
 			total[load.Engine] = counts
 		}
 	}
-	return total
+	return total, wanting
 }
 
 // answer serves questions until the listener closes.
