--- a/internal/passthrough/batch/config.go
+++ b/internal/passthrough/batch/config.go
@@ -27,7 +27,7 @@
 func DefaultConfig() Config {
 	return Config{
 		Shards: 16, Heartbeat: time.Second, DeadAfter: 2500 * time.Millisecond,
-		PerEngine: 65, Room: 80, Keep: 2 * time.Minute, BlindFor: 2 * time.Second, TextCacheBytes: 48 << 20,
+		PerEngine: 80, Room: 90, Keep: 2 * time.Minute, BlindFor: 2 * time.Second, TextCacheBytes: 48 << 20,
 	}
 }
 
