--- a/internal/core/enginechoice/enginechoice.go
+++ b/internal/core/enginechoice/enginechoice.go
@@ -187,6 +187,17 @@
 	return count
 }
 
+// Doubtful counts the unlisted engines of a pool that are still in use.
+func (s *Set) Doubtful(pool string) int {
+	count := 0
+	for _, known := range s.pools[pool] {
+		if known.state == Unlisted {
+			count++
+		}
+	}
+	return count
+}
+
 func (e *engine) usable() bool { return e.state != Leaving }
 
 // SetRemote replaces what other nodes have under way at each engine.
--- a/internal/passthrough/edge/edge.go
+++ b/internal/passthrough/edge/edge.go
@@ -60,15 +60,17 @@
 	batch          *batch.Service
 	front          *ingress.Server
 
-	leaving atomic.Bool
-	ready   atomic.Bool
+	leaving   atomic.Bool
+	ready     atomic.Bool
+	listening chan struct{} // closed once address is set
+	address   string
 }
 
 // New makes a node; Run starts it.
 func New(config Config, identity Identity, platform Platform, logger *zap.Logger) *Node {
 	node := &Node{
 		config: config, identity: identity, platform: platform, started: time.Now(),
-		self: identity.Name + "/" + ulid.Make().String(), registry: prometheus.NewRegistry(),
+		self: identity.Name + "/" + ulid.Make().String(), registry: prometheus.NewRegistry(), listening: make(chan struct{}),
 	}
 	node.logger = logger.With(zap.String("node", identity.Name))
 	node.registry.MustRegister(collectors.NewGoCollector(), collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}))
@@ -102,6 +104,8 @@
 	if err != nil {
 		return err
 	}
+	n.address = front.Addr().String()
+	close(n.listening)
 	background, stop := context.WithCancel(context.WithoutCancel(ctx))
 	defer stop()
 	var group run.Group
@@ -140,6 +144,12 @@
 	return group.Run()
 }
 
+// Listening is closed when clients can connect.
+func (n *Node) Listening() <-chan struct{} { return n.listening }
+
+// Address is where clients connect, once Listening is closed.
+func (n *Node) Address() string { return n.address }
+
 // stopAsPlanned waits for ctx to end. Readiness ends at once; clients are
 // still taken until the platform has noticed, then what runs is finished.
 func (n *Node) stopAsPlanned(ctx, background context.Context) {
--- /dev/null
+++ b/internal/passthrough/edge/inspect.go
@@ -0,0 +1,49 @@
+package edge
+
+import (
+	"strconv"
+	"strings"
+	"time"
+
+	"ringstream.example/ringstream/internal/core/enginechoice"
+)
+
+// KnownEngines counts the engines that the node knows.
+func (n *Node) KnownEngines() int {
+	count := 0
+	n.engines.Use(func(set *enginechoice.Set, _ time.Time) { count = len(set.Known()) })
+	return count
+}
+
+// ServingEngines counts the engines of a pool that take new work.
+func (n *Node) ServingEngines(pool string) int {
+	count := 0
+	n.engines.Use(func(set *enginechoice.Set, _ time.Time) { count = set.Serving(pool) })
+	return count
+}
+
+// DoubtfulEngines counts the engines of a pool whose entry went while the list
+// could not be trusted.
+func (n *Node) DoubtfulEngines(pool string) int {
+	count := 0
+	n.engines.Use(func(set *enginechoice.Set, _ time.Time) { count = set.Doubtful(pool) })
+	return count
+}
+
+// FirstChoice gives the number that ends the id of the engine that the next
+// request of a pool would go to.
+func (n *Node) FirstChoice(pool string) int {
+	id := ""
+	n.engines.Use(func(set *enginechoice.Set, now time.Time) {
+		choice, _ := set.Pick(enginechoice.Query{Pool: pool, OwnTokens: 20}, now)
+		id = choice.Entry.ID
+	})
+	number, err := strconv.Atoi(strings.TrimLeft(id, "abcdefghijklmnopqrstuvwxyz-"))
+	if err != nil {
+		return 0
+	}
+	return number
+}
+
+// StoreMissed says whether a call to the store has failed so far.
+func (n *Node) StoreMissed() bool { return !n.engineFollower.Health().LastBad.IsZero() }
