batch: a finished item cannot start again; a node does not claim what it is just taking or whose owner has just started

Between a run's end and its mark the scheduler saw an item that neither ran nor was finished, and ran it once more; a node claimed a job in the moment between the store's feed and the answer to its own hand-in, and one of a node whose first sign of life it had not heard. Change: the mark is set in the same critical section; hand-ins under way are not claimed, an own job only after 600 ms, one of an unknown owner after dead_after.

--- a/internal/passthrough/batch/intake.go
+++ b/internal/passthrough/batch/intake.go
@@ -109,6 +109,8 @@
 // compare, so that no two jobs are accepted on the same count.
 func (s *Service) take(ctx context.Context, call *relay.Call, items []passthrough.Item) (intakeOutcome, error) {
 	id := call.Demand.RequestID
+	s.beginTaking(id)
+	defer s.endTaking(id)
 	stored := false
 	for {
 		if _, found := s.view.job(id); found {
@@ -137,6 +139,22 @@
 	}
 }
 
+// beginTaking keeps this node from claiming a job whose creation it has not
+// heard of yet.
+func (s *Service) beginTaking(id string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.taking[id]++
+}
+
+func (s *Service) endTaking(id string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.taking[id]--; s.taking[id] == 0 {
+		delete(s.taking, id)
+	}
+}
+
 // create makes the job exist; again says that another job was accepted since
 // the count was made.
 func (s *Service) create(ctx context.Context, call *relay.Call, items []passthrough.Item, quota int64) (outcome intakeOutcome, again bool, err error) {
--- a/internal/passthrough/batch/nodes.go
+++ b/internal/passthrough/batch/nodes.go
@@ -8,6 +8,7 @@
 	"go.uber.org/zap"
 
 	"ringstream.example/ringstream/internal/core/identity"
+	"ringstream.example/ringstream/internal/core/passjob"
 	"ringstream.example/ringstream/internal/core/rendezvous"
 	"ringstream.example/ringstream/internal/events"
 	"ringstream.example/ringstream/internal/passthrough"
@@ -113,6 +114,9 @@
 const (
 	claimStep  = 350 * time.Millisecond
 	claimRanks = 4 // beyond these, nodes wait alike
+	// ownClaim is how long a job may be this node's in the store and not in
+	// memory: the store's feed lags behind a job that has just been finished.
+	ownClaim = 600 * time.Millisecond
 	tendEvery  = 120 * time.Millisecond
 )
 
@@ -162,7 +166,8 @@
 		id := known.record.ID
 		s.mu.Lock()
 		_, mine := s.owned[id]
-		orphan := known.record.Active() && !mine && !seen.live[known.record.Owner] || (known.record.Active() && !mine && known.record.Owner == s.Self)
+		own := known.record.Owner == s.Self
+		orphan := known.record.Active() && !mine && s.taking[id] == 0 && (own || !seen.live[known.record.Owner])
 		if !orphan {
 			delete(s.orphans, id)
 			s.mu.Unlock()
@@ -174,13 +179,26 @@
 			s.orphans[id] = now
 		}
 		s.mu.Unlock()
-		rank := min(seen.rank(id, s.Self), claimRanks)
-		if now.Sub(since) >= time.Duration(rank)*claimStep {
+		if now.Sub(since) >= s.claimPause(known.record, seen) {
 			s.claim(ctx, known, seen.dead[known.record.Owner])
 		}
 	}
 }
 
+// claimPause is how long a job has to be seen without a live owner before this
+// node claims it. An owner of whom nothing was heard may have just started.
+func (s *Service) claimPause(record passjob.Record, seen fleet) time.Duration {
+	pause := time.Duration(min(seen.rank(record.ID, s.Self), claimRanks)) * claimStep
+	switch {
+	case record.Owner == s.Self:
+		return ownClaim
+	case record.Owner != "" && seen.dead[record.Owner] == "":
+		return pause + s.config.DeadAfter
+	default:
+		return pause
+	}
+}
+
 // claim takes a job over under a new epoch; the compare lets one node win.
 func (s *Service) claim(ctx context.Context, known entry, why string) {
 	record := known.record.Clone()
--- a/internal/passthrough/batch/owned.go
+++ b/internal/passthrough/batch/owned.go
@@ -277,3 +277,16 @@
 	}
 	s.signal()
 }
+
+// EventsKept counts the events that this node keeps of a job's open items.
+func (s *Service) EventsKept(id string) int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	kept := 0
+	if job := s.owned[id]; job != nil {
+		for index := range job.work {
+			kept += job.work[index].text.events
+		}
+	}
+	return kept
+}
--- a/internal/passthrough/batch/run.go
+++ b/internal/passthrough/batch/run.go
@@ -123,6 +123,9 @@
 	if end != runNot {
 		work.unrun = 0
 	}
+	if state != passjob.Open {
+		work.finished = state // before anybody can see that the item does not run
+	}
 	s.mu.Unlock()
 	if state != passjob.Open {
 		s.finish(r.job, r.index, state, why)
--- a/internal/passthrough/batch/service.go
+++ b/internal/passthrough/batch/service.go
@@ -49,6 +49,7 @@
 
 	mu      sync.Mutex // guards the rest
 	owned   map[string]*ownedJob
+	taking  map[string]int       // hand-ins under way, by job
 	orphans map[string]time.Time // since when a job was seen without a live owner
 	leaving bool
 	running sync.WaitGroup
@@ -66,7 +67,7 @@
 		Dependencies: dependencies, config: config, store: dependencies.Store,
 		view: newView(config, dependencies.Logger), metrics: newMetrics(dependencies.Registerer),
 		texts: newTextCache(config.TextCacheBytes), started: time.Now(),
-		owned: make(map[string]*ownedJob), orphans: make(map[string]time.Time), wake: make(chan struct{}, 1), onStart: func() {},
+		owned: make(map[string]*ownedJob), taking: make(map[string]int), orphans: make(map[string]time.Time), wake: make(chan struct{}, 1), onStart: func() {},
 	}
 	service.follower = catalog.NewFollower(dependencies.Follow, dependencies.Store, tableJobs, config.parts(), service.view, dependencies.Logger)
 	service.follower.OnStoreClock(service.tellTime)
--- a/internal/passthrough/edge/inspect.go
+++ b/internal/passthrough/edge/inspect.go
@@ -47,3 +47,6 @@
 
 // StoreMissed says whether a call to the store has failed so far.
 func (n *Node) StoreMissed() bool { return !n.engineFollower.Health().LastBad.IsZero() }
+
+// EventsKept counts the events that this node keeps of a job's open items.
+func (n *Node) EventsKept(job string) int { return n.batch.EventsKept(job) }
