--- /dev/null
+++ b/internal/core/enginechoice/enginechoice_test.go
@@ -0,0 +1,221 @@
+package enginechoice
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+)
+
+var start = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+
+func newSet(engines int) *Set {
+	set := NewSet("z1")
+	for i := range engines {
+		set.Upsert(Entry{ID: fmt.Sprintf("e%d", i), Pool: "p", Zone: "z1", Slots: 4, MemoryTokens: 10000}, Ready, start)
+	}
+	return set
+}
+
+// Whatever happens, the counts of work are those of a plain list of the
+// requests under way.
+func TestCountsAgainstAPlainList(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		set := newSet(3)
+		type running struct {
+			engine string
+			work   *Work
+		}
+		var list []running
+		for range rapid.IntRange(0, 60).Draw(t, "steps") {
+			switch rapid.IntRange(0, 2).Draw(t, "step") {
+			case 0:
+				work := &Work{Batch: rapid.Bool().Draw(t, "batch"), PrefillTokens: 10, MemoryTokens: 20}
+				next := running{fmt.Sprintf("e%d", rapid.IntRange(0, 2).Draw(t, "engine")), work}
+				set.Start(next.engine, work)
+				list = append(list, next)
+			case 1:
+				if len(list) > 0 {
+					at := rapid.IntRange(0, len(list)-1).Draw(t, "first")
+					set.FirstToken(list[at].engine, list[at].work)
+				}
+			default:
+				if len(list) > 0 {
+					at := rapid.IntRange(0, len(list)-1).Draw(t, "end")
+					set.Finish(list[at].engine, list[at].work, Result(rapid.IntRange(0, 3).Draw(t, "result")), start)
+					list = append(list[:at], list[at+1:]...)
+				}
+			}
+			want := make(map[string]Counts)
+			for _, next := range list {
+				counts := want[next.engine]
+				if next.work.Batch {
+					counts.Batch++
+				} else {
+					counts.Online++
+				}
+				counts.MemoryTokens += 20
+				if !next.work.started {
+					counts.PrefillTokens += 10
+				}
+				want[next.engine] = counts
+			}
+			got := set.Own()
+			if len(got) != len(want) {
+				t.Fatalf("got %v, want %v", got, want)
+			}
+			for engine, counts := range want {
+				if got[engine] != counts {
+					t.Fatalf("%s: got %+v, want %+v", engine, got[engine], counts)
+				}
+			}
+		}
+	})
+}
+
+func TestPickSpreadsAndLeavesOut(t *testing.T) {
+	set := newSet(3)
+	counts := make(map[string]int)
+	for range 9 {
+		choice, found := set.Pick(Query{Pool: "p"}, start)
+		if !found {
+			t.Fatal("no engine")
+		}
+		set.Start(choice.Entry.ID, &Work{})
+		counts[choice.Entry.ID]++
+	}
+	for id, count := range counts {
+		if count != 3 {
+			t.Errorf("%s got %d of 9", id, count)
+		}
+	}
+	choice, _ := set.Pick(Query{Pool: "p", Exclude: map[string]bool{"e0": true, "e1": true}}, start)
+	if choice.Entry.ID != "e2" {
+		t.Errorf("picked %s", choice.Entry.ID)
+	}
+	if _, found := set.Pick(Query{Pool: "other"}, start); found {
+		t.Error("an engine of another pool was picked")
+	}
+}
+
+func TestPickGoesWhereThePromptIsKept(t *testing.T) {
+	set := newSet(3)
+	shared := []Part{{ID: "a", Tokens: 2000}, {ID: "b", Tokens: 3000}}
+	first, _ := set.Pick(Query{Pool: "p", Shared: shared}, start)
+	set.Remember(first.Entry.ID, shared, start)
+	second, _ := set.Pick(Query{Pool: "p", Shared: shared, OwnTokens: 7}, start)
+	if second.Entry.ID != first.Entry.ID || second.PrefillTokens != 7 {
+		t.Errorf("got %s with %d tokens to read, want %s with 7", second.Entry.ID, second.PrefillTokens, first.Entry.ID)
+	}
+	for range 20 { // a queue there costs more than reading the prompt again
+		set.Start(first.Entry.ID, &Work{PrefillTokens: 2000})
+	}
+	if third, _ := set.Pick(Query{Pool: "p", Shared: shared}, start); third.Entry.ID == first.Entry.ID {
+		t.Error("picked an engine with a long queue")
+	}
+}
+
+func TestSickAndSheddingEnginesComeLast(t *testing.T) {
+	set := newSet(2)
+	for range 3 {
+		set.Finish("e0", &Work{}, Failed, start)
+	}
+	if choice, _ := set.Pick(Query{Pool: "p"}, start); choice.Entry.ID != "e1" {
+		t.Errorf("picked the sick %s", choice.Entry.ID)
+	}
+	if choice, found := set.Pick(Query{Pool: "p", Exclude: map[string]bool{"e1": true}}, start); !found || choice.Entry.ID != "e0" {
+		t.Error("a sick engine is no longer tried when there is no other")
+	}
+	later := start.Add(time.Minute)
+	for range 40 {
+		set.Finish("e0", &Work{}, Succeeded, later)
+	}
+	set.Finish("e1", &Work{}, Shed, later)
+	if choice, _ := set.Pick(Query{Pool: "p"}, later); choice.Entry.ID != "e0" {
+		t.Errorf("picked %s, which has just turned a request away", choice.Entry.ID)
+	}
+}
+
+func TestRemovalLeavingAndDoubt(t *testing.T) {
+	set := newSet(3)
+	set.Remove("e0", false, start)
+	set.Remove("e1", true, start)
+	set.Upsert(Entry{ID: "e2", Pool: "p", Zone: "z1", Slots: 4}, Leaving, start)
+	if choice, found := set.Pick(Query{Pool: "p"}, start); !found || choice.Entry.ID != "e1" || choice.State != Unlisted {
+		t.Errorf("got %+v", choice)
+	}
+	if expired := set.ExpireUnlisted(start, start); len(expired) != 0 {
+		t.Errorf("expired %v too early", expired)
+	}
+	if expired := set.ExpireUnlisted(start.Add(time.Second), start.Add(2*time.Second)); len(expired) != 1 || expired[0] != "e1" {
+		t.Errorf("expired %v", expired)
+	}
+	if _, found := set.Pick(Query{Pool: "p"}, start); found {
+		t.Error("a gone engine was picked")
+	}
+	set.Upsert(Entry{ID: "e1", Pool: "p", Zone: "z1", Slots: 4}, Ready, start)
+	if set.Serving("p") != 1 {
+		t.Error("an engine that is listed again does not serve")
+	}
+	set.Remove("e0", false, start.Add(2*forgetAfter))
+	if set.Remove("e0", false, start.Add(4*forgetAfter)); len(set.Known()) != 2 {
+		t.Errorf("known: %v", set.Known())
+	}
+}
+
+func TestBatchRoomAndTurns(t *testing.T) {
+	set := newSet(1)
+	query := Query{Pool: "p", Batch: true, BatchLimit: 2, RoomLimit: 3}
+	if _, found := set.Pick(query, start); !found {
+		t.Fatal("an idle engine has no room")
+	}
+	query.Turn = func(string) bool { return false }
+	if _, found := set.Pick(query, start); found {
+		t.Error("picked outside of the turn")
+	}
+	query.Turn = nil
+	set.SetRemote(map[string]Counts{"e0": {Batch: 2}})
+	if _, found := set.Pick(query, start); found {
+		t.Error("over the limit of batch work of all nodes")
+	}
+	set.SetRemote(map[string]Counts{"e0": {Online: 3}})
+	if _, found := set.Pick(query, start); found {
+		t.Error("over the limit of all work")
+	}
+	set.SetRemote(nil)
+	query.MemoryTokens = 9000
+	if _, found := set.Pick(query, start); found {
+		t.Error("over the share of the memory")
+	}
+}
+
+func TestCrowdedEnginesAreYielded(t *testing.T) {
+	set := newSet(1)
+	for range 3 {
+		set.Start("e0", &Work{Batch: true})
+	}
+	set.SetRemote(map[string]Counts{"e0": {Online: 2, Batch: 3}})
+	crowds := set.Crowded(start) // 8 requests at 4 slots: half of the 4 too many are this node's
+	if len(crowds) != 1 || crowds[0].Yield != 2 {
+		t.Errorf("got %+v", crowds)
+	}
+	set.SetRemote(map[string]Counts{"e0": {Batch: 3}})
+	if crowds := set.Crowded(start); len(crowds) != 0 {
+		t.Errorf("batch gives way to batch: %+v", crowds)
+	}
+	if !set.Full("e0", start) {
+		t.Error("6 requests at 4 slots are not full")
+	}
+}
+
+func TestEnginesOwnCountIsTrustedForAMoment(t *testing.T) {
+	set := newSet(1)
+	set.Observe("e0", 4, 2, start)
+	if !set.Full("e0", start.Add(reportTrust)) {
+		t.Error("the engine's own count was not taken")
+	}
+	if set.Full("e0", start.Add(2*reportTrust)) {
+		t.Error("an old count is still trusted")
+	}
+}
--- /dev/null
+++ b/internal/core/passroute/passroute_test.go
@@ -0,0 +1,105 @@
+package passroute
+
+import (
+	"fmt"
+	"math"
+	"strings"
+	"testing"
+
+	"pgregory.net/rapid"
+)
+
+// naiveLookup is the plain reading of the rule: of the routes of the host, the
+// one with the longest prefix that begins the path.
+func naiveLookup(routes []Route, host, path string) string {
+	best, length := "", -1
+	for _, route := range routes {
+		if strings.EqualFold(route.Host, host) && strings.HasPrefix(path, route.PathPrefix) && len(route.PathPrefix) > length {
+			best, length = route.Name, len(route.PathPrefix)
+		}
+	}
+	return best
+}
+
+func TestLookupAgainstTheNaiveVersion(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		prefix := rapid.SampledFrom([]string{"/", "/a/", "/a/b/", "/a/b/c/", "/b/"})
+		host := rapid.SampledFrom([]string{"one.example", "two.example"})
+		seen := make(map[string]bool)
+		var routes []Route
+		for i := range rapid.IntRange(0, 8).Draw(t, "routes") {
+			route := Route{Name: fmt.Sprint(i), Host: host.Draw(t, "host"), PathPrefix: prefix.Draw(t, "prefix")}
+			if key := route.Host + route.PathPrefix; !seen[key] {
+				seen[key] = true
+				routes = append(routes, route)
+			}
+		}
+		table := NewTable(1, append([]Route(nil), routes...), nil, Limits{})
+		asked := rapid.SampledFrom([]string{"one.example", "TWO.example", "three.example"}).Draw(t, "asked")
+		path := rapid.SampledFrom([]string{"/", "/a", "/a/", "/a/b/x", "/a/b/c/d", "/b/", "/c"}).Draw(t, "path")
+		got := ""
+		if route, found := table.Lookup(asked+":8080", path); found {
+			got = route.Name
+		}
+		if want := naiveLookup(routes, asked, path); got != want {
+			t.Fatalf("%s%s: route %q, want %q", asked, path, got, want)
+		}
+	})
+}
+
+// The shares of a split are within a few requests of the weights, wherever the
+// sequence starts and whichever part of it is counted.
+func TestSplitterKeepsTheWeights(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		splitter := NewSplitter(func() float64 { return rapid.Float64Range(0, 0.999).Draw(t, "phase") })
+		weight := rapid.IntRange(1, 99).Draw(t, "weight")
+		route := &Route{Name: "r", Targets: []Target{{Pool: "a", Weight: float64(weight)}, {Pool: "b", Weight: float64(100 - weight)}}}
+		for range rapid.IntRange(0, 500).Draw(t, "skip") {
+			splitter.Choose(route)
+		}
+		const requests = 200
+		count := 0
+		for range requests {
+			if splitter.Choose(route) == "a" {
+				count++
+			}
+		}
+		if want := requests * float64(weight) / 100; math.Abs(float64(count)-want) > 4 {
+			t.Fatalf("%d of %d, want %.0f", count, requests, want)
+		}
+	})
+}
+
+func TestSplitterLeavesOutWeightZeroAndForgets(t *testing.T) {
+	splitter := NewSplitter(func() float64 { return 0.99 })
+	route := &Route{Name: "r", Targets: []Target{{Pool: "a", Weight: 1}, {Pool: "b"}}}
+	for range 50 {
+		if pool := splitter.Choose(route); pool != "a" {
+			t.Fatalf("chose %q", pool)
+		}
+	}
+	splitter.Retain(NewTable(2, nil, nil, Limits{}))
+	if len(splitter.points) != 0 {
+		t.Error("a route that is gone is kept")
+	}
+	if pool := splitter.Choose(&Route{Name: "none"}); pool != "" {
+		t.Errorf("a route without targets gave %q", pool)
+	}
+}
+
+func TestRepeatable(t *testing.T) {
+	for _, test := range []struct {
+		route Route
+		want  bool
+	}{
+		{Route{Kind: KindSafe}, true},
+		{Route{Kind: KindUnsafe}, false},
+		{Route{Kind: KindStream}, false},
+		{Route{Kind: KindStream, Resumable: true}, true},
+		{Route{Kind: KindBatch}, true},
+	} {
+		if got := test.route.Repeatable(); got != test.want {
+			t.Errorf("%s: %t", test.route.Kind, got)
+		}
+	}
+}
