--- a/cmd/ringstream-bench/emulate.go
+++ b/cmd/ringstream-bench/emulate.go
@@ -10,8 +10,8 @@
 	"github.com/spf13/cobra"
 	"gopkg.in/yaml.v3"
 
-	"ringstream.example/ringstream/internal/emulator"
 	"ringstream.example/ringstream/internal/backend"
+	"ringstream.example/ringstream/internal/emulator"
 )
 
 // emulateOptions are the flags of emulate.
--- a/internal/backend/httpclient/engine.go
+++ b/internal/backend/httpclient/engine.go
@@ -8,9 +8,9 @@
 	"strconv"
 	"time"
 
-	"ringstream.example/ringstream/internal/core/identity"
 	"ringstream.example/ringstream/internal/backend"
 	"ringstream.example/ringstream/internal/backend/wire"
+	"ringstream.example/ringstream/internal/core/identity"
 )
 
 // engines opens engines by their address.
--- a/internal/backend/httpclient/site.go
+++ b/internal/backend/httpclient/site.go
@@ -14,7 +14,7 @@
 // included, is passed through: what it says of the run is its own word.
 func (s *site) Forward(ctx context.Context, forwarded backend.SiteRequest) (backend.SiteResponse, error) {
 	header := http.Header{
-		"Content-Type":     {"application/json"},
+		"Content-Type":    {"application/json"},
 		backend.HopHeader: {"1"},
 	}
 	setHeader(header, "Authorization", forwarded.Authorization)
--- a/internal/bench/faults/bugs.go
+++ b/internal/bench/faults/bugs.go
@@ -10,9 +10,9 @@
 	"sync"
 	"time"
 
-	"ringstream.example/ringstream/internal/emulator"
 	"ringstream.example/ringstream/internal/backend"
 	"ringstream.example/ringstream/internal/backend/wire"
+	"ringstream.example/ringstream/internal/emulator"
 	"ringstream.example/ringstream/internal/wait"
 )
 
--- a/internal/bench/faults/fleet.go
+++ b/internal/bench/faults/fleet.go
@@ -14,12 +14,12 @@
 
 	"ringstream.example/ringstream/internal/adminclient"
 	"ringstream.example/ringstream/internal/auth"
+	"ringstream.example/ringstream/internal/backend"
 	"ringstream.example/ringstream/internal/core/identity"
 	"ringstream.example/ringstream/internal/core/policy"
 	"ringstream.example/ringstream/internal/emulator"
 	"ringstream.example/ringstream/internal/emulator/netsim"
 	"ringstream.example/ringstream/internal/node"
-	"ringstream.example/ringstream/internal/backend"
 	"ringstream.example/ringstream/internal/settings"
 	"ringstream.example/ringstream/internal/wait"
 )
--- a/internal/bench/faults/judge.go
+++ b/internal/bench/faults/judge.go
@@ -5,13 +5,13 @@
 	"slices"
 	"time"
 
+	"ringstream.example/ringstream/internal/backend"
 	"ringstream.example/ringstream/internal/bench/checker"
 	"ringstream.example/ringstream/internal/bench/client"
 	"ringstream.example/ringstream/internal/bench/ledger"
 	"ringstream.example/ringstream/internal/bench/workload"
 	"ringstream.example/ringstream/internal/emulator"
 	"ringstream.example/ringstream/internal/jobs"
-	"ringstream.example/ringstream/internal/backend"
 )
 
 // judge gathers the records and checks them.
--- a/internal/bench/faults/steps.go
+++ b/internal/bench/faults/steps.go
@@ -11,10 +11,10 @@
 	"encoding/json"
 	"strings"
 
-	"ringstream.example/ringstream/internal/core/batch"
-	"ringstream.example/ringstream/internal/emulator"
 	"ringstream.example/ringstream/internal/backend"
 	"ringstream.example/ringstream/internal/backend/wire"
+	"ringstream.example/ringstream/internal/core/batch"
+	"ringstream.example/ringstream/internal/emulator"
 )
 
 // Step is a point in the course of some work, as the stand-ins see it.
--- a/internal/bench/fleet/fleet.go
+++ b/internal/bench/fleet/fleet.go
@@ -17,13 +17,13 @@
 	"go.uber.org/zap"
 
 	"ringstream.example/ringstream/internal/adminclient"
+	"ringstream.example/ringstream/internal/backend"
 	"ringstream.example/ringstream/internal/bench/ledger"
 	"ringstream.example/ringstream/internal/bench/measure"
 	"ringstream.example/ringstream/internal/bench/scenario"
 	"ringstream.example/ringstream/internal/bench/workload"
 	"ringstream.example/ringstream/internal/core/identity"
 	"ringstream.example/ringstream/internal/emulator"
-	"ringstream.example/ringstream/internal/backend"
 )
 
 // OperatorKey is the key that every node takes for the operator "bench".
--- a/internal/bench/hollow/fleet.go
+++ b/internal/bench/hollow/fleet.go
@@ -9,12 +9,12 @@
 	"sync/atomic"
 	"time"
 
+	"ringstream.example/ringstream/internal/backend/backendtest"
 	"ringstream.example/ringstream/internal/core/identity"
 	enginefleet "ringstream.example/ringstream/internal/fleet"
 	"ringstream.example/ringstream/internal/limits"
 	"ringstream.example/ringstream/internal/peer"
 	"ringstream.example/ringstream/internal/peer/memnet"
-	"ringstream.example/ringstream/internal/backend/backendtest"
 	"ringstream.example/ringstream/internal/rows"
 	"ringstream.example/ringstream/internal/store"
 )
--- a/internal/bench/naive/naive.go
+++ b/internal/bench/naive/naive.go
@@ -15,10 +15,10 @@
 
 	"ringstream.example/ringstream/internal/wait"
 
+	"ringstream.example/ringstream/internal/backend"
 	"ringstream.example/ringstream/internal/bench/ledger"
 	"ringstream.example/ringstream/internal/bench/workload"
 	"ringstream.example/ringstream/internal/core/identity"
-	"ringstream.example/ringstream/internal/backend"
 )
 
 // Engine is one engine and the number of sequences that it runs at once.
--- a/internal/bench/runner/runner.go
+++ b/internal/bench/runner/runner.go
@@ -10,6 +10,7 @@
 
 	"golang.org/x/sync/errgroup"
 
+	"ringstream.example/ringstream/internal/backend"
 	"ringstream.example/ringstream/internal/bench/checker"
 	"ringstream.example/ringstream/internal/bench/fleet"
 	"ringstream.example/ringstream/internal/bench/measure"
@@ -17,7 +18,6 @@
 	"ringstream.example/ringstream/internal/bench/workload"
 	"ringstream.example/ringstream/internal/core/identity"
 	"ringstream.example/ringstream/internal/emulator"
-	"ringstream.example/ringstream/internal/backend"
 )
 
 // Run runs a scenario against three systems on the same arrivals and gives its
--- a/internal/core/enginechoice/enginechoice.go
+++ b/internal/core/enginechoice/enginechoice.go
@@ -71,9 +71,9 @@
 
 // engine is one engine's beliefs.
 type engine struct {
-	entry     Entry
-	state     State
-	since     time.Time // of state
+	entry Entry
+	state State
+	since time.Time // of state
 
 	own, remote    Counts
 	reported       int // running and waiting, from the last answer's head
--- a/internal/dispatch/attempt.go
+++ b/internal/dispatch/attempt.go
@@ -10,12 +10,12 @@
 	"github.com/oklog/ulid/v2"
 	"go.uber.org/zap"
 
+	"ringstream.example/ringstream/internal/backend"
 	"ringstream.example/ringstream/internal/core/identity"
 	"ringstream.example/ringstream/internal/core/outcome"
 	"ringstream.example/ringstream/internal/core/routing"
 	"ringstream.example/ringstream/internal/events"
 	"ringstream.example/ringstream/internal/fleet"
-	"ringstream.example/ringstream/internal/backend"
 	"ringstream.example/ringstream/internal/wait"
 )
 
--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -7,10 +7,10 @@
 	"context"
 	"time"
 
+	"ringstream.example/ringstream/internal/backend"
 	"ringstream.example/ringstream/internal/core/identity"
 	"ringstream.example/ringstream/internal/core/outcome"
 	"ringstream.example/ringstream/internal/core/policy"
-	"ringstream.example/ringstream/internal/backend"
 )
 
 // Request is one unit of model work, online or a batch item.
--- a/internal/dispatch/dispatch_test.go
+++ b/internal/dispatch/dispatch_test.go
@@ -11,6 +11,7 @@
 	"github.com/google/go-cmp/cmp"
 	"go.uber.org/zap"
 
+	"ringstream.example/ringstream/internal/backend"
 	"ringstream.example/ringstream/internal/core/identity"
 	"ringstream.example/ringstream/internal/core/membership"
 	"ringstream.example/ringstream/internal/core/outcome"
@@ -18,7 +19,6 @@
 	"ringstream.example/ringstream/internal/dispatch"
 	"ringstream.example/ringstream/internal/fleet"
 	"ringstream.example/ringstream/internal/peer/peertest"
-	"ringstream.example/ringstream/internal/backend"
 )
 
 // site is one node with its engines, in a synctest bubble.
--- a/internal/dispatch/fake_test.go
+++ b/internal/dispatch/fake_test.go
@@ -8,8 +8,8 @@
 	"sync"
 	"time"
 
-	"ringstream.example/ringstream/internal/core/identity"
 	"ringstream.example/ringstream/internal/backend"
+	"ringstream.example/ringstream/internal/core/identity"
 )
 
 const (
@@ -27,11 +27,11 @@
 	mutex     sync.Mutex
 	attempts  map[identity.AttemptID]*fakeAttempt
 	refuse    *backend.Error // answers Generate while set
-	lose      int             // so many Generates run and lose their answer
-	breakAt   map[int]bool    // a stream breaks before this offset, once each
-	hangAt    int             // streams stand still before this offset; -1: never
-	skewAt    int             // a stream skips this offset once; -1: never
-	repeatAt  int             // a stream repeats this offset once; -1: never
+	lose      int            // so many Generates run and lose their answer
+	breakAt   map[int]bool   // a stream breaks before this offset, once each
+	hangAt    int            // streams stand still before this offset; -1: never
+	skewAt    int            // a stream skips this offset once; -1: never
+	repeatAt  int            // a stream repeats this offset once; -1: never
 	down      bool
 	leaving   bool
 	cancelled map[identity.AttemptID]bool
@@ -133,7 +133,7 @@
 
 func (f *fakeEngine) ExportKV(context.Context, identity.AttemptID) ([]byte, error) { return nil, nil }
 func (f *fakeEngine) ImportKV(context.Context, []byte) error                       { return nil }
-func (f *fakeEngine) Order(context.Context, backend.Order) error                  { return nil }
+func (f *fakeEngine) Order(context.Context, backend.Order) error                   { return nil }
 
 func (f *fakeEngine) CacheEvents(context.Context, uint64) ([]backend.CacheEvent, error) {
 	return nil, nil
--- a/internal/dispatch/forward.go
+++ b/internal/dispatch/forward.go
@@ -8,6 +8,7 @@
 
 	"go.uber.org/zap"
 
+	"ringstream.example/ringstream/internal/backend"
 	"ringstream.example/ringstream/internal/core/identity"
 	"ringstream.example/ringstream/internal/core/membership"
 	"ringstream.example/ringstream/internal/core/outcome"
@@ -15,7 +16,6 @@
 	"ringstream.example/ringstream/internal/core/routing"
 	"ringstream.example/ringstream/internal/events"
 	"ringstream.example/ringstream/internal/peer"
-	"ringstream.example/ringstream/internal/backend"
 )
 
 // A request goes to another node, one hop at most, when no engine of this
--- a/internal/dispatch/forward_test.go
+++ b/internal/dispatch/forward_test.go
@@ -10,13 +10,13 @@
 	"github.com/google/go-cmp/cmp"
 	"go.uber.org/zap"
 
+	"ringstream.example/ringstream/internal/backend"
 	"ringstream.example/ringstream/internal/core/identity"
 	"ringstream.example/ringstream/internal/core/membership"
 	"ringstream.example/ringstream/internal/core/outcome"
 	"ringstream.example/ringstream/internal/dispatch"
 	"ringstream.example/ringstream/internal/fleet"
 	"ringstream.example/ringstream/internal/peer/peertest"
-	"ringstream.example/ringstream/internal/backend"
 )
 
 const rarePool = "rare"
--- a/internal/dispatch/run.go
+++ b/internal/dispatch/run.go
@@ -6,12 +6,12 @@
 	"time"
 
 	"ringstream.example/ringstream/internal/apierror"
+	"ringstream.example/ringstream/internal/backend"
 	"ringstream.example/ringstream/internal/core/admission"
 	"ringstream.example/ringstream/internal/core/identity"
 	"ringstream.example/ringstream/internal/core/outcome"
 	"ringstream.example/ringstream/internal/core/routing"
 	"ringstream.example/ringstream/internal/fleet"
-	"ringstream.example/ringstream/internal/backend"
 )
 
 // The codes of outcomes other than Completed; docs/operations/errors.md has them.
--- a/internal/dispatch/service.go
+++ b/internal/dispatch/service.go
@@ -9,6 +9,7 @@
 	"github.com/prometheus/client_golang/prometheus"
 	"go.uber.org/zap"
 
+	"ringstream.example/ringstream/internal/backend"
 	"ringstream.example/ringstream/internal/core/admission"
 	"ringstream.example/ringstream/internal/core/headroom"
 	"ringstream.example/ringstream/internal/core/identity"
@@ -16,7 +17,6 @@
 	"ringstream.example/ringstream/internal/core/routing"
 	"ringstream.example/ringstream/internal/fleet"
 	"ringstream.example/ringstream/internal/peer"
-	"ringstream.example/ringstream/internal/backend"
 	"ringstream.example/ringstream/internal/rows"
 )
 
--- a/internal/emulator/engine.go
+++ b/internal/emulator/engine.go
@@ -11,9 +11,9 @@
 	"sync"
 	"time"
 
-	"ringstream.example/ringstream/internal/core/identity"
 	"ringstream.example/ringstream/internal/backend"
 	"ringstream.example/ringstream/internal/backend/wire"
+	"ringstream.example/ringstream/internal/core/identity"
 )
 
 // EngineConfig describes an engine stand-in.
--- a/internal/emulator/engine_test.go
+++ b/internal/emulator/engine_test.go
@@ -12,9 +12,9 @@
 
 	"github.com/google/go-cmp/cmp"
 
+	"ringstream.example/ringstream/internal/backend"
 	"ringstream.example/ringstream/internal/core/identity"
 	"ringstream.example/ringstream/internal/emulator/netsim"
-	"ringstream.example/ringstream/internal/backend"
 )
 
 const model = "fleetlink-llm"
--- a/internal/emulator/fleet.go
+++ b/internal/emulator/fleet.go
@@ -11,9 +11,9 @@
 	"sync"
 	"time"
 
-	"ringstream.example/ringstream/internal/emulator/netsim"
 	"ringstream.example/ringstream/internal/backend"
 	"ringstream.example/ringstream/internal/backend/httpclient"
+	"ringstream.example/ringstream/internal/emulator/netsim"
 )
 
 // Pool is a set of engines that serve the same models.
--- a/internal/emulator/ledger.go
+++ b/internal/emulator/ledger.go
@@ -15,13 +15,13 @@
 
 // LedgerEntry is one attempt that was offered to an engine, for checkers.
 type LedgerEntry struct {
-	Engine     string            `json:"engine"`
-	Attempt    string            `json:"attempt"`
-	Model      string            `json:"model"`
-	PromptHash uint64            `json:"prompt_hash"` // PromptHash(model, prompt)
+	Engine     string           `json:"engine"`
+	Attempt    string           `json:"attempt"`
+	Model      string           `json:"model"`
+	PromptHash uint64           `json:"prompt_hash"` // PromptHash(model, prompt)
 	Priority   backend.Priority `json:"priority"`
-	Kept       int               `json:"kept"` // tokens that came with the request
-	MaxTokens  int               `json:"max_tokens"`
+	Kept       int              `json:"kept"` // tokens that came with the request
+	MaxTokens  int              `json:"max_tokens"`
 	// From is the address that the request came from, without its port.
 	From string `json:"from,omitempty"`
 	// OfferedAt is when the request came; it is set also for refused ones.
--- a/internal/emulator/site.go
+++ b/internal/emulator/site.go
@@ -10,8 +10,8 @@
 	"sync"
 	"time"
 
-	"ringstream.example/ringstream/internal/core/chatprompt"
 	"ringstream.example/ringstream/internal/backend"
+	"ringstream.example/ringstream/internal/core/chatprompt"
 	"ringstream.example/ringstream/internal/wait"
 )
 
--- a/internal/events/passthrough.go
+++ b/internal/events/passthrough.go
@@ -51,7 +51,7 @@
 	ItemStarted      = Define(Event{Number: 8320, Name: "item started", Level: zapcore.InfoLevel, Fields: []string{"job", "request", "epoch", "engine", "in_flight", "last_event", "routes_version", "routes_age"}})
 	ItemRunEnded     = Define(Event{Number: 8321, Name: "item run ended", Level: zapcore.InfoLevel, Fields: []string{"job", "request", "epoch", "engine", "outcome", "status", "events_kept", "elapsed", "error"}})
 	ItemFinished     = Define(Event{Number: 8322, Name: "item finished", Level: zapcore.InfoLevel, Fields: []string{"job", "request", "succeeded", "why"}})
-	ItemYields     = Define(Event{Number: 8323, Name: "item yields to online work", Level: zapcore.InfoLevel, Fields: []string{"job", "request", "engine", "events_kept"}})
+	ItemYields       = Define(Event{Number: 8323, Name: "item yields to online work", Level: zapcore.InfoLevel, Fields: []string{"job", "request", "engine", "events_kept"}})
 	SignNotWritten   = Define(Event{Number: 8330, Name: "sign of life not written", Level: zapcore.WarnLevel, Fields: []string{"count", "error"}, Action: "The store did not take this node's sign of life. After batch.dead_after the others take its jobs over; look at the store and the way to it."})
 	PassStarting     = Define(Event{Number: 8207, Name: "pass-through starting", Level: zapcore.InfoLevel, Fields: []string{"node", "incarnation", "zone", "version"}})
 )
--- a/internal/fleet/engine.go
+++ b/internal/fleet/engine.go
@@ -5,10 +5,10 @@
 	"sync/atomic"
 	"time"
 
+	"ringstream.example/ringstream/internal/backend"
 	"ringstream.example/ringstream/internal/core/health"
 	"ringstream.example/ringstream/internal/core/identity"
 	"ringstream.example/ringstream/internal/core/routing"
-	"ringstream.example/ringstream/internal/backend"
 )
 
 // Engine is this node's handle of one engine: its client, its last report and
--- a/internal/fleet/service.go
+++ b/internal/fleet/service.go
@@ -22,6 +22,7 @@
 	"github.com/prometheus/client_golang/prometheus"
 	"go.uber.org/zap"
 
+	"ringstream.example/ringstream/internal/backend"
 	"ringstream.example/ringstream/internal/core/health"
 	"ringstream.example/ringstream/internal/core/identity"
 	"ringstream.example/ringstream/internal/core/membership"
@@ -29,7 +30,6 @@
 	"ringstream.example/ringstream/internal/core/subset"
 	"ringstream.example/ringstream/internal/events"
 	"ringstream.example/ringstream/internal/peer"
-	"ringstream.example/ringstream/internal/backend"
 )
 
 // Snapshot is the engines that this node dispatches to. It never changes; the
--- a/internal/fleet/service_test.go
+++ b/internal/fleet/service_test.go
@@ -10,10 +10,10 @@
 
 	"go.uber.org/zap"
 
+	"ringstream.example/ringstream/internal/backend"
 	"ringstream.example/ringstream/internal/core/identity"
 	"ringstream.example/ringstream/internal/core/membership"
 	"ringstream.example/ringstream/internal/peer/peertest"
-	"ringstream.example/ringstream/internal/backend"
 )
 
 // countingEngine counts the load reports that it is asked for.
--- a/internal/gateway/bench_test.go
+++ b/internal/gateway/bench_test.go
@@ -16,10 +16,10 @@
 	"github.com/HdrHistogram/hdrhistogram-go"
 	"go.uber.org/zap"
 
+	"ringstream.example/ringstream/internal/backend"
 	"ringstream.example/ringstream/internal/core/outcome"
 	"ringstream.example/ringstream/internal/dispatch"
 	"ringstream.example/ringstream/internal/limits"
-	"ringstream.example/ringstream/internal/backend"
 )
 
 // discard is a client that keeps up: it signals each flush.
--- a/internal/gateway/complete.go
+++ b/internal/gateway/complete.go
@@ -13,6 +13,7 @@
 	"go.uber.org/zap"
 
 	"ringstream.example/ringstream/internal/apierror"
+	"ringstream.example/ringstream/internal/backend"
 	"ringstream.example/ringstream/internal/core/identity"
 	"ringstream.example/ringstream/internal/core/outcome"
 	"ringstream.example/ringstream/internal/core/policy"
@@ -21,7 +22,6 @@
 	"ringstream.example/ringstream/internal/events"
 	"ringstream.example/ringstream/internal/httpserver"
 	"ringstream.example/ringstream/internal/idempotency"
-	"ringstream.example/ringstream/internal/backend"
 )
 
 // The headers that callers may set beside the body.
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -16,14 +16,14 @@
 	"go.uber.org/zap"
 
 	"ringstream.example/ringstream/internal/apierror"
+	"ringstream.example/ringstream/internal/backend"
+	"ringstream.example/ringstream/internal/backend/backendtest"
 	"ringstream.example/ringstream/internal/core/identity"
 	"ringstream.example/ringstream/internal/core/outcome"
 	"ringstream.example/ringstream/internal/core/policy"
 	"ringstream.example/ringstream/internal/dispatch"
 	"ringstream.example/ringstream/internal/idempotency"
 	"ringstream.example/ringstream/internal/limits"
-	"ringstream.example/ringstream/internal/backend"
-	"ringstream.example/ringstream/internal/backend/backendtest"
 	"ringstream.example/ringstream/internal/store"
 )
 
--- a/internal/gateway/keyed_test.go
+++ b/internal/gateway/keyed_test.go
@@ -10,11 +10,11 @@
 	"testing/synctest"
 	"time"
 
+	"ringstream.example/ringstream/internal/backend"
+	"ringstream.example/ringstream/internal/backend/backendtest"
 	"ringstream.example/ringstream/internal/core/identity"
 	"ringstream.example/ringstream/internal/core/outcome"
 	"ringstream.example/ringstream/internal/dispatch"
-	"ringstream.example/ringstream/internal/backend"
-	"ringstream.example/ringstream/internal/backend/backendtest"
 	"ringstream.example/ringstream/internal/store"
 )
 
--- a/internal/gateway/server.go
+++ b/internal/gateway/server.go
@@ -16,6 +16,7 @@
 	"go.uber.org/zap"
 
 	"ringstream.example/ringstream/internal/auth"
+	"ringstream.example/ringstream/internal/backend"
 	"ringstream.example/ringstream/internal/configcheck"
 	"ringstream.example/ringstream/internal/core/outcome"
 	"ringstream.example/ringstream/internal/dispatch"
@@ -23,7 +24,6 @@
 	"ringstream.example/ringstream/internal/idempotency"
 	"ringstream.example/ringstream/internal/jobs"
 	"ringstream.example/ringstream/internal/limits"
-	"ringstream.example/ringstream/internal/backend"
 	"ringstream.example/ringstream/internal/rows"
 )
 
--- a/internal/gateway/site.go
+++ b/internal/gateway/site.go
@@ -13,11 +13,11 @@
 	"go.uber.org/zap"
 
 	"ringstream.example/ringstream/internal/apierror"
+	"ringstream.example/ringstream/internal/backend"
 	"ringstream.example/ringstream/internal/core/outcome"
 	"ringstream.example/ringstream/internal/core/site"
 	"ringstream.example/ringstream/internal/events"
 	"ringstream.example/ringstream/internal/idempotency"
-	"ringstream.example/ringstream/internal/backend"
 )
 
 // siteOf gives the site of a request by its row's share. A request that the
--- a/internal/gateway/site_test.go
+++ b/internal/gateway/site_test.go
@@ -12,8 +12,8 @@
 	"testing/synctest"
 	"time"
 
-	"ringstream.example/ringstream/internal/core/policy"
 	"ringstream.example/ringstream/internal/backend"
+	"ringstream.example/ringstream/internal/core/policy"
 )
 
 // otherSite answers with its own words, or fails as told.
--- a/internal/idempotency/claim.go
+++ b/internal/idempotency/claim.go
@@ -7,8 +7,8 @@
 	"strconv"
 	"strings"
 
-	core "ringstream.example/ringstream/internal/core/idempotency"
 	"ringstream.example/ringstream/internal/backend"
+	core "ringstream.example/ringstream/internal/core/idempotency"
 )
 
 // Claim is this node's claim of one key. It is used by one goroutine at a
--- a/internal/idempotency/store.go
+++ b/internal/idempotency/store.go
@@ -19,12 +19,12 @@
 	"github.com/oklog/ulid/v2"
 	"go.uber.org/zap"
 
+	"ringstream.example/ringstream/internal/backend"
 	"ringstream.example/ringstream/internal/configcheck"
 	core "ringstream.example/ringstream/internal/core/idempotency"
 	"ringstream.example/ringstream/internal/core/identity"
 	"ringstream.example/ringstream/internal/core/membership"
 	"ringstream.example/ringstream/internal/core/site"
-	"ringstream.example/ringstream/internal/backend"
 	"ringstream.example/ringstream/internal/store"
 )
 
--- a/internal/idempotency/store_test.go
+++ b/internal/idempotency/store_test.go
@@ -12,11 +12,11 @@
 
 	"go.uber.org/zap"
 
+	"ringstream.example/ringstream/internal/backend/backendtest"
 	core "ringstream.example/ringstream/internal/core/idempotency"
 	"ringstream.example/ringstream/internal/core/identity"
 	"ringstream.example/ringstream/internal/core/membership"
 	"ringstream.example/ringstream/internal/core/site"
-	"ringstream.example/ringstream/internal/backend/backendtest"
 	"ringstream.example/ringstream/internal/store"
 )
 
--- a/internal/idempotency/sweep.go
+++ b/internal/idempotency/sweep.go
@@ -10,11 +10,11 @@
 	"github.com/oklog/ulid/v2"
 	"go.uber.org/zap"
 
+	"ringstream.example/ringstream/internal/backend"
 	core "ringstream.example/ringstream/internal/core/idempotency"
 	"ringstream.example/ringstream/internal/core/identity"
 	"ringstream.example/ringstream/internal/core/rendezvous"
 	"ringstream.example/ringstream/internal/events"
-	"ringstream.example/ringstream/internal/backend"
 	"ringstream.example/ringstream/internal/store"
 )
 
--- a/internal/idempotency/withdraw.go
+++ b/internal/idempotency/withdraw.go
@@ -8,8 +8,8 @@
 
 	"github.com/oklog/ulid/v2"
 
-	core "ringstream.example/ringstream/internal/core/idempotency"
 	"ringstream.example/ringstream/internal/backend"
+	core "ringstream.example/ringstream/internal/core/idempotency"
 	"ringstream.example/ringstream/internal/store"
 )
 
--- a/internal/jobs/harness_test.go
+++ b/internal/jobs/harness_test.go
@@ -11,6 +11,8 @@
 	"go.uber.org/zap"
 	"go.uber.org/zap/zaptest/observer"
 
+	"ringstream.example/ringstream/internal/backend"
+	"ringstream.example/ringstream/internal/backend/httpclient"
 	"ringstream.example/ringstream/internal/core/identity"
 	"ringstream.example/ringstream/internal/core/membership"
 	"ringstream.example/ringstream/internal/core/outcome"
@@ -19,8 +21,6 @@
 	"ringstream.example/ringstream/internal/emulator"
 	"ringstream.example/ringstream/internal/emulator/netsim"
 	"ringstream.example/ringstream/internal/peer/peertest"
-	"ringstream.example/ringstream/internal/backend"
-	"ringstream.example/ringstream/internal/backend/httpclient"
 	"ringstream.example/ringstream/internal/store"
 )
 
--- a/internal/jobs/intake/intake.go
+++ b/internal/jobs/intake/intake.go
@@ -16,11 +16,11 @@
 	"go.uber.org/zap"
 
 	"ringstream.example/ringstream/internal/apierror"
+	"ringstream.example/ringstream/internal/backend"
 	"ringstream.example/ringstream/internal/core/identity"
 	"ringstream.example/ringstream/internal/events"
 	"ringstream.example/ringstream/internal/jobs/blob"
 	"ringstream.example/ringstream/internal/jobs/record"
-	"ringstream.example/ringstream/internal/backend"
 	"ringstream.example/ringstream/internal/store"
 )
 
--- a/internal/jobs/manager.go
+++ b/internal/jobs/manager.go
@@ -9,6 +9,7 @@
 	"go.uber.org/zap"
 	"golang.org/x/sync/errgroup"
 
+	"ringstream.example/ringstream/internal/backend"
 	"ringstream.example/ringstream/internal/core/identity"
 	"ringstream.example/ringstream/internal/dispatch"
 	"ringstream.example/ringstream/internal/jobs/blob"
@@ -18,7 +19,6 @@
 	"ringstream.example/ringstream/internal/jobs/shard"
 	"ringstream.example/ringstream/internal/limits"
 	"ringstream.example/ringstream/internal/peer"
-	"ringstream.example/ringstream/internal/backend"
 	"ringstream.example/ringstream/internal/rows"
 	"ringstream.example/ringstream/internal/store"
 )
--- a/internal/jobs/measure_test.go
+++ b/internal/jobs/measure_test.go
@@ -12,9 +12,9 @@
 
 	"go.uber.org/zap"
 
+	"ringstream.example/ringstream/internal/backend"
 	"ringstream.example/ringstream/internal/core/membership"
 	"ringstream.example/ringstream/internal/peer/peertest"
-	"ringstream.example/ringstream/internal/backend"
 	"ringstream.example/ringstream/internal/store"
 )
 
--- a/internal/jobs/runner/commit.go
+++ b/internal/jobs/runner/commit.go
@@ -7,10 +7,10 @@
 
 	"go.uber.org/zap"
 
+	"ringstream.example/ringstream/internal/backend"
 	"ringstream.example/ringstream/internal/core/batch"
 	"ringstream.example/ringstream/internal/events"
 	"ringstream.example/ringstream/internal/jobs/record"
-	"ringstream.example/ringstream/internal/backend"
 	"ringstream.example/ringstream/internal/store"
 	"ringstream.example/ringstream/internal/wait"
 )
--- a/internal/jobs/runner/execute.go
+++ b/internal/jobs/runner/execute.go
@@ -10,6 +10,7 @@
 	"go.uber.org/zap"
 
 	"ringstream.example/ringstream/internal/apierror"
+	"ringstream.example/ringstream/internal/backend"
 	"ringstream.example/ringstream/internal/core/batch"
 	"ringstream.example/ringstream/internal/core/outcome"
 	"ringstream.example/ringstream/internal/core/policy"
@@ -17,7 +18,6 @@
 	"ringstream.example/ringstream/internal/events"
 	"ringstream.example/ringstream/internal/jobs/record"
 	"ringstream.example/ringstream/internal/limits"
-	"ringstream.example/ringstream/internal/backend"
 	"ringstream.example/ringstream/internal/wait"
 )
 
--- a/internal/jobs/runner/job.go
+++ b/internal/jobs/runner/job.go
@@ -6,17 +6,17 @@
 
 	"go.uber.org/zap"
 
+	"ringstream.example/ringstream/internal/backend"
 	"ringstream.example/ringstream/internal/core/batch"
 	"ringstream.example/ringstream/internal/events"
 	"ringstream.example/ringstream/internal/jobs/record"
-	"ringstream.example/ringstream/internal/backend"
 )
 
 // job is an open job of a held shard. Runner.mu guards it.
 type job struct {
 	header   record.Job
 	fence    backend.Compare // on the header
-	versions []uint64         // of the segments' records
+	versions []uint64        // of the segments' records
 	state    *batch.Job
 	shard    *shardWork
 	// context ends when the job is removed here: cancelled, ended or lost.
--- a/internal/jobs/runner/load.go
+++ b/internal/jobs/runner/load.go
@@ -12,11 +12,11 @@
 	"go.uber.org/zap"
 	"golang.org/x/sync/errgroup"
 
+	"ringstream.example/ringstream/internal/backend"
 	"ringstream.example/ringstream/internal/core/batch"
 	"ringstream.example/ringstream/internal/core/identity"
 	"ringstream.example/ringstream/internal/events"
 	"ringstream.example/ringstream/internal/jobs/record"
-	"ringstream.example/ringstream/internal/backend"
 )
 
 // listFrom is the number of shards from which on one list of all open jobs is
--- a/internal/jobs/runner/plan.go
+++ b/internal/jobs/runner/plan.go
@@ -6,10 +6,10 @@
 	"github.com/oklog/ulid/v2"
 	"go.uber.org/zap"
 
+	"ringstream.example/ringstream/internal/backend"
 	"ringstream.example/ringstream/internal/core/batch"
 	"ringstream.example/ringstream/internal/events"
 	"ringstream.example/ringstream/internal/jobs/record"
-	"ringstream.example/ringstream/internal/backend"
 )
 
 // writesPerCommit bounds one transaction; a job's part is never divided, and
--- a/internal/jobs/runner/runner.go
+++ b/internal/jobs/runner/runner.go
@@ -17,6 +17,7 @@
 	"github.com/prometheus/client_golang/prometheus"
 	"go.uber.org/zap"
 
+	"ringstream.example/ringstream/internal/backend"
 	"ringstream.example/ringstream/internal/core/batch"
 	"ringstream.example/ringstream/internal/core/identity"
 	"ringstream.example/ringstream/internal/core/policy"
@@ -25,7 +26,6 @@
 	"ringstream.example/ringstream/internal/jobs/record"
 	"ringstream.example/ringstream/internal/jobs/shard"
 	"ringstream.example/ringstream/internal/limits"
-	"ringstream.example/ringstream/internal/backend"
 	"ringstream.example/ringstream/internal/rows"
 	"ringstream.example/ringstream/internal/store"
 )
--- a/internal/jobs/service.go
+++ b/internal/jobs/service.go
@@ -11,6 +11,7 @@
 	"golang.org/x/sync/errgroup"
 
 	"ringstream.example/ringstream/internal/apierror"
+	"ringstream.example/ringstream/internal/backend"
 	"ringstream.example/ringstream/internal/core/batch"
 	"ringstream.example/ringstream/internal/core/identity"
 	"ringstream.example/ringstream/internal/core/outcome"
@@ -19,7 +20,6 @@
 	"ringstream.example/ringstream/internal/jobs/intake"
 	"ringstream.example/ringstream/internal/jobs/record"
 	"ringstream.example/ringstream/internal/jobs/runner"
-	"ringstream.example/ringstream/internal/backend"
 	"ringstream.example/ringstream/internal/store"
 )
 
--- a/internal/jobs/shard/claim.go
+++ b/internal/jobs/shard/claim.go
@@ -9,10 +9,10 @@
 	"github.com/oklog/ulid/v2"
 	"go.uber.org/zap"
 
+	"ringstream.example/ringstream/internal/backend"
 	"ringstream.example/ringstream/internal/core/lease"
 	"ringstream.example/ringstream/internal/events"
 	"ringstream.example/ringstream/internal/jobs/record"
-	"ringstream.example/ringstream/internal/backend"
 	"ringstream.example/ringstream/internal/store"
 	"ringstream.example/ringstream/internal/wait"
 )
--- a/internal/jobs/shard/keeper.go
+++ b/internal/jobs/shard/keeper.go
@@ -19,6 +19,7 @@
 	"go.uber.org/zap"
 	"golang.org/x/sync/errgroup"
 
+	"ringstream.example/ringstream/internal/backend"
 	"ringstream.example/ringstream/internal/core/identity"
 	"ringstream.example/ringstream/internal/core/lease"
 	"ringstream.example/ringstream/internal/core/membership"
@@ -26,7 +27,6 @@
 	"ringstream.example/ringstream/internal/events"
 	"ringstream.example/ringstream/internal/jobs/record"
 	"ringstream.example/ringstream/internal/peer"
-	"ringstream.example/ringstream/internal/backend"
 	"ringstream.example/ringstream/internal/store"
 )
 
--- a/internal/node/compose.go
+++ b/internal/node/compose.go
@@ -9,6 +9,7 @@
 
 	"ringstream.example/ringstream/internal/admin"
 	"ringstream.example/ringstream/internal/auth"
+	"ringstream.example/ringstream/internal/backend/httpclient"
 	"ringstream.example/ringstream/internal/dispatch"
 	"ringstream.example/ringstream/internal/fleet"
 	"ringstream.example/ringstream/internal/gateway"
@@ -16,7 +17,6 @@
 	"ringstream.example/ringstream/internal/jobs"
 	"ringstream.example/ringstream/internal/limits"
 	"ringstream.example/ringstream/internal/peer"
-	"ringstream.example/ringstream/internal/backend/httpclient"
 	"ringstream.example/ringstream/internal/rows"
 	"ringstream.example/ringstream/internal/store"
 	"ringstream.example/ringstream/internal/tlsconfig"
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -14,6 +14,7 @@
 
 	"ringstream.example/ringstream/internal/admin"
 	"ringstream.example/ringstream/internal/auth"
+	"ringstream.example/ringstream/internal/backend/httpclient"
 	"ringstream.example/ringstream/internal/core/identity"
 	"ringstream.example/ringstream/internal/dispatch"
 	"ringstream.example/ringstream/internal/events"
@@ -23,7 +24,6 @@
 	"ringstream.example/ringstream/internal/jobs"
 	"ringstream.example/ringstream/internal/limits"
 	"ringstream.example/ringstream/internal/peer"
-	"ringstream.example/ringstream/internal/backend/httpclient"
 	"ringstream.example/ringstream/internal/rows"
 	"ringstream.example/ringstream/internal/settings"
 	"ringstream.example/ringstream/internal/tlsconfig"
--- a/internal/passthrough/batch/collect.go
+++ b/internal/passthrough/batch/collect.go
@@ -96,4 +96,3 @@
 		_, _ = s.commit(ctx, passthrough.Transaction{Remove: []passthrough.Row{{Table: tableJobs, Part: partNodes, Key: id}}}) // tried again at the next round
 	}
 }
-
--- a/internal/passthrough/batch/nodes.go
+++ b/internal/passthrough/batch/nodes.go
@@ -116,8 +116,8 @@
 	claimRanks = 4 // beyond these, nodes wait alike
 	// ownClaim is how long a job may be this node's in the store and not in
 	// memory: the store's feed lags behind a job that has just been finished.
-	ownClaim = 600 * time.Millisecond
-	tendEvery  = 120 * time.Millisecond
+	ownClaim  = 600 * time.Millisecond
+	tendEvery = 120 * time.Millisecond
 )
 
 // tend lets go of jobs that are another's or have ended, and claims those
--- a/internal/passthrough/batch/owned.go
+++ b/internal/passthrough/batch/owned.go
@@ -19,13 +19,12 @@
 	engine    string             // that runs it
 	yield     context.CancelFunc // stops the run, to make room
 	notBefore time.Time          // of the next run
-	unrun     int       // engines that turned it away in a row
+	unrun     int                // engines that turned it away in a row
 	text      progress
 	saved     int  // events of the text that the store has
 	failed    bool // a failure waits to be written; no run before that
 	// finished is the state to be listed under; Open while the item runs.
 	finished passjob.ItemState
-	rejected int // answers that say that it can never be done
 }
 
 // ownedJob is a job that this node owns; guarded by Service.mu.
--- a/internal/passthrough/catalog/engines.go
+++ b/internal/passthrough/catalog/engines.go
@@ -31,20 +31,20 @@
 	health    func() Health
 	logger    *zap.Logger
 
-	mu       sync.Mutex // guards the rest
-	set      *enginechoice.Set
-	rows     map[string]passthrough.Row // the newest of each engine, removed ones too
-	byID     map[string]passthrough.EngineEntry
+	mu   sync.Mutex // guards the rest
+	set  *enginechoice.Set
+	rows map[string]passthrough.Row // the newest of each engine, removed ones too
+	byID map[string]passthrough.EngineEntry
 }
 
 // NewEngines makes an empty list for a node in the zone.
 func NewEngines(zone string, documents passthrough.Documents, routes *Routes, logger *zap.Logger) *Engines {
 	return &Engines{
 		documents: documents, routes: routes, logger: logger,
-		health:   func() Health { return Health{} },
-		set:      enginechoice.NewSet(zone),
-		rows:     make(map[string]passthrough.Row),
-		byID:     make(map[string]passthrough.EngineEntry),
+		health: func() Health { return Health{} },
+		set:    enginechoice.NewSet(zone),
+		rows:   make(map[string]passthrough.Row),
+		byID:   make(map[string]passthrough.EngineEntry),
 	}
 }
 
--- a/internal/passthrough/engineconn/conn.go
+++ b/internal/passthrough/engineconn/conn.go
@@ -184,7 +184,7 @@
 		}
 		exchange.written <- err
 	}()
-	response, err := c.readHead(wire, request)
+	response, err := c.readHead(wire, request) //nolint:bodyclose // Exchange.Close ends the body with its connection
 	if err != nil {
 		stop()
 		c.close()
@@ -229,7 +229,9 @@
 		target = &url.URL{Path: path, RawPath: path, RawQuery: query}
 	}
 	header := request.Header
-	header["User-Agent"] = header["User-Agent"] // absent stays absent: the standard writer would add its own
+	if _, given := header["User-Agent"]; !given {
+		header["User-Agent"] = nil // absent stays absent: the standard writer would add its own
+	}
 	wire := &http.Request{
 		Method: request.Method, URL: target, Host: request.Host, Header: header,
 		Proto: "HTTP/1.1", ProtoMajor: 1, ProtoMinor: 1,
--- a/internal/passthrough/relay/attempt.go
+++ b/internal/passthrough/relay/attempt.go
@@ -297,4 +297,3 @@
 		}
 	}
 }
-
--- a/internal/passthrough/relay/relay.go
+++ b/internal/passthrough/relay/relay.go
@@ -62,7 +62,7 @@
 	firstEvent time.Duration
 	failure    *engineFailure // the last answer of an engine that is a failure
 	status     int            // that the client got
-	headTimer  *patience    // ends an attempt whose engine stays silent
+	headTimer  *patience      // ends an attempt whose engine stays silent
 }
 
 // Serve answers a call. A stream that cannot be finished ends the connection,
--- a/internal/rows/audit.go
+++ b/internal/rows/audit.go
@@ -11,9 +11,9 @@
 	"go.uber.org/zap"
 	"golang.org/x/sync/errgroup"
 
+	"ringstream.example/ringstream/internal/backend"
 	"ringstream.example/ringstream/internal/core/rendezvous"
 	"ringstream.example/ringstream/internal/events"
-	"ringstream.example/ringstream/internal/backend"
 	"ringstream.example/ringstream/internal/wait"
 )
 
--- a/internal/rows/edit.go
+++ b/internal/rows/edit.go
@@ -11,10 +11,10 @@
 	"go.uber.org/zap"
 
 	"ringstream.example/ringstream/internal/apierror"
+	"ringstream.example/ringstream/internal/backend"
 	"ringstream.example/ringstream/internal/core/outcome"
 	"ringstream.example/ringstream/internal/core/policy"
 	"ringstream.example/ringstream/internal/events"
-	"ringstream.example/ringstream/internal/backend"
 	"ringstream.example/ringstream/internal/store"
 	"ringstream.example/ringstream/internal/wait"
 )
--- a/internal/rows/records.go
+++ b/internal/rows/records.go
@@ -7,9 +7,9 @@
 
 	"github.com/cespare/xxhash/v2"
 
+	"ringstream.example/ringstream/internal/backend"
 	"ringstream.example/ringstream/internal/core/identity"
 	"ringstream.example/ringstream/internal/core/policy"
-	"ringstream.example/ringstream/internal/backend"
 )
 
 // The keys of the table's records.
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -10,6 +10,7 @@
 
 	"ringstream.example/ringstream/internal/admin"
 	"ringstream.example/ringstream/internal/auth"
+	"ringstream.example/ringstream/internal/backend/httpclient"
 	"ringstream.example/ringstream/internal/configcheck"
 	"ringstream.example/ringstream/internal/dispatch"
 	"ringstream.example/ringstream/internal/fleet"
@@ -19,7 +20,6 @@
 	"ringstream.example/ringstream/internal/limits"
 	"ringstream.example/ringstream/internal/passthrough/edge"
 	"ringstream.example/ringstream/internal/peer"
-	"ringstream.example/ringstream/internal/backend/httpclient"
 	"ringstream.example/ringstream/internal/rows"
 	"ringstream.example/ringstream/internal/tlsconfig"
 )
@@ -113,7 +113,9 @@
 )
 
 // DefaultLog writes JSON from info up to standard error.
-func DefaultLog() Log { return Log{Level: zapcore.InfoLevel.String(), Format: LogJSON, Output: LogStderr} }
+func DefaultLog() Log {
+	return Log{Level: zapcore.InfoLevel.String(), Format: LogJSON, Output: LogStderr}
+}
 
 // Validate checks level and format.
 func (l Log) Validate() error {
