sharing: smaller reports; feeds of engines and jobs asked less often

Change: engines stand as hashes in a flat list; at least 300 ms between calls for engines, 200 ms for jobs.

--- a/internal/passthrough/edge/edge.go
+++ b/internal/passthrough/edge/edge.go
@@ -80,8 +80,11 @@
 	node.routes = catalog.NewRoutes(platform.Documents, node.logger)
 	node.engines = catalog.NewEngines(identity.Zone, platform.Documents, node.routes, node.logger)
 	node.routesFollower = catalog.NewFollower(follow, platform.Rows, places.RoutesTable, whole, node.routes, node.logger)
-	node.engineFollower = catalog.NewFollower(follow, platform.Rows, places.EnginesTable, whole, node.engines, node.logger)
+	engineFollow := follow
+	engineFollow.Pace = enginePace
+	node.engineFollower = catalog.NewFollower(engineFollow, platform.Rows, places.EnginesTable, whole, node.engines, node.logger)
 	node.engines.JudgeBy(node.engineFollower.Health)
+	follow.Pace = jobPace
 	node.pool = engineconn.New(engineconn.DefaultConfig())
 	node.batch = batch.New(config.Batch, batch.Dependencies{
 		Store: platform.Rows, Objects: platform.Objects, Headers: platform.Headers, Format: platform.Format,
@@ -229,6 +232,14 @@
 	return err
 }
 
+// The least times between two calls for the changes of a table. Every call
+// costs; engines that leave may get work for two seconds more, and jobs' results
+// are read about twice a second.
+const (
+	enginePace = 300 * time.Millisecond
+	jobPace    = 200 * time.Millisecond
+)
+
 const (
 	sweepEvery = 500 * time.Millisecond
 	clockEvery = 100 * time.Millisecond
--- a/internal/passthrough/edge/sharer.go
+++ b/internal/passthrough/edge/sharer.go
@@ -28,6 +28,13 @@
 	return counts
 }
 
+// Engines implements sharing.Local.
+func (s *sharer) Engines() []string {
+	var ids []string
+	s.node.engines.Use(func(set *enginechoice.Set, _ time.Time) { ids = set.Known() })
+	return ids
+}
+
 // Told implements sharing.Local.
 func (s *sharer) Told(counts map[string]enginechoice.Counts, wanting []string) {
 	s.node.batch.Contend(wanting)
--- a/internal/peer/sharing/sharing.go
+++ b/internal/peer/sharing/sharing.go
@@ -11,11 +11,13 @@
 	"encoding/gob"
 	"errors"
 	"io"
+	"math"
 	"math/rand/v2"
 	"net"
 	"sync"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
 	"go.uber.org/zap"
 
 	"ringstream.example/ringstream/internal/core/enginechoice"
@@ -24,23 +26,23 @@
 	"ringstream.example/ringstream/internal/wait"
 )
 
-// Load is one node's work under way at one engine.
-type Load struct {
-	Engine        string
-	Online, Batch int
-	Prefill       int // tokens
-	Memory        int // tokens
-}
-
-// Report is one node's work at all engines.
+// Report is one node's work at all engines. It is sent often, so it is small:
+// names stand as hashes, and the loads in a flat list of loadFields each.
 type Report struct {
 	Node     string // this life of the node
 	Sequence uint64
-	Loads    []Load
+	// Loads holds for each engine: hash of its id, online and batch requests,
+	// tokens to prefill, tokens of memory.
+	Loads []uint32
 	// Wants says that the node has batch items that wait for an engine.
 	Wants bool
 }
 
+const loadFields = 5
+
+// engineHash stands for an engine's id in a report.
+func engineHash(id string) uint32 { return uint32(xxhash.Sum64String(id)) } //nolint:gosec // the low half is meant
+
 // Question asks for the documents that the asker lacks.
 type Question struct {
 	RoutesVersion int64 // that the asker has
@@ -60,6 +62,8 @@
 type Local interface {
 	// Loads gives this node's work at the engines.
 	Loads() map[string]enginechoice.Counts
+	// Engines gives the ids of the engines that this node knows.
+	Engines() []string
 	// Peers gives the addresses of the other nodes.
 	Peers() []string
 	// Blind says whether this node does not hear the store.
@@ -204,11 +208,13 @@
 func (s *Share) report(sequence uint64) Report {
 	report := Report{Node: s.self, Sequence: sequence, Wants: s.local.Wants()}
 	for engine, counts := range s.local.Loads() {
-		report.Loads = append(report.Loads, Load{Engine: engine, Online: counts.Online, Batch: counts.Batch, Prefill: counts.PrefillTokens, Memory: counts.MemoryTokens})
+		report.Loads = append(report.Loads, engineHash(engine), small(counts.Online), small(counts.Batch), small(counts.PrefillTokens), small(counts.MemoryTokens))
 	}
 	return report
 }
 
+func small(count int) uint32 { return uint32(min(max(count, 0), math.MaxInt32)) } //nolint:gosec // bounded
+
 func (s *Share) send(datagrams net.PacketConn, report Report, peers []string) {
 	var message bytes.Buffer
 	if err := gob.NewEncoder(&message).Encode(report); err != nil || message.Len() > datagramBytes {
@@ -251,7 +257,7 @@
 func (s *Share) sum(now time.Time) (total map[string]enginechoice.Counts, wanting []string) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	total = make(map[string]enginechoice.Counts)
+	byHash := make(map[uint32]enginechoice.Counts)
 	trust := s.config.Trust + 2*time.Duration(len(s.nodes))*s.config.PerPeer
 	for node, told := range s.nodes {
 		if now.Sub(told.at) > trust {
@@ -261,13 +267,19 @@
 		if told.report.Wants {
 			wanting = append(wanting, node)
 		}
-		for _, load := range told.report.Loads {
-			counts := total[load.Engine]
-			counts.Online += load.Online
-			counts.Batch += load.Batch
-			counts.PrefillTokens += load.Prefill
-			counts.MemoryTokens += load.Memory
-			total[load.Engine] = counts
+		for loads := told.report.Loads; len(loads) >= loadFields; loads = loads[loadFields:] {
+			counts := byHash[loads[0]]
+			counts.Online += int(loads[1])
+			counts.Batch += int(loads[2])
+			counts.PrefillTokens += int(loads[3])
+			counts.MemoryTokens += int(loads[4])
+			byHash[loads[0]] = counts
+		}
+	}
+	total = make(map[string]enginechoice.Counts, len(byHash))
+	for _, engine := range s.local.Engines() {
+		if counts, told := byHash[engineHash(engine)]; told {
+			total[engine] = counts
 		}
 	}
 	return total, wanting
--- a/internal/peer/sharing/sharing_test.go
+++ b/internal/peer/sharing/sharing_test.go
@@ -31,6 +31,7 @@
 }
 
 func (l *local) Loads() map[string]enginechoice.Counts { return l.loads }
+func (l *local) Engines() []string                     { return []string{"e", "e1"} }
 func (l *local) Peers() []string                       { l.mu.Lock(); defer l.mu.Unlock(); return l.peers }
 func (l *local) Blind() bool                           { return l.blind }
 func (l *local) Wants() bool                           { return l.wants }
@@ -98,10 +99,10 @@
 
 func TestReportsAreSummedAndExpire(t *testing.T) {
 	share := New(DefaultConfig("127.0.0.1:1"), "self", newLocal(), zap.NewNop())
-	share.hear(Report{Node: "a", Sequence: 2, Loads: []Load{{Engine: "e", Online: 1}}})
-	share.hear(Report{Node: "a", Sequence: 1, Loads: []Load{{Engine: "e", Online: 9}}}) // overtaken
-	share.hear(Report{Node: "b", Sequence: 1, Wants: true, Loads: []Load{{Engine: "e", Online: 2, Batch: 3}}})
-	share.hear(Report{Node: "self", Sequence: 1, Loads: []Load{{Engine: "e", Online: 100}}})
+	share.hear(Report{Node: "a", Sequence: 2, Loads: []uint32{engineHash("e"), 1, 0, 0, 0}})
+	share.hear(Report{Node: "a", Sequence: 1, Loads: []uint32{engineHash("e"), 9, 0, 0, 0}}) // overtaken
+	share.hear(Report{Node: "b", Sequence: 1, Wants: true, Loads: []uint32{engineHash("e"), 2, 3, 0, 0, 7}})
+	share.hear(Report{Node: "self", Sequence: 1, Loads: []uint32{engineHash("e"), 100, 0, 0, 0}})
 	total, wanting := share.sum(time.Now())
 	if total["e"] != (enginechoice.Counts{Online: 3, Batch: 3}) || len(wanting) != 1 || wanting[0] != "b" {
 		t.Errorf("got %+v by %v", total, wanting)
