--- a/cmd/ringstream/command_test.go
+++ b/cmd/ringstream/command_test.go
@@ -194,6 +194,59 @@
 	}
 }
 
+func TestExplainTellsOneRequestsStory(t *testing.T) {
+	file := filepath.Join(t.TempDir(), "n1.log")
+	line := `{"level":"info","ts":"2026-01-01T00:00:01Z","msg":"request ended","node":"n1","request":"r1","outcome":"failed","event":8102}` + "\n"
+	if err := os.WriteFile(file, []byte(line), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	for _, test := range []struct {
+		name, out, text string
+		line            []string
+		code            int
+	}{
+		{name: "known", line: []string{"explain", "r1", file}, out: "request ended outcome=failed request=r1", code: exitOK},
+		{name: "unknown id", line: []string{"explain", "r2", file}, text: `about "r2"`, code: exitNotFound},
+		{name: "no file", line: []string{"explain", "r1", file + ".gone"}, text: "no such file", code: exitUsage},
+		{name: "too little", line: []string{"explain", "r1"}, text: "at least one FILE", code: exitUsage},
+	} {
+		var out, text bytes.Buffer
+		if code := execute(t.Context(), test.line, nil, &out, &text); code != test.code || !strings.Contains(out.String(), test.out) || !strings.Contains(text.String(), test.text) {
+			t.Errorf("%s: %d %s %s", test.name, code, out.String(), text.String())
+		}
+	}
+}
+
+func TestSettingsFileFromTheEnvironment(t *testing.T) {
+	file := filepath.Join(t.TempDir(), "node.yaml")
+	t.Setenv("RINGSTREAM_SETTINGS", file)
+	check := func(content string) (int, string) {
+		if err := os.WriteFile(file, []byte(content), 0o600); err != nil {
+			t.Fatal(err)
+		}
+		var out, text bytes.Buffer
+		code := execute(t.Context(), []string{"config", "check"}, nil, &out, &text)
+		return code, text.String()
+	}
+	good := "node: {id: n1, zone: z, region: r}\npass_through:\n  address: 127.0.0.1:1\n  ready_address: 127.0.0.1:2\n  store_address: 127.0.0.1:3\n"
+	if code, text := check(good); code != exitOK {
+		t.Errorf("%d %s", code, text)
+	}
+	if code, text := check(strings.Replace(good, "127.0.0.1:3", "store", 1)); code != exitUsage || !strings.Contains(text, "node.yaml:5") || !strings.Contains(text, `pass_through.store_address: "store"`) || !strings.Contains(text, "allowed") {
+		t.Errorf("%d %s", code, text)
+	}
+	if code, text := check(good + "  store_adress: x\n"); code != exitUsage || !strings.Contains(text, "store_adress") {
+		t.Errorf("%d %s", code, text)
+	}
+	if err := os.Remove(file); err != nil {
+		t.Fatal(err)
+	}
+	var out, text bytes.Buffer
+	if code := execute(t.Context(), []string{"node"}, nil, &out, &text); code == exitOK || !strings.Contains(text.String(), "no such file") {
+		t.Errorf("%d %s", code, text.String())
+	}
+}
+
 func TestUnknownAuthorityIsExplained(t *testing.T) {
 	server := httptest.NewTLSServer(http.NotFoundHandler())
 	server.Config.ErrorLog = log.New(io.Discard, "", 0)
--- a/cmd/ringstream/failure.go
+++ b/cmd/ringstream/failure.go
@@ -45,7 +45,10 @@
 	var wrong *settings.Error
 	var answer *adminclient.APIError
 	var connection *adminclient.ConnectionError
+	var untold *noStoryError
 	switch {
+	case errors.As(err, &untold):
+		return exitNotFound
 	case errors.As(err, &usage), errors.As(err, &wrong), strings.HasPrefix(err.Error(), "unknown command"):
 		return exitUsage
 	case errors.As(err, &connection):
@@ -74,8 +77,8 @@
 	return exitFailure
 }
 
-// explain says what went wrong, where, and what to do.
-func explain(err error) string {
+// explainFailure says what went wrong, where, and what to do.
+func explainFailure(err error) string {
 	text := "ringstream: " + err.Error()
 	if advice := advise(err); advice != "" {
 		text += "\n" + advice
--- a/cmd/ringstream/main.go
+++ b/cmd/ringstream/main.go
@@ -28,6 +28,6 @@
 	if err == nil {
 		return exitOK
 	}
-	_, _ = fmt.Fprintln(errorOutput, explain(err)) // nowhere left to report to
+	_, _ = fmt.Fprintln(errorOutput, explainFailure(err)) // nowhere left to report to
 	return exitCode(err)
 }
--- a/cmd/ringstream/root.go
+++ b/cmd/ringstream/root.go
@@ -55,7 +55,7 @@
 		}
 		return &usageError{command: command.CommandPath(), cause: fmt.Errorf("--output: %q is not allowed; allowed: json, table", options.output)}
 	}
-	root.AddCommand(newNode(options), newRow(options), newJob(options), newConfig(options), newVersion(options))
+	root.AddCommand(newNode(options), newRow(options), newJob(options), newConfig(options), newExplain(), newVersion(options))
 	return root
 }
 
--- /dev/null
+++ b/internal/explain/explain_test.go
@@ -0,0 +1,53 @@
+package explain
+
+import (
+	"strings"
+	"testing"
+	"time"
+)
+
+const logs = `built in 1 s
+  1.2 n1 {"level":"info","ts":"2026-01-01T00:00:01.2Z","msg":"engine chosen","node":"n1","request":"r1","engine":"e1","event":8103}
+{"level":"info","ts":"2026-01-01T00:00:00.9Z","msg":"store lost","node":"n1","table":"op","event":8003}
+{"level":"info","ts":"2026-01-01T00:00:00.9Z","msg":"store lost","node":"n2","table":"op","event":8003}
+{"level":"info","ts":"2026-01-01T00:00:01.1Z","msg":"routes taken","node":"n1","version":4,"event":8010}
+{"level":"info","ts":"2026-01-01T00:00:01.5Z","msg":"request ended","node":"n1","request":"r1","outcome":"failed","event":8102}
+{"level":"info","ts":"2026-01-01T00:00:01.4Z","msg":"job written","node":"n2","job":"j1","event":8305}
+{"broken
+{"ts":"when","event":1}
+`
+
+func TestStoryIsInOrderWithWhatWasBelieved(t *testing.T) {
+	lines, err := Read(strings.NewReader(logs))
+	if err != nil || len(lines) != 6 {
+		t.Fatalf("%d lines, %v", len(lines), err)
+	}
+	text := Text(Story(lines, "r1", time.Second))
+	want := []string{"store lost table=op", "routes taken version=4", "engine chosen engine=e1 request=r1", "request ended outcome=failed request=r1"}
+	at := 0
+	for _, part := range want {
+		next := strings.Index(text[at:], part)
+		if next < 0 {
+			t.Fatalf("%q is missing or out of order in\n%s", part, text)
+		}
+		at += next
+	}
+	if strings.Contains(text, "n2") {
+		t.Errorf("another node's line is told:\n%s", text)
+	}
+	if text := Text(Story(lines, "r1", 0)); strings.Contains(text, "store lost") {
+		t.Errorf("an older line is told:\n%s", text)
+	}
+	if story := Story(lines, "j1", 0); len(story) != 1 {
+		t.Errorf("the job's story: %+v", story)
+	}
+	if story := Story(lines, "nobody", time.Second); story != nil {
+		t.Errorf("a story of nobody: %+v", story)
+	}
+}
+
+func TestTooLongLineIsTold(t *testing.T) {
+	if _, err := Read(strings.NewReader(strings.Repeat("x", maxLine+1))); err == nil {
+		t.Error("a line over the limit was passed over in silence")
+	}
+}
