batch: a store that takes no signs of life kills nobody

While the part of the store that holds the signs of life took no writes and the feed went on, every node held every other for dead; from 2.9 to 4.5 s jobs were claimed to and fro, 114 times, and their items run again. Ruled out: the freeze of three machines (5 to 11 s); the clock; the rank's pauses. Change: a node judges others only when its own signs were taken for dead_after; a missed sign is made up for after a quarter of the heartbeat; ranks reach to eight.

--- a/internal/passthrough/batch/nodes.go
+++ b/internal/passthrough/batch/nodes.go
@@ -23,23 +23,36 @@
 		leaving := s.leaving
 		s.mu.Unlock()
 		sign := nodeSign{Name: s.Name, Zone: s.Zone, Peer: s.Peer, Started: started, Count: count, Leaving: leaving}
-		s.writeSign(ctx, sign)
-		if !wait.For(ctx, s.config.Heartbeat) {
+		pause := s.config.Heartbeat
+		if !s.writeSign(ctx, sign) {
+			pause /= missedSignShare
+		}
+		if !wait.For(ctx, pause) {
 			return nil
 		}
 	}
 }
 
+// missedSignShare is the part of the heartbeat after which a sign that was not
+// written is made up for.
+const missedSignShare = 4
+
 // writeSign writes one sign of life; a lost one is made up for by the next.
-func (s *Service) writeSign(ctx context.Context, sign nodeSign) {
+func (s *Service) writeSign(ctx context.Context, sign nodeSign) bool {
 	value, err := json.Marshal(sign)
 	if err != nil {
-		return // strings and numbers always can be written
+		return false // strings and numbers always can be written
 	}
 	row := passthrough.Row{Table: tableJobs, Part: partNodes, Key: s.Self, Value: value}
-	if _, err := s.commit(ctx, passthrough.Transaction{Put: []passthrough.Row{row}}); err != nil && ctx.Err() == nil {
-		events.SignNotWritten.Log(s.Logger, zap.Int64("count", sign.Count), zap.Error(err))
+	_, err = s.commit(ctx, passthrough.Transaction{Put: []passthrough.Row{row}})
+	if err == nil || ctx.Err() != nil {
+		return true
 	}
+	s.mu.Lock()
+	s.signMissed = time.Now()
+	s.mu.Unlock()
+	events.SignNotWritten.Log(s.Logger, zap.Int64("count", sign.Count), zap.Error(err))
+	return false
 }
 
 // fleet is what a node believes of the nodes.
@@ -53,11 +66,15 @@
 
 // lookAtNodes judges the nodes. A node is dead when its machine has started a
 // new life, or when no sign of life came for DeadAfter while the store was
-// heard all that time.
+// heard and took this node's own signs all that time: a store that takes no
+// writes silences everybody.
 func (s *Service) lookAtNodes(now time.Time) fleet {
 	health := s.follower.Health()
 	trusted := !health.LastGood.IsZero() && now.Sub(health.LastGood) < s.config.Heartbeat+s.config.DeadAfter/2
-	quietSince := now.Sub(health.LastBad) > s.config.DeadAfter && now.Sub(s.started) > s.config.DeadAfter
+	s.mu.Lock()
+	signMissed := s.signMissed
+	s.mu.Unlock()
+	quietSince := now.Sub(health.LastBad) > s.config.DeadAfter && now.Sub(signMissed) > s.config.DeadAfter && now.Sub(s.started) > s.config.DeadAfter
 	s.view.mu.Lock()
 	defer s.view.mu.Unlock()
 	newest := make(map[string]int64)
@@ -112,8 +129,8 @@
 // Each further node waits this much longer before it claims a job, so that
 // claims seldom meet.
 const (
-	claimStep  = 350 * time.Millisecond
-	claimRanks = 4 // beyond these, nodes wait alike
+	claimStep  = 300 * time.Millisecond
+	claimRanks = 8 // beyond these, nodes wait alike
 	// ownClaim is how long a job may be this node's in the store and not in
 	// memory: the store's feed lags behind a job that has just been finished.
 	ownClaim  = 600 * time.Millisecond
@@ -223,3 +240,6 @@
 	}
 	s.adopt(record, result.version, nil)
 }
+
+// LiveNodes counts the nodes that are taken for alive, this one included.
+func (s *Service) LiveNodes() int { return len(s.lookAtNodes(time.Now()).live) }
--- a/internal/passthrough/batch/service.go
+++ b/internal/passthrough/batch/service.go
@@ -57,8 +57,10 @@
 	wanting []string      // other nodes with items that wait
 	wants   bool          // this node has some
 	onStart func()        // hears of each item sent to an engine
-	storeAt time.Duration // the store's clock, as of storeAtLocal
-	storeAs time.Time
+	// signMissed is when this node last failed to write its sign of life.
+	signMissed time.Time
+	storeAt    time.Duration // the store's clock, as of storeAtLocal
+	storeAs    time.Time
 }
 
 // New makes a service; Run starts it.
--- a/internal/passthrough/edge/inspect.go
+++ b/internal/passthrough/edge/inspect.go
@@ -50,3 +50,6 @@
 
 // EventsKept counts the events that this node keeps of a job's open items.
 func (n *Node) EventsKept(job string) int { return n.batch.EventsKept(job) }
+
+// LiveNodes counts the nodes that this node takes for alive, itself included.
+func (n *Node) LiveNodes() int { return n.batch.LiveNodes() }
