--- a/internal/passthrough/batch/nodes.go
+++ b/internal/passthrough/batch/nodes.go
@@ -23,7 +23,7 @@
 		leaving := s.leaving
 		s.mu.Unlock()
 		sign := nodeSign{Name: s.Name, Zone: s.Zone, Peer: s.Peer, Started: started, Count: count, Leaving: leaving}
-		pause := s.config.Heartbeat
+		pause := s.heartbeat()
 		if !s.writeSign(ctx, sign) {
 			pause /= missedSignShare
 		}
@@ -33,6 +33,26 @@
 	}
 }
 
+// nodesPerBeat is how many nodes may write signs of life in one heartbeat; every
+// sign reaches every node, so a larger fleet writes them less often.
+const nodesPerBeat = 40
+
+// Crowding is how much larger than planned for the fleet is, at least one.
+func (s *Service) Crowding() float64 {
+	s.view.mu.Lock()
+	defer s.view.mu.Unlock()
+	return max(1, float64(len(s.view.nodes))/nodesPerBeat)
+}
+
+func (s *Service) heartbeat() time.Duration {
+	return time.Duration(float64(s.config.Heartbeat) * s.Crowding())
+}
+
+// deadAfter is how long a node may be silent.
+func (s *Service) deadAfter() time.Duration {
+	return time.Duration(float64(s.config.DeadAfter) * s.Crowding())
+}
+
 // missedSignShare is the part of the heartbeat after which a sign that was not
 // written is made up for.
 const missedSignShare = 4
@@ -70,11 +90,12 @@
 // writes silences everybody.
 func (s *Service) lookAtNodes(now time.Time) fleet {
 	health := s.follower.Health()
-	trusted := !health.LastGood.IsZero() && now.Sub(health.LastGood) < s.config.Heartbeat+s.config.DeadAfter/2
+	deadAfter := s.deadAfter()
+	trusted := !health.LastGood.IsZero() && now.Sub(health.LastGood) < s.config.Heartbeat+deadAfter/2
 	s.mu.Lock()
 	signMissed := s.signMissed
 	s.mu.Unlock()
-	quietSince := now.Sub(health.LastBad) > s.config.DeadAfter && now.Sub(signMissed) > s.config.DeadAfter && now.Sub(s.started) > s.config.DeadAfter
+	quietSince := now.Sub(health.LastBad) > deadAfter && now.Sub(signMissed) > deadAfter && now.Sub(s.started) > deadAfter
 	s.view.mu.Lock()
 	defer s.view.mu.Unlock()
 	newest := make(map[string]int64)
@@ -88,7 +109,7 @@
 		case id == s.Self:
 		case node.sign.Started < newest[node.sign.Name]:
 			seen.dead[id] = "its machine has started anew"
-		case trusted && quietSince && silent > s.config.DeadAfter:
+		case trusted && quietSince && silent > deadAfter:
 			seen.dead[id] = "no sign of life"
 		default:
 			seen.live[id] = true
@@ -210,7 +231,7 @@
 	case record.Owner == s.Self:
 		return ownClaim
 	case record.Owner != "" && seen.dead[record.Owner] == "":
-		return pause + s.config.DeadAfter
+		return pause + s.deadAfter()
 	default:
 		return pause
 	}
--- a/internal/passthrough/batch/service.go
+++ b/internal/passthrough/batch/service.go
@@ -12,6 +12,7 @@
 	"ringstream.example/ringstream/internal/passthrough"
 	"ringstream.example/ringstream/internal/passthrough/catalog"
 	"ringstream.example/ringstream/internal/passthrough/engineconn"
+	"ringstream.example/ringstream/internal/wait"
 )
 
 // Dependencies are the parts that the service works with.
@@ -28,6 +29,8 @@
 	Self, Name, Zone string
 	// Peer is where this node hears others; empty: nowhere.
 	Peer string
+	// Ready says whether the node takes clients; nil: it does.
+	Ready func() bool
 	// Follow says how the table of jobs is followed.
 	Follow     catalog.FollowConfig
 	Registerer prometheus.Registerer
@@ -73,6 +76,7 @@
 	}
 	service.follower = catalog.NewFollower(dependencies.Follow, dependencies.Store, tableJobs, config.parts(), service.view, dependencies.Logger)
 	service.follower.OnStoreClock(service.tellTime)
+	service.follower.SlowBy(service.Crowding)
 	return service
 }
 
@@ -82,13 +86,26 @@
 // Run works until ctx ends; jobs are handed over by Leave before that.
 func (s *Service) Run(ctx context.Context) error {
 	var group run.Group
-	for _, part := range []func(context.Context) error{s.follower.Run, s.beat, s.tend, s.schedule, s.saveProgress, s.collect} {
+	for _, part := range []func(context.Context) error{s.follow, s.beat, s.tend, s.schedule, s.saveProgress, s.collect} {
 		partCtx, cancel := context.WithCancel(ctx)
 		group.Add(func() error { return part(partCtx) }, func(error) { cancel() })
 	}
 	return group.Run()
 }
 
+// follow follows the table of jobs once the node takes clients: when all nodes
+// start at once, what clients wait for is read first.
+func (s *Service) follow(ctx context.Context) error {
+	for s.Ready != nil && !s.Ready() {
+		if !wait.For(ctx, readyPause) {
+			return nil
+		}
+	}
+	return s.follower.Run(ctx)
+}
+
+const readyPause = 20 * time.Millisecond
+
 // tellTime takes the store's clock.
 func (s *Service) tellTime(at time.Duration) {
 	s.mu.Lock()
--- a/internal/passthrough/catalog/follower.go
+++ b/internal/passthrough/catalog/follower.go
@@ -22,6 +22,7 @@
 	Wait     time.Duration // longest that the store holds a feed call
 	Slack    time.Duration // how much longer an answer may take
 	Pace     time.Duration // least time between two feed calls
+	PaceMost time.Duration // the same in a large fleet, whatever SlowBy says
 	RetryMin time.Duration // pause after a failed call, doubled up to RetryMax
 	RetryMax time.Duration
 }
@@ -29,7 +30,7 @@
 // DefaultFollowConfig suits a store that answers within some milliseconds.
 func DefaultFollowConfig() FollowConfig {
 	return FollowConfig{
-		Wait: time.Second, Slack: 900 * time.Millisecond, Pace: 100 * time.Millisecond,
+		Wait: time.Second, Slack: 900 * time.Millisecond, Pace: 100 * time.Millisecond, PaceMost: 700 * time.Millisecond,
 		RetryMin: 50 * time.Millisecond, RetryMax: 500 * time.Millisecond,
 	}
 }
@@ -50,6 +51,7 @@
 	parts  func(context.Context) ([]string, error)
 	sink   Sink
 	clock  func(time.Duration)
+	pace   func() time.Duration // at least config.Pace
 	logger *zap.Logger
 
 	mu          sync.Mutex // guards the rest; never held during a call
@@ -62,12 +64,22 @@
 // NewFollower makes a follower of a table's listed parts.
 func NewFollower(config FollowConfig, rows passthrough.Rows, table string, parts []string, sink Sink, logger *zap.Logger) *Follower {
 	fixed := func(context.Context) ([]string, error) { return parts, nil }
-	return &Follower{config: config, rows: rows, table: table, parts: fixed, sink: sink, clock: func(time.Duration) {}, logger: logger}
+	pace := func() time.Duration { return config.Pace }
+	return &Follower{config: config, rows: rows, table: table, parts: fixed, sink: sink, clock: func(time.Duration) {}, pace: pace, logger: logger}
 }
 
 // OnStoreClock has a function hear the store's clock; called before Run.
 func (f *Follower) OnStoreClock(hear func(time.Duration)) { f.clock = hear }
 
+// SlowBy has the pace ask how much slower than configured it should be, as a
+// factor of one or more; called before Run.
+func (f *Follower) SlowBy(factor func() float64) {
+	f.pace = func() time.Duration {
+		slowed := time.Duration(float64(f.config.Pace) * max(factor(), 1))
+		return max(f.config.Pace, min(slowed, f.config.PaceMost))
+	}
+}
+
 // Health says how well the table is followed.
 type Health struct {
 	Listed   bool      // a whole listing was taken
@@ -172,7 +184,7 @@
 			f.sink.Change(snapshot.Rows)
 		}
 		version = max(version, snapshot.Version)
-		wait.For(ctx, f.config.Pace-time.Since(started))
+		wait.For(ctx, f.pace()-time.Since(started))
 	}
 }
 
--- a/internal/passthrough/edge/edge.go
+++ b/internal/passthrough/edge/edge.go
@@ -89,8 +89,10 @@
 	node.batch = batch.New(config.Batch, batch.Dependencies{
 		Store: platform.Rows, Objects: platform.Objects, Headers: platform.Headers, Format: platform.Format,
 		Routes: node.routes, Engines: node.engines, Pool: node.pool, Logger: node.logger,
-		Self: node.self, Name: identity.Name, Zone: identity.Zone, Peer: config.PeerAddress, Follow: follow, Registerer: node.registry,
+		Self: node.self, Name: identity.Name, Zone: identity.Zone, Peer: config.PeerAddress, Ready: node.knows, Follow: follow, Registerer: node.registry,
 	})
+	node.engineFollower.SlowBy(node.batch.Crowding)
+	node.routesFollower.SlowBy(node.batch.Crowding)
 	node.front = ingress.New(ingress.Dependencies{
 		Headers: platform.Headers, Format: platform.Format, Routes: node.routes, Batch: node.batch, Logger: node.logger,
 		Relay: relay.New(platform.Headers, node.engines, node.pool, node.logger, relay.NewMetrics(node.registry)),
@@ -187,8 +189,8 @@
 	if n.leaving.Load() {
 		return false
 	}
+	ready := n.knows()
 	table, _ := n.routes.Table()
-	ready := table != nil && n.engineFollower.Health().Listed
 	if ready && n.ready.CompareAndSwap(false, true) {
 		engines := 0
 		n.engines.Use(func(set *enginechoice.Set, _ time.Time) { engines = len(set.Known()) })
@@ -197,6 +199,12 @@
 	return ready
 }
 
+// knows says whether the node knows the routes and the engines.
+func (n *Node) knows() bool {
+	table, _ := n.routes.Table()
+	return table != nil && n.engineFollower.Health().Listed
+}
+
 // serveReady answers the platform's question.
 func (n *Node) serveReady(ctx context.Context) error {
 	server := newEcho()
