batch: a job's bodies lie in the transaction that makes it exist

Change: bodies up to 450 KB are rows of the same transaction, one call in place of two; larger ones an object with 4 s; a node's readers see its own writes at once.

--- a/internal/core/passjob/passjob.go
+++ b/internal/core/passjob/passjob.go
@@ -41,11 +41,11 @@
 	Items      []Item        `json:"items"`
 	Listed     int           `json:"listed"` // results so far
 	Ended      bool          `json:"ended,omitempty"`
-	Owner      string        `json:"owner,omitempty"` // incarnation of a node; empty: nobody
-	Epoch      int64         `json:"epoch"`           // rises with each new owner
-	Object     string        `json:"object"`          // that holds the items' bodies
-	ObjectSize int           `json:"object_size"`
-	Commit     string        `json:"commit"` // id of the transaction that wrote this
+	Owner      string        `json:"owner,omitempty"`  // incarnation of a node; empty: nobody
+	Epoch      int64         `json:"epoch"`            // rises with each new owner
+	Object     string        `json:"object,omitempty"` // that holds the job as it came; empty: it lies in rows
+	BodyBytes  int           `json:"body_bytes"`       // of the job as it came
+	Commit     string        `json:"commit"`           // id of the transaction that wrote this
 }
 
 // Encode gives the record as a row's value.
--- a/internal/passthrough/batch/collect.go
+++ b/internal/passthrough/batch/collect.go
@@ -46,6 +46,9 @@
 		err = s.removeRange(ctx, tablePartial, shard, job.record.ID)
 	}
 	if err == nil {
+		err = s.removeRange(ctx, tableBodies, shard, job.record.ID)
+	}
+	if err == nil && job.record.Object != "" {
 		err = s.Objects.DeleteObject(ctx, job.record.Object)
 	}
 	if err == nil {
--- a/internal/passthrough/batch/intake.go
+++ b/internal/passthrough/batch/intake.go
@@ -104,8 +104,8 @@
 	return tokens
 }
 
-// take stores the items' bodies, then makes the job exist in one transaction.
-// That of a route with a limit also rewrites the route's quota row under a
+// take makes the job exist in one transaction that holds the items' bodies as
+// well; bodies that are too long for it are stored as an object before. That of a route with a limit also rewrites the route's quota row under a
 // compare, so that no two jobs are accepted on the same count.
 func (s *Service) take(ctx context.Context, call *relay.Call, items []passthrough.Item) (intakeOutcome, error) {
 	id := call.Demand.RequestID
@@ -126,7 +126,7 @@
 		if limit := call.Route.QueueTokens; limit > 0 && waiting+tokensOf(items) > limit {
 			return full, nil
 		}
-		if !stored {
+		if !stored && len(call.Body) > bodiesMost {
 			if err := s.putObject(ctx, objectName(id), call.Body); err != nil {
 				return refused, err
 			}
@@ -160,6 +160,9 @@
 func (s *Service) create(ctx context.Context, call *relay.Call, items []passthrough.Item, quota int64) (outcome intakeOutcome, again bool, err error) {
 	record := s.newRecord(call, items)
 	transaction := passthrough.Transaction{}
+	if record.Object == "" {
+		transaction.Put = s.config.bodyRows(record.ID, call.Body)
+	}
 	if call.Route.QueueTokens > 0 {
 		transaction.Across = true
 		transaction.Expected = append(transaction.Expected, passthrough.Expectation{Table: tableJobs, Part: partQuotas, Key: call.Route.Name, Version: quota})
@@ -206,7 +209,10 @@
 	record := passjob.Record{
 		ID: call.Demand.RequestID, Route: call.Route.Name, Host: call.Request.Host,
 		AcceptedAt: now, Due: call.Route.Due, Expiry: call.Route.Expiry,
-		Object: objectName(call.Demand.RequestID), ObjectSize: len(call.Body),
+		BodyBytes: len(call.Body),
+	}
+	if len(call.Body) > bodiesMost {
+		record.Object = objectName(record.ID)
 	}
 	for _, item := range items {
 		record.Items = append(record.Items, passjob.Item{ID: item.ID, Tokens: item.Tokens})
@@ -223,7 +229,7 @@
 // lands twice or late does no harm.
 func (s *Service) putObject(ctx context.Context, name string, body []byte) error {
 	for attempt := 0; ; attempt++ {
-		call, cancel := context.WithTimeout(ctx, callTime)
+		call, cancel := context.WithTimeout(ctx, objectTime)
 		started := time.Now()
 		err := s.Objects.PutObject(call, name, body)
 		cancel()
--- a/internal/passthrough/batch/layout.go
+++ b/internal/passthrough/batch/layout.go
@@ -5,6 +5,8 @@
 	"strings"
 
 	"github.com/cespare/xxhash/v2"
+
+	"ringstream.example/ringstream/internal/passthrough"
 )
 
 // The tables and parts of the store that jobs lie in. Records are followed by
@@ -12,8 +14,11 @@
 const (
 	tableJobs  = "jobs"
 	tableTexts = "results"
-	partNodes  = "nodes"
-	partQuotas = "quotas"
+	// tableBodies holds jobs as they were handed in; those over bodiesMost lie
+	// in an object.
+	tableBodies = "bodies"
+	partNodes   = "nodes"
+	partQuotas  = "quotas"
 
 	objectPrefix = "job-"
 )
@@ -55,4 +60,24 @@
 	return position, err == nil
 }
 
+// bodyChunk is the longest piece of a job's body in one row, and bodiesMost the
+// longest body that goes into the transaction that makes the job exist.
+const (
+	bodyChunk  = 46_000
+	bodiesMost = 450_000
+)
+
+func bodyKey(job string, piece int) string { return fmt.Sprintf("%s/%04d", job, piece) }
+
+// bodyRows cuts a job's body into rows.
+func (c Config) bodyRows(job string, body []byte) []passthrough.Row {
+	var rows []passthrough.Row
+	for piece := 0; len(body) > 0; piece++ {
+		length := min(len(body), bodyChunk)
+		rows = append(rows, passthrough.Row{Table: tableBodies, Part: c.shard(job), Key: bodyKey(job, piece), Value: body[:length]})
+		body = body[length:]
+	}
+	return rows
+}
+
 func objectName(job string) string { return objectPrefix + job }
--- a/internal/passthrough/batch/owned.go
+++ b/internal/passthrough/batch/owned.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"time"
 
 	"go.uber.org/zap"
@@ -93,7 +94,7 @@
 // loadItems reads bodies until they come or the ownership ends.
 func (s *Service) loadItems(ctx context.Context, record passjob.Record) ([]passthrough.Item, error) {
 	for attempt := 0; ; attempt++ {
-		body, err := s.getObject(ctx, record.Object)
+		body, err := s.readBody(ctx, record)
 		if err == nil {
 			return s.Format.Items(body)
 		}
@@ -109,8 +110,36 @@
 // objectMisses is how often an object may be missing before that is believed.
 const objectMisses = 5
 
+// readBody reads a job as it was handed in.
+func (s *Service) readBody(ctx context.Context, record passjob.Record) ([]byte, error) {
+	if record.Object != "" {
+		return s.getObject(ctx, record.Object)
+	}
+	body := make([]byte, 0, record.BodyBytes)
+	from, to := record.ID+"/", record.ID+"0"
+	for {
+		call, cancel := context.WithTimeout(ctx, callTime)
+		snapshot, err := s.store.List(call, tableBodies, s.config.shard(record.ID), from, to, 0)
+		cancel()
+		if err != nil {
+			return nil, err
+		}
+		for _, row := range snapshot.Rows {
+			body = append(body, row.Value...)
+		}
+		if !snapshot.More || len(snapshot.Rows) == 0 {
+			break
+		}
+		from = snapshot.Rows[len(snapshot.Rows)-1].Key + "\x00"
+	}
+	if len(body) != record.BodyBytes {
+		return nil, fmt.Errorf("%w: %d of %d bytes of the job's body", passthrough.ErrNotFound, len(body), record.BodyBytes)
+	}
+	return body, nil
+}
+
 func (s *Service) getObject(ctx context.Context, name string) ([]byte, error) {
-	call, cancel := context.WithTimeout(ctx, callTime)
+	call, cancel := context.WithTimeout(ctx, objectTime)
 	defer cancel()
 	started := time.Now()
 	body, err := s.Objects.GetObject(call, name)
--- a/internal/passthrough/batch/write.go
+++ b/internal/passthrough/batch/write.go
@@ -16,8 +16,11 @@
 // Pauses between tries of a store call.
 const (
 	callTime = 1500 * time.Millisecond
-	retryMin = 20 * time.Millisecond
-	retryMax = 400 * time.Millisecond
+	// objectTime is longer: objects take the store several times as long, and a
+	// slow store sixty times that.
+	objectTime = 4 * time.Second
+	retryMin   = 20 * time.Millisecond
+	retryMax   = 400 * time.Millisecond
 )
 
 func retryPause(attempt int) time.Duration {
@@ -46,6 +49,7 @@
 		result, err := s.commit(ctx, transaction)
 		switch {
 		case err == nil && result.Applied:
+			s.learnOwn(record, expected)
 			return written{applied: true, version: result.Version}, nil
 		case err == nil:
 			return s.settle(result, record), nil
@@ -58,6 +62,13 @@
 	}
 }
 
+// learnOwn has this node's readers see its own write at once. The row's true
+// version is at least one above the one replaced, and any later write's is
+// above that, so the feed's word still comes after it.
+func (s *Service) learnOwn(record passjob.Record, expected int64) {
+	s.view.Learn(passthrough.Row{Table: tableJobs, Part: s.config.shard(record.ID), Key: record.ID, Value: record.Encode(), Version: expected + 1})
+}
+
 // settle tells a compare that failed because this very transaction had landed
 // from one that another writer won.
 func (s *Service) settle(result passthrough.CommitResult, record passjob.Record) written {
