--- a/cmd/ringstream/command_test.go
+++ b/cmd/ringstream/command_test.go
@@ -235,7 +235,7 @@
 	if code, text := check(strings.Replace(good, "127.0.0.1:3", "store", 1)); code != exitUsage || !strings.Contains(text, "node.yaml:5") || !strings.Contains(text, `pass_through.store_address: "store"`) || !strings.Contains(text, "allowed") {
 		t.Errorf("%d %s", code, text)
 	}
-	if code, text := check(good + "  store_adress: x\n"); code != exitUsage || !strings.Contains(text, "store_adress") {
+	if code, text := check(good + "  store_addresses: x\n"); code != exitUsage || !strings.Contains(text, "store_addresses") {
 		t.Errorf("%d %s", code, text)
 	}
 	if err := os.Remove(file); err != nil {
