batch: what an ownership never changes is read without its lock

Change: id, host, epoch and the items' ids lie in the ownership and never change; the record is read under the lock only. A compare that fails while progress is saved is settled before the next write may begin.

--- a/internal/passthrough/batch/leave.go
+++ b/internal/passthrough/batch/leave.go
@@ -46,7 +46,7 @@
 			wait.For(ctx, writerPause)
 		}
 		s.mu.Lock()
-		mine := s.owned[job.record.ID] == job
+		mine := s.owned[job.id] == job
 		busy := job.writing
 		next, news := s.nextChange(job)
 		rows, _ := s.gatherProgress(job, 1)
@@ -68,10 +68,11 @@
 		s.mu.Unlock()
 		result, err := s.writeRecord(ctx, passthrough.Transaction{Put: rows}, next.record, version)
 		events.JobReleased.Log(s.Logger, zap.String("job", next.record.ID), zap.Bool("applied", result.applied), zap.Int64("epoch", next.record.Epoch), zap.Int("rows_of_progress", len(rows)), zap.Error(err))
+		mine = err == nil && !result.applied && s.takeCurrent(job, result.current)
 		s.mu.Lock()
 		job.writing = false
 		s.mu.Unlock()
-		if err == nil && !result.applied && s.takeCurrent(job, result.current) {
+		if mine {
 			continue
 		}
 		s.drop(job, "handed over")
--- a/internal/passthrough/batch/nodes.go
+++ b/internal/passthrough/batch/nodes.go
@@ -183,15 +183,14 @@
 // letGo drops jobs whose row says that they are no longer this node's.
 func (s *Service) letGo() {
 	for _, job := range s.ownedJobs() {
-		seen, found := s.view.job(job.record.ID)
+		seen, found := s.view.job(job.id)
 		s.mu.Lock()
 		newer := found && seen.version > job.version && !job.writing
-		epoch := job.record.Epoch
 		s.mu.Unlock()
 		switch {
-		case found && seen.record.Ended && seen.record.Epoch >= epoch:
+		case found && seen.record.Ended && seen.record.Epoch >= job.epoch:
 			s.drop(job, "the job was ended")
-		case newer && (seen.record.Owner != s.Self || seen.record.Epoch != epoch):
+		case newer && (seen.record.Owner != s.Self || seen.record.Epoch != job.epoch):
 			s.drop(job, "another node owns it")
 		}
 	}
--- a/internal/passthrough/batch/owned.go
+++ b/internal/passthrough/batch/owned.go
@@ -28,18 +28,39 @@
 	finished passjob.ItemState
 }
 
-// ownedJob is a job that this node owns; guarded by Service.mu.
+// ownedJob is a job that this node owns, under one epoch.
 type ownedJob struct {
-	record  passjob.Record
-	version int64
-	items   []passthrough.Item // nil until loaded
-	work    []itemWork
+	// What does not change during the ownership is read without a lock.
+	id      string
+	host    string
+	epoch   int64
+	itemIDs []string
 	ctx     context.Context // ends with the ownership
 	cancel  context.CancelFunc
 	// runs ends with the ownership, or earlier when the job is handed over.
 	runs     context.Context
 	stopRuns context.CancelFunc
-	writing  bool // one transaction at a time
+
+	// The rest is guarded by Service.mu.
+	record  passjob.Record
+	version int64
+	items   []passthrough.Item // nil until loaded
+	work    []itemWork
+	writing bool // one transaction at a time
+}
+
+// newOwnedJob makes the ownership of a job as its row tells it.
+func newOwnedJob(record passjob.Record, version int64, items []passthrough.Item) *ownedJob {
+	job := &ownedJob{
+		id: record.ID, host: record.Host, epoch: record.Epoch, itemIDs: make([]string, len(record.Items)),
+		record: record, version: version, items: items, work: make([]itemWork, len(record.Items)),
+	}
+	for index, item := range record.Items {
+		job.itemIDs[index] = item.ID
+	}
+	job.ctx, job.cancel = context.WithCancel(context.Background())
+	job.runs, job.stopRuns = context.WithCancel(job.ctx)
+	return job
 }
 
 // adopt makes this node run a job that it owns in the store.
@@ -47,16 +68,11 @@
 	if record.Owner != s.Self {
 		return
 	}
-	ctx, cancel := context.WithCancel(context.Background())
-	runs, stopRuns := context.WithCancel(ctx)
-	job := &ownedJob{
-		record: record, version: version, items: items, work: make([]itemWork, len(record.Items)),
-		ctx: ctx, cancel: cancel, runs: runs, stopRuns: stopRuns,
-	}
+	job := newOwnedJob(record, version, items)
 	s.mu.Lock()
 	if s.leaving {
 		s.mu.Unlock()
-		cancel()
+		job.cancel()
 		s.releaseNow(record, version)
 		return
 	}
@@ -67,14 +83,13 @@
 	s.metrics.owned.Set(float64(len(s.owned)))
 	s.mu.Unlock()
 	if items == nil {
-		go s.load(job)
+		go s.load(job, record)
 	}
 	s.signal()
 }
 
 // load reads a taken-over job's bodies, and what was kept of its items' texts.
-func (s *Service) load(job *ownedJob) {
-	record := job.record
+func (s *Service) load(job *ownedJob, record passjob.Record) {
 	items, err := s.loadItems(job.ctx, record)
 	if err != nil {
 		events.JobNotLoaded.Log(s.Logger, zap.String("job", record.ID), zap.Error(err))
@@ -150,9 +165,9 @@
 // drop ends this node's work on a job.
 func (s *Service) drop(job *ownedJob, why string) {
 	s.mu.Lock()
-	current := s.owned[job.record.ID] == job
+	current := s.owned[job.id] == job
 	if current {
-		delete(s.owned, job.record.ID)
+		delete(s.owned, job.id)
 		s.metrics.owned.Set(float64(len(s.owned)))
 	}
 	record := job.record
@@ -179,7 +194,7 @@
 	for {
 		s.mu.Lock()
 		change, some := s.nextChange(job)
-		if !some || s.owned[job.record.ID] != job {
+		if !some || s.owned[job.id] != job {
 			job.writing = false
 			s.mu.Unlock()
 			return
@@ -226,7 +241,7 @@
 			text = ""
 		}
 		bytes += len(text)
-		next.texts = append(next.texts, s.textRows(job.record.ID, position, text)...)
+		next.texts = append(next.texts, s.textRows(job.id, position, text)...)
 	}
 	next.done = !next.record.Active()
 	if next.done {
@@ -271,11 +286,11 @@
 // takeCurrent goes on from the record that a failed compare showed, when the
 // job is still this node's.
 func (s *Service) takeCurrent(job *ownedJob, current []passthrough.Row) bool {
-	record, row, found := currentRecord(current, job.record.ID)
+	record, row, found := currentRecord(current, job.id)
 	if found {
 		s.view.Learn(row)
 	}
-	if !found || record.Owner != s.Self || record.Epoch != job.record.Epoch {
+	if !found || record.Owner != s.Self || record.Epoch != job.epoch {
 		s.drop(job, "another write came first")
 		return false
 	}
--- a/internal/passthrough/batch/progress.go
+++ b/internal/passthrough/batch/progress.go
@@ -70,7 +70,7 @@
 		if err != nil {
 			return nil // events that are no text are not kept
 		}
-		rows = append(rows, passthrough.Row{Table: tablePartial, Part: s.config.shard(job.record.ID), Key: partialKey(job.record.ID, index, first), Value: value})
+		rows = append(rows, passthrough.Row{Table: tablePartial, Part: s.config.shard(job.id), Key: partialKey(job.id, index, first), Value: value})
 		first = last
 	}
 	return rows
@@ -176,9 +176,12 @@
 		return
 	}
 	job.writing = true
-	expected := passthrough.Expectation{Table: tableJobs, Part: s.config.shard(job.record.ID), Key: job.record.ID, Version: job.version}
+	expected := passthrough.Expectation{Table: tableJobs, Part: s.config.shard(job.id), Key: job.id, Version: job.version}
 	s.mu.Unlock()
 	result, err := s.commit(ctx, passthrough.Transaction{Expected: []passthrough.Expectation{expected}, Put: rows})
+	if err == nil && !result.Applied {
+		s.takeCurrent(job, result.Current)
+	}
 	s.mu.Lock()
 	job.writing = false
 	if err == nil && result.Applied {
@@ -187,9 +190,6 @@
 		}
 	}
 	s.mu.Unlock()
-	if err == nil && !result.Applied {
-		s.takeCurrent(job, result.Current)
-	}
 	s.flush(job)
 }
 
--- a/internal/passthrough/batch/run.go
+++ b/internal/passthrough/batch/run.go
@@ -84,7 +84,7 @@
 	s.mu.Lock()
 	kept := r.job.work[r.index].text.events
 	s.mu.Unlock()
-	events.ItemRunEnded.Log(s.Logger, zap.String("job", r.job.record.ID), zap.String("request", r.item.ID), zap.Int64("epoch", r.job.record.Epoch),
+	events.ItemRunEnded.Log(s.Logger, zap.String("job", r.job.id), zap.String("request", r.item.ID), zap.Int64("epoch", r.job.epoch),
 		zap.String("engine", r.choice.Entry.ID), zap.Stringer("outcome", end), zap.Int("status", status), zap.Int("events_kept", kept),
 		zap.Duration("elapsed", time.Since(started)), zap.Error(err))
 	s.settleItem(r, end)
@@ -185,7 +185,7 @@
 	s.mu.Unlock()
 	s.Headers.SetForEngine(header, 0, r.choice.Entry.ID, lastEvent)
 	return engineconn.Request{
-		Method: http.MethodPost, Target: r.item.Path, Host: r.job.record.Host, Header: header, Body: r.item.Body,
+		Method: http.MethodPost, Target: r.item.Path, Host: r.job.host, Header: header, Body: r.item.Body,
 		Own: func(answered http.Header) bool {
 			return s.Headers.Answer(http.StatusOK, answered).RequestID == r.item.ID
 		},
--- a/internal/passthrough/batch/schedule.go
+++ b/internal/passthrough/batch/schedule.go
@@ -100,7 +100,7 @@
 	if table == nil {
 		return false
 	}
-	route, found := table.Lookup(next.job.record.Host, item.Path)
+	route, found := table.Lookup(next.job.host, item.Path)
 	if !found {
 		s.finish(next.job, next.index, passjob.DeadLetter, "the route is gone")
 		return true
@@ -126,7 +126,7 @@
 	next.job.work[next.index].running = true
 	lastEvent := next.job.work[next.index].text.lastEvent
 	s.mu.Unlock()
-	events.ItemStarted.Log(s.Logger, zap.String("job", next.job.record.ID), zap.String("request", item.ID), zap.Int64("epoch", next.job.record.Epoch),
+	events.ItemStarted.Log(s.Logger, zap.String("job", next.job.id), zap.String("request", item.ID), zap.Int64("epoch", next.job.epoch),
 		zap.String("engine", choice.Entry.ID), zap.Int("in_flight", choice.InFlight), zap.String("last_event", lastEvent),
 		zap.Int64("routes_version", table.Version()), zap.Duration("routes_age", time.Since(learned)))
 	s.running.Add(1)
@@ -159,7 +159,7 @@
 	slices.SortFunc(runs, func(a, b candidate) int { return cmp.Compare(b.due, a.due) })
 	for _, run := range runs[:min(count, len(runs))] {
 		work := &run.job.work[run.index]
-		events.ItemYields.Log(s.Logger, zap.String("job", run.job.record.ID), zap.String("request", run.job.record.Items[run.index].ID), zap.String("engine", engine), zap.Int("events_kept", work.text.events))
+		events.ItemYields.Log(s.Logger, zap.String("job", run.job.id), zap.String("request", run.job.itemIDs[run.index]), zap.String("engine", engine), zap.Int("events_kept", work.text.events))
 		work.yield()
 		work.yield = nil
 	}
@@ -172,7 +172,7 @@
 		job.work[index].finished = state
 	}
 	s.mu.Unlock()
-	events.ItemFinished.Log(s.Logger, zap.String("job", job.record.ID), zap.String("request", job.record.Items[index].ID), zap.Bool("succeeded", state == passjob.Succeeded), zap.String("why", why))
+	events.ItemFinished.Log(s.Logger, zap.String("job", job.id), zap.String("request", job.itemIDs[index]), zap.Bool("succeeded", state == passjob.Succeeded), zap.String("why", why))
 	s.flush(job)
 }
 
