sharing: one aggregator a zone sums up the nodes' loads

Change: nodes report to the aggregator of their zone when their work changes; aggregators tell each other their zone's sum, and their zone the sum of all.

--- a/internal/core/enginechoice/enginechoice.go
+++ b/internal/core/enginechoice/enginechoice.go
@@ -92,8 +92,12 @@
 	zone    string
 	engines map[string]*engine
 	pools   map[string]map[string]*engine
+	changes uint64 // of own work
 }
 
+// WorkChanges counts the beginnings and ends of own work so far.
+func (s *Set) WorkChanges() uint64 { return s.changes }
+
 // NewSet makes an empty set for a node in the zone.
 func NewSet(zone string) *Set {
 	return &Set{zone: zone, engines: make(map[string]*engine), pools: make(map[string]map[string]*engine)}
@@ -222,6 +226,7 @@
 func (s *Set) Start(id string, work *Work) {
 	if known := s.engines[id]; known != nil {
 		known.own.add(work, 1)
+		s.changes++
 	}
 }
 
@@ -246,6 +251,7 @@
 		known.own.PrefillTokens += work.PrefillTokens
 	}
 	known.own.add(work, -1)
+	s.changes++
 	known.judge(result, now)
 }
 
--- /dev/null
+++ b/internal/core/loadsum/loadsum.go
@@ -0,0 +1,320 @@
+// Package loadsum sums up the work that nodes report to have at the engines,
+// so that each node sees an engine's whole load. In each zone one node is the
+// aggregator: the others report to it, it tells the aggregators of the other
+// zones its zone's sum, and its own zone the sum of all. What a node hears is
+// so independent of the number of nodes in other zones. There is no election:
+// each node ranks the nodes of its zone alike, leaves out those that have
+// fallen silent, and whoever gets reports sums them. Two aggregators in a zone
+// for a while count nothing twice, since a node reports to one of them.
+//
+// Reports are hints: they are lost without harm, and nothing durable rests on
+// them. Time is an argument; the package does no I/O and takes no lock.
+package loadsum
+
+import (
+	"cmp"
+	"maps"
+	"slices"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"ringstream.example/ringstream/internal/core/enginechoice"
+	"ringstream.example/ringstream/internal/core/identity"
+	"ringstream.example/ringstream/internal/core/rendezvous"
+)
+
+// Loads is work under way at engines, by EngineHash.
+type Loads map[uint32]enginechoice.Counts
+
+// EngineHash stands for an engine's id in what nodes tell each other.
+func EngineHash(id string) uint32 { return uint32(xxhash.Sum64String(id)) } //nolint:gosec // the low half is meant
+
+// NodeHash stands for a node's life.
+func NodeHash(life string) uint32 { return uint32(xxhash.Sum64String(life)) } //nolint:gosec // the low half is meant
+
+// Peer is a node that can be told something.
+type Peer struct {
+	Address string // IP:port
+	Zone    string
+}
+
+// Report is one node's own work.
+type Report struct {
+	Life     uint32 // NodeHash of the node's life
+	Sequence uint64 // rises within a life
+	Loads    Loads
+	Wants    bool // it has batch items that wait for an engine
+}
+
+// Summary is what the nodes that report to one aggregator have together, the
+// aggregator included.
+type Summary struct {
+	Life     uint32
+	Sequence uint64
+	Loads    Loads
+	Wanting  []uint32 // lives of nodes that have batch items waiting
+}
+
+// Total is the work of all nodes, as told to one of them.
+type Total struct {
+	Life     uint32 // of the receiver, as its report told it
+	Included uint64 // sequence of the receiver's newest report in it
+	Loads    Loads
+	Wanting  []uint32
+}
+
+// Config bounds how long word counts.
+type Config struct {
+	Trust       time.Duration // a report or a sum counts this long
+	SilentAfter time.Duration // an aggregator that answers no report for so long is left
+	LeftFor     time.Duration // and for so long
+}
+
+// DefaultConfig suits reports every 100 ms.
+func DefaultConfig() Config {
+	return Config{Trust: 800 * time.Millisecond, SilentAfter: 400 * time.Millisecond, LeftFor: 3 * time.Second}
+}
+
+// backups is how many nodes of a zone hear the sums of other aggregators: the
+// second takes over without a gap.
+const backups = 2
+
+// historyLength is how many own reports are remembered, to be taken out of
+// totals that include them.
+const historyLength = 64
+
+type heardReport struct {
+	report Report
+	at     time.Time
+}
+
+type heardSummary struct {
+	summary Summary
+	at      time.Time
+}
+
+// Tree is one node's part in the summing.
+type Tree struct {
+	config Config
+	self   Peer
+
+	zones  map[string][]string // addresses by zone, best ranked first
+	seeds  []string            // asked while no other node is known
+	own    Report
+	past   [historyLength]Report // by sequence modulo its length
+	left   map[string]time.Time  // aggregators left until then
+	asked  string                // the aggregator reported to
+	since  time.Time             // when it was first reported to, or last heard
+	total  Total
+	heard  time.Time // when total came
+	nodes  map[string]heardReport
+	others map[string]heardSummary
+	told   uint64 // sequence of this node's summaries
+}
+
+// New makes the part of a node's life.
+func New(config Config, self Peer, life uint32) *Tree {
+	return &Tree{
+		config: config, self: self, own: Report{Life: life}, zones: map[string][]string{self.Zone: {self.Address}},
+		left: make(map[string]time.Time), nodes: make(map[string]heardReport), others: make(map[string]heardSummary),
+	}
+}
+
+// SetPeers takes the other nodes that may be alive, and addresses to turn to
+// while there are none.
+func (t *Tree) SetPeers(peers []Peer, seeds []string) {
+	t.zones = map[string][]string{t.self.Zone: {t.self.Address}}
+	for _, peer := range peers {
+		if peer.Address != t.self.Address {
+			t.zones[peer.Zone] = append(t.zones[peer.Zone], peer.Address)
+		}
+	}
+	for zone, addresses := range t.zones {
+		slices.SortFunc(addresses, func(a, b string) int { return cmp.Compare(rank(zone, b), rank(zone, a)) })
+	}
+	t.seeds = nil
+	if len(peers) == 0 {
+		t.seeds = seeds
+	}
+}
+
+func rank(zone, address string) uint64 { return rendezvous.Score(zone, identity.NodeID(address)) }
+
+// Aggregator gives the address that this node reports to; its own when it is
+// the aggregator. One that fell silent is left for a while.
+func (t *Tree) Aggregator(now time.Time) string {
+	if t.asked != "" && t.asked != t.self.Address && now.Sub(t.since) > t.config.SilentAfter {
+		t.left[t.asked] = now.Add(t.config.LeftFor)
+	}
+	chosen := t.firstSound(now)
+	if chosen != t.asked {
+		t.asked, t.since = chosen, now
+	}
+	return chosen
+}
+
+func (t *Tree) firstSound(now time.Time) string {
+	for _, address := range slices.Concat(t.seeds, t.zones[t.self.Zone]) {
+		if address == t.self.Address || !now.Before(t.left[address]) {
+			return address
+		}
+	}
+	return t.self.Address
+}
+
+// SetOwn takes this node's own work and gives it as a report, numbered anew.
+func (t *Tree) SetOwn(loads Loads, wants bool) Report {
+	t.own = Report{Life: t.own.Life, Sequence: t.own.Sequence + 1, Loads: loads, Wants: wants}
+	t.past[t.own.Sequence%historyLength] = t.own
+	return t.own
+}
+
+// HearReport takes a node's report, unless a newer one of its life was heard.
+func (t *Tree) HearReport(from string, report Report, now time.Time) {
+	known, found := t.nodes[from]
+	if from == t.self.Address || (found && known.report.Life == report.Life && known.report.Sequence >= report.Sequence) {
+		return
+	}
+	t.nodes[from] = heardReport{report: report, at: now}
+}
+
+// HearSummary takes another aggregator's sum.
+func (t *Tree) HearSummary(from string, summary Summary, now time.Time) {
+	known, found := t.others[from]
+	if from == t.self.Address || (found && known.summary.Life == summary.Life && known.summary.Sequence >= summary.Sequence) {
+		return
+	}
+	t.others[from] = heardSummary{summary: summary, at: now}
+}
+
+// HearTotal takes the sum of all from the aggregator that is reported to; one
+// for an earlier life of this node's address is not taken.
+func (t *Tree) HearTotal(from string, total Total, now time.Time) {
+	if from != t.asked || total.Life != t.own.Life || total.Included < t.total.Included {
+		return
+	}
+	t.total, t.heard, t.since = total, now, now
+}
+
+// expire forgets what is too old to count.
+func (t *Tree) expire(now time.Time) {
+	for address, known := range t.nodes {
+		if now.Sub(known.at) > t.config.Trust {
+			delete(t.nodes, address)
+		}
+	}
+	for address, known := range t.others {
+		if now.Sub(known.at) > t.config.Trust {
+			delete(t.others, address)
+		}
+	}
+	for address, until := range t.left {
+		if now.After(until) {
+			delete(t.left, address)
+		}
+	}
+}
+
+// Acting says whether this node is an aggregator: others report to it, or it
+// reports to itself.
+func (t *Tree) Acting(now time.Time) bool {
+	t.expire(now)
+	return len(t.nodes) > 0 || t.asked == t.self.Address
+}
+
+// Summary gives the sum of the nodes that report to this one, and who is told:
+// the first nodes of each zone, the aggregators that were heard, and one more
+// of each zone in turn, so that aggregators find each other where the first
+// ones are gone.
+func (t *Tree) Summary(now time.Time) (summary Summary, to []string) {
+	t.expire(now)
+	t.told++
+	summary = Summary{Life: t.own.Life, Sequence: t.told, Loads: make(Loads)}
+	if t.asked == t.self.Address {
+		summary.add(t.own)
+	}
+	for _, known := range t.nodes {
+		summary.add(known.report)
+	}
+	return summary, t.listeners()
+}
+
+func (t *Tree) listeners() []string {
+	told := make(map[string]bool)
+	for _, addresses := range t.zones {
+		for _, address := range addresses[:min(backups, len(addresses))] {
+			told[address] = true
+		}
+		told[addresses[t.told%uint64(len(addresses))]] = true
+	}
+	for address := range t.others {
+		told[address] = true
+	}
+	delete(told, t.self.Address)
+	return slices.Sorted(maps.Keys(told))
+}
+
+func (s *Summary) add(report Report) {
+	s.Loads.Add(report.Loads, 1)
+	if report.Wants {
+		s.Wanting = append(s.Wanting, report.Life)
+	}
+}
+
+// Totals gives what each node that reports to this one is told: the sum of all.
+func (t *Tree) Totals(summary Summary, now time.Time) map[string]Total {
+	t.expire(now)
+	sum := t.everything(summary)
+	totals := make(map[string]Total, len(t.nodes))
+	for address, known := range t.nodes {
+		totals[address] = Total{Life: known.report.Life, Included: known.report.Sequence, Loads: sum.Loads, Wanting: sum.Wanting}
+	}
+	return totals
+}
+
+// everything adds the other aggregators' sums to this one's.
+func (t *Tree) everything(summary Summary) Total {
+	sum := Total{Loads: make(Loads), Wanting: slices.Clone(summary.Wanting)}
+	sum.Loads.Add(summary.Loads, 1)
+	for _, known := range t.others {
+		sum.Loads.Add(known.summary.Loads, 1)
+		sum.Wanting = append(sum.Wanting, known.summary.Wanting...)
+	}
+	return sum
+}
+
+// Remote gives the work of the other nodes, and the lives of those that have
+// batch items waiting.
+func (t *Tree) Remote(now time.Time) (loads Loads, wanting []uint32) {
+	t.expire(now)
+	total := Total{Loads: make(Loads)}
+	switch {
+	case t.asked == t.self.Address:
+		summary, _ := t.Summary(now)
+		total = t.everything(summary)
+		total.Included = t.own.Sequence
+	case now.Sub(t.heard) <= t.config.Trust:
+		total = t.total
+	}
+	loads = make(Loads, len(total.Loads))
+	loads.Add(total.Loads, 1)
+	if own := t.past[total.Included%historyLength]; total.Included > 0 && own.Sequence == total.Included {
+		loads.Add(own.Loads, -1)
+	}
+	wanting = slices.DeleteFunc(slices.Clone(total.Wanting), func(life uint32) bool { return life == t.own.Life })
+	return loads, wanting
+}
+
+// Add adds other loads, or takes them away when sign is -1. Counts do not fall
+// below zero.
+func (l Loads) Add(other Loads, sign int) {
+	for engine, counts := range other {
+		sum := l[engine]
+		sum.Online = max(sum.Online+sign*counts.Online, 0)
+		sum.Batch = max(sum.Batch+sign*counts.Batch, 0)
+		sum.PrefillTokens = max(sum.PrefillTokens+sign*counts.PrefillTokens, 0)
+		sum.MemoryTokens = max(sum.MemoryTokens+sign*counts.MemoryTokens, 0)
+		l[engine] = sum
+	}
+}
--- a/internal/passthrough/batch/nodes.go
+++ b/internal/passthrough/batch/nodes.go
@@ -8,6 +8,7 @@
 	"go.uber.org/zap"
 
 	"ringstream.example/ringstream/internal/core/identity"
+	"ringstream.example/ringstream/internal/core/loadsum"
 	"ringstream.example/ringstream/internal/core/passjob"
 	"ringstream.example/ringstream/internal/core/rendezvous"
 	"ringstream.example/ringstream/internal/events"
@@ -121,15 +122,15 @@
 	return seen
 }
 
-// Peers gives the addresses of the other nodes that may be alive.
-func (s *Service) Peers() []string {
+// Peers gives the other nodes that may be alive and are not leaving.
+func (s *Service) Peers() []loadsum.Peer {
 	seen := s.lookAtNodes(time.Now())
 	s.view.mu.Lock()
 	defer s.view.mu.Unlock()
-	var peers []string
+	var peers []loadsum.Peer
 	for id, node := range s.view.nodes {
-		if id != s.Self && seen.live[id] && node.sign.Peer != "" {
-			peers = append(peers, node.sign.Peer)
+		if id != s.Self && seen.live[id] && node.sign.Peer != "" && !node.sign.Leaving {
+			peers = append(peers, loadsum.Peer{Address: node.sign.Peer, Zone: node.sign.Zone})
 		}
 	}
 	return peers
--- a/internal/passthrough/batch/schedule.go
+++ b/internal/passthrough/batch/schedule.go
@@ -51,15 +51,10 @@
 	s.wants = len(waiting) > 0
 	s.mu.Unlock()
 	turn := s.turns()
-	started := 0
 	for _, next := range waiting {
 		if !s.startItem(next, turn) {
 			break
 		}
-		started++
-	}
-	if started > 0 {
-		s.onStart()
 	}
 }
 
--- a/internal/passthrough/batch/service.go
+++ b/internal/passthrough/batch/service.go
@@ -57,9 +57,8 @@
 	leaving bool
 	running sync.WaitGroup
 	wake    chan struct{} // has one token when there may be items to start
-	wanting []string      // other nodes with items that wait
+	wanting []uint32      // lives of other nodes with items that wait
 	wants   bool          // this node has some
-	onStart func()        // hears of each item sent to an engine
 	// signMissed is when this node last failed to write its sign of life.
 	signMissed time.Time
 	storeAt    time.Duration // the store's clock, as of storeAtLocal
@@ -72,7 +71,7 @@
 		Dependencies: dependencies, config: config, store: dependencies.Store,
 		view: newView(config, dependencies.Logger), metrics: newMetrics(dependencies.Registerer),
 		texts: newTextCache(config.TextCacheBytes), started: time.Now(),
-		owned: make(map[string]*ownedJob), taking: make(map[string]int), orphans: make(map[string]time.Time), wake: make(chan struct{}, 1), onStart: func() {},
+		owned: make(map[string]*ownedJob), taking: make(map[string]int), orphans: make(map[string]time.Time), wake: make(chan struct{}, 1),
 	}
 	service.follower = catalog.NewFollower(dependencies.Follow, dependencies.Store, tableJobs, config.parts(), service.view, dependencies.Logger)
 	service.follower.OnStoreClock(service.tellTime)
--- a/internal/passthrough/batch/turns.go
+++ b/internal/passthrough/batch/turns.go
@@ -5,6 +5,8 @@
 	"time"
 
 	"github.com/cespare/xxhash/v2"
+
+	"ringstream.example/ringstream/internal/core/loadsum"
 )
 
 // Nodes that have items waiting take turns at each engine, so that they do not
@@ -15,8 +17,9 @@
 	turnQuiet  = 25 * time.Millisecond
 )
 
-// Contend takes the other nodes that have items waiting.
-func (s *Service) Contend(wanting []string) {
+// Contend takes the lives of the other nodes that have items waiting, as
+// loadsum.NodeHash gives them.
+func (s *Service) Contend(wanting []uint32) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.wanting = wanting
@@ -29,15 +32,13 @@
 	return s.wants
 }
 
-// OnStart has a function hear of each item sent to an engine; called before Run.
-func (s *Service) OnStart(hear func()) { s.onStart = hear }
-
 // turns gives a function that says whose turn it is at an engine; nil when
 // this node has no rivals. Nodes agree on it by the store's clock.
 func (s *Service) turns() func(engine string) bool {
 	now, known := s.now()
 	s.mu.Lock()
-	rivals := append([]string{s.Self}, s.wanting...)
+	self := loadsum.NodeHash(s.Self)
+	rivals := append([]uint32{self}, s.wanting...)
 	s.mu.Unlock()
 	if len(rivals) == 1 || !known {
 		return nil
@@ -48,6 +49,6 @@
 	}
 	turn := uint64(now / turnLength)
 	return func(engine string) bool {
-		return rivals[(turn+xxhash.Sum64String(engine))%uint64(len(rivals))] == s.Self
+		return rivals[(turn+xxhash.Sum64String(engine))%uint64(len(rivals))] == self
 	}
 }
--- a/internal/passthrough/catalog/engines.go
+++ b/internal/passthrough/catalog/engines.go
@@ -29,6 +29,7 @@
 	documents passthrough.Documents
 	routes    *Routes
 	health    func() Health
+	worked    func()
 	logger    *zap.Logger
 
 	mu   sync.Mutex // guards the rest
@@ -42,6 +43,7 @@
 	return &Engines{
 		documents: documents, routes: routes, logger: logger,
 		health: func() Health { return Health{} },
+		worked: func() {},
 		set:    enginechoice.NewSet(zone),
 		rows:   make(map[string]passthrough.Row),
 		byID:   make(map[string]passthrough.EngineEntry),
@@ -51,11 +53,20 @@
 // JudgeBy has the list ask how well the store is followed; called before Run.
 func (e *Engines) JudgeBy(health func() Health) { e.health = health }
 
+// OnWork has a function hear when work at an engine began or ended; called
+// before Run. It must not block.
+func (e *Engines) OnWork(hear func()) { e.worked = hear }
+
 // Use runs a function on the set under its lock.
 func (e *Engines) Use(do func(set *enginechoice.Set, now time.Time)) {
 	e.mu.Lock()
-	defer e.mu.Unlock()
+	before := e.set.WorkChanges()
 	do(e.set, time.Now())
+	changed := e.set.WorkChanges() != before
+	e.mu.Unlock()
+	if changed {
+		e.worked()
+	}
 }
 
 // Replace implements Sink: engines that the listing lacks are gone, unless
--- a/internal/passthrough/edge/edge.go
+++ b/internal/passthrough/edge/edge.go
@@ -127,8 +127,8 @@
 	}
 	add(n.engines.Run)
 	if n.config.PeerAddress != "" {
-		share := sharing.New(sharing.DefaultConfig(n.config.PeerAddress), n.self, &sharer{node: n}, n.logger)
-		n.batch.OnStart(share.Nudge)
+		share := sharing.New(sharing.DefaultConfig(n.config.PeerAddress, n.identity.Zone), n.self, &sharer{node: n}, n.logger)
+		n.engines.OnWork(share.Nudge)
 		add(share.Run)
 	}
 	add(n.sweep)
--- a/internal/passthrough/edge/sharer.go
+++ b/internal/passthrough/edge/sharer.go
@@ -8,6 +8,7 @@
 	"go.uber.org/zap"
 
 	"ringstream.example/ringstream/internal/core/enginechoice"
+	"ringstream.example/ringstream/internal/core/loadsum"
 	"ringstream.example/ringstream/internal/events"
 	"ringstream.example/ringstream/internal/passthrough"
 	"ringstream.example/ringstream/internal/peer/sharing"
@@ -36,7 +37,7 @@
 }
 
 // Told implements sharing.Local.
-func (s *sharer) Told(counts map[string]enginechoice.Counts, wanting []string) {
+func (s *sharer) Told(counts map[string]enginechoice.Counts, wanting []uint32) {
 	s.node.batch.Contend(wanting)
 	s.node.engines.Use(func(set *enginechoice.Set, _ time.Time) { set.SetRemote(counts) })
 }
@@ -44,13 +45,11 @@
 // Wants implements sharing.Local.
 func (s *sharer) Wants() bool { return s.node.batch.Wants() }
 
-// Peers implements sharing.Local: the nodes that the store tells of, and the
-// seeds while it tells of none.
-func (s *sharer) Peers() []string {
-	peers := s.node.batch.Peers()
-	if len(peers) > 0 {
-		return peers
-	}
+// Peers implements sharing.Local: the nodes that the store tells of.
+func (s *sharer) Peers() []loadsum.Peer { return s.node.batch.Peers() }
+
+// Seeds implements sharing.Local.
+func (s *sharer) Seeds() []string {
 	return slices.DeleteFunc(slices.Clone(s.node.config.Seeds), func(seed string) bool { return seed == s.node.config.PeerAddress })
 }
 
--- a/internal/peer/sharing/sharing.go
+++ b/internal/peer/sharing/sharing.go
@@ -1,48 +1,29 @@
 // Package sharing is what pass-through nodes tell each other: in datagrams,
-// the work that each has under way at the engines, so that all see an engine's
-// whole load; over TCP, the platform's documents, for a node that the store
+// the work that each has under way at the engines, summed up as package loadsum
+// says, so that all see an engine's whole load; over TCP, the platform's documents, for a node that the store
 // refuses or does not reach. Both are gob. What is told is a hint: it is lost
 // without harm, and nothing durable rests on it.
 package sharing
 
 import (
-	"bytes"
 	"context"
 	"encoding/gob"
 	"errors"
 	"io"
-	"math"
 	"math/rand/v2"
 	"net"
 	"sync"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
 	"go.uber.org/zap"
 
 	"ringstream.example/ringstream/internal/core/enginechoice"
+	"ringstream.example/ringstream/internal/core/loadsum"
 	"ringstream.example/ringstream/internal/events"
 	"ringstream.example/ringstream/internal/passthrough"
 	"ringstream.example/ringstream/internal/wait"
 )
 
-// Report is one node's work at all engines. It is sent often, so it is small:
-// names stand as hashes, and the loads in a flat list of loadFields each.
-type Report struct {
-	Node     string // this life of the node
-	Sequence uint64
-	// Loads holds for each engine: hash of its id, online and batch requests,
-	// tokens to prefill, tokens of memory.
-	Loads []uint32
-	// Wants says that the node has batch items that wait for an engine.
-	Wants bool
-}
-
-const loadFields = 5
-
-// engineHash stands for an engine's id in a report.
-func engineHash(id string) uint32 { return uint32(xxhash.Sum64String(id)) } //nolint:gosec // the low half is meant
-
 // Question asks for the documents that the asker lacks.
 type Question struct {
 	RoutesVersion int64 // that the asker has
@@ -64,8 +45,10 @@
 	Loads() map[string]enginechoice.Counts
 	// Engines gives the ids of the engines that this node knows.
 	Engines() []string
-	// Peers gives the addresses of the other nodes.
-	Peers() []string
+	// Peers gives the other nodes that may be alive.
+	Peers() []loadsum.Peer
+	// Seeds gives addresses to turn to while no other node is known.
+	Seeds() []string
 	// Blind says whether this node does not hear the store.
 	Blind() bool
 	// Question gives what this node has.
@@ -76,25 +59,38 @@
 	Learn(documents Documents, from string)
 	// Wants says whether this node has batch items that wait for an engine.
 	Wants() bool
-	// Told takes the sum of the other nodes' work at the engines, and the nodes
-	// that have batch items waiting.
-	Told(counts map[string]enginechoice.Counts, wanting []string)
+	// Told takes the sum of the other nodes' work at the engines, and the lives
+	// of those that have batch items waiting.
+	Told(counts map[string]enginechoice.Counts, wanting []uint32)
 }
 
 // Config says how often nodes tell and ask.
 type Config struct {
 	Address string // IP:port, for both kinds
-	Every   time.Duration
-	// PerPeer lengthens the pause with the number of peers, so that what a node
-	// hears stays bounded in a large fleet.
-	PerPeer  time.Duration
-	Trust    time.Duration // a report counts this long
+	Zone    string
+	// Every is the longest pause between two reports of a node that has work
+	// under way, and Soonest the shortest.
+	Every, Soonest time.Duration
+	// IdleEvery is the pause between the reports of a node that has none.
+	IdleEvery time.Duration
+	// SumEvery is the pause between an aggregator's sums, and SumBytes lengthens
+	// it: no node is told more than so many bytes a second.
+	SumEvery time.Duration
+	SumBytes int
+	// SumAgain is the longest pause between two of them that say the same.
+	SumAgain time.Duration
 	AskEvery time.Duration
+	Sums     loadsum.Config
 }
 
-// DefaultConfig suits some dozen nodes.
-func DefaultConfig(address string) Config {
-	return Config{Address: address, Every: 100 * time.Millisecond, PerPeer: 8 * time.Millisecond, Trust: 800 * time.Millisecond, AskEvery: 250 * time.Millisecond}
+// DefaultConfig suits some hundred nodes in zones of some dozen.
+func DefaultConfig(address, zone string) Config {
+	return Config{
+		Address: address, Zone: zone, Every: 100 * time.Millisecond, Soonest: 20 * time.Millisecond,
+		IdleEvery: 300 * time.Millisecond,
+		SumEvery:  50 * time.Millisecond, SumBytes: 12 << 10, SumAgain: 150 * time.Millisecond,
+		AskEvery: 250 * time.Millisecond, Sums: loadsum.DefaultConfig(),
+	}
 }
 
 const (
@@ -104,28 +100,22 @@
 	documentBytes = 8 << 20
 )
 
-// heard is the newest report of one node.
-type heard struct {
-	report Report
-	at     time.Time
-}
-
 // Share tells and asks for one node.
 type Share struct {
 	config Config
 	local  Local
-	self   string
 	logger *zap.Logger
 
 	nudges chan struct{} // has one token when there is news to tell
 
-	mu    sync.Mutex // guards nodes
-	nodes map[string]heard
+	mu   sync.Mutex // guards tree
+	tree *loadsum.Tree
 }
 
 // New makes a share for a life of a node.
 func New(config Config, self string, local Local, logger *zap.Logger) *Share {
-	return &Share{config: config, local: local, self: self, logger: logger, nodes: make(map[string]heard), nudges: make(chan struct{}, 1)}
+	tree := loadsum.New(config.Sums, loadsum.Peer{Address: config.Address, Zone: config.Zone}, loadsum.NodeHash(self))
+	return &Share{config: config, local: local, logger: logger, nudges: make(chan struct{}, 1), tree: tree}
 }
 
 // Run tells and listens until ctx ends.
@@ -147,7 +137,8 @@
 	defer ended()
 	var group sync.WaitGroup
 	for _, part := range []func(){
-		func() { s.tell(ctx, datagrams) },
+		func() { s.report(ctx, datagrams) },
+		func() { s.aggregate(ctx, datagrams) },
 		func() { s.listen(ctx, datagrams) },
 		func() { s.answer(ctx, listener) },
 		func() { s.ask(ctx) },
@@ -158,133 +149,6 @@
 	return nil
 }
 
-// Nudge has the node tell its work soon, not only when its time has come.
-func (s *Share) Nudge() {
-	select {
-	case s.nudges <- struct{}{}:
-	default:
-	}
-}
-
-// tell sends this node's report to all peers, and sums up theirs. A node that
-// has nothing under way says so once.
-func (s *Share) tell(ctx context.Context, datagrams net.PacketConn) {
-	silent := false
-	for sequence := uint64(1); ; sequence++ {
-		peers := s.local.Peers()
-		report := s.report(sequence)
-		if len(report.Loads) > 0 || report.Wants || !silent {
-			s.send(datagrams, report, peers)
-		}
-		silent = len(report.Loads) == 0 && !report.Wants
-		s.local.Told(s.sum(time.Now()))
-		pause := max(s.config.Every, time.Duration(len(peers))*s.config.PerPeer)
-		if !s.pause(ctx, pause) {
-			return
-		}
-	}
-}
-
-// pause waits for the time to tell again, or less when there is news.
-func (s *Share) pause(ctx context.Context, pause time.Duration) bool {
-	least := pause / nudgeShare
-	if !wait.For(ctx, least) {
-		return false
-	}
-	timer := time.NewTimer(pause - least)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-		return false
-	case <-timer.C:
-	case <-s.nudges:
-	}
-	return true
-}
-
-// nudgeShare is the part of the pause that news waits for at least.
-const nudgeShare = 5
-
-func (s *Share) report(sequence uint64) Report {
-	report := Report{Node: s.self, Sequence: sequence, Wants: s.local.Wants()}
-	for engine, counts := range s.local.Loads() {
-		report.Loads = append(report.Loads, engineHash(engine), small(counts.Online), small(counts.Batch), small(counts.PrefillTokens), small(counts.MemoryTokens))
-	}
-	return report
-}
-
-func small(count int) uint32 { return uint32(min(max(count, 0), math.MaxInt32)) } //nolint:gosec // bounded
-
-func (s *Share) send(datagrams net.PacketConn, report Report, peers []string) {
-	var message bytes.Buffer
-	if err := gob.NewEncoder(&message).Encode(report); err != nil || message.Len() > datagramBytes {
-		return // a hint; the next report comes soon
-	}
-	for _, peer := range peers {
-		if address, err := net.ResolveUDPAddr("udp", peer); err == nil {
-			_, _ = datagrams.WriteTo(message.Bytes(), address) // a hint
-		}
-	}
-}
-
-func (s *Share) listen(ctx context.Context, datagrams net.PacketConn) {
-	buffer := make([]byte, datagramBytes)
-	for ctx.Err() == nil {
-		count, _, err := datagrams.ReadFrom(buffer)
-		if err != nil {
-			if errors.Is(err, net.ErrClosed) {
-				return
-			}
-			continue
-		}
-		var report Report
-		if gob.NewDecoder(bytes.NewReader(buffer[:count])).Decode(&report) == nil {
-			s.hear(report)
-		}
-	}
-}
-
-// hear takes a report unless a newer one of its node was heard.
-func (s *Share) hear(report Report) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	if report.Node != s.self && report.Sequence > s.nodes[report.Node].report.Sequence {
-		s.nodes[report.Node] = heard{report: report, at: time.Now()}
-	}
-}
-
-// sum adds up the reports that still count.
-func (s *Share) sum(now time.Time) (total map[string]enginechoice.Counts, wanting []string) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	byHash := make(map[uint32]enginechoice.Counts)
-	trust := s.config.Trust + 2*time.Duration(len(s.nodes))*s.config.PerPeer
-	for node, told := range s.nodes {
-		if now.Sub(told.at) > trust {
-			delete(s.nodes, node)
-			continue
-		}
-		if told.report.Wants {
-			wanting = append(wanting, node)
-		}
-		for loads := told.report.Loads; len(loads) >= loadFields; loads = loads[loadFields:] {
-			counts := byHash[loads[0]]
-			counts.Online += int(loads[1])
-			counts.Batch += int(loads[2])
-			counts.PrefillTokens += int(loads[3])
-			counts.MemoryTokens += int(loads[4])
-			byHash[loads[0]] = counts
-		}
-	}
-	total = make(map[string]enginechoice.Counts, len(byHash))
-	for _, engine := range s.local.Engines() {
-		if counts, told := byHash[engineHash(engine)]; told {
-			total[engine] = counts
-		}
-	}
-	return total, wanting
-}
-
 // answer serves questions until the listener closes.
 func (s *Share) answer(ctx context.Context, listener net.Listener) {
 	for ctx.Err() == nil {
@@ -310,7 +174,7 @@
 // ask asks a peer now and then while the store is not heard.
 func (s *Share) ask(ctx context.Context) {
 	for wait.For(ctx, s.config.AskEvery) {
-		peers := s.local.Peers()
+		peers := s.known()
 		if !s.local.Blind() || len(peers) == 0 {
 			continue
 		}
@@ -324,6 +188,18 @@
 	}
 }
 
+// known gives the addresses of the other nodes, or of the seeds.
+func (s *Share) known() []string {
+	var addresses []string
+	for _, peer := range s.local.Peers() {
+		addresses = append(addresses, peer.Address)
+	}
+	if len(addresses) == 0 {
+		return s.local.Seeds()
+	}
+	return addresses
+}
+
 func (s *Share) askOne(ctx context.Context, peer string) (Documents, error) {
 	var documents Documents
 	dialer := net.Dialer{Timeout: askTime}
