bench: soak of real processes under random faults from outside

Change: ringstream-bench soak: nodes as processes, loopback links that delay, reset, cut one way or silence; signals that stop, pause, kill and start; the store and the engines misbehave; a judge of its own with a planted breach for each promise.

--- a/cmd/ringstream-bench/main.go
+++ b/cmd/ringstream-bench/main.go
@@ -31,6 +31,9 @@
 		// faults: the fault matrix.
 		faultsCommand(),
 
+		// soak: real processes under random faults.
+		soakCommand(),
+
 		// hollow: many nodes in one process.
 		hollowCommand(),
 	}
--- /dev/null
+++ b/internal/bench/soak/process.go
@@ -0,0 +1,237 @@
+package soak
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net"
+	"net/http"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"sync"
+	"syscall"
+	"time"
+
+	"ringstream.example/ringstream/platform/platformtest"
+)
+
+// nodeState says what the soak has done to a node's process.
+type nodeState uint8
+
+const (
+	nodeRunning  nodeState = iota
+	nodeStopping           // SIGTERM was sent
+	nodePaused             // SIGSTOP was sent
+	nodeDead               // SIGKILL was sent, or it has ended
+)
+
+// nodeProcess is one node as a process of its own, behind links of its own.
+type nodeProcess struct {
+	name     string
+	zone     string
+	binary   string
+	folder   string
+	front    string // where the process listens for callers
+	ready    string
+	peer     string
+	link     *proxy // callers to the node
+	door     *platformtest.Door
+	store    *proxy // the node to its door of the store
+	judge    *judge
+	settings string
+
+	// control is held by the fault that signals the process.
+	control sync.Mutex
+
+	mu        sync.Mutex // guards the rest
+	command   *exec.Cmd
+	ended     chan struct{} // closed when the process has ended
+	state     nodeState
+	life      int       // rises with each start
+	disturbed time.Time // when a fault last struck it, or its links
+	stopping  time.Time // when SIGTERM was last sent
+}
+
+func freeAddress() (string, error) {
+	listener, err := (&net.ListenConfig{}).Listen(context.Background(), "tcp", "127.0.0.1:0")
+	if err != nil {
+		return "", err
+	}
+	return listener.Addr().String(), listener.Close()
+}
+
+const settingsText = `node:
+  id: %q
+  zone: %q
+  region: "r1"
+log:
+  level: info
+  format: json
+  output: stdout
+pass_through:
+  address: %q
+  ready_address: %q
+  peer_address: %q
+  store_address: %q
+  seeds: [%q]
+`
+
+// newNode writes a node's settings; start starts it.
+func newNode(options Options, number int, store *platformtest.Store, seed string, found *judge) (*nodeProcess, error) {
+	node := &nodeProcess{
+		name: fmt.Sprintf("n%d", number), zone: fmt.Sprintf("z%d", number%2), binary: options.Binary,
+		folder: options.Folder, judge: found, state: nodeDead,
+	}
+	for _, address := range []*string{&node.front, &node.ready, &node.peer} {
+		var err error
+		if *address, err = freeAddress(); err != nil {
+			return nil, err
+		}
+	}
+	node.door = store.Open()
+	var err error
+	if node.link, err = newProxy(node.front); err != nil {
+		return nil, err
+	}
+	if node.store, err = newProxy(node.door.Address()); err != nil {
+		return nil, err
+	}
+	if seed == "" {
+		seed = node.peer
+	}
+	node.settings = filepath.Join(node.folder, node.name+".yaml")
+	text := fmt.Sprintf(settingsText, node.name, node.zone, node.front, node.ready, node.peer, node.store.address(), seed)
+	return node, os.WriteFile(node.settings, []byte(text), 0o600)
+}
+
+func (n *nodeProcess) close() {
+	n.link.close()
+	n.store.close()
+	n.door.Close()
+}
+
+// start starts the process anew; its log goes on in the same file.
+func (n *nodeProcess) start() error {
+	log, err := os.OpenFile(filepath.Join(n.folder, n.name+".log"), os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
+	if err != nil {
+		return err
+	}
+	defer log.Close()                                                      //nolint:errcheck // the process has its own descriptor
+	command := exec.CommandContext(context.Background(), n.binary, "node") //nolint:gosec // the binary that the soak was told to run
+	command.Env = append(os.Environ(), "RINGSTREAM_SETTINGS="+n.settings)
+	command.Stdout, command.Stderr = log, log
+	if err := command.Start(); err != nil {
+		return err
+	}
+	ended := make(chan struct{})
+	n.mu.Lock()
+	n.command, n.ended, n.state, n.disturbed = command, ended, nodeRunning, time.Now()
+	n.life++
+	life := n.life
+	n.mu.Unlock()
+	go n.watch(command, ended, life)
+	return nil
+}
+
+// watch notes the end of a process; one that nobody asked for breaks a promise.
+func (n *nodeProcess) watch(command *exec.Cmd, ended chan struct{}, life int) {
+	err := command.Wait()
+	n.mu.Lock()
+	if n.state == nodeRunning || n.state == nodePaused {
+		n.judge.violate("ended_by_itself", n.name, fmt.Sprintf("life %d: %v", life, err))
+	}
+	if n.state == nodeStopping {
+		var exit *exec.ExitError
+		if errors.As(err, &exit) {
+			n.judge.violate("planned_stop_failed", n.name, exit.String())
+		}
+	}
+	n.state, n.disturbed = nodeDead, time.Now()
+	n.mu.Unlock()
+	close(ended)
+}
+
+// signal sends a signal to the process that the soak started.
+func (n *nodeProcess) signal(signal syscall.Signal, state nodeState) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if n.state == nodeDead {
+		return
+	}
+	n.state = state
+	if signal == syscall.SIGTERM {
+		n.stopping = time.Now()
+	} else {
+		n.disturbed = time.Now()
+	}
+	_ = n.command.Process.Signal(signal)
+}
+
+// kill ends the process and waits for that.
+func (n *nodeProcess) kill() {
+	n.signal(syscall.SIGKILL, nodeDead)
+	n.mu.Lock()
+	ended := n.ended
+	n.mu.Unlock()
+	if ended != nil {
+		<-ended
+	}
+}
+
+// stopGrace is how long a planned stop may take.
+const stopGrace = 8 * time.Second
+
+// stop ends the process as planned; false when the grace ran out, after which
+// it is killed.
+func (n *nodeProcess) stop() bool {
+	n.signal(syscall.SIGTERM, nodeStopping)
+	n.mu.Lock()
+	ended := n.ended
+	n.mu.Unlock()
+	select {
+	case <-ended:
+		return true
+	case <-time.After(stopGrace):
+		n.judge.violate("outlived_its_grace", n.name, stopGrace.String())
+		n.kill()
+		return false
+	}
+}
+
+// disturb notes a fault that strikes the node or its links.
+func (n *nodeProcess) disturb() {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.disturbed = time.Now()
+}
+
+// condition is what the judge needs to know of a node at a moment.
+type condition struct {
+	life      int
+	state     nodeState
+	disturbed time.Time
+	stopping  time.Time
+}
+
+func (n *nodeProcess) condition() condition {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return condition{life: n.life, state: n.state, disturbed: n.disturbed, stopping: n.stopping}
+}
+
+// isReady asks the node whether it takes callers.
+func (n *nodeProcess) isReady() bool {
+	ctx, cancel := context.WithTimeout(context.Background(), time.Second)
+	defer cancel()
+	question, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+n.ready+"/readyz", nil)
+	if err != nil {
+		return false
+	}
+	answer, err := http.DefaultClient.Do(question)
+	if err != nil {
+		return false
+	}
+	_ = answer.Body.Close()
+	return answer.StatusCode == http.StatusOK
+}
--- /dev/null
+++ b/internal/bench/soak/soak.go
@@ -0,0 +1,311 @@
+// Package soak runs nodes as real processes before stand-ins of the platform,
+// strikes them with faults from outside at random, and judges the promises by
+// what callers and engines see: links are delayed, reset, cut one way or
+// silenced by loopback proxies; processes are stopped, paused, killed and
+// started by signals; the store and the engines misbehave. The seed decides
+// the order of faults and calls, not the exact times.
+//
+// It ends only processes that it started, by their ids, and keeps their logs.
+package soak
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"ringstream.example/ringstream/platform/platformtest"
+)
+
+// Options says what is run.
+type Options struct {
+	Binary  string        // of ringstream
+	Folder  string        // for settings and logs; it exists
+	Seed    uint64        // of faults and calls
+	For     time.Duration // how long faults strike
+	Nodes   int
+	Engines int
+	Callers int
+	// Said hears each fault; nil: nobody.
+	Said func(string)
+}
+
+// Validate checks the sizes.
+func (o Options) Validate() error {
+	var problems []error
+	for _, bound := range []struct {
+		name               string
+		value, least, most int
+	}{{"nodes", o.Nodes, 1, 12}, {"engines", o.Engines, 1, 32}, {"callers", o.Callers, 1, 64}} {
+		if bound.value < bound.least || bound.value > bound.most {
+			problems = append(problems, fmt.Errorf("%s: %d given, allowed is %d to %d", bound.name, bound.value, bound.least, bound.most))
+		}
+	}
+	if o.For <= 0 {
+		problems = append(problems, fmt.Errorf("for: %v given, allowed is more than 0", o.For))
+	}
+	return errors.Join(problems...)
+}
+
+// Report is what a soak found.
+type Report struct {
+	Seed       uint64         `json:"seed"`
+	Faults     map[string]int `json:"faults"`
+	Requests   int            `json:"requests"`
+	Statuses   map[string]int `json:"statuses"`
+	Jobs       int            `json:"jobs"`
+	Taken      int            `json:"jobs_taken"`
+	Runs       int            `json:"engine_runs"`
+	Lives      int            `json:"process_lives"`
+	Recovery   time.Duration  `json:"recovery_ns"` // until all nodes were ready after the last fault
+	Violations []Violation    `json:"violations"`
+}
+
+// events is the length of each engine's answer, and pace its pause before each
+// of them.
+const (
+	events = 12
+	pace   = 5 * time.Millisecond
+)
+
+// soak is one run.
+type soak struct {
+	options Options
+	store   *platformtest.Store
+	engines []*engineLink
+	nodes   []*nodeProcess
+	judge   *judge
+	ids     numbers
+
+	mu       sync.Mutex // guards the rest
+	version  int
+	written  time.Time // when version was
+	struck   time.Time // when a fault last struck what all nodes share
+	counts   map[string]int
+	engineNo int
+}
+
+// engineLink is an engine behind a link.
+type engineLink struct {
+	*platformtest.Engine
+	link  *proxy
+	taken bool // a fault ends it; guarded by soak.mu
+}
+
+// Run runs a soak. An error says that it could not be run.
+func Run(ctx context.Context, options Options) (Report, error) {
+	if err := options.Validate(); err != nil {
+		return Report{}, err
+	}
+	s := &soak{options: options, store: platformtest.NewStore(), judge: newJudge(events), counts: make(map[string]int)}
+	defer s.close()
+	if err := s.build(); err != nil {
+		return Report{}, err
+	}
+	if !s.awaitReady(ctx, startTime) {
+		return Report{}, errors.New("not all nodes became ready at the start; see their logs")
+	}
+	s.load(ctx)
+	report := s.report()
+	return report, ctx.Err()
+}
+
+const startTime = 20 * time.Second
+
+func (s *soak) build() error {
+	s.writeVersion()
+	for range s.options.Engines {
+		if err := s.addEngine(); err != nil {
+			return err
+		}
+	}
+	seed := ""
+	for number := range s.options.Nodes {
+		node, err := newNode(s.options, number, s.store, seed, s.judge)
+		if err != nil {
+			return err
+		}
+		s.nodes = append(s.nodes, node)
+		seed = s.nodes[0].peer
+		if err := node.start(); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func (s *soak) close() {
+	for _, node := range s.nodes {
+		node.kill()
+		node.close()
+	}
+	for _, engine := range s.engines {
+		engine.link.close()
+		engine.Close()
+	}
+}
+
+func (s *soak) addEngine() error {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.engineNo++
+	engine := platformtest.NewEngine(fmt.Sprintf("e%d", s.engineNo), events)
+	engine.Pace(pace)
+	link, err := newProxy(engine.Address())
+	if err != nil {
+		return err
+	}
+	engine.Front = link.address()
+	s.engines = append(s.engines, &engineLink{Engine: engine, link: link})
+	s.store.List(engine, fmt.Sprintf("z%d", s.engineNo%2), "ready")
+	return nil
+}
+
+// engineList gives the engines, the ended ones too.
+func (s *soak) engineList() []*engineLink {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return append([]*engineLink(nil), s.engines...)
+}
+
+// keptProbes is how many versions' routes stay.
+const keptProbes = 3
+
+// writeVersion has the operator write the next configuration.
+func (s *soak) writeVersion() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.version++
+	var probes []int
+	for version := max(s.version-keptProbes+1, 1); version <= s.version; version++ {
+		probes = append(probes, version)
+	}
+	s.store.Configure(s.version, probes)
+	s.written = time.Now()
+}
+
+func (s *soak) newest() (version int, written time.Time) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.version, s.written
+}
+
+func (s *soak) lastFault() time.Time {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.struck
+}
+
+// strike notes a fault of what all nodes share.
+func (s *soak) strike() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.struck = time.Now()
+}
+
+func (s *soak) awaitReady(ctx context.Context, limit time.Duration) bool {
+	until := time.Now().Add(limit)
+	for time.Now().Before(until) {
+		ready := 0
+		for _, node := range s.nodes {
+			if node.isReady() {
+				ready++
+			}
+		}
+		if ready == len(s.nodes) {
+			return true
+		}
+		if !pause(ctx, readPause) {
+			return false
+		}
+	}
+	return false
+}
+
+// Times after the last fault.
+const (
+	recoveryTime = 12 * time.Second
+	finishTime   = 25 * time.Second
+)
+
+// load runs callers and faults, then waits for what was taken to be done.
+func (s *soak) load(ctx context.Context) {
+	calling, stop := context.WithCancel(ctx)
+	var callers sync.WaitGroup
+	stream := uint64(0)
+	begin := func(work func(context.Context, *rand.Rand)) {
+		stream++
+		random := rand.New(rand.NewPCG(s.options.Seed, stream))
+		callers.Go(func() { work(calling, random) })
+	}
+	for range s.options.Callers {
+		begin(s.call)
+	}
+	begin(s.handIn)
+	begin(s.read)
+	begin(s.read)
+	for _, node := range s.nodes {
+		begin(func(ctx context.Context, _ *rand.Rand) { s.probe(ctx, node) })
+	}
+	s.strikeAtRandom(ctx)
+	s.recover(ctx)
+	stop()
+	callers.Wait()
+	s.finish(ctx)
+	var runs []engineRun
+	for _, engine := range s.engineList() {
+		for _, run := range engine.Runs() {
+			if len(run.ID) > 0 && run.ID[0] != 'p' { // probes are not kept
+				runs = append(runs, engineRun{engine: engine.ID, run: run})
+			}
+		}
+	}
+	s.counts["engine_runs"] = len(runs)
+	s.judge.conclude(runs)
+}
+
+// recover has all nodes ready in time once no fault strikes.
+func (s *soak) recover(ctx context.Context) {
+	begun := time.Now()
+	if !s.awaitReady(ctx, recoveryTime) && ctx.Err() == nil {
+		s.judge.violate("recovers", "fleet", "not all nodes were ready in time: "+recoveryTime.String())
+	}
+	s.counts["recovery_ms"] = int(time.Since(begun).Milliseconds())
+	pause(ctx, settled)
+}
+
+// finish reads jobs until all are done, or the time is up.
+func (s *soak) finish(ctx context.Context) {
+	until := time.Now().Add(finishTime)
+	for number := 0; s.judge.undone() > 0 && time.Now().Before(until) && pause(ctx, readPause/4); number++ {
+		if job := s.judge.pick(number); job != nil {
+			s.readJob(ctx, job, s.nodes[number%len(s.nodes)], 0)
+		}
+	}
+}
+
+func (s *soak) report() Report {
+	j := s.judge
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	report := Report{
+		Seed: s.options.Seed, Faults: make(map[string]int), Requests: len(j.requests), Statuses: j.statuses, Jobs: len(j.jobs),
+		Runs: s.counts["engine_runs"], Recovery: time.Duration(s.counts["recovery_ms"]) * time.Millisecond, Violations: j.violations,
+	}
+	for name, count := range s.counts {
+		if name != "engine_runs" && name != "recovery_ms" {
+			report.Faults[name] = count
+		}
+	}
+	for _, job := range j.jobs {
+		if job.taken {
+			report.Taken++
+		}
+	}
+	for _, node := range s.nodes {
+		report.Lives += node.condition().life
+	}
+	return report
+}
