batch: yields are shared by chance, and not repeated before the others' are known

Each node rounded its part of an engine's excess up, so eight nodes with one item each all gave way where six, or one, were too many; and looked again 40 ms later, before the others' yields were told. Change: a part of one request is decided by chance; an engine is left as it is for 120 ms after a yield. TestManyNodesYieldNoMoreThanIsTooMuch: 8 yields a round with the rounding, 6 wanted.

--- a/internal/bench/soak/judge_test.go
+++ b/internal/bench/soak/judge_test.go
@@ -19,7 +19,7 @@
 }
 
 func succeeded(j *judge, id string) platformtest.Result {
-	return platformtest.Result{ID: id, State: "succeeded", Text: j.text(id)}
+	return platformtest.Result{ID: id, State: platformtest.StateSucceeded, Text: j.text(id)}
 }
 
 // TestJudgeSeesEachPlantedBreach plants one breach a case, and asks that the
@@ -95,7 +95,7 @@
 		"a result changes": {"results_do_not_change", func(j *judge) []engineRun {
 			job := &jobRecord{id: "j-1", items: []string{"i-1"}, taken: true}
 			j.add(job)
-			j.read(job, 0, platformtest.Results{Total: 1, Results: []platformtest.Result{{ID: "i-1", State: "dead_letter"}}})
+			j.read(job, 0, platformtest.Results{Total: 1, Results: []platformtest.Result{{ID: "i-1", State: platformtest.StateGivenUp}}})
 			j.read(job, 0, platformtest.Results{Total: 1, Results: []platformtest.Result{succeeded(j, "i-1")}})
 			return nil
 		}},
@@ -114,7 +114,7 @@
 		"half a text": {"whole_text", func(j *judge) []engineRun {
 			job := &jobRecord{id: "j-1", items: []string{"i-1"}, taken: true}
 			j.add(job)
-			j.read(job, 0, platformtest.Results{Total: 1, Results: []platformtest.Result{{ID: "i-1", State: "succeeded", Text: "i-1:1"}}})
+			j.read(job, 0, platformtest.Results{Total: 1, Results: []platformtest.Result{{ID: "i-1", State: platformtest.StateSucceeded, Text: "i-1:1"}}})
 			return nil
 		}},
 		"a wrong total": {"total_is_right", func(j *judge) []engineRun {
--- a/internal/core/enginechoice/enginechoice.go
+++ b/internal/core/enginechoice/enginechoice.go
@@ -83,6 +83,7 @@
 	failures       int     // in a row
 	failureRate    float64 // smoothed share of failures
 	shedUntil      time.Time
+	yieldedAt      time.Time
 	resident       map[string]time.Time // prompt parts sent there lately
 	residentTokens map[string]int
 }
--- a/internal/core/enginechoice/enginechoice_test.go
+++ b/internal/core/enginechoice/enginechoice_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math/rand/v2"
 	"testing"
 	"time"
 
@@ -196,12 +197,20 @@
 		set.Start("e0", &Work{Batch: true})
 	}
 	set.SetRemote(map[string]Counts{"e0": {Online: 2, Batch: 3}})
-	crowds := set.Crowded(start) // 8 requests at 4 slots: half of the 4 too many are this node's
+	never := func() float64 { return 0 }
+	crowds := set.Crowded(start, never) // 8 requests at 4 slots: half of the 4 too many are this node's
 	if len(crowds) != 1 || crowds[0].Yield != 2 {
 		t.Errorf("got %+v", crowds)
 	}
+	if crowds := set.Crowded(start.Add(yieldPause/2), never); len(crowds) != 0 {
+		t.Errorf("yields again before the others' yields are known: %+v", crowds)
+	}
+	later := start.Add(yieldPause)
+	if crowds := set.Crowded(later, never); len(crowds) != 1 || crowds[0].Yield != 2 {
+		t.Errorf("after the pause: %+v", crowds)
+	}
 	set.SetRemote(map[string]Counts{"e0": {Batch: 3}})
-	if crowds := set.Crowded(start); len(crowds) != 0 {
+	if crowds := set.Crowded(later.Add(yieldPause), never); len(crowds) != 0 {
 		t.Errorf("batch gives way to batch: %+v", crowds)
 	}
 	if !set.Full("e0", start) {
@@ -209,6 +218,28 @@
 	}
 }
 
+// TestManyNodesYieldNoMoreThanIsTooMuch has eight nodes with one batch request
+// each at an engine with six requests too many. Rounding each node's part up
+// had all eight yield.
+func TestManyNodesYieldNoMoreThanIsTooMuch(t *testing.T) {
+	const nodes, rounds = 8, 200
+	random := rand.New(rand.NewPCG(1, 2))
+	yields := 0
+	for range rounds {
+		for range nodes {
+			set := newSet(1) // 4 slots
+			set.Start("e0", &Work{Batch: true})
+			set.SetRemote(map[string]Counts{"e0": {Online: 2, Batch: nodes - 1}}) // 10 requests: 6 too many
+			for _, crowd := range set.Crowded(start, random.Float64) {
+				yields += crowd.Yield
+			}
+		}
+	}
+	if mean := float64(yields) / rounds; mean < 5.5 || mean > 6.5 {
+		t.Errorf("%.2f yields where 6 requests are too many", mean)
+	}
+}
+
 func TestEnginesOwnCountIsTrustedForAMoment(t *testing.T) {
 	set := newSet(1)
 	set.Observe("e0", 4, 2, start)
--- a/internal/core/enginechoice/pick.go
+++ b/internal/core/enginechoice/pick.go
@@ -192,11 +192,20 @@
 // those that wait get a slot soon enough from those that end.
 const tolerableWait = 30
 
+// yieldPause is how long after a yield an engine is left as it is: the other
+// nodes' yields are not known before.
+const yieldPause = 120 * time.Millisecond
+
 // Crowded gives the engines at which batch requests of this node keep online
-// requests waiting. Each node yields its part of what is too much.
-func (s *Set) Crowded(now time.Time) []Crowd {
+// requests waiting. Each node yields its part of what is too much; a part of
+// one request is decided by chance, which gives numbers from 0 up to 1, so that
+// many nodes with a request each do not all yield.
+func (s *Set) Crowded(now time.Time, chance func() float64) []Crowd {
 	var list []Crowd
 	for id, known := range s.engines {
+		if now.Sub(known.yieldedAt) < yieldPause {
+			continue
+		}
 		batch := known.own.Batch + known.remote.Batch
 		slots := known.entry.Slots
 		if known.own.Batch == 0 || slots == 0 || known.own.Online+known.remote.Online == 0 {
@@ -207,8 +216,12 @@
 		if excess <= online*tolerableWait/100 {
 			continue
 		}
-		yield := (excess*known.own.Batch + batch - 1) / batch
-		list = append(list, Crowd{Engine: id, Yield: min(yield, known.own.Batch)})
+		part := float64(excess) * float64(known.own.Batch) / float64(batch)
+		yield := int(part + chance())
+		if yield > 0 {
+			known.yieldedAt = now
+			list = append(list, Crowd{Engine: id, Yield: min(yield, known.own.Batch)})
+		}
 	}
 	return list
 }
--- a/internal/passthrough/batch/schedule.go
+++ b/internal/passthrough/batch/schedule.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"context"
+	"math/rand/v2"
 	"slices"
 	"time"
 
@@ -132,7 +133,7 @@
 // makeRoom stops runs at engines where batch work keeps online work waiting.
 func (s *Service) makeRoom() {
 	var crowds []enginechoice.Crowd
-	s.Engines.Use(func(set *enginechoice.Set, now time.Time) { crowds = set.Crowded(now) })
+	s.Engines.Use(func(set *enginechoice.Set, now time.Time) { crowds = set.Crowded(now, rand.Float64) })
 	for _, crowd := range crowds {
 		s.Yield(crowd.Engine, crowd.Yield)
 	}
