batch: slots that online work has just left are kept free for a moment

Change: batch counts an engine's peak of online requests, halved every 250 ms, as if they were still there.

--- a/internal/core/enginechoice/enginechoice_test.go
+++ b/internal/core/enginechoice/enginechoice_test.go
@@ -218,6 +218,34 @@
 	}
 }
 
+// TestBatchLeavesRoomForOnlineWorkThatComesBack has three online requests end
+// at an engine of four slots: batch work does not fill their slots at once, and
+// does some time later.
+func TestBatchLeavesRoomForOnlineWorkThatComesBack(t *testing.T) {
+	set := newSet(1)
+	query := Query{Pool: "p", Batch: true, BatchLimit: 4, RoomLimit: 4}
+	work := []*Work{{}, {}, {}}
+	for _, one := range work {
+		set.Start("e0", one)
+	}
+	set.TrackOnline(start)
+	for _, one := range work {
+		set.Finish("e0", one, Succeeded, start)
+	}
+	set.TrackOnline(start.Add(10 * time.Millisecond))
+	if _, found := set.Pick(query, start); !found {
+		t.Error("the slot that online work did not use is not filled")
+	}
+	set.Start("e0", &Work{Batch: true})
+	if _, found := set.Pick(query, start); found {
+		t.Error("slots that online work has just left are filled")
+	}
+	set.TrackOnline(start.Add(5 * peakHalfLife))
+	if _, found := set.Pick(query, start.Add(5*peakHalfLife)); !found {
+		t.Error("slots that online work left long ago are not filled")
+	}
+}
+
 // TestManyNodesYieldNoMoreThanIsTooMuch has eight nodes with one batch request
 // each at an engine with six requests too many. Rounding each node's part up
 // had all eight yield.
--- a/internal/core/enginechoice/pick.go
+++ b/internal/core/enginechoice/pick.go
@@ -1,6 +1,7 @@
 package enginechoice
 
 import (
+	"math"
 	"slices"
 	"time"
 )
@@ -84,13 +85,33 @@
 	if now.Before(e.sickUntil) || now.Before(e.shedUntil) {
 		return false
 	}
-	if e.own.Batch+e.remote.Batch >= query.BatchLimit || inFlight >= query.RoomLimit {
+	if e.own.Batch+e.remote.Batch >= query.BatchLimit || inFlight+e.reserve() >= query.RoomLimit {
 		return false
 	}
 	memory := e.entry.MemoryTokens
 	return memory == 0 || e.own.MemoryTokens+e.remote.MemoryTokens+query.MemoryTokens <= memory*batchMemoryShare/100
 }
 
+// peakHalfLife is the time in which a peak of online requests counts half: a
+// few fluctuations within a burst, and less than the pause between bursts.
+const peakHalfLife = 250 * time.Millisecond
+
+// TrackOnline brings the engines' peaks of online requests up to date; called
+// some times a second.
+func (s *Set) TrackOnline(now time.Time) {
+	for _, known := range s.engines {
+		fallen := known.onlinePeak * math.Exp2(-now.Sub(known.peakAt).Seconds()/peakHalfLife.Seconds())
+		known.onlinePeak = max(fallen, float64(known.online()))
+		known.peakAt = now
+	}
+}
+
+func (e *engine) online() int { return e.own.Online + e.remote.Online }
+
+// reserve is how many slots are left free for online requests that come back:
+// batch work that took them would have to give way again.
+func (e *engine) reserve() int { return max(int(e.onlinePeak+0.5)-e.online(), 0) }
+
 // batchMemoryShare is the part of an engine's memory, in per cent, up to which
 // batch work is added.
 const batchMemoryShare = 70
@@ -208,10 +229,10 @@
 		}
 		batch := known.own.Batch + known.remote.Batch
 		slots := known.entry.Slots
-		if known.own.Batch == 0 || slots == 0 || known.own.Online+known.remote.Online == 0 {
+		online := known.online()
+		if known.own.Batch == 0 || slots == 0 || online == 0 {
 			continue
 		}
-		online := known.own.Online + known.remote.Online
 		excess := known.inFlight(now) - slots
 		if excess <= online*tolerableWait/100 {
 			continue
--- a/internal/passthrough/batch/schedule.go
+++ b/internal/passthrough/batch/schedule.go
@@ -133,7 +133,10 @@
 // makeRoom stops runs at engines where batch work keeps online work waiting.
 func (s *Service) makeRoom() {
 	var crowds []enginechoice.Crowd
-	s.Engines.Use(func(set *enginechoice.Set, now time.Time) { crowds = set.Crowded(now, rand.Float64) })
+	s.Engines.Use(func(set *enginechoice.Set, now time.Time) {
+		set.TrackOnline(now)
+		crowds = set.Crowded(now, rand.Float64)
+	})
 	for _, crowd := range crowds {
 		s.Yield(crowd.Engine, crowd.Yield)
 	}
