--- a/internal/core/enginechoice/enginechoice.go
+++ b/internal/core/enginechoice/enginechoice.go
@@ -84,8 +84,8 @@
 	failureRate    float64 // smoothed share of failures
 	shedUntil      time.Time
 	yieldedAt      time.Time
-	onlinePeak     float64   // online requests under way, falling slowly from their peak
-	peakAt         time.Time // when onlinePeak was last brought up to date
+	onlinePeak     float64              // online requests under way, falling slowly from their peak
+	peakAt         time.Time            // when onlinePeak was last brought up to date
 	resident       map[string]time.Time // prompt parts sent there lately
 	residentTokens map[string]int
 }
