batch: a slow store is asked less often, and given more time

Change: a write may take eight times the usual, 1.5 to 4 s; signs of life and saves are spread out by up to four, and a sign says so; a node whose own signs are overdue judges nobody; jobs lie in 8 parts in place of 4.

--- a/internal/bench/soak/judge.go
+++ b/internal/bench/soak/judge.go
@@ -36,8 +36,9 @@
 type jobRecord struct {
 	id      string
 	items   []string
-	refused bool // at every try, with a promise that it does not run
-	taken   bool // some try was answered 202
+	refused bool      // at every try, with a promise that it does not run
+	taken   bool      // some try was answered 202
+	handed  time.Time // when it was first handed in
 	ended   time.Time
 	// listed holds the results as they were first read, by position.
 	listed map[int]platformtest.Result
@@ -120,6 +121,7 @@
 	j.mu.Lock()
 	defer j.mu.Unlock()
 	job.listed = make(map[int]platformtest.Result)
+	job.handed = time.Now()
 	j.jobs = append(j.jobs, job)
 }
 
@@ -245,13 +247,18 @@
 	return count
 }
 
-// pick gives a taken job by a number; nil when there is none.
+// jobsKept is how long after it was handed in a job must be readable, less a
+// margin.
+const jobsKept = 110 * time.Second
+
+// pick gives a taken job that must be readable, by a number; nil when there is
+// none.
 func (j *judge) pick(number int) *jobRecord {
 	j.mu.Lock()
 	defer j.mu.Unlock()
 	var taken []*jobRecord
 	for _, job := range j.jobs {
-		if job.taken {
+		if job.taken && time.Since(job.handed) < jobsKept {
 			taken = append(taken, job)
 		}
 	}
--- a/internal/bench/soak/process.go
+++ b/internal/bench/soak/process.go
@@ -49,6 +49,7 @@
 	ended     chan struct{} // closed when the process has ended
 	state     nodeState
 	life      int       // rises with each start
+	started   time.Time // of this life
 	disturbed time.Time // when a fault last struck it, or its links
 	stopping  time.Time // when SIGTERM was last sent
 }
@@ -127,6 +128,7 @@
 	ended := make(chan struct{})
 	n.mu.Lock()
 	n.command, n.ended, n.state, n.disturbed = command, ended, nodeRunning, time.Now()
+	n.started = n.disturbed
 	n.life++
 	life := n.life
 	n.mu.Unlock()
@@ -134,6 +136,10 @@
 	return nil
 }
 
+// startingTime is how long a process may take until it hears signals; before
+// that it ends at once, and has served nobody.
+const startingTime = 500 * time.Millisecond
+
 // watch notes the end of a process; one that nobody asked for breaks a promise.
 func (n *nodeProcess) watch(command *exec.Cmd, ended chan struct{}, life int) {
 	err := command.Wait()
@@ -143,7 +149,7 @@
 	}
 	if n.state == nodeStopping {
 		var exit *exec.ExitError
-		if errors.As(err, &exit) {
+		if errors.As(err, &exit) && n.stopping.Sub(n.started) > startingTime {
 			n.judge.violate("planned_stop_failed", n.name, exit.String())
 		}
 	}
--- a/internal/passthrough/batch/config.go
+++ b/internal/passthrough/batch/config.go
@@ -26,7 +26,7 @@
 // DefaultConfig suits engines with some dozen slots.
 func DefaultConfig() Config {
 	return Config{
-		Shards: 4, Heartbeat: time.Second, DeadAfter: 2500 * time.Millisecond,
+		Shards: 8, Heartbeat: time.Second, DeadAfter: 2500 * time.Millisecond,
 		PerEngine: 80, Room: 90, Keep: 2 * time.Minute, BlindFor: 2 * time.Second, TextCacheBytes: 48 << 20,
 	}
 }
--- a/internal/passthrough/batch/nodes.go
+++ b/internal/passthrough/batch/nodes.go
@@ -23,8 +23,8 @@
 		s.mu.Lock()
 		leaving := s.leaving
 		s.mu.Unlock()
-		sign := nodeSign{Name: s.Name, Zone: s.Zone, Peer: s.Peer, Started: started, Count: count, Leaving: leaving}
-		pause := s.heartbeat()
+		sign := nodeSign{Name: s.Name, Zone: s.Zone, Peer: s.Peer, Started: started, Count: count, Leaving: leaving, Slowness: s.pace.slowness()}
+		pause := time.Duration(float64(s.heartbeat()) * sign.Slowness)
 		if !s.writeSign(ctx, sign) {
 			pause /= missedSignShare
 		}
@@ -66,6 +66,11 @@
 	}
 	row := passthrough.Row{Table: tableJobs, Part: partNodes, Key: s.Self, Value: value}
 	_, err = s.commit(ctx, passthrough.Transaction{Put: []passthrough.Row{row}})
+	s.mu.Lock()
+	if err == nil {
+		s.signTaken = time.Now()
+	}
+	s.mu.Unlock()
 	if err == nil || ctx.Err() != nil {
 		return true
 	}
@@ -95,8 +100,9 @@
 	trusted := !health.LastGood.IsZero() && now.Sub(health.LastGood) < s.config.Heartbeat+deadAfter/2
 	s.mu.Lock()
 	signMissed := s.signMissed
+	signDue := s.signTaken.Add(s.heartbeat() + deadAfter/2)
 	s.mu.Unlock()
-	quietSince := now.Sub(health.LastBad) > deadAfter && now.Sub(signMissed) > deadAfter && now.Sub(s.started) > deadAfter
+	quietSince := now.Sub(health.LastBad) > deadAfter && now.Sub(signMissed) > deadAfter && now.Sub(s.started) > deadAfter && now.Before(signDue)
 	s.view.mu.Lock()
 	defer s.view.mu.Unlock()
 	newest := make(map[string]int64)
@@ -110,7 +116,7 @@
 		case id == s.Self:
 		case node.sign.Started < newest[node.sign.Name]:
 			seen.dead[id] = "its machine has started anew"
-		case trusted && quietSince && silent > deadAfter:
+		case trusted && quietSince && silent > time.Duration(float64(deadAfter)*max(node.sign.Slowness, 1)):
 			seen.dead[id] = "no sign of life"
 		default:
 			seen.live[id] = true
--- a/internal/passthrough/batch/progress.go
+++ b/internal/passthrough/batch/progress.go
@@ -141,7 +141,7 @@
 
 // saveProgress keeps what running items have given.
 func (s *Service) saveProgress(ctx context.Context) error {
-	for wait.For(ctx, saveEvery) {
+	for wait.For(ctx, time.Duration(float64(saveEvery)*s.pace.slowness())) {
 		if s.blind() {
 			continue
 		}
--- a/internal/passthrough/batch/service.go
+++ b/internal/passthrough/batch/service.go
@@ -49,6 +49,7 @@
 	metrics  *metrics
 	texts    *textCache
 	started  time.Time
+	pace     storePace
 
 	mu      sync.Mutex // guards the rest
 	owned   map[string]*ownedJob
@@ -61,8 +62,10 @@
 	wants   bool          // this node has some
 	// signMissed is when this node last failed to write its sign of life.
 	signMissed time.Time
-	storeAt    time.Duration // the store's clock, as of storeAtLocal
-	storeAs    time.Time
+	// signTaken is when the store last took one.
+	signTaken time.Time
+	storeAt   time.Duration // the store's clock, as of storeAtLocal
+	storeAs   time.Time
 }
 
 // New makes a service; Run starts it.
--- a/internal/passthrough/batch/write.go
+++ b/internal/passthrough/batch/write.go
@@ -85,10 +85,13 @@
 }
 
 func (s *Service) commit(ctx context.Context, transaction passthrough.Transaction) (passthrough.CommitResult, error) {
-	call, cancel := context.WithTimeout(ctx, callTime)
+	call, cancel := context.WithTimeout(ctx, s.pace.callTime())
 	defer cancel()
 	started := time.Now()
 	result, err := s.store.Commit(call, transaction)
+	if err == nil {
+		s.pace.observe(time.Since(started))
+	}
 	s.metrics.store.WithLabelValues("commit", outcomeOf(err)).Observe(time.Since(started).Seconds())
 	return result, err
 }
