events, metrics: change of aggregator, claims, age of beliefs, connections

Change: event 8032, ringstream_pass_job_claims_total, ringstream_pass_belief_age_seconds, ringstream_pass_engine_connections, ringstream_pass_engine_dials_total, ringstream_pass_running; the soak uses package wait.

--- a/internal/bench/soak/soak.go
+++ b/internal/bench/soak/soak.go
@@ -16,6 +16,7 @@
 	"sync"
 	"time"
 
+	"ringstream.example/ringstream/internal/wait"
 	"ringstream.example/ringstream/platform/platformtest"
 )
 
@@ -217,7 +218,7 @@
 		if ready == len(s.nodes) {
 			return true
 		}
-		if !pause(ctx, readPause) {
+		if !wait.For(ctx, readPause) {
 			return false
 		}
 	}
@@ -273,13 +274,13 @@
 		s.judge.violate("recovers", "fleet", "not all nodes were ready in time: "+recoveryTime.String())
 	}
 	s.counts["recovery_ms"] = int(time.Since(begun).Milliseconds())
-	pause(ctx, settled)
+	wait.For(ctx, settled)
 }
 
 // finish reads jobs until all are done, or the time is up.
 func (s *soak) finish(ctx context.Context) {
 	until := time.Now().Add(finishTime)
-	for number := 0; s.judge.undone() > 0 && time.Now().Before(until) && pause(ctx, readPause/4); number++ {
+	for number := 0; s.judge.undone() > 0 && time.Now().Before(until) && wait.For(ctx, readPause/4); number++ {
 		if job := s.judge.pick(number); job != nil {
 			s.readJob(ctx, job, s.nodes[number%len(s.nodes)], 0)
 		}
--- a/internal/bench/soak/strike.go
+++ b/internal/bench/soak/strike.go
@@ -8,6 +8,7 @@
 	"syscall"
 	"time"
 
+	"ringstream.example/ringstream/internal/wait"
 	"ringstream.example/ringstream/platform/platformtest"
 )
 
@@ -71,7 +72,7 @@
 			defer func() { <-room }()
 			kind.strike(s, ctx, own)
 		})
-		pause(ctx, between(random, 100*time.Millisecond, 900*time.Millisecond))
+		wait.For(ctx, between(random, 100*time.Millisecond, 900*time.Millisecond))
 	}
 	lasting.Wait()
 }
@@ -105,7 +106,7 @@
 
 // again starts a node that has ended, as the platform does.
 func (s *soak) again(ctx context.Context, node *nodeProcess) {
-	pause(ctx, restartDelay)
+	wait.For(ctx, restartDelay)
 	if node.condition().state != nodeDead {
 		return
 	}
@@ -115,7 +116,10 @@
 }
 
 func (s *soak) killNode(ctx context.Context, random *rand.Rand) {
-	node := s.anyNode(random)
+	s.killAndStart(ctx, s.anyNode(random))
+}
+
+func (s *soak) killAndStart(ctx context.Context, node *nodeProcess) {
 	node.control.Lock()
 	defer node.control.Unlock()
 	node.kill()
@@ -126,12 +130,7 @@
 	s.strike()
 	var all sync.WaitGroup
 	for _, node := range s.nodes {
-		all.Go(func() {
-			node.control.Lock()
-			defer node.control.Unlock()
-			node.kill()
-			s.again(ctx, node)
-		})
+		all.Go(func() { s.killAndStart(ctx, node) })
 	}
 	all.Wait()
 	s.strike()
@@ -142,7 +141,7 @@
 	node.control.Lock()
 	defer node.control.Unlock()
 	node.signal(syscall.SIGSTOP, nodePaused)
-	pause(ctx, between(random, 300*time.Millisecond, 5*time.Second))
+	wait.For(ctx, between(random, 300*time.Millisecond, 5*time.Second))
 	node.signal(syscall.SIGCONT, nodeRunning)
 }
 
@@ -157,31 +156,31 @@
 // calmStop stops a node as planned with no other fault near: nothing may be
 // cut.
 func (s *soak) calmStop(ctx context.Context, random *rand.Rand) {
-	if pause(ctx, quietBefore+time.Second) {
+	if wait.For(ctx, quietBefore+time.Second) {
 		s.stopNode(ctx, random)
 	}
 }
 
 func (s *soak) harmNodeLink(ctx context.Context, random *rand.Rand) {
 	node := s.anyNode(random)
-	s.harmLink(ctx, node.link, random, node.disturb)
+	harmLink(ctx, node.link, random, node.disturb)
 }
 
 func (s *soak) harmStoreLink(ctx context.Context, random *rand.Rand) {
 	node := s.anyNode(random)
-	s.harmLink(ctx, node.store, random, node.disturb)
+	harmLink(ctx, node.store, random, node.disturb)
 }
 
 func (s *soak) harmEngineLink(ctx context.Context, random *rand.Rand) {
 	engines := s.engineList()
-	s.harmLink(ctx, engines[random.IntN(len(engines))].link, random, s.strike)
+	harmLink(ctx, engines[random.IntN(len(engines))].link, random, s.strike)
 }
 
-func (s *soak) harmLink(ctx context.Context, link *proxy, random *rand.Rand, disturb func()) {
+func harmLink(ctx context.Context, link *proxy, random *rand.Rand, disturb func()) {
 	kinds := []linkFault{linkDelayed, linkReset, linkCutOut, linkCutIn, linkSilenced}
 	disturb()
 	link.set(kinds[random.IntN(len(kinds))])
-	pause(ctx, between(random, 200*time.Millisecond, 4*time.Second))
+	wait.For(ctx, between(random, 200*time.Millisecond, 4*time.Second))
 	link.set(linkWell)
 	disturb()
 }
@@ -194,7 +193,7 @@
 	node := s.anyNode(random)
 	node.disturb()
 	node.door.Set(doorFaults[random.IntN(len(doorFaults))], random.IntN(2) == 0)
-	pause(ctx, between(random, 300*time.Millisecond, 5*time.Second))
+	wait.For(ctx, between(random, 300*time.Millisecond, 5*time.Second))
 	node.door.Set(platformtest.Well, false)
 	node.disturb()
 }
@@ -215,7 +214,7 @@
 func (s *soak) lateEffect(ctx context.Context, random *rand.Rand) {
 	s.atAllDoors(ctx, between(random, 100*time.Millisecond, 600*time.Millisecond), func(door *platformtest.Door) { door.Set(platformtest.LateEffect, true) },
 		func(door *platformtest.Door) { door.Set(platformtest.Well, false) })
-	pause(ctx, between(random, 100*time.Millisecond, 4*time.Second))
+	wait.For(ctx, between(random, 100*time.Millisecond, 4*time.Second))
 	s.store.Land()
 	s.strike()
 }
@@ -225,7 +224,7 @@
 	for _, node := range s.nodes {
 		begin(node.door)
 	}
-	pause(ctx, length)
+	wait.For(ctx, length)
 	for _, node := range s.nodes {
 		end(node.door)
 	}
@@ -261,7 +260,7 @@
 	}
 	engine.link.close()
 	_ = s.addEngine() // the next try brings one
-	pause(ctx, between(random, 500*time.Millisecond, 3*time.Second))
+	wait.For(ctx, between(random, 500*time.Millisecond, 3*time.Second))
 	s.store.Unlist(engine.Engine)
 	s.strike()
 }
@@ -275,10 +274,10 @@
 	_ = s.addEngine() // the next try brings one
 	s.store.List(engine.Engine, "z0", "draining")
 	said := time.Now()
-	pause(ctx, drainTime)
+	wait.For(ctx, drainTime)
 	s.judgeDrain(engine, said)
 	s.store.Unlist(engine.Engine)
-	pause(ctx, time.Second)
+	wait.For(ctx, time.Second)
 	engine.link.close()
 }
 
--- a/internal/bench/soak/workload.go
+++ b/internal/bench/soak/workload.go
@@ -9,6 +9,7 @@
 	"sync/atomic"
 	"time"
 
+	"ringstream.example/ringstream/internal/wait"
 	"ringstream.example/ringstream/platform/platformtest"
 )
 
@@ -38,21 +39,9 @@
 
 func (n *numbers) next(prefix string) string { return fmt.Sprintf("%s-%d", prefix, n.last.Add(1)) }
 
-// pause waits; false when ctx ended.
-func pause(ctx context.Context, length time.Duration) bool {
-	timer := time.NewTimer(length)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-		return false
-	case <-timer.C:
-		return true
-	}
-}
-
 // call sends online requests, one after another.
 func (s *soak) call(ctx context.Context, random *rand.Rand) {
-	for pause(ctx, callerPause) {
+	for wait.For(ctx, callerPause) {
 		node := s.nodes[random.IntN(len(s.nodes))]
 		route := onlineRoutes[random.IntN(len(onlineRoutes))]
 		id := s.ids.next("r")
@@ -98,7 +87,7 @@
 
 // handIn sends jobs, each until a node takes it or the tries are used.
 func (s *soak) handIn(ctx context.Context, random *rand.Rand) {
-	for pause(ctx, jobPause) {
+	for wait.For(ctx, jobPause) {
 		job := &jobRecord{id: s.ids.next("j"), refused: true}
 		for range 1 + random.IntN(jobItems) {
 			job.items = append(job.items, s.ids.next("i"))
@@ -120,14 +109,14 @@
 		job.refused = job.refused && (reply.Err == nil && isPromise(reply.Status) || reply.Err != nil && !reply.Sent)
 		taken := job.taken
 		s.judge.mu.Unlock()
-		if taken || !pause(ctx, jobPause) {
+		if taken || !wait.For(ctx, jobPause) {
 			return
 		}
 	}
 }
 
 func (s *soak) endJob(ctx context.Context, job *jobRecord, random *rand.Rand) {
-	pause(ctx, time.Duration(random.IntN(400))*time.Millisecond)
+	wait.For(ctx, time.Duration(random.IntN(400))*time.Millisecond)
 	for range jobTries {
 		node := s.nodes[random.IntN(len(s.nodes))]
 		reply := platformtest.Send(ctx, platformtest.End(node.link.address(), job.id))
@@ -148,7 +137,7 @@
 
 // read looks at jobs all the time, at any node and from any position.
 func (s *soak) read(ctx context.Context, random *rand.Rand) {
-	for pause(ctx, readPause) {
+	for wait.For(ctx, readPause) {
 		if job := s.judge.pick(random.IntN(1 << 30)); job != nil {
 			s.readJob(ctx, job, s.nodes[random.IntN(len(s.nodes))], random.IntN(jobItems+1)*random.IntN(2))
 		}
@@ -178,7 +167,7 @@
 // time where no fault struck.
 func (s *soak) probe(ctx context.Context, node *nodeProcess) {
 	seen := make(map[int]int) // newest version seen, by life
-	for pause(ctx, probePause) {
+	for wait.For(ctx, probePause) {
 		version, written := s.newest()
 		before := node.condition()
 		begun := time.Now()
--- a/internal/core/loadsum/loadsum.go
+++ b/internal/core/loadsum/loadsum.go
@@ -154,6 +154,10 @@
 	return chosen
 }
 
+// Asked gives the address that this node reports to, and when that was last
+// heard, or first reported to; empty and zero before the first.
+func (t *Tree) Asked() (address string, heard time.Time) { return t.asked, t.since }
+
 func (t *Tree) firstSound(now time.Time) string {
 	for _, address := range slices.Concat(t.seeds, t.zones[t.self.Zone]) {
 		if address == t.self.Address || !now.Before(t.left[address]) {
--- a/internal/events/passthrough.go
+++ b/internal/events/passthrough.go
@@ -27,9 +27,10 @@
 	NotReadable    = Define(Event{Number: 8109, Name: "request body not read", Level: zapcore.InfoLevel, Fields: []string{"request", "error"}})
 	RequestRefused = Define(Event{Number: 8110, Name: "request refused, not run", Level: zapcore.InfoLevel, Fields: []string{"request", "reason", "retry_after"}})
 
-	PeerNotAsked  = Define(Event{Number: 8030, Name: "peer did not answer", Level: zapcore.DebugLevel, Fields: []string{"peer", "error"}})
-	PeerTold      = Define(Event{Number: 8031, Name: "documents taken from a peer", Level: zapcore.InfoLevel, Fields: []string{"peer", "routes_version", "rows", "age"}})
-	EngineExpired = Define(Event{Number: 8023, Name: "unlisted engine not listed again", Level: zapcore.InfoLevel, Fields: []string{"engine", "after"}})
+	PeerNotAsked      = Define(Event{Number: 8030, Name: "peer did not answer", Level: zapcore.DebugLevel, Fields: []string{"peer", "error"}})
+	PeerTold          = Define(Event{Number: 8031, Name: "documents taken from a peer", Level: zapcore.InfoLevel, Fields: []string{"peer", "routes_version", "rows", "age"}})
+	AggregatorChanged = Define(Event{Number: 8032, Name: "load aggregator changed", Level: zapcore.InfoLevel, Fields: []string{"from", "to", "silent"}})
+	EngineExpired     = Define(Event{Number: 8023, Name: "unlisted engine not listed again", Level: zapcore.InfoLevel, Fields: []string{"engine", "after"}})
 
 	ClockGap         = Define(Event{Number: 8201, Name: "process was paused", Level: zapcore.WarnLevel, Fields: []string{"gap"}, Action: "The machine stood still, or gave the process no time; what the node believes may be that old. Look at the machine if it repeats."})
 	LogLinesShed     = Define(Event{Number: 8202, Name: "log lines shed", Level: zapcore.WarnLevel, Fields: []string{"lines"}, Action: "Standard output was not read fast enough, and lines were dropped rather than hold requests up. Read it faster or raise log.level."})
--- a/internal/passthrough/batch/nodes.go
+++ b/internal/passthrough/batch/nodes.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"strconv"
 	"time"
 
 	"go.uber.org/zap"
@@ -251,6 +252,7 @@
 	call, cancel := context.WithTimeout(ctx, callTime)
 	defer cancel()
 	result, err := s.writeRecord(call, passthrough.Transaction{}, record, known.version)
+	s.metrics.claims.WithLabelValues(strconv.FormatBool(result.applied)).Inc()
 	events.JobClaimed.Log(s.Logger, zap.String("job", record.ID), zap.Bool("won", result.applied), zap.Int64("epoch", record.Epoch),
 		zap.String("former", former), zap.String("why", why), zap.Int("listed", record.Listed), zap.Int("items", len(record.Items)), zap.Error(err))
 	s.mu.Lock()
--- a/internal/passthrough/edge/edge.go
+++ b/internal/passthrough/edge/edge.go
@@ -97,6 +97,7 @@
 		Headers: platform.Headers, Format: platform.Format, Routes: node.routes, Batch: node.batch, Logger: node.logger,
 		Relay: relay.New(platform.Headers, node.engines, node.pool, node.logger, relay.NewMetrics(node.registry)),
 	})
+	node.registerBeliefs()
 	return node
 }
 
--- /dev/null
+++ b/internal/passthrough/edge/metrics.go
@@ -0,0 +1,42 @@
+package edge
+
+import (
+	"time"
+
+	"github.com/prometheus/client_golang/prometheus"
+
+	"ringstream.example/ringstream/internal/passthrough/catalog"
+)
+
+// registerBeliefs registers the age of what the node believes, by the store's
+// table, and its connections to engines.
+func (n *Node) registerBeliefs() {
+	for table, health := range map[string]func() catalog.Health{
+		"routes": n.routesFollower.Health, "engines": n.engineFollower.Health, "jobs": n.batch.Health,
+	} {
+		n.registry.MustRegister(prometheus.NewGaugeFunc(prometheus.GaugeOpts{
+			Name: "ringstream_pass_belief_age_seconds", Help: "Time since the store last answered about a table; -1: never.",
+			ConstLabels: prometheus.Labels{"table": table},
+		}, func() float64 { return ageOf(health()) }))
+	}
+	n.registry.MustRegister(
+		prometheus.NewGaugeFunc(prometheus.GaugeOpts{Name: "ringstream_pass_engine_connections", Help: "Open connections to engines."}, func() float64 {
+			open, _ := n.pool.Counts()
+			return float64(open)
+		}),
+		prometheus.NewCounterFunc(prometheus.CounterOpts{Name: "ringstream_pass_engine_dials_total", Help: "Connections to engines opened so far."}, func() float64 {
+			_, dialed := n.pool.Counts()
+			return float64(dialed)
+		}),
+		prometheus.NewGaugeFunc(prometheus.GaugeOpts{Name: "ringstream_pass_running", Help: "Requests of clients under way."}, func() float64 {
+			return float64(n.front.Running())
+		}),
+	)
+}
+
+func ageOf(health catalog.Health) float64 {
+	if health.LastGood.IsZero() {
+		return -1
+	}
+	return time.Since(health.LastGood).Seconds()
+}
--- a/internal/peer/sharing/loads.go
+++ b/internal/peer/sharing/loads.go
@@ -11,8 +11,11 @@
 	"slices"
 	"time"
 
+	"go.uber.org/zap"
+
 	"ringstream.example/ringstream/internal/core/enginechoice"
 	"ringstream.example/ringstream/internal/core/loadsum"
+	"ringstream.example/ringstream/internal/events"
 	"ringstream.example/ringstream/internal/wait"
 )
 
@@ -107,9 +110,13 @@
 	s.mu.Lock()
 	s.tree.SetPeers(peers, seeds)
 	own := s.tree.SetOwn(loads, wants)
+	before, heard := s.tree.Asked()
 	aggregator := s.tree.Aggregator(now)
 	remote, wanting := s.tree.Remote(now)
 	s.mu.Unlock()
+	if aggregator != before {
+		events.AggregatorChanged.Log(s.logger, zap.String("from", before), zap.String("to", aggregator), zap.Duration("silent", silence(heard, now)))
+	}
 	idle = len(loads) == 0 && !wants
 	if aggregator != s.config.Address && (!idle || !quiet) {
 		s.send(datagrams, message{Kind: kindReport, Life: own.Life, Sequence: own.Sequence, Loads: flatten(own.Loads), Wants: own.Wants}, aggregator)
@@ -118,6 +125,14 @@
 	return idle
 }
 
+// silence is how long an aggregator has said nothing; zero: it was never asked.
+func silence(heard, now time.Time) time.Duration {
+	if heard.IsZero() {
+		return 0
+	}
+	return now.Sub(heard)
+}
+
 func (s *Share) loads() loadsum.Loads {
 	loads := make(loadsum.Loads)
 	for engine, counts := range s.local.Loads() {
