loadsum: looking at the others' work does not count as telling a sum

Cause: read through as a reviewer: Remote made a summary, which moved the turn of the further node that is told; with two moves a round every second node of a zone of even size was never told. Change: the sum is made apart from its telling.

--- a/internal/core/loadsum/loadsum.go
+++ b/internal/core/loadsum/loadsum.go
@@ -232,16 +232,23 @@
 // of each zone in turn, so that aggregators find each other where the first
 // ones are gone.
 func (t *Tree) Summary(now time.Time) (summary Summary, to []string) {
-	t.expire(now)
 	t.told++
-	summary = Summary{Life: t.own.Life, Sequence: t.told, Loads: make(Loads)}
+	summary = t.sum(now)
+	summary.Sequence = t.told
+	return summary, t.listeners()
+}
+
+// sum adds up the reports that count.
+func (t *Tree) sum(now time.Time) Summary {
+	t.expire(now)
+	summary := Summary{Life: t.own.Life, Loads: make(Loads)}
 	if t.asked == t.self.Address {
 		summary.add(t.own)
 	}
 	for _, known := range t.nodes {
 		summary.add(known.report)
 	}
-	return summary, t.listeners()
+	return summary
 }
 
 func (t *Tree) listeners() []string {
@@ -295,8 +302,7 @@
 	total := Total{Loads: make(Loads)}
 	switch {
 	case t.asked == t.self.Address:
-		summary, _ := t.Summary(now)
-		total = t.everything(summary)
+		total = t.everything(t.sum(now))
 		total.Included = t.own.Sequence
 	case now.Sub(t.heard) <= t.config.Trust:
 		total = t.total
