--- a/cmd/ringstream/job.go
+++ b/cmd/ringstream/job.go
@@ -1,6 +1,7 @@
 package main
 
 import (
+	"context"
 	"fmt"
 	"io"
 	"time"
@@ -66,26 +67,21 @@
 }
 
 func newJobGet(flags *jobFlags) *cobra.Command {
-	return &cobra.Command{
-		Use:               "get JOB",
-		Short:             "Show a job",
-		Args:              arguments("JOB"),
-		ValidArgsFunction: completeJobs(flags),
-		RunE: func(command *cobra.Command, given []string) error {
-			client, err := flags.client()
-			if err != nil {
-				return err
-			}
-			job, err := client.Job(command.Context(), flags.tenantID(), identity.JobID(given[0]))
-			return flags.printJob(command, job, err)
-		},
-	}
+	return newJobCall(flags, "get JOB", "Show a job", (*adminclient.Client).Job)
 }
 
 func newJobCancel(flags *jobFlags) *cobra.Command {
+	return newJobCall(flags, "cancel JOB", "Stop a job; no item completes after it returns", (*adminclient.Client).CancelJob)
+}
+
+// jobCall is a call of the admin API about one job, which answers with the job.
+type jobCall func(client *adminclient.Client, ctx context.Context, tenant identity.TenantID, job identity.JobID) (jobs.Job, error)
+
+// newJobCall makes the command of a call about one job.
+func newJobCall(flags *jobFlags, use, short string, call jobCall) *cobra.Command {
 	return &cobra.Command{
-		Use:               "cancel JOB",
-		Short:             "Stop a job; no item completes after it returns",
+		Use:               use,
+		Short:             short,
 		Args:              arguments("JOB"),
 		ValidArgsFunction: completeJobs(flags),
 		RunE: func(command *cobra.Command, given []string) error {
@@ -93,7 +89,7 @@
 			if err != nil {
 				return err
 			}
-			job, err := client.CancelJob(command.Context(), flags.tenantID(), identity.JobID(given[0]))
+			job, err := call(client, command.Context(), flags.tenantID(), identity.JobID(given[0]))
 			return flags.printJob(command, job, err)
 		},
 	}
--- a/internal/bench/ledger/ledger.go
+++ b/internal/bench/ledger/ledger.go
@@ -198,51 +198,44 @@
 
 // AddRequest records a request that has ended.
 func (l *Ledger) AddRequest(request Request) {
-	l.mutex.Lock()
-	defer l.mutex.Unlock()
-	l.requests = append(l.requests, request)
+	record(l, &l.requests, request)
 }
 
 // AddJob records a job at the end of its client.
 func (l *Ledger) AddJob(job Job) {
-	l.mutex.Lock()
-	defer l.mutex.Unlock()
-	l.jobs = append(l.jobs, job)
+	record(l, &l.jobs, job)
 }
 
 // AddEdit records an accepted edit.
 func (l *Ledger) AddEdit(edit Edit) {
-	l.mutex.Lock()
-	defer l.mutex.Unlock()
-	l.edits = append(l.edits, edit)
+	record(l, &l.edits, edit)
 }
 
 // AddSighting records a row as a node showed it.
 func (l *Ledger) AddSighting(sighting Sighting) {
-	l.mutex.Lock()
-	defer l.mutex.Unlock()
-	l.sightings = append(l.sightings, sighting)
+	record(l, &l.sightings, sighting)
 }
 
 // AddDeparture records that an engine was told to leave.
 func (l *Ledger) AddDeparture(departure Departure) {
-	l.mutex.Lock()
-	defer l.mutex.Unlock()
-	l.departed = append(l.departed, departure)
+	record(l, &l.departed, departure)
 }
 
 // AddStop records that a node was stopped.
 func (l *Ledger) AddStop(stop NodeStop) {
-	l.mutex.Lock()
-	defer l.mutex.Unlock()
-	l.stops = append(l.stops, stop)
+	record(l, &l.stops, stop)
 }
 
 // AddDisturbance records a fault that has ended.
 func (l *Ledger) AddDisturbance(disturbance Disturbance) {
+	record(l, &l.disturbed, disturbance)
+}
+
+// record adds one entry to one of the ledger's lists, under its lock.
+func record[Entry any](l *Ledger, list *[]Entry, entry Entry) {
 	l.mutex.Lock()
 	defer l.mutex.Unlock()
-	l.disturbed = append(l.disturbed, disturbance)
+	*list = append(*list, entry)
 }
 
 // Evidence is everything known of a run once it has ended.
