fleet: a change of members that comes with the ticker is not forgotten

When the machine list's ticker and a change of members were both ready, the loop took either; after the ticker it fetched a new channel, and the change before it was never heard. Not load: load only makes both be ready at once more often. Ruled out: the polls' plan (the subset itself was old). Change: the channel is replaced only when it was heard, and it is looked at whichever came first.

--- a/internal/fleet/service.go
+++ b/internal/fleet/service.go
@@ -155,8 +155,8 @@
 	defer ticker.Stop()
 	failing := false
 	membersChanged := true
+	changed := s.bus.Changed()
 	for {
-		changed := s.bus.Changed()
 		listChanged, err := s.readMachines(ctx)
 		if err != nil && !failing && ctx.Err() == nil {
 			events.MachineListStale.Log(s.logger, zap.Error(err))
@@ -171,7 +171,12 @@
 			return
 		case <-ticker.C:
 		case <-changed:
+		}
+		select {
+		case <-changed: // also when the ticker was taken first
+			changed = s.bus.Changed()
 			membersChanged = true
+		default:
 		}
 	}
 }
--- a/internal/fleet/service_test.go
+++ b/internal/fleet/service_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"slices"
 	"sync/atomic"
 	"testing"
 	"testing/synctest"
@@ -13,6 +14,7 @@
 	"ringstream.example/ringstream/internal/backend"
 	"ringstream.example/ringstream/internal/core/identity"
 	"ringstream.example/ringstream/internal/core/membership"
+	"ringstream.example/ringstream/internal/core/subset"
 	"ringstream.example/ringstream/internal/peer/peertest"
 )
 
@@ -85,3 +87,58 @@
 		synctest.Wait()
 	})
 }
+
+// slowList is a machine list that answers late.
+type slowList struct {
+	*countingPlatform
+	takes time.Duration
+}
+
+func (l *slowList) Machines(ctx context.Context, since uint64) (backend.MachineSnapshot, error) {
+	time.Sleep(l.takes)
+	return l.countingPlatform.Machines(ctx, since)
+}
+
+// TestMembersThatChangeWithTheTickerAreHeard has members come while the list
+// is read, so that the ticker and the change wait together: whichever is taken
+// first, the other must not be lost. A change was forgotten when the ticker was
+// taken, which TestPollsFollowTheSubsetWhenItShrinks showed once in CI.
+func TestMembersThatChangeWithTheTickerAreHeard(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const engines, rounds = 400, 12
+		target := &slowList{countingPlatform: &countingPlatform{engines: map[string]*countingEngine{}}}
+		for i := range engines {
+			id := fmt.Sprintf("engine-%d", i)
+			target.machines = append(target.machines, backend.Machine{ID: id, Kind: backend.MachineEngine, Zone: "z", Region: "r", Pool: "p"})
+			target.engines[id] = &countingEngine{}
+		}
+		config := DefaultConfig()
+		target.takes = config.MachineListInterval * 3 / 2
+		network := peertest.New(peertest.Options{})
+		bus := network.Add(membership.Member{ID: "node-0", Zone: "z", Region: "r"})
+		service := New(config, target, target, bus, zap.NewNop(), nil)
+		ctx, cancel := context.WithCancel(t.Context())
+		done := make(chan error, 1)
+		go func() { done <- service.Run(ctx) }()
+		for round := range rounds {
+			time.Sleep(target.takes * 5 / 2) // into the middle of a reading
+			for i := range 20 {
+				network.Add(membership.Member{ID: identity.NodeID(fmt.Sprintf("node-%d-%d", round, i)), Zone: "z", Region: "r"})
+			}
+			time.Sleep(target.takes * 4)
+			live := bus.View().Live()
+			chooser := subset.NewChooser(live, engines)
+			want := 0
+			for id := range target.engines {
+				if slices.Contains(chooser.Dispatchers(identity.EngineID(id), "z", "r"), "node-0") {
+					want++
+				}
+			}
+			if got := len(service.Snapshot().Engines()); got != want {
+				t.Errorf("round %d: %d engines in the subset, want %d of %d nodes", round, got, want, len(live))
+			}
+		}
+		cancel()
+		<-done
+	})
+}
