loadsum: silent nodes are left for a minute

Change: a silent aggregator is left for a minute; the dead go from the list of peers within seconds anyway, and staying with the next one costs nothing.

--- a/internal/core/loadsum/loadsum.go
+++ b/internal/core/loadsum/loadsum.go
@@ -68,12 +68,15 @@
 type Config struct {
 	Trust       time.Duration // a report or a sum counts this long
 	SilentAfter time.Duration // an aggregator that answers no report for so long is left
-	LeftFor     time.Duration // and for so long
+	// LeftFor is for how long it is left. It is long: each silent one that is
+	// tried again costs SilentAfter of hearing nothing, one after the other, and
+	// nothing is lost by staying with the next. The dead go from SetPeers.
+	LeftFor time.Duration
 }
 
 // DefaultConfig suits reports every 100 ms.
 func DefaultConfig() Config {
-	return Config{Trust: 800 * time.Millisecond, SilentAfter: 400 * time.Millisecond, LeftFor: 3 * time.Second}
+	return Config{Trust: 800 * time.Millisecond, SilentAfter: 400 * time.Millisecond, LeftFor: time.Minute}
 }
 
 // backups is how many nodes of a zone hear the sums of other aggregators: the
--- a/internal/core/loadsum/loadsum_test.go
+++ b/internal/core/loadsum/loadsum_test.go
@@ -172,6 +172,34 @@
 	}
 }
 
+// TestSilentNodesAreNotTriedOverAndOver has the first four of a zone's nodes
+// fall silent: the others go on seeing the sum at every moment of the next ten
+// seconds. Tried again after three seconds each, one after the other, the
+// silent ones kept the zone from hearing anything for most of the time.
+func TestSilentNodesAreNotTriedOverAndOver(t *testing.T) {
+	net := newNetwork(3, 6)
+	zone := net.nodes[0].self.Zone
+	for _, address := range net.nodes[0].zones[zone][:4] {
+		net.silent[address] = true
+	}
+	for i := range net.nodes {
+		net.loads[i] = Loads{7: {Online: 1}}
+	}
+	for range 60 {
+		net.round()
+	}
+	sound := len(net.nodes) - len(net.silent)
+	for round := range 200 {
+		net.round()
+		for i, node := range net.nodes {
+			loads, _ := node.Remote(net.now)
+			if !net.silent[net.address(i)] && loads[7].Online != sound-1 {
+				t.Fatalf("round %d: node %s sees %d requests, want %d", round, net.address(i), loads[7].Online, sound-1)
+			}
+		}
+	}
+}
+
 // TestTotalOfAnEarlierLifeIsNotTaken has a node start anew at its address while
 // the aggregator still knows its earlier life.
 func TestTotalOfAnEarlierLifeIsNotTaken(t *testing.T) {
