sharing: what aggregators tell stays small in a large fleet

Worked out from the code, not yet seen in its logs: a sum of 3,000 engines is longer than a datagram may be, so it was not sent; its receivers took their aggregators for silent, each became its own, and each told all that it had heard. Change: a sum tells of the 200 busiest engines; an aggregator tells a bounded number of others; a node hands on what it heard at most every 50 ms; peaks of engines without online work cost nothing; an aggregator is silent after 600 ms.

--- a/internal/core/enginechoice/pick.go
+++ b/internal/core/enginechoice/pick.go
@@ -96,10 +96,17 @@
 // few fluctuations within a burst, and less than the pause between bursts.
 const peakHalfLife = 250 * time.Millisecond
 
+// negligiblePeak is a peak that reserves nothing any more.
+const negligiblePeak = 0.1
+
 // TrackOnline brings the engines' peaks of online requests up to date; called
 // some times a second.
 func (s *Set) TrackOnline(now time.Time) {
 	for _, known := range s.engines {
+		if known.onlinePeak < negligiblePeak && known.online() == 0 {
+			known.onlinePeak = 0
+			continue
+		}
 		fallen := known.onlinePeak * math.Exp2(-now.Sub(known.peakAt).Seconds()/peakHalfLife.Seconds())
 		known.onlinePeak = max(fallen, float64(known.online()))
 		known.peakAt = now
--- a/internal/core/loadsum/loadsum.go
+++ b/internal/core/loadsum/loadsum.go
@@ -76,7 +76,7 @@
 
 // DefaultConfig suits reports every 100 ms.
 func DefaultConfig() Config {
-	return Config{Trust: 800 * time.Millisecond, SilentAfter: 400 * time.Millisecond, LeftFor: time.Minute}
+	return Config{Trust: 800 * time.Millisecond, SilentAfter: 600 * time.Millisecond, LeftFor: time.Minute}
 }
 
 // backups is how many nodes of a zone hear the sums of other aggregators: the
@@ -262,7 +262,8 @@
 		}
 		told[addresses[t.told%uint64(len(addresses))]] = true
 	}
-	for address := range t.others {
+	heard := slices.Sorted(maps.Keys(t.others))
+	for _, address := range heard[:min(len(heard), backups*len(t.zones))] {
 		told[address] = true
 	}
 	delete(told, t.self.Address)
@@ -319,6 +320,23 @@
 	return loads, wanting
 }
 
+// Busiest gives the loads of so many engines at the most, those with the most
+// requests: what is told of a large fleet stays small, and what matters in it
+// is where not to send.
+func (l Loads) Busiest(most int) Loads {
+	if len(l) <= most {
+		return l
+	}
+	engines := slices.SortedFunc(maps.Keys(l), func(a, b uint32) int {
+		return cmp.Or(cmp.Compare(l[b].Online+l[b].Batch, l[a].Online+l[a].Batch), cmp.Compare(a, b))
+	})
+	busiest := make(Loads, most)
+	for _, engine := range engines[:most] {
+		busiest[engine] = l[engine]
+	}
+	return busiest
+}
+
 // Add adds other loads, or takes them away when sign is -1. Counts do not fall
 // below zero.
 func (l Loads) Add(other Loads, sign int) {
--- a/internal/core/loadsum/loadsum_test.go
+++ b/internal/core/loadsum/loadsum_test.go
@@ -238,3 +238,46 @@
 		t.Errorf("others have %d, want 3", loads[7].Online)
 	}
 }
+
+// TestSumsOfALargeFleetTellOfTheBusiest cuts a sum to the engines with the most
+// requests, and leaves a small one whole.
+func TestSumsOfALargeFleetTellOfTheBusiest(t *testing.T) {
+	loads := make(Loads)
+	for engine := range uint32(3000) {
+		loads[engine] = enginechoice.Counts{Online: int(engine % 10), Batch: int(engine % 7)}
+	}
+	busiest := loads.Busiest(200)
+	least := 1 << 30
+	for engine, counts := range busiest {
+		least = min(least, counts.Online+counts.Batch)
+		if counts != loads[engine] {
+			t.Fatalf("engine %d: %+v, want %+v", engine, counts, loads[engine])
+		}
+	}
+	left := 0
+	for engine, counts := range loads {
+		if _, told := busiest[engine]; !told && counts.Online+counts.Batch > least {
+			left++
+		}
+	}
+	if len(busiest) != 200 || left > 0 {
+		t.Errorf("%d engines, %d busier ones left out", len(busiest), left)
+	}
+	if diff := cmp.Diff(loads, loads.Busiest(3000)); diff != "" {
+		t.Error(diff)
+	}
+}
+
+// TestAggregatorsTellABoundedNumberOfOthers has every node of a large fleet be
+// an aggregator, as when none hears another: what each tells does not grow
+// with their number.
+func TestAggregatorsTellABoundedNumberOfOthers(t *testing.T) {
+	net := newNetwork(3, 100)
+	node := net.nodes[0]
+	for i := range net.nodes {
+		node.HearSummary(net.address(i), Summary{Life: uint32(i + 1), Sequence: 1}, net.now) //nolint:gosec // a few nodes
+	}
+	if _, to := node.Summary(net.now); len(to) > 2*backups*3+3 {
+		t.Errorf("tells %d others", len(to))
+	}
+}
--- a/internal/peer/sharing/loads.go
+++ b/internal/peer/sharing/loads.go
@@ -121,7 +121,10 @@
 	if aggregator != s.config.Address && (!idle || !quiet) {
 		s.send(datagrams, message{Kind: kindReport, Life: own.Life, Sequence: own.Sequence, Loads: flatten(own.Loads), Wants: own.Wants}, aggregator)
 	}
-	s.local.Told(s.byEngine(remote), wanting)
+	if now.Sub(s.toldAt) >= s.config.SumEvery {
+		s.toldAt = now
+		s.local.Told(s.byEngine(remote), wanting)
+	}
 	return idle
 }
 
@@ -195,7 +198,7 @@
 	if len(summary.Loads) == 0 && len(summary.Wanting) == 0 {
 		return 0
 	}
-	told := message{Kind: kindSummary, Life: summary.Life, Sequence: summary.Sequence, Loads: flatten(summary.Loads), Wanting: summary.Wanting}
+	told := message{Kind: kindSummary, Life: summary.Life, Sequence: summary.Sequence, Loads: flatten(summary.Loads.Busiest(s.config.SumEngines)), Wanting: summary.Wanting}
 	return s.send(datagrams, told, to...)
 }
 
@@ -214,7 +217,7 @@
 	}
 	var loads []uint32
 	for _, total := range totals {
-		loads = flatten(total.Loads) // the same for all
+		loads = flatten(total.Loads.Busiest(s.config.SumEngines)) // the same for all
 		break
 	}
 	if len(totals) == last.nodes && slices.Equal(loads, last.loads) && time.Since(last.at) < s.config.SumAgain {
--- a/internal/peer/sharing/sharing.go
+++ b/internal/peer/sharing/sharing.go
@@ -77,6 +77,8 @@
 	// it: no node is told more than so many bytes a second.
 	SumEvery time.Duration
 	SumBytes int
+	// SumEngines is the most engines that a sum tells of, the busiest ones.
+	SumEngines int
 	// SumAgain is the longest pause between two of them that say the same.
 	SumAgain time.Duration
 	AskEvery time.Duration
@@ -88,7 +90,7 @@
 	return Config{
 		Address: address, Zone: zone, Every: 100 * time.Millisecond, Soonest: 20 * time.Millisecond,
 		IdleEvery: 300 * time.Millisecond,
-		SumEvery:  50 * time.Millisecond, SumBytes: 12 << 10, SumAgain: 150 * time.Millisecond,
+		SumEvery:  50 * time.Millisecond, SumBytes: 12 << 10, SumEngines: 200, SumAgain: 150 * time.Millisecond,
 		AskEvery: 250 * time.Millisecond, Sums: loadsum.DefaultConfig(),
 	}
 }
@@ -107,6 +109,7 @@
 	logger *zap.Logger
 
 	nudges chan struct{} // has one token when there is news to tell
+	toldAt time.Time     // when Told was last called; of the goroutine that reports
 
 	mu   sync.Mutex // guards tree
 	tree *loadsum.Tree
