sharing, enginechoice: what a node pays grows less with nodes and engines

Worked out from benchmarks: each datagram between nodes told gob's types again and made the receiver build a decoder, the nodes were ranked anew with every report, and each choice hashed and sorted all engines of the pool. Change: datagrams hold a digest of the types and the value; nodes are looked at every 100 ms and ranked when they change; the two engines that a shared part belongs to are found in one pass over hashes mixed in place.

--- /dev/null
+++ b/internal/core/enginechoice/bench_test.go
@@ -0,0 +1,22 @@
+package enginechoice
+
+import (
+	"fmt"
+	"testing"
+)
+
+// BenchmarkPick chooses among the engines of a large fleet.
+func BenchmarkPick(b *testing.B) {
+	for _, engines := range []int{12, 300, 3000} {
+		b.Run(fmt.Sprint(engines), func(b *testing.B) {
+			set := newSet(engines)
+			query := Query{Pool: "p", Shared: []Part{{ID: "a", Tokens: 90}, {ID: "b", Tokens: 60}}, OwnTokens: 400}
+			b.ReportAllocs()
+			for b.Loop() {
+				if _, found := set.Pick(query, start); !found {
+					b.Fatal("no engine")
+				}
+			}
+		})
+	}
+}
--- a/internal/core/enginechoice/enginechoice.go
+++ b/internal/core/enginechoice/enginechoice.go
@@ -7,8 +7,7 @@
 import (
 	"time"
 
-	"ringstream.example/ringstream/internal/core/identity"
-	"ringstream.example/ringstream/internal/core/rendezvous"
+	"github.com/cespare/xxhash/v2"
 )
 
 // State says whether an engine takes new work.
@@ -72,6 +71,7 @@
 // engine is one engine's beliefs.
 type engine struct {
 	entry Entry
+	hash  uint64 // of its id
 	state State
 	since time.Time // of state
 
@@ -110,7 +110,7 @@
 func (s *Set) Upsert(entry Entry, state State, now time.Time) bool {
 	known := s.engines[entry.ID]
 	if known == nil {
-		known = &engine{resident: make(map[string]time.Time), residentTokens: make(map[string]int)}
+		known = &engine{hash: xxhash.Sum64String(entry.ID), resident: make(map[string]time.Time), residentTokens: make(map[string]int)}
 		s.engines[entry.ID] = known
 		pool := s.pools[entry.Pool]
 		if pool == nil {
@@ -351,6 +351,3 @@
 	defaultMemoryTokens = 100_000
 	residentShare       = 60 // per cent of an engine's memory held to be cached parts
 )
-
-// affinity ranks an engine for a key, equal on all nodes; 0 is the first.
-func affinityScore(key, id string) uint64 { return rendezvous.Score(key, identity.NodeID(id)) }
--- a/internal/core/enginechoice/enginechoice_test.go
+++ b/internal/core/enginechoice/enginechoice_test.go
@@ -1,11 +1,14 @@
 package enginechoice
 
 import (
+	"cmp"
 	"fmt"
 	"math/rand/v2"
+	"slices"
 	"testing"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
 	"pgregory.net/rapid"
 )
 
@@ -278,3 +281,32 @@
 		t.Error("an old count is still trusted")
 	}
 }
+
+// The engines taken to keep a shared part are the first of all by rank, those
+// that are left out aside.
+func TestPreferredAgainstASort(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		set := newSet(rapid.IntRange(0, 12).Draw(t, "engines"))
+		for id := range set.engines {
+			if rapid.IntRange(0, 3).Draw(t, id) == 0 {
+				set.Remove(id, false, start)
+			}
+		}
+		part := rapid.StringN(1, 4, 8).Draw(t, "part")
+		key := xxhash.Sum64String(part)
+		var ids []string
+		for id, known := range set.engines {
+			if known.state == Ready {
+				ids = append(ids, id)
+			}
+		}
+		slices.SortFunc(ids, func(a, b string) int {
+			return cmp.Or(cmp.Compare(affinity(key, set.engines[b].hash), affinity(key, set.engines[a].hash)), cmp.Compare(a, b))
+		})
+		var want [affinityRanks]string
+		copy(want[:], ids)
+		if got := set.preferred(Query{Pool: "p", Shared: []Part{{ID: part}}}, start); got != want {
+			t.Fatalf("got %v, want %v", got, want)
+		}
+	})
+}
--- a/internal/core/enginechoice/pick.go
+++ b/internal/core/enginechoice/pick.go
@@ -4,6 +4,8 @@
 	"math"
 	"slices"
 	"time"
+
+	"github.com/cespare/xxhash/v2"
 )
 
 // Part is one part of a prompt that other requests may share.
@@ -140,42 +142,55 @@
 const reportTrust = 300 * time.Millisecond
 
 // preferred gives the engines that the deepest shared part belongs to.
-func (s *Set) preferred(query Query, now time.Time) map[string]bool {
+func (s *Set) preferred(query Query, now time.Time) [affinityRanks]string {
 	if len(query.Shared) == 0 {
-		return nil
-	}
-	key := query.Shared[len(query.Shared)-1].ID
-	type ranked struct {
-		id    string
-		score uint64
+		return [affinityRanks]string{}
 	}
-	var all []ranked
+	key := xxhash.Sum64String(query.Shared[len(query.Shared)-1].ID)
+	var best [affinityRanks]string
+	var scores [affinityRanks]uint64
 	for id, known := range s.pools[query.Pool] {
-		if known.state == Ready && now.After(known.sickUntil) {
-			all = append(all, ranked{id, affinityScore(key, id)})
+		if known.state != Ready || now.Before(known.sickUntil) {
+			continue
 		}
-	}
-	slices.SortFunc(all, func(a, b ranked) int {
-		if a.score > b.score {
-			return -1
+		score := affinity(key, known.hash)
+		for rank := range best {
+			if best[rank] == "" || score > scores[rank] || (score == scores[rank] && id < best[rank]) {
+				copy(best[rank+1:], best[rank:])
+				copy(scores[rank+1:], scores[rank:])
+				best[rank], scores[rank] = id, score
+				break
+			}
 		}
-		return 1
-	})
-	chosen := make(map[string]bool, affinityRanks)
-	for i := 0; i < len(all) && i < affinityRanks; i++ {
-		chosen[all[i].id] = true
 	}
-	return chosen
+	return best
+}
+
+// The multipliers of Steele and others' splitmix64, whose steps spread each bit
+// of a number over all others.
+const (
+	mixFirst  = 0xbf58476d1ce4e5b9
+	mixSecond = 0x94d049bb133111eb
+)
+
+// affinity ranks an engine for a key, equal on all nodes; the highest is the
+// first. It mixes two hashes in place of hashing both texts again for each of
+// thousands of engines.
+func affinity(key, engine uint64) uint64 {
+	mixed := key ^ engine
+	mixed = (mixed ^ mixed>>30) * mixFirst
+	mixed = (mixed ^ mixed>>27) * mixSecond
+	return mixed ^ mixed>>31
 }
 
 // missing estimates the tokens that the engine has to read: parts that it
 // keeps count only while all parts before them are kept as well.
-func (e *engine) missing(query Query, preferred map[string]bool) int {
+func (e *engine) missing(query Query, preferred [affinityRanks]string) int {
 	tokens := query.OwnTokens
 	kept := true
 	for _, part := range query.Shared {
 		_, sent := e.resident[part.ID]
-		kept = kept && (sent || preferred[e.entry.ID])
+		kept = kept && (sent || slices.Contains(preferred[:], e.entry.ID))
 		if !kept {
 			tokens += part.Tokens
 		}
--- a/internal/core/loadsum/loadsum.go
+++ b/internal/core/loadsum/loadsum.go
@@ -102,7 +102,8 @@
 	config Config
 	self   Peer
 
-	zones  map[string][]string // addresses by zone, best ranked first
+	peers  []Peer              // as last set, by address
+	zones  map[string][]string // their addresses by zone, best ranked first
 	seeds  []string            // asked while no other node is known
 	own    Report
 	past   [historyLength]Report // by sequence modulo its length
@@ -127,6 +128,11 @@
 // SetPeers takes the other nodes that may be alive, and addresses to turn to
 // while there are none.
 func (t *Tree) SetPeers(peers []Peer, seeds []string) {
+	sorted := slices.SortedFunc(slices.Values(peers), func(a, b Peer) int { return cmp.Compare(a.Address, b.Address) })
+	if len(peers) > 0 && slices.Equal(sorted, t.peers) {
+		return // ranking them costs more than the rest
+	}
+	t.peers = sorted
 	t.zones = map[string][]string{t.self.Zone: {t.self.Address}}
 	for _, peer := range peers {
 		if peer.Address != t.self.Address {
--- a/internal/peer/sharing/loads.go
+++ b/internal/peer/sharing/loads.go
@@ -1,9 +1,7 @@
 package sharing
 
 import (
-	"bytes"
 	"context"
-	"encoding/gob"
 	"errors"
 	"maps"
 	"math"
@@ -105,10 +103,9 @@
 func (s *Share) reportOnce(datagrams net.PacketConn, quiet bool) (idle bool) {
 	loads := s.loads()
 	wants := s.local.Wants()
-	peers, seeds := s.local.Peers(), s.local.Seeds()
 	now := time.Now()
+	s.lookAtPeers(now)
 	s.mu.Lock()
-	s.tree.SetPeers(peers, seeds)
 	own := s.tree.SetOwn(loads, wants)
 	before, heard := s.tree.Asked()
 	aggregator := s.tree.Aggregator(now)
@@ -128,6 +125,18 @@
 	return idle
 }
 
+// lookAtPeers has the tree know the nodes that may be alive.
+func (s *Share) lookAtPeers(now time.Time) {
+	if now.Sub(s.lookedAt) < s.config.LookEvery {
+		return
+	}
+	s.lookedAt = now
+	peers, seeds := s.local.Peers(), s.local.Seeds()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.tree.SetPeers(peers, seeds)
+}
+
 // silence is how long an aggregator has said nothing; zero: it was never asked.
 func silence(heard, now time.Time) time.Duration {
 	if heard.IsZero() {
@@ -235,16 +244,16 @@
 // send gives the length of what was sent; it is a hint, so what cannot be sent
 // is left out.
 func (s *Share) send(datagrams net.PacketConn, told message, to ...string) int {
-	var content bytes.Buffer
-	if err := gob.NewEncoder(&content).Encode(told); err != nil || content.Len() > datagramBytes {
+	content := s.codec.Write(told)
+	if len(content) > datagramBytes {
 		return 0
 	}
 	for _, peer := range to {
 		if address, err := net.ResolveUDPAddr("udp", peer); err == nil {
-			_, _ = datagrams.WriteTo(content.Bytes(), address)
+			_, _ = datagrams.WriteTo(content, address)
 		}
 	}
-	return content.Len()
+	return len(content)
 }
 
 func (s *Share) listen(ctx context.Context, datagrams net.PacketConn) {
@@ -257,8 +266,7 @@
 			}
 			continue
 		}
-		var told message
-		if gob.NewDecoder(bytes.NewReader(buffer[:count])).Decode(&told) == nil {
+		if told, err := s.codec.Read(buffer[:count]); err == nil {
 			s.hear(from.String(), told)
 		}
 	}
--- a/internal/peer/sharing/sharing.go
+++ b/internal/peer/sharing/sharing.go
@@ -82,7 +82,9 @@
 	// SumAgain is the longest pause between two of them that say the same.
 	SumAgain time.Duration
 	AskEvery time.Duration
-	Sums     loadsum.Config
+	// LookEvery is the pause between two looks at which nodes there are.
+	LookEvery time.Duration
+	Sums      loadsum.Config
 }
 
 // DefaultConfig suits some hundred nodes in zones of some dozen.
@@ -91,7 +93,7 @@
 		Address: address, Zone: zone, Every: 100 * time.Millisecond, Soonest: 20 * time.Millisecond,
 		IdleEvery: 300 * time.Millisecond,
 		SumEvery:  50 * time.Millisecond, SumBytes: 12 << 10, SumEngines: 200, SumAgain: 150 * time.Millisecond,
-		AskEvery: 250 * time.Millisecond, Sums: loadsum.DefaultConfig(),
+		AskEvery: 250 * time.Millisecond, LookEvery: 100 * time.Millisecond, Sums: loadsum.DefaultConfig(),
 	}
 }
 
@@ -109,7 +111,11 @@
 	logger *zap.Logger
 
 	nudges chan struct{} // has one token when there is news to tell
-	toldAt time.Time     // when Told was last called; of the goroutine that reports
+	codec  *codec
+
+	// Of the goroutine that reports:
+	toldAt   time.Time // when Told was last called
+	lookedAt time.Time // when the nodes were last looked at
 
 	mu   sync.Mutex // guards tree
 	tree *loadsum.Tree
@@ -118,7 +124,7 @@
 // New makes a share for a life of a node.
 func New(config Config, self string, local Local, logger *zap.Logger) *Share {
 	tree := loadsum.New(config.Sums, loadsum.Peer{Address: config.Address, Zone: config.Zone}, loadsum.NodeHash(self))
-	return &Share{config: config, local: local, logger: logger, nudges: make(chan struct{}, 1), tree: tree}
+	return &Share{config: config, local: local, logger: logger, nudges: make(chan struct{}, 1), codec: newCodec(), tree: tree}
 }
 
 // Run tells and listens until ctx ends.
