batch, enginechoice: own runs make room at once, late items wait for timely ones

Ruled out: turns of two seconds, a wait for the former engine, fuller engines (100/93 per cent), no items for 700 ms after a start. Change: a node learns how long its items take; those that will be late come last, also after other nodes' timely ones, and their runs stop for timely ones unless nearly done, up to twice the due time; a request that chooses a full engine stops a batch run of its own node there; a stopped item prefers its former engine, which may keep its prompt; a shared part belongs to one engine, and reading a prompt weighs three times its time, since it holds up all that runs there.

--- a/internal/core/enginechoice/enginechoice.go
+++ b/internal/core/enginechoice/enginechoice.go
@@ -55,6 +55,7 @@
 	PrefillTokens int
 	MemoryTokens  int
 	started       bool // its first token has come
+	ended         bool // it is no longer counted
 }
 
 // Result is how a request at an engine ended.
@@ -235,7 +236,7 @@
 
 // FirstToken counts that the engine has read the request's prompt.
 func (s *Set) FirstToken(id string, work *Work) {
-	if work.started {
+	if work.started || work.ended {
 		return
 	}
 	work.started = true
@@ -244,12 +245,14 @@
 	}
 }
 
-// Finish counts a request's end and what it says of the engine.
+// Finish counts a request's end and what it says of the engine. A second end of
+// the same request, one that was stopped to make room, counts nothing.
 func (s *Set) Finish(id string, work *Work, result Result, now time.Time) {
 	known := s.engines[id]
-	if known == nil {
+	if known == nil || work.ended {
 		return
 	}
+	work.ended = true
 	if work.started {
 		known.own.PrefillTokens += work.PrefillTokens
 	}
--- a/internal/core/enginechoice/enginechoice_test.go
+++ b/internal/core/enginechoice/enginechoice_test.go
@@ -310,3 +310,46 @@
 		}
 	})
 }
+
+// TestFullEngineWithOwnBatchWorkMakesRoom has all slots in use: this node's own
+// batch request there gives way at once, another node's would have to be asked.
+func TestFullEngineWithOwnBatchWorkMakesRoom(t *testing.T) {
+	set := newSet(2) // 4 slots each
+	set.SetRemote(map[string]Counts{"e0": {Batch: 4}, "e1": {Batch: 3}})
+	set.Start("e1", &Work{Batch: true})
+	choice, _ := set.Pick(Query{Pool: "p"}, start)
+	if choice.Entry.ID != "e1" || !choice.MakeRoom {
+		t.Errorf("got %s, make room %t", choice.Entry.ID, choice.MakeRoom)
+	}
+	if choice, _ := set.Pick(Query{Pool: "p", Batch: true, BatchLimit: 9, RoomLimit: 9}, start); choice.MakeRoom {
+		t.Error("batch work gives way to batch work")
+	}
+	set.SetRemote(map[string]Counts{"e1": {Batch: 2}})
+	if choice, _ := set.Pick(Query{Pool: "p", Exclude: map[string]bool{"e0": true}}, start); choice.MakeRoom {
+		t.Error("batch work gives way where a slot is free")
+	}
+}
+
+// TestStoppedWorkEndsOnce has a batch request that is counted as ended when it
+// is told to stop, and whose end and first token are told again later.
+func TestStoppedWorkEndsOnce(t *testing.T) {
+	set := newSet(1)
+	work := &Work{Batch: true, PrefillTokens: 10, MemoryTokens: 20}
+	set.Start("e0", work)
+	set.Finish("e0", work, Abandoned, start)
+	set.FirstToken("e0", work)
+	set.Finish("e0", work, Failed, start)
+	if own := set.Own(); len(own) != 0 {
+		t.Errorf("got %v", own)
+	}
+}
+
+// TestFormerEngineIsPreferred has a request that ran at an engine before: its
+// own part of the prompt need not be read there again.
+func TestFormerEngineIsPreferred(t *testing.T) {
+	set := newSet(3)
+	query := Query{Pool: "p", OwnTokens: 1200, Batch: true, BatchLimit: 4, RoomLimit: 4, Former: "e2"}
+	if choice, _ := set.Pick(query, start); choice.Entry.ID != "e2" || choice.PrefillTokens != 0 {
+		t.Errorf("got %s with %d tokens to read", choice.Entry.ID, choice.PrefillTokens)
+	}
+}
--- a/internal/core/enginechoice/pick.go
+++ b/internal/core/enginechoice/pick.go
@@ -25,6 +25,8 @@
 	// and all requests, under way there before this one.
 	BatchLimit, RoomLimit int
 	Exclude               map[string]bool
+	// Former is an engine that may keep all of the prompt; empty: none.
+	Former string
 	// Turn, if given, says at which engines this node may add batch work now.
 	Turn func(engine string) bool
 }
@@ -36,6 +38,9 @@
 	PrefillTokens int     // that the engine has to read
 	InFlight      int     // believed there before this request
 	State         State
+	// MakeRoom: the engine is full, and one of this node's batch requests there
+	// is to be stopped before this request is sent.
+	MakeRoom bool
 }
 
 // The scale of scores, in milliseconds. The engines' own speeds differ little;
@@ -44,6 +49,7 @@
 	prefillTokensPerMs = 50.0
 	msPerRunning       = 0.6   // each running request slows the others a little
 	msPerQueued        = 40.0  // each request beyond the slots waits for an end
+	msMakeRoom         = 6.0   // a batch request that gives way is read again later
 	msPerFailure       = 300.0 // at a failure rate of one
 	msOtherZone        = 3.0
 	msCold             = 30.0
@@ -54,7 +60,10 @@
 )
 
 // affinityRanks is how many engines are taken to keep a shared part.
-const affinityRanks = 2
+const affinityRanks = 1
+
+// prefillWeight is what reading a prompt costs against waiting for others'.
+const prefillWeight = 3
 
 // Pick gives the engine with the least wait to expect, or false when none can
 // take the request.
@@ -71,12 +80,13 @@
 			continue
 		}
 		prefill := known.missing(query, preferred)
-		score := known.score(query, prefill, inFlight, now)
+		makeRoom := !query.Batch && known.canMakeRoom(inFlight)
+		score := known.score(query, prefill, inFlight, makeRoom, now)
 		if known.entry.Zone != s.zone {
 			score += msOtherZone
 		}
 		if !found || score < best.Score || (score == best.Score && id < best.Entry.ID) {
-			best = Choice{Entry: known.entry, Score: score, PrefillTokens: prefill, InFlight: inFlight, State: known.state}
+			best = Choice{Entry: known.entry, Score: score, PrefillTokens: prefill, InFlight: inFlight, State: known.state, MakeRoom: makeRoom}
 			found = true
 		}
 	}
@@ -186,6 +196,9 @@
 // missing estimates the tokens that the engine has to read: parts that it
 // keeps count only while all parts before them are kept as well.
 func (e *engine) missing(query Query, preferred [affinityRanks]string) int {
+	if query.Former == e.entry.ID {
+		return 0
+	}
 	tokens := query.OwnTokens
 	kept := true
 	for _, part := range query.Shared {
@@ -198,9 +211,19 @@
 	return tokens
 }
 
-func (e *engine) score(query Query, prefill, inFlight int, now time.Time) float64 {
+// canMakeRoom says whether the engine is full and this node has batch work
+// there that can give way at once, without a word to other nodes.
+func (e *engine) canMakeRoom(inFlight int) bool {
+	return e.own.Batch > 0 && e.entry.Slots > 0 && inFlight >= e.entry.Slots
+}
+
+func (e *engine) score(query Query, prefill, inFlight int, makeRoom bool, now time.Time) float64 {
 	backlog := max(e.own.PrefillTokens+e.remote.PrefillTokens, 0)
-	score := float64(backlog+prefill) / prefillTokensPerMs
+	score := float64(backlog+prefillWeight*prefill) / prefillTokensPerMs
+	if makeRoom {
+		inFlight--
+		score += msMakeRoom
+	}
 	score += float64(inFlight) * msPerRunning
 	if slots := e.entry.Slots; slots > 0 && inFlight >= slots {
 		score += float64(inFlight-slots+1) * msPerQueued
--- a/internal/events/passthrough.go
+++ b/internal/events/passthrough.go
@@ -18,7 +18,7 @@
 
 	RequestTaken   = Define(Event{Number: 8101, Name: "request taken", Level: zapcore.DebugLevel, Fields: []string{"request", "route", "routes_version", "left"}})
 	RequestDone    = Define(Event{Number: 8102, Name: "request ended", Level: zapcore.InfoLevel, Fields: []string{"request", "route", "routes_version", "routes_age", "outcome", "status", "attempts", "events", "first_event", "elapsed"}})
-	EngineChosen   = Define(Event{Number: 8103, Name: "engine chosen", Level: zapcore.InfoLevel, Fields: []string{"request", "engine", "attempt", "score_ms", "in_flight", "prefill_tokens", "state", "left", "last_event"}})
+	EngineChosen   = Define(Event{Number: 8103, Name: "engine chosen", Level: zapcore.InfoLevel, Fields: []string{"request", "engine", "attempt", "score_ms", "in_flight", "prefill_tokens", "makes_room", "state", "left", "last_event"}})
 	AttemptEnded   = Define(Event{Number: 8104, Name: "attempt ended", Level: zapcore.InfoLevel, Fields: []string{"request", "engine", "attempt", "outcome", "status", "events", "elapsed", "error"}})
 	NoEngine       = Define(Event{Number: 8105, Name: "no engine can take the request", Level: zapcore.InfoLevel, Fields: []string{"request", "pool", "excluded"}})
 	SurplusAnswer  = Define(Event{Number: 8106, Name: "answer of another request dropped", Level: zapcore.InfoLevel, Fields: []string{"request", "engine", "answered"}})
@@ -52,7 +52,7 @@
 	ItemStarted      = Define(Event{Number: 8320, Name: "item started", Level: zapcore.InfoLevel, Fields: []string{"job", "request", "epoch", "engine", "in_flight", "last_event", "routes_version", "routes_age"}})
 	ItemRunEnded     = Define(Event{Number: 8321, Name: "item run ended", Level: zapcore.InfoLevel, Fields: []string{"job", "request", "epoch", "engine", "outcome", "status", "events_kept", "elapsed", "error"}})
 	ItemFinished     = Define(Event{Number: 8322, Name: "item finished", Level: zapcore.InfoLevel, Fields: []string{"job", "request", "succeeded", "why"}})
-	ItemYields       = Define(Event{Number: 8323, Name: "item yields to online work", Level: zapcore.InfoLevel, Fields: []string{"job", "request", "engine", "events_kept"}})
+	ItemYields       = Define(Event{Number: 8323, Name: "item yields", Level: zapcore.InfoLevel, Fields: []string{"job", "request", "engine", "events_kept", "why"}})
 	SignNotWritten   = Define(Event{Number: 8330, Name: "sign of life not written", Level: zapcore.WarnLevel, Fields: []string{"count", "error"}, Action: "The store did not take this node's sign of life. After batch.dead_after the others take its jobs over; look at the store and the way to it."})
 	PassStarting     = Define(Event{Number: 8207, Name: "pass-through starting", Level: zapcore.InfoLevel, Fields: []string{"node", "incarnation", "zone", "version"}})
 )
--- a/internal/passthrough/batch/owned.go
+++ b/internal/passthrough/batch/owned.go
@@ -8,6 +8,7 @@
 
 	"go.uber.org/zap"
 
+	"ringstream.example/ringstream/internal/core/enginechoice"
 	"ringstream.example/ringstream/internal/core/passjob"
 	"ringstream.example/ringstream/internal/events"
 	"ringstream.example/ringstream/internal/passthrough"
@@ -18,7 +19,9 @@
 type itemWork struct {
 	running   bool
 	engine    string             // that runs it
+	counted   *enginechoice.Work // the run as counted at the engine
 	yield     context.CancelFunc // stops the run, to make room
+	yieldedAt time.Time          // when its last run was stopped to make room
 	notBefore time.Time          // of the next run
 	unrun     int                // engines that turned it away in a row
 	text      progress
--- /dev/null
+++ b/internal/passthrough/batch/preempt_test.go
@@ -0,0 +1,159 @@
+package batch
+
+import (
+	"context"
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+
+	"ringstream.example/ringstream/internal/core/enginechoice"
+	"ringstream.example/ringstream/internal/core/passjob"
+	"ringstream.example/ringstream/internal/passthrough"
+	"ringstream.example/ringstream/internal/passthrough/catalog"
+)
+
+// testDue is when the tests' jobs are due after their acceptance.
+const testDue = 20 * time.Second
+
+// newTimedService has a store clock of an hour, and has seen items of 100
+// events that took ten seconds each.
+func newTimedService() *Service {
+	service := newTestService(&takingStore{})
+	service.Engines = catalog.NewEngines("z1", nil, nil, service.Logger)
+	service.Engines.Use(func(set *enginechoice.Set, now time.Time) {
+		set.Upsert(enginechoice.Entry{ID: "e1", Pool: "p", Zone: "z1", Slots: 8}, enginechoice.Ready, now)
+	})
+	service.tellTime(time.Hour)
+	for range forecastLeast {
+		service.forecast.observeItem(100)
+		service.forecast.observeRun(100, 10*time.Second)
+	}
+	return service
+}
+
+// addJob has the service own a job of one item, accepted so long ago.
+func addJob(service *Service, id string, ago time.Duration) *ownedJob {
+	record := passjob.Record{ID: id, Host: "host", AcceptedAt: time.Hour - ago, Due: testDue, Items: []passjob.Item{{ID: "item-" + id, Tokens: 10}}}
+	record.Claim(service.Self)
+	service.adopt(record, 1, make([]passthrough.Item, 1))
+	return service.owned[id]
+}
+
+// begin has the only item of a job run at the engine, with so many events kept.
+func begin(service *Service, job *ownedJob, events int) (stopped context.Context) {
+	ctx, cancel := context.WithCancel(context.Background())
+	work := &enginechoice.Work{Batch: true}
+	service.Engines.Use(func(set *enginechoice.Set, _ time.Time) { set.Start("e1", work) })
+	job.work[0].running, job.work[0].engine, job.work[0].counted, job.work[0].yield = true, "e1", work, cancel
+	for number := range events {
+		job.work[0].text.add(fmt.Sprint(number+1), "data")
+	}
+	return ctx
+}
+
+func candidateIDs(service *Service) []string {
+	var ids []string
+	for _, next := range service.candidates() {
+		ids = append(ids, next.job.id)
+	}
+	return ids
+}
+
+// TestLateItemsComeLast has items wait of which one cannot be done in time: it
+// comes behind those that can, though it is due first, until it is so late
+// that it would never run.
+func TestLateItemsComeLast(t *testing.T) {
+	service := newTimedService()
+	addJob(service, "late", 15*time.Second)
+	addJob(service, "fresh", time.Second)
+	addJob(service, "urgent", 4*time.Second)
+	if difference := cmp.Diff([]string{"urgent", "fresh", "late"}, candidateIDs(service)); difference != "" {
+		t.Error(difference)
+	}
+	addJob(service, "starving", lateMost*testDue+time.Second)
+	if difference := cmp.Diff([]string{"starving", "urgent", "fresh", "late"}, candidateIDs(service)); difference != "" {
+		t.Error(difference)
+	}
+}
+
+// TestNothingIsLateBeforeTimesAreKnown has a node that has just started: only
+// what is past its due time is late.
+func TestNothingIsLateBeforeTimesAreKnown(t *testing.T) {
+	service := newTimedService()
+	service.forecast = forecast{}
+	addJob(service, "past", testDue+time.Second)
+	addJob(service, "close", testDue-time.Second)
+	if difference := cmp.Diff([]string{"close", "past"}, candidateIDs(service)); difference != "" {
+		t.Error(difference)
+	}
+}
+
+// TestLateRunStopsForTimelyItems has two runs that will be late, one of them
+// nearly done, and one that will not: the first is stopped once another item
+// waits that can be in time.
+func TestLateRunStopsForTimelyItems(t *testing.T) {
+	service := newTimedService()
+	late := begin(service, addJob(service, "late", 18*time.Second), 10)
+	nearlyDone := begin(service, addJob(service, "nearly-done", 19*time.Second+500*time.Millisecond), 90)
+	timely := begin(service, addJob(service, "timely", time.Second), 0)
+	service.stopLate()
+	if late.Err() != nil {
+		t.Error("a run was stopped though nothing waits")
+	}
+	addJob(service, "waiting", 0)
+	service.stopLate()
+	if late.Err() == nil {
+		t.Error("the run that will be late goes on")
+	}
+	service.stopLate()
+	if nearlyDone.Err() != nil || timely.Err() != nil {
+		t.Error("a run was stopped that is nearly done or will be in time")
+	}
+}
+
+// TestLateRunsYieldFirst has an engine's runs give way one after the other, and
+// count as ended at once, not again when their runs return.
+func TestLateRunsYieldFirst(t *testing.T) {
+	service := newTimedService()
+	jobs := map[string]*ownedJob{
+		"late": addJob(service, "late", 18*time.Second), "urgent": addJob(service, "urgent", 8*time.Second), "fresh": addJob(service, "fresh", 0),
+	}
+	stopped := make(map[string]context.Context)
+	for id, job := range jobs {
+		stopped[id] = begin(service, job, 5)
+	}
+	for left, id := range []string{"late", "fresh", "urgent"} {
+		service.Yield("e1", 1)
+		if stopped[id].Err() == nil {
+			t.Errorf("%s goes on", id)
+		}
+		service.Engines.Use(func(set *enginechoice.Set, now time.Time) {
+			set.Finish("e1", jobs[id].work[0].counted, enginechoice.Abandoned, now) // the run returns
+			if running := set.Own()["e1"].Batch; running != 2-left {
+				t.Errorf("after %s: %d runs counted", id, running)
+			}
+		})
+	}
+}
+
+func TestForecast(t *testing.T) {
+	var known forecast
+	if known.remaining(0) != 0 || known.cautious(0) != 0 {
+		t.Error("a forecast from nothing")
+	}
+	for range forecastLeast {
+		known.observeItem(100)
+		known.observeRun(100, 10*time.Second)
+	}
+	known.observeRun(forecastEvents-1, time.Hour) // too short to say anything
+	for kept, want := range map[int]time.Duration{0: 10 * time.Second, 60: 4 * time.Second, 100: time.Second, 400: time.Second} {
+		if got := known.remaining(kept).Round(time.Millisecond); got != want {
+			t.Errorf("with %d events: %v, want %v", kept, got, want)
+		}
+	}
+	if got := known.cautious(0).Round(time.Millisecond); got != 13500*time.Millisecond {
+		t.Errorf("cautious: %v", got)
+	}
+}
--- a/internal/passthrough/batch/run.go
+++ b/internal/passthrough/batch/run.go
@@ -68,8 +68,9 @@
 	ctx, stop := context.WithCancel(r.job.runs)
 	defer stop()
 	s.mu.Lock()
-	r.job.work[r.index].engine = r.choice.Entry.ID
-	r.job.work[r.index].yield = stop
+	work := &r.job.work[r.index]
+	work.engine, work.counted, work.yield = r.choice.Entry.ID, r.work, stop
+	before := work.text.events
 	s.mu.Unlock()
 	end, status, err := s.sendItem(ctx, r)
 	switch {
@@ -82,8 +83,12 @@
 	s.metrics.runs.WithLabelValues(end.String()).Inc()
 	s.settleEngine(r, end, err)
 	s.mu.Lock()
-	kept := r.job.work[r.index].text.events
+	kept := work.text.events
 	s.mu.Unlock()
+	s.forecast.observeRun(kept-before, time.Since(started))
+	if end == runWhole {
+		s.forecast.observeItem(kept)
+	}
 	events.ItemRunEnded.Log(s.Logger, zap.String("job", r.job.id), zap.String("request", r.item.ID), zap.Int64("epoch", r.job.epoch),
 		zap.String("engine", r.choice.Entry.ID), zap.Stringer("outcome", end), zap.Int("status", status), zap.Int("events_kept", kept),
 		zap.Duration("elapsed", time.Since(started)), zap.Error(err))
--- a/internal/passthrough/batch/schedule.go
+++ b/internal/passthrough/batch/schedule.go
@@ -3,7 +3,6 @@
 import (
 	"cmp"
 	"context"
-	"math/rand/v2"
 	"slices"
 	"time"
 
@@ -19,11 +18,18 @@
 // scheduleEvery is the longest pause between two looks for idle engines.
 const scheduleEvery = 40 * time.Millisecond
 
+// formerTime is how long an engine is held to keep the prompt of a run that was
+// stopped there.
+const formerTime = 5 * time.Second
+
 // candidate is an item that could run now.
 type candidate struct {
 	job   *ownedJob
 	index int
 	due   time.Duration
+	late  bool // it cannot be done when it is due, by what is known of such items
+	// former is the engine that ran it and may still keep its prompt.
+	former string
 }
 
 // schedule starts items while engines have room for batch work.
@@ -46,13 +52,19 @@
 }
 
 // startItems starts the items that are due first until no engine has room.
+// Those that will be late wait for all others, also for those of other nodes:
+// the engines' time would be lost for items that can be in time.
 func (s *Service) startItems() {
 	waiting := s.candidates()
 	s.mu.Lock()
-	s.wants = len(waiting) > 0
+	s.wants = slices.ContainsFunc(waiting, func(c candidate) bool { return !c.late })
+	rivals := len(s.wanting)
 	s.mu.Unlock()
 	turn := s.turns()
 	for _, next := range waiting {
+		if next.late && rivals > 0 {
+			break
+		}
 		if !s.startItem(next, turn) {
 			break
 		}
@@ -67,7 +79,7 @@
 	if s.leaving {
 		return nil
 	}
-	now := time.Now()
+	now, storeNow := time.Now(), s.storeTime()
 	var list []candidate
 	for _, job := range s.owned {
 		if job.items == nil || job.record.Ended {
@@ -76,19 +88,32 @@
 		for index := range job.work {
 			work := &job.work[index]
 			if job.record.Items[index].State == passjob.Open && work.finished == passjob.Open && !work.running && !work.failed && !now.Before(work.notBefore) {
-				list = append(list, candidate{job: job, index: index, due: job.record.AcceptedAt + job.record.Due})
+				next := candidate{job: job, index: index, due: job.due(), late: job.isLate(storeNow, s.forecast.cautious(work.text.events))}
+				if now.Sub(work.yieldedAt) < formerTime {
+					next.former = work.engine
+				}
+				list = append(list, next)
 			}
 		}
 	}
 	slices.SortFunc(list, func(a, b candidate) int {
-		if order := cmp.Compare(a.due, b.due); order != 0 {
-			return order
-		}
-		return a.index - b.index
+		return cmp.Or(compareBool(a.late, b.late), cmp.Compare(a.due, b.due), cmp.Compare(a.index, b.index))
 	})
 	return list
 }
 
+// compareBool puts false first.
+func compareBool(a, b bool) int {
+	switch {
+	case a == b:
+		return 0
+	case b:
+		return -1
+	default:
+		return 1
+	}
+}
+
 // startItem starts one item; false when no engine has room for batch work.
 func (s *Service) startItem(next candidate, turn func(engine string) bool) bool {
 	item := next.job.items[next.index]
@@ -104,6 +129,7 @@
 	demand := s.Headers.Demand(item.Header)
 	query := relay.Query(s.Routes.Pool(route), demand)
 	query.Batch, query.Turn = true, turn
+	query.Former = next.former
 	var choice enginechoice.Choice
 	work := &enginechoice.Work{Batch: true}
 	s.Engines.Use(func(set *enginechoice.Set, now time.Time) {
@@ -130,40 +156,6 @@
 	return true
 }
 
-// makeRoom stops runs at engines where batch work keeps online work waiting.
-func (s *Service) makeRoom() {
-	var crowds []enginechoice.Crowd
-	s.Engines.Use(func(set *enginechoice.Set, now time.Time) {
-		set.TrackOnline(now)
-		crowds = set.Crowded(now, rand.Float64)
-	})
-	for _, crowd := range crowds {
-		s.Yield(crowd.Engine, crowd.Yield)
-	}
-}
-
-// Yield stops some of this node's runs at an engine, those due last first; what
-// came of their texts is kept.
-func (s *Service) Yield(engine string, count int) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	var runs []candidate
-	for _, job := range s.owned {
-		for index := range job.work {
-			if work := &job.work[index]; work.yield != nil && work.engine == engine {
-				runs = append(runs, candidate{job: job, index: index, due: job.record.AcceptedAt + job.record.Due})
-			}
-		}
-	}
-	slices.SortFunc(runs, func(a, b candidate) int { return cmp.Compare(b.due, a.due) })
-	for _, run := range runs[:min(count, len(runs))] {
-		work := &run.job.work[run.index]
-		events.ItemYields.Log(s.Logger, zap.String("job", run.job.id), zap.String("request", run.job.itemIDs[run.index]), zap.String("engine", engine), zap.Int("events_kept", work.text.events))
-		work.yield()
-		work.yield = nil
-	}
-}
-
 // finish sets the state that an item is to be listed under.
 func (s *Service) finish(job *ownedJob, index int, state passjob.ItemState, why string) {
 	s.mu.Lock()
--- a/internal/passthrough/batch/service.go
+++ b/internal/passthrough/batch/service.go
@@ -50,6 +50,7 @@
 	texts    *textCache
 	started  time.Time
 	pace     storePace
+	forecast forecast
 
 	mu      sync.Mutex // guards the rest
 	owned   map[string]*ownedJob
@@ -119,9 +120,13 @@
 func (s *Service) now() (time.Duration, bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.storeAt + time.Since(s.storeAs), !s.storeAs.IsZero()
+	return s.storeTime(), !s.storeAs.IsZero()
 }
 
+// storeTime estimates the store's clock, once it was heard; the caller holds
+// Service.mu.
+func (s *Service) storeTime() time.Duration { return s.storeAt + time.Since(s.storeAs) }
+
 // blind says that what is known of jobs may be too old to act on.
 func (s *Service) blind() bool {
 	health := s.follower.Health()
--- a/internal/passthrough/relay/relay.go
+++ b/internal/passthrough/relay/relay.go
@@ -39,11 +39,14 @@
 	pool    *engineconn.Pool
 	logger  *zap.Logger
 	metrics *Metrics
+	// makeRoom stops one of this node's batch requests at an engine.
+	makeRoom func(engine string)
 }
 
-// New makes a relay.
-func New(headers passthrough.Headers, engines *catalog.Engines, pool *engineconn.Pool, logger *zap.Logger, metrics *Metrics) *Relay {
-	return &Relay{headers: headers, engines: engines, pool: pool, logger: logger, metrics: metrics}
+// New makes a relay. It calls makeRoom before it sends a request to an engine
+// that is full and runs batch work of this node.
+func New(headers passthrough.Headers, engines *catalog.Engines, pool *engineconn.Pool, logger *zap.Logger, metrics *Metrics, makeRoom func(engine string)) *Relay {
+	return &Relay{headers: headers, engines: engines, pool: pool, logger: logger, metrics: metrics, makeRoom: makeRoom}
 }
 
 // exchange is the state of one call over its attempts.
@@ -190,11 +193,14 @@
 		events.NoEngine.Log(e.logger, zap.String("request", e.call.Demand.RequestID), zap.String("pool", e.call.Pool), zap.Int("excluded", len(e.excluded)))
 		return choice, nil, false
 	}
+	if choice.MakeRoom {
+		e.makeRoom(choice.Entry.ID)
+	}
 	e.tries++
 	events.EngineChosen.Log(e.logger,
 		zap.String("request", e.call.Demand.RequestID), zap.String("engine", choice.Entry.ID), zap.Int("attempt", e.tries),
 		zap.Float64("score_ms", choice.Score), zap.Int("in_flight", choice.InFlight), zap.Int("prefill_tokens", choice.PrefillTokens),
-		zap.Stringer("state", choice.State), zap.Duration("left", time.Until(e.deadline)), zap.String("last_event", e.stream.Last()))
+		zap.Bool("makes_room", choice.MakeRoom), zap.Stringer("state", choice.State), zap.Duration("left", time.Until(e.deadline)), zap.String("last_event", e.stream.Last()))
 	return choice, work, true
 }
 
