--- a/internal/core/admission/queue_test.go
+++ b/internal/core/admission/queue_test.go
@@ -9,6 +9,7 @@
 
 	"ringstream.example/ringstream/internal/core/admission"
 	"ringstream.example/ringstream/internal/core/identity"
+	_ "ringstream.example/ringstream/internal/seedtest" // the same values at every run
 )
 
 // naiveQueue is the discipline by plain loops over an unsorted list.
--- a/internal/core/batch/job_test.go
+++ b/internal/core/batch/job_test.go
@@ -10,6 +10,7 @@
 	"pgregory.net/rapid"
 
 	"ringstream.example/ringstream/internal/core/identity"
+	_ "ringstream.example/ringstream/internal/seedtest" // the same values at every run
 )
 
 // naiveJob is the twin of Job: one plain record for each item.
--- a/internal/core/chatprompt/chatprompt_test.go
+++ b/internal/core/chatprompt/chatprompt_test.go
@@ -5,6 +5,8 @@
 	"testing"
 
 	"pgregory.net/rapid"
+
+	_ "ringstream.example/ringstream/internal/seedtest" // the same values at every run
 )
 
 func TestNoContentPassesForAnotherRole(t *testing.T) {
--- a/internal/core/enginechoice/enginechoice_test.go
+++ b/internal/core/enginechoice/enginechoice_test.go
@@ -10,6 +10,8 @@
 
 	"github.com/cespare/xxhash/v2"
 	"pgregory.net/rapid"
+
+	_ "ringstream.example/ringstream/internal/seedtest" // the same values at every run
 )
 
 var start = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
--- a/internal/core/headroom/headroom_test.go
+++ b/internal/core/headroom/headroom_test.go
@@ -7,6 +7,7 @@
 	"pgregory.net/rapid"
 
 	"ringstream.example/ringstream/internal/core/headroom"
+	_ "ringstream.example/ringstream/internal/seedtest" // the same values at every run
 )
 
 // TestAllowedNeverTakesOnlineRoom: whatever the limits, batch beside online work
--- a/internal/core/idempotency/idempotency_test.go
+++ b/internal/core/idempotency/idempotency_test.go
@@ -9,6 +9,7 @@
 
 	"ringstream.example/ringstream/internal/core/identity"
 	"ringstream.example/ringstream/internal/core/site"
+	_ "ringstream.example/ringstream/internal/seedtest" // the same values at every run
 )
 
 // happening is one committed change of a key; the naive twin decides by
--- a/internal/core/lease/lease_test.go
+++ b/internal/core/lease/lease_test.go
@@ -8,6 +8,7 @@
 	"pgregory.net/rapid"
 
 	"ringstream.example/ringstream/internal/core/identity"
+	_ "ringstream.example/ringstream/internal/seedtest" // the same values at every run
 )
 
 const timeToLive = 7 * time.Second
--- a/internal/core/loadsum/loadsum_test.go
+++ b/internal/core/loadsum/loadsum_test.go
@@ -9,6 +9,7 @@
 	"pgregory.net/rapid"
 
 	"ringstream.example/ringstream/internal/core/enginechoice"
+	_ "ringstream.example/ringstream/internal/seedtest" // the same values at every run
 )
 
 // network joins the parts of many nodes; messages come at once, or are lost to
--- a/internal/core/membership/model_test.go
+++ b/internal/core/membership/model_test.go
@@ -11,6 +11,7 @@
 	"pgregory.net/rapid"
 
 	"ringstream.example/ringstream/internal/core/identity"
+	_ "ringstream.example/ringstream/internal/seedtest" // the same values at every run
 )
 
 // said is one statement about a member.
--- a/internal/core/passroute/passroute_test.go
+++ b/internal/core/passroute/passroute_test.go
@@ -7,6 +7,8 @@
 	"testing"
 
 	"pgregory.net/rapid"
+
+	_ "ringstream.example/ringstream/internal/seedtest" // the same values at every run
 )
 
 // naiveLookup is the plain reading of the rule: of the routes of the host, the
--- a/internal/core/policy/table_test.go
+++ b/internal/core/policy/table_test.go
@@ -9,6 +9,7 @@
 	"pgregory.net/rapid"
 
 	"ringstream.example/ringstream/internal/core/identity"
+	_ "ringstream.example/ringstream/internal/seedtest" // the same values at every run
 )
 
 // naiveTable is the twin: all changes in order of revision, then plain loops.
--- a/internal/core/quota/quota_test.go
+++ b/internal/core/quota/quota_test.go
@@ -9,6 +9,7 @@
 	"pgregory.net/rapid"
 
 	"ringstream.example/ringstream/internal/core/identity"
+	_ "ringstream.example/ringstream/internal/seedtest" // the same values at every run
 )
 
 const tick = 50 * time.Millisecond
--- a/internal/core/routing/routing_test.go
+++ b/internal/core/routing/routing_test.go
@@ -10,6 +10,7 @@
 
 	"ringstream.example/ringstream/internal/core/identity"
 	"ringstream.example/ringstream/internal/core/routing"
+	_ "ringstream.example/ringstream/internal/seedtest" // the same values at every run
 )
 
 // naiveIndex is a PrefixIndex by plain loops: a list of hashes in order of
--- a/internal/core/site/site_test.go
+++ b/internal/core/site/site_test.go
@@ -5,6 +5,8 @@
 	"testing"
 
 	"pgregory.net/rapid"
+
+	_ "ringstream.example/ringstream/internal/seedtest" // the same values at every run
 )
 
 // naive walks the keys between the old and the new share one by one.
--- a/internal/jobs/progress_test.go
+++ b/internal/jobs/progress_test.go
@@ -12,6 +12,7 @@
 	"ringstream.example/ringstream/internal/emulator"
 	"ringstream.example/ringstream/internal/events"
 	"ringstream.example/ringstream/internal/jobs/record"
+	_ "ringstream.example/ringstream/internal/seedtest" // the same values at every run
 )
 
 func TestItemsThatGaveWayGoOnFromTheirTokens(t *testing.T) {
--- a/internal/peer/codec_test.go
+++ b/internal/peer/codec_test.go
@@ -16,6 +16,7 @@
 	"ringstream.example/ringstream/internal/core/identity"
 	"ringstream.example/ringstream/internal/core/membership"
 	"ringstream.example/ringstream/internal/core/policy"
+	_ "ringstream.example/ringstream/internal/seedtest" // the same values at every run
 )
 
 // tableChange has the shape of the message that floods an edit.
--- a/internal/peer/sharing/codec_test.go
+++ b/internal/peer/sharing/codec_test.go
@@ -8,6 +8,8 @@
 
 	"github.com/google/go-cmp/cmp"
 	"pgregory.net/rapid"
+
+	_ "ringstream.example/ringstream/internal/seedtest" // the same values at every run
 )
 
 func exampleMessage() message {
