peerstore: the store by way of another node, where it turns this one away

Ruled out: routes and engines, which such nodes heard from peers in time; false claims (events 8306: each owner was silent). Change: after two failed calls in a row a node has a peer make its calls to the store, until a try in the background succeeds.

--- a/internal/events/passthrough.go
+++ b/internal/events/passthrough.go
@@ -29,6 +29,8 @@
 
 	PeerNotAsked      = Define(Event{Number: 8030, Name: "peer did not answer", Level: zapcore.DebugLevel, Fields: []string{"peer", "error"}})
 	PeerTold          = Define(Event{Number: 8031, Name: "documents taken from a peer", Level: zapcore.InfoLevel, Fields: []string{"peer", "routes_version", "rows", "age"}})
+	OwnWayLost        = Define(Event{Number: 8033, Name: "own way to the store lost", Level: zapcore.WarnLevel, Fields: []string{"failures", "error"}, Action: "The node has peers make its calls to the store while they reach it. One node alone with this line points at its machine or at the store's view of it; all of them, at the store."})
+	OwnWayRegained    = Define(Event{Number: 8034, Name: "own way to the store regained", Level: zapcore.InfoLevel, Fields: []string{"after", "helper"}})
 	AggregatorChanged = Define(Event{Number: 8032, Name: "load aggregator changed", Level: zapcore.InfoLevel, Fields: []string{"from", "to", "silent"}})
 	EngineExpired     = Define(Event{Number: 8023, Name: "unlisted engine not listed again", Level: zapcore.InfoLevel, Fields: []string{"engine", "after"}})
 
--- a/internal/passthrough/edge/edge.go
+++ b/internal/passthrough/edge/edge.go
@@ -22,6 +22,7 @@
 	"ringstream.example/ringstream/internal/passthrough/catalog"
 	"ringstream.example/ringstream/internal/passthrough/engineconn"
 	"ringstream.example/ringstream/internal/passthrough/ingress"
+	"ringstream.example/ringstream/internal/passthrough/peerstore"
 	"ringstream.example/ringstream/internal/passthrough/relay"
 	"ringstream.example/ringstream/internal/peer/sharing"
 	"ringstream.example/ringstream/internal/version"
@@ -57,6 +58,8 @@
 	routesFollower *catalog.Follower
 	engineFollower *catalog.Follower
 	pool           *engineconn.Pool
+	store          *peerstore.Store
+	share          *sharing.Share // nil: the node tells others nothing
 	batch          *batch.Service
 	front          *ingress.Server
 
@@ -75,19 +78,20 @@
 	node.logger = logger.With(zap.String("node", identity.Name))
 	node.registry.MustRegister(collectors.NewGoCollector(), collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}))
 	places := platform.Documents.Places()
+	node.store = peerstore.New(peerstore.DefaultConfig(), platform.Rows, platform.Objects, places.EnginesTable, node.logger)
 	follow := catalog.DefaultFollowConfig()
 	whole := []string{""}
 	node.routes = catalog.NewRoutes(platform.Documents, node.logger)
 	node.engines = catalog.NewEngines(identity.Zone, platform.Documents, node.routes, node.logger)
-	node.routesFollower = catalog.NewFollower(follow, platform.Rows, places.RoutesTable, whole, node.routes, node.logger)
+	node.routesFollower = catalog.NewFollower(follow, node.store, places.RoutesTable, whole, node.routes, node.logger)
 	engineFollow := follow
 	engineFollow.Pace = enginePace
-	node.engineFollower = catalog.NewFollower(engineFollow, platform.Rows, places.EnginesTable, whole, node.engines, node.logger)
+	node.engineFollower = catalog.NewFollower(engineFollow, node.store, places.EnginesTable, whole, node.engines, node.logger)
 	node.engines.JudgeBy(node.engineFollower.Health)
 	follow.Pace = jobPace
 	node.pool = engineconn.New(engineconn.DefaultConfig())
 	node.batch = batch.New(config.Batch, batch.Dependencies{
-		Store: platform.Rows, Objects: platform.Objects, Headers: platform.Headers, Format: platform.Format,
+		Store: node.store, Objects: node.store, Headers: platform.Headers, Format: platform.Format,
 		Routes: node.routes, Engines: node.engines, Pool: node.pool, Logger: node.logger,
 		Self: node.self, Name: identity.Name, Zone: identity.Zone, Peer: config.PeerAddress, Ready: node.knows, Follow: follow, Registerer: node.registry,
 	})
@@ -97,6 +101,12 @@
 		Headers: platform.Headers, Format: platform.Format, Routes: node.routes, Batch: node.batch, Logger: node.logger,
 		Relay: relay.New(platform.Headers, node.engines, node.pool, node.logger, relay.NewMetrics(node.registry), func(engine string) { node.batch.Yield(engine, 1) }),
 	})
+	if config.PeerAddress != "" {
+		local := &sharer{node: node}
+		node.share = sharing.New(sharing.DefaultConfig(config.PeerAddress, identity.Zone), node.self, local, node.logger)
+		node.engines.OnWork(node.share.Nudge)
+		node.store.UsePeers(storePeers{Share: node.share, local: local})
+	}
 	node.registerBeliefs()
 	return node
 }
@@ -127,11 +137,10 @@
 		add(n.serveMetrics)
 	}
 	add(n.engines.Run)
-	if n.config.PeerAddress != "" {
-		share := sharing.New(sharing.DefaultConfig(n.config.PeerAddress, n.identity.Zone), n.self, &sharer{node: n}, n.logger)
-		n.engines.OnWork(share.Nudge)
-		add(share.Run)
+	if n.share != nil {
+		add(n.share.Run)
 	}
+	add(n.store.Run)
 	add(n.sweep)
 	add(n.watchClock)
 	stopped := make(chan struct{})
--- a/internal/passthrough/edge/inspect.go
+++ b/internal/passthrough/edge/inspect.go
@@ -53,3 +53,12 @@
 
 // LiveNodes counts the nodes that this node takes for alive, itself included.
 func (n *Node) LiveNodes() int { return n.batch.LiveNodes() }
+
+// OwnWayLost says whether this node's own way to the store counts as lost.
+func (n *Node) OwnWayLost() bool { return n.store.Lost() }
+
+// RoutesVersion gives the version of the routes in force; 0: none.
+func (n *Node) RoutesVersion() int64 {
+	_, version := n.routes.Document()
+	return version
+}
--- a/internal/passthrough/edge/sharer.go
+++ b/internal/passthrough/edge/sharer.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"context"
 	"slices"
 	"time"
 
@@ -59,6 +60,11 @@
 	return now.Sub(s.node.routesFollower.Health().LastGood) > blindAfter || now.Sub(s.node.engineFollower.Health().LastGood) > blindAfter
 }
 
+// CallStore implements sharing.Local.
+func (s *sharer) CallStore(ctx context.Context, call sharing.StoreCall) sharing.StoreAnswer {
+	return s.node.store.CallFor(ctx, call)
+}
+
 // Question implements sharing.Local.
 func (s *sharer) Question() sharing.Question {
 	_, version := s.node.routes.Document()
@@ -91,3 +97,21 @@
 		s.node.engines.Change(documents.Rows)
 	}
 }
+
+// storePeers are the other nodes as package peerstore sees them.
+type storePeers struct {
+	*sharing.Share
+	local *sharer
+}
+
+// Addresses implements peerstore.Peers.
+func (p storePeers) Addresses() []string {
+	var addresses []string
+	for _, peer := range p.local.Peers() {
+		addresses = append(addresses, peer.Address)
+	}
+	if len(addresses) == 0 {
+		return p.local.Seeds()
+	}
+	return addresses
+}
--- a/internal/peer/sharing/sharing.go
+++ b/internal/peer/sharing/sharing.go
@@ -39,6 +39,18 @@
 	Age time.Duration
 }
 
+// ask is what a node sends to another over TCP: one of its parts is given.
+type ask struct {
+	Question *Question
+	Store    *StoreCall
+}
+
+// answer is what comes back.
+type answer struct {
+	Documents *Documents
+	Store     *StoreAnswer
+}
+
 // Local is the node that tells and asks.
 type Local interface {
 	// Loads gives this node's work at the engines.
@@ -57,6 +69,8 @@
 	Answer(Question) Documents
 	// Learn takes an answer; from is the peer's address.
 	Learn(documents Documents, from string)
+	// CallStore makes a call to the store for another node.
+	CallStore(ctx context.Context, call StoreCall) StoreAnswer
 	// Wants says whether this node has batch items that wait for an engine.
 	Wants() bool
 	// Told takes the sum of the other nodes' work at the engines, and the lives
@@ -149,8 +163,8 @@
 		func() { s.report(ctx, datagrams) },
 		func() { s.aggregate(ctx, datagrams) },
 		func() { s.listen(ctx, datagrams) },
-		func() { s.answer(ctx, listener) },
-		func() { s.ask(ctx) },
+		func() { s.serveAsks(ctx, listener) },
+		func() { s.askPeers(ctx) },
 	} {
 		group.Go(part)
 	}
@@ -158,8 +172,8 @@
 	return nil
 }
 
-// answer serves questions until the listener closes.
-func (s *Share) answer(ctx context.Context, listener net.Listener) {
+// serveAsks serves what others ask until the listener closes.
+func (s *Share) serveAsks(ctx context.Context, listener net.Listener) {
 	for ctx.Err() == nil {
 		connection, err := listener.Accept()
 		if errors.Is(err, net.ErrClosed) {
@@ -174,14 +188,23 @@
 func (s *Share) answerOne(connection net.Conn) {
 	defer connection.Close() //nolint:errcheck // what could be said is said
 	_ = connection.SetDeadline(time.Now().Add(answerTime))
-	var question Question
-	if gob.NewDecoder(io.LimitReader(connection, documentBytes)).Decode(&question) == nil {
-		_ = gob.NewEncoder(connection).Encode(s.local.Answer(question)) // the asker asks again
+	var asked ask
+	if gob.NewDecoder(io.LimitReader(connection, storeCallBytes)).Decode(&asked) != nil {
+		return
+	}
+	var told answer
+	switch {
+	case asked.Question != nil:
+		documents := s.local.Answer(*asked.Question)
+		told.Documents = &documents
+	case asked.Store != nil:
+		told.Store = s.answerStore(connection, *asked.Store)
 	}
+	_ = gob.NewEncoder(connection).Encode(told) // the asker asks again
 }
 
-// ask asks a peer now and then while the store is not heard.
-func (s *Share) ask(ctx context.Context) {
+// askPeers asks a peer now and then while the store is not heard.
+func (s *Share) askPeers(ctx context.Context) {
 	for wait.For(ctx, s.config.AskEvery) {
 		peers := s.known()
 		if !s.local.Blind() || len(peers) == 0 {
@@ -218,9 +241,11 @@
 	}
 	defer connection.Close() //nolint:errcheck // only read
 	_ = connection.SetDeadline(time.Now().Add(askTime))
-	if err := gob.NewEncoder(connection).Encode(s.local.Question()); err != nil {
+	question := s.local.Question()
+	if err := gob.NewEncoder(connection).Encode(ask{Question: &question}); err != nil {
 		return documents, err
 	}
-	err = gob.NewDecoder(io.LimitReader(connection, documentBytes)).Decode(&documents)
+	answered := answer{Documents: &documents}
+	err = gob.NewDecoder(io.LimitReader(connection, documentBytes)).Decode(&answered)
 	return documents, err
 }
--- a/internal/peer/sharing/sharing_test.go
+++ b/internal/peer/sharing/sharing_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"errors"
+	"fmt"
 	"net"
 	"sync"
 	"testing"
@@ -23,9 +25,11 @@
 	blind     bool
 	wants     bool
 	documents Documents
-	told      chan map[string]enginechoice.Counts
-	wanting   chan []uint32
-	learned   chan Documents
+	// storeAnswer is what the store says when it is asked for others.
+	storeAnswer StoreAnswer
+	told        chan map[string]enginechoice.Counts
+	wanting     chan []uint32
+	learned     chan Documents
 }
 
 func newLocal() *local {
@@ -40,6 +44,12 @@
 func (l *local) Wants() bool                           { return l.wants }
 func (l *local) Question() Question                    { return Question{RoutesVersion: 3, RowsSince: 7} }
 
+func (l *local) CallStore(context.Context, StoreCall) StoreAnswer {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.storeAnswer
+}
+
 func (l *local) Answer(asked Question) Documents {
 	if asked.RoutesVersion != 3 || asked.RowsSince != 7 {
 		return Documents{}
@@ -127,3 +137,58 @@
 		}
 	})
 }
+
+// TestStoreCallsByWayOfAPeer has a node ask another for each kind of answer:
+// what the store said comes back as it was.
+func TestStoreCallsByWayOfAPeer(t *testing.T) {
+	served := newLocal()
+	address := freeAddress(t)
+	start(t, "served", served, address)
+	asker := New(DefaultConfig(freeAddress(t), "z1"), "asker", newLocal(), zap.NewNop())
+	for _, want := range []StoreAnswer{
+		{Commit: passthrough.CommitResult{Applied: true, Version: 9}},
+		{Commit: passthrough.CommitResult{Current: []passthrough.Row{{Table: "t", Key: "k", Value: []byte("v"), Version: 3}}}},
+		{Snapshot: passthrough.Snapshot{Version: 4, More: true, Rows: []passthrough.Row{{Table: "t", Key: "k", Gone: true, Version: 4}}}},
+		{Body: []byte("object")},
+		{Fault: FaultFull, Message: "full"},
+	} {
+		served.mu.Lock()
+		served.storeAnswer = want
+		served.mu.Unlock()
+		var got StoreAnswer
+		for {
+			var err error
+			if got, err = asker.CallStore(t.Context(), address, StoreCall{Kind: StoreCommit}); err == nil {
+				break
+			}
+			if !errors.Is(err, passthrough.ErrNothingDone) { // it does not listen yet
+				t.Fatal(err)
+			}
+		}
+		if difference := cmp.Diff(want, got); difference != "" {
+			t.Error(difference)
+		}
+	}
+	if _, err := asker.CallStore(t.Context(), freeAddress(t), StoreCall{Kind: StoreCommit}); !errors.Is(err, passthrough.ErrNothingDone) {
+		t.Errorf("nobody listens: %v", err)
+	}
+}
+
+// TestFaultsKeepWhatIsKnown takes each error of the store to another node.
+func TestFaultsKeepWhatIsKnown(t *testing.T) {
+	for _, known := range []error{passthrough.ErrNothingDone, passthrough.ErrOutcomeUnknown, passthrough.ErrHistoryGone, passthrough.ErrNotFound, passthrough.ErrFull} {
+		if got := (StoreAnswer{Fault: FaultOf(fmt.Errorf("a call: %w", known))}).Err(); !errors.Is(got, known) {
+			t.Errorf("%v came as %v", known, got)
+		}
+	}
+	full := fmt.Errorf("%w: %w", passthrough.ErrNothingDone, passthrough.ErrFull)
+	if got := (StoreAnswer{Fault: FaultOf(full)}).Err(); !errors.Is(got, passthrough.ErrNothingDone) || !errors.Is(got, passthrough.ErrFull) {
+		t.Errorf("a full store came as %v", got)
+	}
+	if got := FaultOf(errors.New("anything else")); got != FaultOutcomeUnknown {
+		t.Errorf("got %d", got)
+	}
+	if (StoreAnswer{}).Err() != nil {
+		t.Error("no fault is an error")
+	}
+}
