peerstore: peers that could not help are asked last, those of the own zone first

Change: a peer that could not help goes behind all others for three seconds; peers of the own zone come first.

--- a/internal/passthrough/edge/sharer.go
+++ b/internal/passthrough/edge/sharer.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"context"
+	"math/rand/v2"
 	"slices"
 	"time"
 
@@ -104,12 +105,20 @@
 	local *sharer
 }
 
-// Addresses implements peerstore.Peers.
+// Addresses implements peerstore.Peers: by chance, nodes of the own zone first,
+// which are reached more cheaply and when zones are cut from each other.
 func (p storePeers) Addresses() []string {
-	var addresses []string
-	for _, peer := range p.local.Peers() {
-		addresses = append(addresses, peer.Address)
+	peers := p.local.Peers()
+	rand.Shuffle(len(peers), func(i, j int) { peers[i], peers[j] = peers[j], peers[i] })
+	var addresses, others []string
+	for _, peer := range peers {
+		if peer.Zone == p.local.node.identity.Zone {
+			addresses = append(addresses, peer.Address)
+		} else {
+			others = append(others, peer.Address)
+		}
 	}
+	addresses = append(addresses, others...)
 	if len(addresses) == 0 {
 		return p.local.Seeds()
 	}
--- a/internal/passthrough/peerstore/peerstore.go
+++ b/internal/passthrough/peerstore/peerstore.go
@@ -6,9 +6,10 @@
 package peerstore
 
 import (
+	"cmp"
 	"context"
 	"errors"
-	"math/rand/v2"
+	"slices"
 	"sync"
 	"time"
 
@@ -26,17 +27,18 @@
 	ProbeEvery      time.Duration // pause between two tries of a lost way
 	ProbeTime       time.Duration // that a try may take
 	PeersTried      int           // for one call
-	AloneFor        time.Duration // no peer is asked for so long after none could help
+	AloneFor        time.Duration // no peer is asked for so long after all that were said that they have lost it as well
+	LeftFor         time.Duration // a peer that could not help is asked after all others for so long
 }
 
 // DefaultConfig suits a store that answers within some milliseconds.
 func DefaultConfig() Config {
-	return Config{FailuresToLeave: 2, ProbeEvery: 500 * time.Millisecond, ProbeTime: 400 * time.Millisecond, PeersTried: 2, AloneFor: 500 * time.Millisecond}
+	return Config{FailuresToLeave: 2, ProbeEvery: 500 * time.Millisecond, ProbeTime: 400 * time.Millisecond, PeersTried: 2, AloneFor: 500 * time.Millisecond, LeftFor: 3 * time.Second}
 }
 
 // Peers are the other nodes that may make calls for this one.
 type Peers interface {
-	// Addresses gives those that may be alive.
+	// Addresses gives those that may be alive, those to ask first at the front.
 	Addresses() []string
 	// CallStore has one of them make a call.
 	CallStore(ctx context.Context, peer string, call sharing.StoreCall) (sharing.StoreAnswer, error)
@@ -51,12 +53,13 @@
 	probe   string // a table to read when the own way is tried
 	logger  *zap.Logger
 
-	mu       sync.Mutex // guards the rest; never held during a call
-	peers    Peers      // nil: there are none
-	failures int        // in a row, on the own way
-	lostAt   time.Time  // zero: the own way counts as sound
-	helper   string     // the peer whose call was last answered
-	alone    time.Time  // until when no peer is asked
+	mu       sync.Mutex           // guards the rest; never held during a call
+	peers    Peers                // nil: there are none
+	failures int                  // in a row, on the own way
+	lostAt   time.Time            // zero: the own way counts as sound
+	helper   string               // the peer whose call was last answered
+	alone    time.Time            // until when no peer is asked
+	left     map[string]time.Time // when peers last could not help
 }
 
 var (
@@ -66,7 +69,7 @@
 
 // New makes a store over the direct way to it; probe is a table that exists.
 func New(config Config, rows passthrough.Rows, objects passthrough.Objects, probe string, logger *zap.Logger) *Store {
-	return &Store{config: config, rows: rows, objects: objects, probe: probe, logger: logger}
+	return &Store{config: config, rows: rows, objects: objects, probe: probe, logger: logger, left: make(map[string]time.Time)}
 }
 
 // UsePeers has calls go by way of peers where the own way is lost; called
@@ -136,50 +139,66 @@
 // byPeer has a peer make the call; made is false when none could, and none may
 // have.
 func (s *Store) byPeer(ctx context.Context, call sharing.StoreCall) (answered sharing.StoreAnswer, made bool, err error) {
-	for _, peer := range s.candidates() {
-		answered, err = s.peers.CallStore(ctx, peer, call)
+	peers, asked := s.candidates()
+	told := 0 // by peers that have lost the store as well
+	for _, peer := range asked {
+		answered, err = peers.CallStore(ctx, peer, call)
 		if err == nil {
 			err = answered.Err()
+			told++
 		}
+		s.remember(peer, err)
 		if !errors.Is(err, passthrough.ErrNothingDone) {
-			s.remember(peer, err)
 			return answered, true, err
 		}
 	}
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.alone = time.Now().Add(s.config.AloneFor)
+	if len(asked) > 0 && told == len(asked) {
+		s.mu.Lock()
+		s.alone = time.Now().Add(s.config.AloneFor)
+		s.mu.Unlock()
+	}
 	return answered, false, err
 }
 
+// remember notes whether a peer could help.
 func (s *Store) remember(peer string, err error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if errors.Is(err, passthrough.ErrOutcomeUnknown) {
-		s.helper = "" // the next call asks another
+	if errors.Is(err, passthrough.ErrOutcomeUnknown) || errors.Is(err, passthrough.ErrNothingDone) {
+		s.left[peer] = time.Now()
+		if s.helper == peer {
+			s.helper = ""
+		}
 		return
 	}
 	s.helper = peer
+	delete(s.left, peer)
 }
 
-// candidates gives the peers to ask: the one that helped last, then others by
-// chance.
-func (s *Store) candidates() []string {
+// candidates gives the peers to ask: the one that helped last, then the others
+// in their order, those that lately could not help at the end.
+func (s *Store) candidates() (Peers, []string) {
 	s.mu.Lock()
-	peers, helper := s.peers, s.helper
-	alone := time.Now().Before(s.alone)
-	s.mu.Unlock()
-	if peers == nil || alone {
-		return nil
+	defer s.mu.Unlock()
+	if s.peers == nil || time.Now().Before(s.alone) {
+		return nil, nil
 	}
-	addresses := peers.Addresses()
-	rand.Shuffle(len(addresses), func(i, j int) { addresses[i], addresses[j] = addresses[j], addresses[i] })
-	for i, address := range addresses {
-		if address == helper {
-			addresses[0], addresses[i] = addresses[i], addresses[0]
-		}
+	addresses := s.peers.Addresses()
+	slices.SortStableFunc(addresses, func(a, b string) int { return cmp.Compare(s.place(a), s.place(b)) })
+	return s.peers, addresses[:min(len(addresses), s.config.PeersTried)]
+}
+
+// place orders peers; the caller holds Store.mu.
+func (s *Store) place(peer string) time.Duration {
+	ago := time.Since(s.left[peer])
+	switch {
+	case peer == s.helper:
+		return -1
+	case ago > s.config.LeftFor:
+		return 0
+	default:
+		return s.config.LeftFor - ago + 1 // the longest ago first
 	}
-	return addresses[:min(len(addresses), s.config.PeersTried)]
 }
 
 // Commit implements passthrough.Rows.
--- a/internal/passthrough/peerstore/peerstore_test.go
+++ b/internal/passthrough/peerstore/peerstore_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"slices"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -55,6 +56,7 @@
 	for address := range p.stores {
 		addresses = append(addresses, address)
 	}
+	slices.Sort(addresses)
 	return addresses
 }
 
@@ -210,3 +212,44 @@
 		t.Error("the own way counts as lost")
 	}
 }
+
+// TestPeersThatCannotHelpAreAskedLast has most peers out of reach and the one
+// that helped fall silent, as on the recorded day inc-c18a: the only one left
+// is found within a few calls, and stayed with.
+func TestPeersThatCannotHelpAreAskedLast(t *testing.T) {
+	own := &way{}
+	store := newStore(own)
+	others := &peers{stores: make(map[string]*Store), lost: make(map[string]error)}
+	for number := range 6 {
+		address := fmt.Sprintf("p%d", number)
+		others.stores[address] = newStore(&way{})
+		others.lost[address] = errRefused
+	}
+	delete(others.lost, "p0")
+	store.UsePeers(others)
+	lose(t, store, own, errRefused)
+	if _, err := store.Commit(t.Context(), passthrough.Transaction{}); err != nil {
+		t.Fatal(err)
+	}
+	others.lost["p0"] = errSilent
+	if _, err := store.Commit(t.Context(), passthrough.Transaction{}); !errors.Is(err, passthrough.ErrOutcomeUnknown) {
+		t.Fatalf("got %v", err)
+	}
+	delete(others.lost, "p5")
+	calls := 1
+	for ; calls < 10; calls++ {
+		if _, err := store.Commit(t.Context(), passthrough.Transaction{}); err == nil {
+			break
+		}
+	}
+	if calls > 3 {
+		t.Errorf("the peer that could help was found after %d calls", calls)
+	}
+	others.asked = nil
+	if _, err := store.Commit(t.Context(), passthrough.Transaction{}); err != nil {
+		t.Fatal(err)
+	}
+	if difference := cmp.Diff([]string{"p5"}, others.asked); difference != "" {
+		t.Error(difference)
+	}
+}
