bench, jobs, cmd: prompts' names, ends of runs, codes' meanings and lists of rows stand once

Cause: the list of duplicate places: the fault matrix and the scenario bench each translated the stand-ins' ledger, package jobs and its runner each translated item codes, two commands each listed rows. Change: package bench/engineledger, batch.Code.Outcome, showRows.

--- a/cmd/ringstream/row.go
+++ b/cmd/ringstream/row.go
@@ -36,22 +36,28 @@
 		Short: "List all rows",
 		Args:  arguments(),
 		RunE: func(command *cobra.Command, _ []string) error {
-			client, err := options.client()
-			if err != nil {
-				return err
-			}
-			list, err := client.Rows(command.Context())
-			if err != nil {
-				return err
-			}
-			if options.output == outputJSON {
-				return printJSON(command.OutOrStdout(), list)
-			}
-			return printRows(command.OutOrStdout(), list.Rows)
+			return showRows(command, options, func(list admin.RowList) error { return printRows(command.OutOrStdout(), list.Rows) })
 		},
 	}
 }
 
+// showRows asks for all rows and prints them as JSON where that is wanted, else
+// by show.
+func showRows(command *cobra.Command, options *connection, show func(admin.RowList) error) error {
+	client, err := options.client()
+	if err != nil {
+		return err
+	}
+	list, err := client.Rows(command.Context())
+	if err != nil {
+		return err
+	}
+	if options.output == outputJSON {
+		return printJSON(command.OutOrStdout(), list)
+	}
+	return show(list)
+}
+
 func printRows(output io.Writer, list []policy.Row) error {
 	shown := &grid{header: []string{"row", "tenant", "model", "kind", "weight", "requests/s", "tokens/s", "concurrency", "deadline class", "share here", "pool", "revision"}}
 	for _, row := range list {
--- a/cmd/ringstream/row_change.go
+++ b/cmd/ringstream/row_change.go
@@ -148,18 +148,7 @@
 		Example: "  ringstream row export > rows.yaml",
 		Args:    arguments(),
 		RunE: func(command *cobra.Command, _ []string) error {
-			client, err := options.client()
-			if err != nil {
-				return err
-			}
-			list, err := client.Rows(command.Context())
-			if err != nil {
-				return err
-			}
-			if options.output == outputJSON {
-				return printJSON(command.OutOrStdout(), list)
-			}
-			return yaml.NewEncoder(command.OutOrStdout()).Encode(list)
+			return showRows(command, options, func(list admin.RowList) error { return yaml.NewEncoder(command.OutOrStdout()).Encode(list) })
 		},
 	}
 }
--- a/internal/bench/faults/judge.go
+++ b/internal/bench/faults/judge.go
@@ -8,6 +8,7 @@
 	"ringstream.example/ringstream/internal/backend"
 	"ringstream.example/ringstream/internal/bench/checker"
 	"ringstream.example/ringstream/internal/bench/client"
+	"ringstream.example/ringstream/internal/bench/engineledger"
 	"ringstream.example/ringstream/internal/bench/ledger"
 	"ringstream.example/ringstream/internal/bench/workload"
 	"ringstream.example/ringstream/internal/emulator"
@@ -121,23 +122,7 @@
 
 // allPrompts gives the name of every prompt's hash.
 func (c *cell) allPrompts() map[uint64]string {
-	names := map[uint64]string{}
-	for _, plan := range []workload.Plan{c.plan, leavingPlan(c.Seed)} {
-		for _, request := range plan.Requests {
-			names[emulator.PromptHash(model, request.Prompt)] = request.Name
-		}
-		for _, job := range plan.Jobs {
-			for _, item := range job.Items {
-				names[emulator.PromptHash(model, item.Prompt)] = item.Name
-			}
-		}
-	}
-	return names
-}
-
-// runEnds translates the engines' ends.
-var runEnds = map[string]ledger.RunEnd{
-	"": ledger.RunOpen, "length": ledger.RunFinished, "cancelled": ledger.RunCancelled, "crashed": ledger.RunLost,
+	return engineledger.PromptNames(model, c.plan, leavingPlan(c.Seed))
 }
 
 // complete adds what the engines recorded.
@@ -154,7 +139,7 @@
 		}
 		into.Runs = append(into.Runs, ledger.Run{
 			Engine: entry.Engine, Attempt: entry.Attempt, Name: name, Online: online, Kept: entry.Kept,
-			Taken: entry.OfferedAt, Started: entry.StartedAt, Finished: entry.EndedAt, End: runEnds[entry.End], Tokens: entry.Tokens,
+			Taken: entry.OfferedAt, Started: entry.StartedAt, Finished: entry.EndedAt, End: engineledger.RunEnd(entry.End), Tokens: entry.Tokens,
 			From: entry.From,
 		})
 	}
--- a/internal/bench/fleet/fleet.go
+++ b/internal/bench/fleet/fleet.go
@@ -18,6 +18,7 @@
 
 	"ringstream.example/ringstream/internal/adminclient"
 	"ringstream.example/ringstream/internal/backend"
+	"ringstream.example/ringstream/internal/bench/engineledger"
 	"ringstream.example/ringstream/internal/bench/ledger"
 	"ringstream.example/ringstream/internal/bench/measure"
 	"ringstream.example/ringstream/internal/bench/scenario"
@@ -261,7 +262,7 @@
 
 // Complete adds to the callers' records what the stand-ins recorded of a plan.
 func Complete(into *ledger.Evidence, plan workload.Plan, model string, stand *emulator.Fleet) {
-	names := namesByHash(plan, model)
+	names := engineledger.PromptNames(model, plan)
 	for _, engine := range stand.Engines {
 		for _, entry := range engine.Ledger() {
 			add(into, engine.ID(), entry, names[entry.PromptHash])
@@ -280,24 +281,6 @@
 	into.Index()
 }
 
-func namesByHash(plan workload.Plan, model string) map[uint64]string {
-	names := map[uint64]string{}
-	for _, request := range plan.Requests {
-		names[emulator.PromptHash(model, request.Prompt)] = request.Name
-	}
-	for _, job := range plan.Jobs {
-		for _, item := range job.Items {
-			names[emulator.PromptHash(model, item.Prompt)] = item.Name
-		}
-	}
-	return names
-}
-
-// runEnds translates the engines' ends.
-var runEnds = map[string]ledger.RunEnd{
-	"": ledger.RunOpen, "length": ledger.RunFinished, "cancelled": ledger.RunCancelled, "crashed": ledger.RunLost,
-}
-
 func add(into *ledger.Evidence, engine string, entry emulator.LedgerEntry, name string) {
 	online := entry.Priority == backend.PriorityOnline
 	if entry.Refused != "" {
@@ -309,7 +292,7 @@
 	into.Runs = append(into.Runs, ledger.Run{
 		Engine: engine, Attempt: entry.Attempt, Name: name, Online: online, Kept: entry.Kept,
 		Taken: entry.OfferedAt, Started: entry.StartedAt, FirstToken: entry.FirstTokenAt, Finished: entry.EndedAt,
-		End: runEnds[entry.End], Tokens: entry.Tokens, Preemptions: entry.Preemptions,
+		End: engineledger.RunEnd(entry.End), Tokens: entry.Tokens, Preemptions: entry.Preemptions,
 	})
 }
 
--- a/internal/core/batch/segment.go
+++ b/internal/core/batch/segment.go
@@ -11,6 +11,7 @@
 	"slices"
 
 	"ringstream.example/ringstream/internal/core/identity"
+	"ringstream.example/ringstream/internal/core/outcome"
 )
 
 // Code is an item's durable outcome.
@@ -24,6 +25,18 @@
 	Unknown   Code = 3 // may have run, and must not run again
 )
 
+// Outcome gives the code's meaning for callers.
+func (c Code) Outcome() outcome.Kind {
+	switch c {
+	case Completed:
+		return outcome.Completed
+	case Failed:
+		return outcome.Failed
+	default:
+		return outcome.Unknown
+	}
+}
+
 // Intent names the one attempt of an item that must not be repeated.
 type Intent = identity.Intent
 
--- a/internal/jobs/results.go
+++ b/internal/jobs/results.go
@@ -89,7 +89,7 @@
 			if !found {
 				return nil, errors.New("jobs: a final item has no result object")
 			}
-			result.Outcome = outcomeLabel(segment.Code(offset))
+			result.Outcome = segment.Code(offset).Outcome().String()
 			results = append(results, result)
 			continue
 		}
--- a/internal/jobs/runner/execute.go
+++ b/internal/jobs/runner/execute.go
@@ -210,7 +210,7 @@
 
 // complete gives an item its outcome. r.mu is held.
 func (r *Runner) complete(u unit, code batch.Code, result record.Result) {
-	result.Outcome = label(code)
+	result.Outcome = code.Outcome().String()
 	r.finish(u, code, result)
 	if row, found := r.row(&u.job.header); found {
 		if rate := r.groups[group{pool: row.Pool, model: u.job.header.Model}]; rate != nil {
@@ -219,17 +219,6 @@
 	}
 }
 
-func label(code batch.Code) string {
-	switch code {
-	case batch.Completed:
-		return outcome.Completed.String()
-	case batch.Failed:
-		return outcome.Failed.String()
-	default:
-		return outcome.Unknown.String()
-	}
-}
-
 func reason(ended outcome.Outcome) string {
 	if ended.Reason != "" {
 		return ended.Reason
--- a/internal/jobs/service.go
+++ b/internal/jobs/service.go
@@ -14,7 +14,6 @@
 	"ringstream.example/ringstream/internal/backend"
 	"ringstream.example/ringstream/internal/core/batch"
 	"ringstream.example/ringstream/internal/core/identity"
-	"ringstream.example/ringstream/internal/core/outcome"
 	"ringstream.example/ringstream/internal/core/policy"
 	"ringstream.example/ringstream/internal/events"
 	"ringstream.example/ringstream/internal/jobs/intake"
@@ -273,14 +272,3 @@
 	}
 	return viewOf(header, counts), nil
 }
-
-func outcomeLabel(code batch.Code) string {
-	switch code {
-	case batch.Completed:
-		return outcome.Completed.String()
-	case batch.Failed:
-		return outcome.Failed.String()
-	default:
-		return outcome.Unknown.String()
-	}
-}
