--- a/internal/asynclog/asynclog.go
+++ b/internal/asynclog/asynclog.go
@@ -73,28 +73,45 @@
 	<-w.done
 }
 
-// run writes the queue in as few calls as it can.
+// run writes the queue in as few calls as it can, whole lines in each.
 func (w *Writer) run() {
 	defer close(w.done)
+	var batch []byte
 	for line := range w.lines {
-		batch := line
-		for more := true; more && len(batch) < maxBatch; {
+		batch = append(batch[:0], line...)
+		for more := true; more; {
 			select {
 			case next, open := <-w.lines:
-				if more = open; open {
-					batch = append(batch, next...)
-				}
+				more = open
+				batch = w.add(batch, next)
 			default:
 				more = false
 			}
 		}
 		if shed := w.shed.Load(); shed > w.said {
-			batch = append(batch, w.notice(shed-w.said)...)
+			batch = w.add(batch, w.notice(shed-w.said))
 			w.said = shed
 		}
+		w.flush(batch)
+	}
+}
+
+// add puts a line behind others, which are written before when it does not fit.
+func (w *Writer) add(batch, line []byte) []byte {
+	if len(batch)+len(line) > maxBatch {
+		w.flush(batch)
+		batch = batch[:0]
+	}
+	return append(batch, line...)
+}
+
+func (w *Writer) flush(batch []byte) {
+	if len(batch) > 0 {
 		_, _ = w.to.Write(batch) // nowhere left to report to
 	}
 }
 
-// maxBatch is the most bytes of one write.
-const maxBatch = 32 << 10
+// maxBatch is the most bytes of one write, but for a longer line: a pipe takes
+// so many at once or not at all (PIPE_BUF), and whoever reads logs may keep no
+// more of one write.
+const maxBatch = 4096
