peerstore: no peers before a node has listed all that it follows; refusals at one moment lose nothing

Change: peers are asked only by a node that has listed routes, engines and jobs; the way is lost after two failures 0.3 s apart.

--- a/internal/passthrough/edge/edge.go
+++ b/internal/passthrough/edge/edge.go
@@ -105,7 +105,7 @@
 		local := &sharer{node: node}
 		node.share = sharing.New(sharing.DefaultConfig(config.PeerAddress, identity.Zone), node.self, local, node.logger)
 		node.engines.OnWork(node.share.Nudge)
-		node.store.UsePeers(storePeers{Share: node.share, local: local})
+		node.store.UsePeers(storePeers{Share: node.share, local: local}, node.caughtUp)
 	}
 	node.registerBeliefs()
 	return node
@@ -215,6 +215,11 @@
 	return table != nil && n.engineFollower.Health().Listed
 }
 
+// caughtUp says whether the node has listed all that it follows. Before that it
+// asks the store alone: when all nodes start at once the store throttles all
+// of them, and listings by way of peers would only add to it.
+func (n *Node) caughtUp() bool { return n.knows() && n.batch.Health().Listed }
+
 // serveReady answers the platform's question.
 func (n *Node) serveReady(ctx context.Context) error {
 	server := newEcho()
--- a/internal/passthrough/peerstore/peerstore.go
+++ b/internal/passthrough/peerstore/peerstore.go
@@ -24,6 +24,7 @@
 // Config says when the own way counts as lost and how it is tried again.
 type Config struct {
 	FailuresToLeave int           // failed calls in a row after which the own way counts as lost
+	LeaveAfter      time.Duration // the least time between the first of them and the last
 	ProbeEvery      time.Duration // pause between two tries of a lost way
 	ProbeTime       time.Duration // that a try may take
 	PeersTried      int           // for one call
@@ -33,7 +34,7 @@
 
 // DefaultConfig suits a store that answers within some milliseconds.
 func DefaultConfig() Config {
-	return Config{FailuresToLeave: 2, ProbeEvery: 500 * time.Millisecond, ProbeTime: 400 * time.Millisecond, PeersTried: 2, AloneFor: 500 * time.Millisecond, LeftFor: 3 * time.Second}
+	return Config{FailuresToLeave: 2, LeaveAfter: 300 * time.Millisecond, ProbeEvery: 500 * time.Millisecond, ProbeTime: 400 * time.Millisecond, PeersTried: 2, AloneFor: 500 * time.Millisecond, LeftFor: 3 * time.Second}
 }
 
 // Peers are the other nodes that may make calls for this one.
@@ -55,7 +56,9 @@
 
 	mu       sync.Mutex           // guards the rest; never held during a call
 	peers    Peers                // nil: there are none
+	allowed  func() bool          // whether peers may be asked
 	failures int                  // in a row, on the own way
+	failing  time.Time            // since the first of them
 	lostAt   time.Time            // zero: the own way counts as sound
 	helper   string               // the peer whose call was last answered
 	alone    time.Time            // until when no peer is asked
@@ -72,12 +75,12 @@
 	return &Store{config: config, rows: rows, objects: objects, probe: probe, logger: logger, left: make(map[string]time.Time)}
 }
 
-// UsePeers has calls go by way of peers where the own way is lost; called
-// before Run.
-func (s *Store) UsePeers(peers Peers) {
+// UsePeers has calls go by way of peers where the own way is lost and allowed
+// says so; called before Run.
+func (s *Store) UsePeers(peers Peers, allowed func() bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.peers = peers
+	s.peers, s.allowed = peers, allowed
 }
 
 // Lost says whether the own way to the store counts as lost.
@@ -113,8 +116,11 @@
 	case !failed:
 		s.failures = 0
 	default:
+		if s.failures == 0 {
+			s.failing = time.Now()
+		}
 		s.failures++
-		if s.failures >= s.config.FailuresToLeave && s.lostAt.IsZero() {
+		if s.failures >= s.config.FailuresToLeave && time.Since(s.failing) >= s.config.LeaveAfter && s.lostAt.IsZero() {
 			s.lostAt = time.Now()
 			events.OwnWayLost.Log(s.logger, zap.Int("failures", s.failures), zap.Error(err))
 		}
@@ -180,7 +186,7 @@
 func (s *Store) candidates() (Peers, []string) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if s.peers == nil || time.Now().Before(s.alone) {
+	if s.peers == nil || time.Now().Before(s.alone) || !s.allowed() {
 		return nil, nil
 	}
 	addresses := s.peers.Addresses()
--- a/internal/passthrough/peerstore/peerstore_test.go
+++ b/internal/passthrough/peerstore/peerstore_test.go
@@ -72,16 +72,22 @@
 	return New(DefaultConfig(), own, own, "table", zap.NewNop())
 }
 
+func always() bool { return true }
+
 var (
 	errRefused = fmt.Errorf("%w: status 503", passthrough.ErrNothingDone)
 	errSilent  = fmt.Errorf("%w: no answer", passthrough.ErrOutcomeUnknown)
 )
 
-// lose has a store's own way fail until it counts as lost.
+// lose has a store's own way fail until it counts as lost; in a bubble, whose
+// time passes at once.
 func lose(t *testing.T, store *Store, own *way, err error) {
 	t.Helper()
 	own.err = err
-	for range DefaultConfig().FailuresToLeave {
+	for number := range DefaultConfig().FailuresToLeave {
+		if number > 0 {
+			time.Sleep(DefaultConfig().LeaveAfter)
+		}
 		if _, got := store.Commit(t.Context(), passthrough.Transaction{}); !errors.Is(got, err) {
 			t.Fatalf("got %v, want %v", got, err)
 		}
@@ -95,7 +101,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		own, theirs := &way{}, &way{}
 		store := newStore(own)
-		store.UsePeers(&peers{stores: map[string]*Store{"p1": newStore(theirs)}})
+		store.UsePeers(&peers{stores: map[string]*Store{"p1": newStore(theirs)}}, always)
 		lose(t, store, own, errRefused)
 		made := own.calls
 		if result, err := store.Commit(t.Context(), passthrough.Transaction{}); err != nil || !result.Applied || result.Version != 7 {
@@ -143,20 +149,22 @@
 		{name: "there is no such object", theirs: passthrough.ErrNotFound, want: passthrough.ErrNotFound},
 	} {
 		t.Run(test.name, func(t *testing.T) {
-			own := &way{}
-			store := newStore(own)
-			others := &peers{stores: map[string]*Store{"p1": newStore(&way{err: test.theirs})}, lost: map[string]error{"p1": test.transport}}
-			store.UsePeers(others)
-			lose(t, store, own, errRefused)
-			own.err = nil
-			made := own.calls
-			_, err := store.Commit(t.Context(), passthrough.Transaction{})
-			if !errors.Is(err, test.want) || (test.want == nil && err != nil) {
-				t.Errorf("got %v, want %v", err, test.want)
-			}
-			if own.calls-made != test.ownCalls {
-				t.Errorf("%d calls on the own way", own.calls-made)
-			}
+			synctest.Test(t, func(t *testing.T) {
+				own := &way{}
+				store := newStore(own)
+				others := &peers{stores: map[string]*Store{"p1": newStore(&way{err: test.theirs})}, lost: map[string]error{"p1": test.transport}}
+				store.UsePeers(others, always)
+				lose(t, store, own, errRefused)
+				own.err = nil
+				made := own.calls
+				_, err := store.Commit(t.Context(), passthrough.Transaction{})
+				if !errors.Is(err, test.want) || (test.want == nil && err != nil) {
+					t.Errorf("got %v, want %v", err, test.want)
+				}
+				if own.calls-made != test.ownCalls {
+					t.Errorf("%d calls on the own way", own.calls-made)
+				}
+			})
 		})
 	}
 }
@@ -164,24 +172,26 @@
 // TestNodesThatAllLostTheStoreAskEachOtherSeldom has the store down for all: a
 // peer says so without a call, and is not asked again at once.
 func TestNodesThatAllLostTheStoreAskEachOtherSeldom(t *testing.T) {
-	own, theirs := &way{}, &way{}
-	store, peer := newStore(own), newStore(theirs)
-	others := &peers{stores: map[string]*Store{"p1": peer}}
-	store.UsePeers(others)
-	lose(t, store, own, errRefused)
-	lose(t, peer, theirs, errRefused)
-	made := theirs.calls
-	for range 10 {
-		if _, err := store.Commit(t.Context(), passthrough.Transaction{}); !errors.Is(err, passthrough.ErrNothingDone) {
-			t.Fatalf("got %v", err)
+	synctest.Test(t, func(t *testing.T) {
+		own, theirs := &way{}, &way{}
+		store, peer := newStore(own), newStore(theirs)
+		others := &peers{stores: map[string]*Store{"p1": peer}}
+		store.UsePeers(others, always)
+		lose(t, store, own, errRefused)
+		lose(t, peer, theirs, errRefused)
+		made := theirs.calls
+		for range 10 {
+			if _, err := store.Commit(t.Context(), passthrough.Transaction{}); !errors.Is(err, passthrough.ErrNothingDone) {
+				t.Fatalf("got %v", err)
+			}
 		}
-	}
-	if theirs.calls != made {
-		t.Errorf("a peer without the store made %d calls", theirs.calls-made)
-	}
-	if difference := cmp.Diff([]string{"p1"}, others.asked); difference != "" {
-		t.Error(difference)
-	}
+		if theirs.calls != made {
+			t.Errorf("a peer without the store made %d calls", theirs.calls-made)
+		}
+		if difference := cmp.Diff([]string{"p1"}, others.asked); difference != "" {
+			t.Error(difference)
+		}
+	})
 }
 
 // TestOneFailureLosesNothing has single failures between answers.
@@ -217,39 +227,75 @@
 // that helped fall silent, as on the recorded day inc-c18a: the only one left
 // is found within a few calls, and stayed with.
 func TestPeersThatCannotHelpAreAskedLast(t *testing.T) {
-	own := &way{}
-	store := newStore(own)
-	others := &peers{stores: make(map[string]*Store), lost: make(map[string]error)}
-	for number := range 6 {
-		address := fmt.Sprintf("p%d", number)
-		others.stores[address] = newStore(&way{})
-		others.lost[address] = errRefused
-	}
-	delete(others.lost, "p0")
-	store.UsePeers(others)
-	lose(t, store, own, errRefused)
-	if _, err := store.Commit(t.Context(), passthrough.Transaction{}); err != nil {
-		t.Fatal(err)
-	}
-	others.lost["p0"] = errSilent
-	if _, err := store.Commit(t.Context(), passthrough.Transaction{}); !errors.Is(err, passthrough.ErrOutcomeUnknown) {
-		t.Fatalf("got %v", err)
-	}
-	delete(others.lost, "p5")
-	calls := 1
-	for ; calls < 10; calls++ {
-		if _, err := store.Commit(t.Context(), passthrough.Transaction{}); err == nil {
-			break
+	synctest.Test(t, func(t *testing.T) {
+		own := &way{}
+		store := newStore(own)
+		others := &peers{stores: make(map[string]*Store), lost: make(map[string]error)}
+		for number := range 6 {
+			address := fmt.Sprintf("p%d", number)
+			others.stores[address] = newStore(&way{})
+			others.lost[address] = errRefused
 		}
+		delete(others.lost, "p0")
+		store.UsePeers(others, always)
+		lose(t, store, own, errRefused)
+		if _, err := store.Commit(t.Context(), passthrough.Transaction{}); err != nil {
+			t.Fatal(err)
+		}
+		others.lost["p0"] = errSilent
+		if _, err := store.Commit(t.Context(), passthrough.Transaction{}); !errors.Is(err, passthrough.ErrOutcomeUnknown) {
+			t.Fatalf("got %v", err)
+		}
+		delete(others.lost, "p5")
+		calls := 1
+		for ; calls < 10; calls++ {
+			if _, err := store.Commit(t.Context(), passthrough.Transaction{}); err == nil {
+				break
+			}
+		}
+		if calls > 3 {
+			t.Errorf("the peer that could help was found after %d calls", calls)
+		}
+		others.asked = nil
+		if _, err := store.Commit(t.Context(), passthrough.Transaction{}); err != nil {
+			t.Fatal(err)
+		}
+		if difference := cmp.Diff([]string{"p5"}, others.asked); difference != "" {
+			t.Error(difference)
+		}
+	})
+}
+
+// TestThrottledNodesDoNotAskPeersBeforeTheyHaveListed: when 300 nodes started at
+// once the store throttled all of them, and each had others make its listings
+// (sweep at 300: 1,647 kB/s at the busiest node).
+func TestThrottledNodesDoNotAskPeersBeforeTheyHaveListed(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		own := &way{}
+		store := newStore(own)
+		others := &peers{stores: map[string]*Store{"p1": newStore(&way{})}}
+		caughtUp := false
+		store.UsePeers(others, func() bool { return caughtUp })
+		lose(t, store, own, errRefused)
+		if _, err := store.List(t.Context(), "t", "", "", "", 0); !errors.Is(err, passthrough.ErrNothingDone) || len(others.asked) > 0 {
+			t.Errorf("got %v, %d peers asked", err, len(others.asked))
+		}
+		caughtUp = true
+		if _, err := store.List(t.Context(), "t", "", "", "", 0); err != nil {
+			t.Error(err)
+		}
+	})
+}
+
+// TestRefusalsAtOneMomentLoseNothing has many calls refused at once, as by a
+// store that is busy for a moment.
+func TestRefusalsAtOneMomentLoseNothing(t *testing.T) {
+	own := &way{err: errRefused}
+	store := newStore(own)
+	for range 10 * DefaultConfig().FailuresToLeave {
+		store.note(own.err)
 	}
-	if calls > 3 {
-		t.Errorf("the peer that could help was found after %d calls", calls)
-	}
-	others.asked = nil
-	if _, err := store.Commit(t.Context(), passthrough.Transaction{}); err != nil {
-		t.Fatal(err)
-	}
-	if difference := cmp.Diff([]string{"p5"}, others.asked); difference != "" {
-		t.Error(difference)
+	if store.Lost() {
+		t.Error("the own way counts as lost")
 	}
 }
