engineconn: a connection is kept when the writer reports a moment after the answer

Ruled out: the port of the metrics (the page came), the store's calls (events show the sign). Change: the end of an answer waits up to 20 ms for the writer's word.

--- a/internal/passthrough/engineconn/conn.go
+++ b/internal/passthrough/engineconn/conn.go
@@ -132,13 +132,20 @@
 	e.conn.pool.put(e.conn)
 }
 
+// writerTime is how long the end of an answer waits for the word that the
+// request was written: the writer runs beside the reader, and may not have been
+// scheduled since its last byte left.
+const writerTime = 20 * time.Millisecond
+
 // whole says whether the request was written to its end.
 func (e *Exchange) whole() bool {
+	timer := time.NewTimer(writerTime)
+	defer timer.Stop()
 	select {
 	case err := <-e.written:
 		return err == nil
-	default:
-		return false
+	case <-timer.C:
+		return false // an early answer: the rest of the request is not on its way
 	}
 }
 
