--- a/internal/core/enginechoice/enginechoice.go
+++ b/internal/core/enginechoice/enginechoice.go
@@ -58,6 +58,9 @@
 	ended         bool // it is no longer counted
 }
 
+// AwaitsFirstToken says whether the request's first token has not come.
+func (w *Work) AwaitsFirstToken() bool { return !w.started }
+
 // Result is how a request at an engine ended.
 type Result uint8
 
@@ -76,7 +79,10 @@
 	state State
 	since time.Time // of state
 
-	own, remote    Counts
+	own, remote Counts
+	// preemptible is how many of the remote batch requests can be stopped by a
+	// message to the node that runs them.
+	preemptible    int
 	reported       int // running and waiting, from the last answer's head
 	reportedOwn    int // own work when it was read
 	reportedAt     time.Time
@@ -96,7 +102,8 @@
 	zone    string
 	engines map[string]*engine
 	pools   map[string]map[string]*engine
-	changes uint64 // of own work
+	paces   map[string]*pace // by pool
+	changes uint64           // of own work
 }
 
 // WorkChanges counts the beginnings and ends of own work so far.
@@ -104,7 +111,7 @@
 
 // NewSet makes an empty set for a node in the zone.
 func NewSet(zone string) *Set {
-	return &Set{zone: zone, engines: make(map[string]*engine), pools: make(map[string]map[string]*engine)}
+	return &Set{zone: zone, engines: make(map[string]*engine), pools: make(map[string]map[string]*engine), paces: make(map[string]*pace)}
 }
 
 // Upsert takes an engine's entry. It reports whether the belief changed.
@@ -208,10 +215,29 @@
 
 func (e *engine) usable() bool { return e.state != Leaving }
 
-// SetRemote replaces what other nodes have under way at each engine.
-func (s *Set) SetRemote(counts map[string]Counts) {
+// SetRemote replaces what other nodes have under way at each engine, and how
+// many of their batch requests there can be stopped by a message.
+func (s *Set) SetRemote(counts map[string]Counts, preemptible map[string]int) {
 	for id, known := range s.engines {
 		known.remote = counts[id]
+		known.preemptible = preemptible[id]
+	}
+}
+
+// Remote gives what other nodes have under way at an engine.
+func (s *Set) Remote(id string) Counts {
+	if known := s.engines[id]; known != nil {
+		return known.remote
+	}
+	return Counts{}
+}
+
+// RemotePreempted takes note that another node is asked to stop a batch request
+// at the engine. The node's next report replaces it.
+func (s *Set) RemotePreempted(id string) {
+	if known := s.engines[id]; known != nil && known.preemptible > 0 {
+		known.preemptible--
+		known.remote.Batch = max(known.remote.Batch-1, 0)
 	}
 }
 
--- a/internal/core/enginechoice/enginechoice_test.go
+++ b/internal/core/enginechoice/enginechoice_test.go
@@ -181,15 +181,15 @@
 		t.Error("picked outside of the turn")
 	}
 	query.Turn = nil
-	set.SetRemote(map[string]Counts{"e0": {Batch: 2}})
+	set.SetRemote(map[string]Counts{"e0": {Batch: 2}}, nil)
 	if _, found := set.Pick(query, start); found {
 		t.Error("over the limit of batch work of all nodes")
 	}
-	set.SetRemote(map[string]Counts{"e0": {Online: 3}})
+	set.SetRemote(map[string]Counts{"e0": {Online: 3}}, nil)
 	if _, found := set.Pick(query, start); found {
 		t.Error("over the limit of all work")
 	}
-	set.SetRemote(nil)
+	set.SetRemote(nil, nil)
 	query.MemoryTokens = 9000
 	if _, found := set.Pick(query, start); found {
 		t.Error("over the share of the memory")
@@ -201,7 +201,7 @@
 	for range 3 {
 		set.Start("e0", &Work{Batch: true})
 	}
-	set.SetRemote(map[string]Counts{"e0": {Online: 2, Batch: 3}})
+	set.SetRemote(map[string]Counts{"e0": {Online: 2, Batch: 3}}, nil)
 	never := func() float64 { return 0 }
 	crowds := set.Crowded(start, never) // 8 requests at 4 slots: half of the 4 too many are this node's
 	if len(crowds) != 1 || crowds[0].Yield != 2 {
@@ -214,7 +214,7 @@
 	if crowds := set.Crowded(later, never); len(crowds) != 1 || crowds[0].Yield != 2 {
 		t.Errorf("after the pause: %+v", crowds)
 	}
-	set.SetRemote(map[string]Counts{"e0": {Batch: 3}})
+	set.SetRemote(map[string]Counts{"e0": {Batch: 3}}, nil)
 	if crowds := set.Crowded(later.Add(yieldPause), never); len(crowds) != 0 {
 		t.Errorf("batch gives way to batch: %+v", crowds)
 	}
@@ -262,7 +262,7 @@
 		for range nodes {
 			set := newSet(1) // 4 slots
 			set.Start("e0", &Work{Batch: true})
-			set.SetRemote(map[string]Counts{"e0": {Online: 2, Batch: nodes - 1}}) // 10 requests: 6 too many
+			set.SetRemote(map[string]Counts{"e0": {Online: 2, Batch: nodes - 1}}, nil) // 10 requests: 6 too many
 			for _, crowd := range set.Crowded(start, random.Float64) {
 				yields += crowd.Yield
 			}
@@ -317,7 +317,7 @@
 // batch request there gives way at once, another node's would have to be asked.
 func TestFullEngineWithOwnBatchWorkMakesRoom(t *testing.T) {
 	set := newSet(2) // 4 slots each
-	set.SetRemote(map[string]Counts{"e0": {Batch: 4}, "e1": {Batch: 3}})
+	set.SetRemote(map[string]Counts{"e0": {Batch: 4}, "e1": {Batch: 3}}, nil)
 	set.Start("e1", &Work{Batch: true})
 	choice, _ := set.Pick(Query{Pool: "p"}, start)
 	if choice.Entry.ID != "e1" || !choice.MakeRoom {
@@ -326,7 +326,7 @@
 	if choice, _ := set.Pick(Query{Pool: "p", Batch: true, BatchLimit: 9, RoomLimit: 9}, start); choice.MakeRoom {
 		t.Error("batch work gives way to batch work")
 	}
-	set.SetRemote(map[string]Counts{"e1": {Batch: 2}})
+	set.SetRemote(map[string]Counts{"e1": {Batch: 2}}, nil)
 	if choice, _ := set.Pick(Query{Pool: "p", Exclude: map[string]bool{"e0": true}}, start); choice.MakeRoom {
 		t.Error("batch work gives way where a slot is free")
 	}
@@ -355,3 +355,43 @@
 		t.Errorf("got %s with %d tokens to read", choice.Entry.ID, choice.PrefillTokens)
 	}
 }
+
+// TestFullEngineWithOthersBatchWorkMakesRoom has batch requests of other nodes
+// that a message can stop, until as many were asked to as there are.
+func TestFullEngineWithOthersBatchWorkMakesRoom(t *testing.T) {
+	set := newSet(1) // 4 slots
+	set.SetRemote(map[string]Counts{"e0": {Online: 2, Batch: 2}}, map[string]int{"e0": 2})
+	for asked := range 2 {
+		choice, _ := set.Pick(Query{Pool: "p"}, start)
+		if !choice.MakeRoom || !choice.HasSlot() {
+			t.Fatalf("after %d: %+v", asked, choice)
+		}
+		set.RemotePreempted("e0")
+		set.Start("e0", &Work{})
+	}
+	set.RemotePreempted("e0") // one too many changes nothing
+	choice, _ := set.Pick(Query{Pool: "p"}, start)
+	if choice.MakeRoom || choice.HasSlot() || choice.InFlight != 4 {
+		t.Errorf("all were asked: %+v", choice)
+	}
+}
+
+// TestExpectedFirstToken forecasts by the objective until enough requests were
+// seen, and by what they took after that.
+func TestExpectedFirstToken(t *testing.T) {
+	const objective = 300 * time.Millisecond
+	set := newSet(1)
+	at := func(inFlight int) time.Duration {
+		return set.ExpectedFirstToken(Choice{Entry: Entry{Pool: "p", Slots: 4}, InFlight: inFlight}, objective)
+	}
+	if got := []time.Duration{at(3), at(4), at(6)}; got[0] != 0 || got[1] != 150*time.Millisecond || got[2] != 450*time.Millisecond {
+		t.Errorf("by the objective: %v", got)
+	}
+	for range paceLeast {
+		set.ObserveFirst("p", 80*time.Millisecond)
+		set.ObserveService("p", 720*time.Millisecond)
+	}
+	if got := []time.Duration{at(3), at(4), at(6)}; got[0] != 80*time.Millisecond || got[1] != 280*time.Millisecond || got[2] != 680*time.Millisecond {
+		t.Errorf("as observed: %v", got)
+	}
+}
--- a/internal/core/enginechoice/pick.go
+++ b/internal/core/enginechoice/pick.go
@@ -38,8 +38,8 @@
 	PrefillTokens int     // that the engine has to read
 	InFlight      int     // believed there before this request
 	State         State
-	// MakeRoom: the engine is full, and one of this node's batch requests there
-	// is to be stopped before this request is sent.
+	// MakeRoom: the engine is full, and a batch request there is to be stopped
+	// before this request is sent: one of this node's, else another node's.
 	MakeRoom bool
 }
 
@@ -211,10 +211,10 @@
 	return tokens
 }
 
-// canMakeRoom says whether the engine is full and this node has batch work
-// there that can give way at once, without a word to other nodes.
+// canMakeRoom says whether the engine is full and runs batch work that can be
+// stopped at once.
 func (e *engine) canMakeRoom(inFlight int) bool {
-	return e.own.Batch > 0 && e.entry.Slots > 0 && inFlight >= e.entry.Slots
+	return e.own.Batch+e.preemptible > 0 && e.entry.Slots > 0 && inFlight >= e.entry.Slots
 }
 
 func (e *engine) score(query Query, prefill, inFlight int, makeRoom bool, now time.Time) float64 {
--- a/internal/core/loadsum/loadsum_test.go
+++ b/internal/core/loadsum/loadsum_test.go
@@ -22,7 +22,9 @@
 	loads  []Loads
 }
 
-func newNetwork(zones, perZone int) *network {
+func newNetwork(zones, perZone, directNodes int) *network {
+	config := DefaultConfig()
+	config.DirectNodes = directNodes
 	net := &network{now: time.Unix(1000, 0), byAddr: make(map[string]*Tree), silent: make(map[string]bool)}
 	var peers []Peer
 	for zone := range zones {
@@ -31,7 +33,7 @@
 		}
 	}
 	for i, self := range peers {
-		tree := New(DefaultConfig(), self, uint32(i+1)) //nolint:gosec // a few nodes
+		tree := New(config, self, uint32(i+1)) //nolint:gosec // a few nodes
 		var others []Peer
 		for _, peer := range peers {
 			if peer != self {
@@ -52,9 +54,18 @@
 // pause of a round pass.
 func (n *network) round() {
 	for i, node := range n.nodes {
-		report := node.SetOwn(n.loads[i], false)
 		to := node.Aggregator(n.now)
-		if to != n.address(i) && !n.silent[to] && !n.silent[n.address(i)] {
+		report := node.SetOwn(n.loads[i], 0)
+		if n.silent[n.address(i)] {
+			continue
+		}
+		for _, other := range node.Direct() {
+			if !n.silent[other] {
+				n.byAddr[other].HearReport(n.address(i), report, n.now)
+			}
+		}
+		report.Asks = true
+		if to != n.address(i) && !n.silent[to] {
 			n.byAddr[to].HearReport(n.address(i), report, n.now)
 		}
 	}
@@ -134,7 +145,7 @@
 // plain sum, while nodes fall silent and come back.
 func TestAllNodesSeeTheSumOfTheOthers(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
-		net := newNetwork(rapid.IntRange(1, 4).Draw(t, "zones"), rapid.IntRange(1, 6).Draw(t, "per zone"))
+		net := newNetwork(rapid.IntRange(1, 4).Draw(t, "zones"), rapid.IntRange(1, 6).Draw(t, "per zone"), rapid.IntRange(1, 25).Draw(t, "direct nodes"))
 		for range rapid.IntRange(1, 5).Draw(t, "phases") {
 			for i := range net.nodes {
 				net.loads[i] = drawLoads(t)
@@ -153,7 +164,16 @@
 // TestLossOfAnAggregatorCostsLessThanASecond counts the rounds until the nodes
 // of its zone see a change elsewhere again.
 func TestLossOfAnAggregatorCostsLessThanASecond(t *testing.T) {
-	net := newNetwork(3, 5)
+	for _, directNodes := range everyScope {
+		t.Run(fmt.Sprint(directNodes), func(t *testing.T) { loseAggregator(t, newNetwork(3, 5, directNodes)) })
+	}
+}
+
+// everyScope are bounds of direct reports at which fleets of three zones of
+// five or six nodes use AggregatorScope, ZoneScope and FleetScope.
+var everyScope = []int{1, 6, 18}
+
+func loseAggregator(t *testing.T, net *network) {
 	for range 20 {
 		net.round()
 	}
@@ -178,7 +198,12 @@
 // seconds. Tried again after three seconds each, one after the other, the
 // silent ones kept the zone from hearing anything for most of the time.
 func TestSilentNodesAreNotTriedOverAndOver(t *testing.T) {
-	net := newNetwork(3, 6)
+	for _, directNodes := range everyScope {
+		t.Run(fmt.Sprint(directNodes), func(t *testing.T) { keepSilent(t, newNetwork(3, 6, directNodes)) })
+	}
+}
+
+func keepSilent(t *testing.T, net *network) {
 	zone := net.nodes[0].self.Zone
 	for _, address := range net.nodes[0].zones[zone][:4] {
 		net.silent[address] = true
@@ -211,14 +236,14 @@
 	if got := node.Aggregator(now); got != "10.0.0.2:1" {
 		t.Fatalf("reports to %s, want the seed", got)
 	}
-	node.SetOwn(nil, false)
+	node.SetOwn(nil, 0)
 	node.HearTotal("10.0.0.2:1", Total{Life: 1, Included: 500, Loads: Loads{7: {Online: 3}}}, now)
 	if loads, _ := node.Remote(now); len(loads) != 0 {
 		t.Errorf("took %+v", loads)
 	}
-	node.HearTotal("10.0.0.2:1", Total{Life: 2, Included: 1, Loads: Loads{7: {Online: 4}}, Wanting: []uint32{2, 9}}, now)
-	if loads, wanting := node.Remote(now); loads[7].Online != 4 || len(wanting) != 1 || wanting[0] != 9 {
-		t.Errorf("took %+v, waiting %v", loads, wanting)
+	node.HearTotal("10.0.0.2:1", Total{Life: 2, Included: 1, Loads: Loads{7: {Online: 4}}, Backlogs: []Backlog{{2, 5}, {9, 6}}}, now)
+	if loads, backlogs := node.Remote(now); loads[7].Online != 4 || len(backlogs) != 1 || backlogs[0] != (Backlog{9, 6}) {
+		t.Errorf("took %+v, backlogs %v", loads, backlogs)
 	}
 	if loads, _ := node.Remote(now.Add(time.Second)); len(loads) != 0 {
 		t.Errorf("an old total still counts: %+v", loads)
@@ -232,8 +257,8 @@
 	node := New(DefaultConfig(), Peer{Address: "10.0.0.1:1", Zone: "z"}, 2)
 	node.SetPeers(nil, []string{"10.0.0.2:1"})
 	node.Aggregator(now)
-	node.SetOwn(Loads{7: {Online: 2}}, false)
-	node.SetOwn(Loads{7: {Online: 9}}, false)
+	node.SetOwn(Loads{7: {Online: 2}}, 0)
+	node.SetOwn(Loads{7: {Online: 9}}, 0)
 	node.HearTotal("10.0.0.2:1", Total{Life: 2, Included: 1, Loads: Loads{7: {Online: 5}}}, now)
 	if loads, _ := node.Remote(now); loads[7].Online != 3 {
 		t.Errorf("others have %d, want 3", loads[7].Online)
@@ -273,7 +298,7 @@
 // an aggregator, as when none hears another: what each tells does not grow
 // with their number.
 func TestAggregatorsTellABoundedNumberOfOthers(t *testing.T) {
-	net := newNetwork(3, 100)
+	net := newNetwork(3, 100, 32)
 	node := net.nodes[0]
 	for i := range net.nodes {
 		node.HearSummary(net.address(i), Summary{Life: uint32(i + 1), Sequence: 1}, net.now) //nolint:gosec // a few nodes
@@ -282,3 +307,97 @@
 		t.Errorf("tells %d others", len(to))
 	}
 }
+
+// TestScopeFollowsTheNumberOfNodes has a node learn of more and more others.
+func TestScopeFollowsTheNumberOfNodes(t *testing.T) {
+	for _, c := range []struct {
+		zones, perZone int
+		want           Scope
+		direct         int
+	}{{1, 1, AggregatorScope, 0}, {3, 3, FleetScope, 8}, {2, 16, FleetScope, 31}, {3, 11, ZoneScope, 10}, {3, 32, ZoneScope, 31}, {3, 33, AggregatorScope, 0}} {
+		net := newNetwork(c.zones, c.perZone, 32)
+		last := net.nodes[0].zones["z0"][c.perZone-1] // not the aggregator, unless alone
+		node := net.byAddr[last]
+		node.Aggregator(net.now)
+		asked, _ := node.Asked()
+		direct := node.Direct()
+		if asked != last && node.Scope() != AggregatorScope {
+			direct = append(direct, asked) // is told too
+		}
+		if node.Scope() != c.want || len(direct) != c.direct {
+			t.Errorf("%d zones of %d: %v, %d told directly", c.zones, c.perZone, node.Scope(), len(direct))
+		}
+	}
+}
+
+// TestANodeThatKnowsNoOtherIsAnsweredByASeed has a seed in a small fleet, where
+// nobody sums up for others, answer a node that has just started.
+func TestANodeThatKnowsNoOtherIsAnsweredByASeed(t *testing.T) {
+	net := newNetwork(1, 3, 32)
+	net.loads = []Loads{{7: {Online: 1}}, {7: {Online: 2}}, {7: {Online: 4}}}
+	net.round()
+	started := New(DefaultConfig(), Peer{Address: "10.0.0.9:1", Zone: "z0"}, 99)
+	seed := net.address(0)
+	started.SetPeers(nil, []string{seed})
+	report := started.SetOwn(Loads{7: {Online: 8}}, 0)
+	report.Asks = started.Aggregator(net.now) == seed
+	net.nodes[0].HearReport(started.self.Address, report, net.now)
+	if !net.nodes[0].Acting(net.now) {
+		t.Fatal("the seed does not answer")
+	}
+	summary, _ := net.nodes[0].Summary(net.now)
+	started.HearTotal(seed, net.nodes[0].Totals(summary, net.now)[started.self.Address], net.now)
+	if loads, _ := started.Remote(net.now); loads[7].Online != 7 {
+		t.Errorf("sees %d requests of others, want 7", loads[7].Online)
+	}
+}
+
+// TestPreemptAgainstAPlainList asks for one batch request after the other and
+// compares with a plain list of who runs how many: the node with the most is
+// asked, and each request is given up once.
+func TestPreemptAgainstAPlainList(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		net := newNetwork(1, rapid.IntRange(2, 6).Draw(t, "nodes"), 32)
+		running := make(map[string]int)
+		for i := range net.nodes {
+			batch := rapid.IntRange(0, 4).Draw(t, "batch")
+			net.loads[i] = Loads{7: {Online: 1, Batch: batch}}
+			if i > 0 && batch > 0 {
+				running[net.address(i)] = batch
+			}
+		}
+		net.round()
+		asking := net.nodes[0]
+		for {
+			total, most := 0, 0
+			for _, batch := range running {
+				total, most = total+batch, max(most, batch)
+			}
+			if got := asking.Preemptible()[7]; got != total {
+				t.Fatalf("%d can be stopped, want %d", got, total)
+			}
+			address, age, found := asking.Preempt(7, net.now)
+			if found != (total > 0) {
+				t.Fatalf("found %t with %d running", found, total)
+			}
+			if !found {
+				break
+			}
+			if running[address] != most || age != 50*time.Millisecond {
+				t.Fatalf("asked %s, which runs %d of at most %d, by a report of %v", address, running[address], most, age)
+			}
+			running[address]--
+		}
+		if loads, _ := asking.Remote(net.now); loads[7].Batch != 0 || loads[7].Online != len(net.nodes)-1 {
+			t.Fatalf("left: %+v", loads[7])
+		}
+		net.now = net.now.Add(-50 * time.Millisecond)
+		net.round() // their next reports say what they run
+		for i := 1; i < len(net.nodes); i++ {
+			running[net.address(i)] = net.loads[i][7].Batch
+		}
+		if got := asking.Preemptible()[7]; got != asking.heardDirectly().Loads[7].Batch {
+			t.Fatalf("after new reports %d can be stopped", got)
+		}
+	})
+}
--- a/internal/events/passthrough.go
+++ b/internal/events/passthrough.go
@@ -18,7 +18,7 @@
 
 	RequestTaken   = Define(Event{Number: 8101, Name: "request taken", Level: zapcore.DebugLevel, Fields: []string{"request", "route", "routes_version", "left"}})
 	RequestDone    = Define(Event{Number: 8102, Name: "request ended", Level: zapcore.InfoLevel, Fields: []string{"request", "route", "routes_version", "routes_age", "outcome", "status", "attempts", "events", "first_event", "elapsed"}})
-	EngineChosen   = Define(Event{Number: 8103, Name: "engine chosen", Level: zapcore.InfoLevel, Fields: []string{"request", "engine", "attempt", "score_ms", "in_flight", "prefill_tokens", "makes_room", "state", "left", "last_event"}})
+	EngineChosen   = Define(Event{Number: 8103, Name: "engine chosen", Level: zapcore.InfoLevel, Fields: []string{"request", "engine", "attempt", "score_ms", "in_flight", "prefill_tokens", "makes_room", "held", "state", "left", "last_event"}})
 	AttemptEnded   = Define(Event{Number: 8104, Name: "attempt ended", Level: zapcore.InfoLevel, Fields: []string{"request", "engine", "attempt", "outcome", "status", "events", "elapsed", "error"}})
 	NoEngine       = Define(Event{Number: 8105, Name: "no engine can take the request", Level: zapcore.InfoLevel, Fields: []string{"request", "pool", "excluded"}})
 	SurplusAnswer  = Define(Event{Number: 8106, Name: "answer of another request dropped", Level: zapcore.InfoLevel, Fields: []string{"request", "engine", "answered"}})
@@ -31,7 +31,9 @@
 	PeerTold          = Define(Event{Number: 8031, Name: "documents taken from a peer", Level: zapcore.InfoLevel, Fields: []string{"peer", "routes_version", "rows", "age"}})
 	OwnWayLost        = Define(Event{Number: 8033, Name: "own way to the store lost", Level: zapcore.WarnLevel, Fields: []string{"failures", "error"}, Action: "The node has peers make its calls to the store while they reach it. One node alone with this line points at its machine or at the store's view of it; all of them, at the store."})
 	OwnWayRegained    = Define(Event{Number: 8034, Name: "own way to the store regained", Level: zapcore.InfoLevel, Fields: []string{"after", "helper"}})
-	AggregatorChanged = Define(Event{Number: 8032, Name: "load aggregator changed", Level: zapcore.InfoLevel, Fields: []string{"from", "to", "silent"}})
+	AggregatorChanged = Define(Event{Number: 8032, Name: "load aggregator changed", Level: zapcore.InfoLevel, Fields: []string{"from", "to", "silent", "scope"}})
+	PreemptionAsked   = Define(Event{Number: 8111, Name: "preemption asked of a peer", Level: zapcore.InfoLevel, Fields: []string{"request", "engine", "peer", "report_age"}})
+	RequestHeld       = Define(Event{Number: 8112, Name: "request held for a slot", Level: zapcore.InfoLevel, Fields: []string{"request", "held", "slot"}})
 	EngineExpired     = Define(Event{Number: 8023, Name: "unlisted engine not listed again", Level: zapcore.InfoLevel, Fields: []string{"engine", "after"}})
 
 	ClockGap         = Define(Event{Number: 8201, Name: "process was paused", Level: zapcore.WarnLevel, Fields: []string{"gap"}, Action: "The machine stood still, or gave the process no time; what the node believes may be that old. Look at the machine if it repeats."})
@@ -55,6 +57,7 @@
 	ItemRunEnded     = Define(Event{Number: 8321, Name: "item run ended", Level: zapcore.InfoLevel, Fields: []string{"job", "request", "epoch", "engine", "outcome", "status", "events_kept", "elapsed", "error"}})
 	ItemFinished     = Define(Event{Number: 8322, Name: "item finished", Level: zapcore.InfoLevel, Fields: []string{"job", "request", "succeeded", "why"}})
 	ItemYields       = Define(Event{Number: 8323, Name: "item yields", Level: zapcore.InfoLevel, Fields: []string{"job", "request", "engine", "events_kept", "why"}})
+	NothingToPreempt = Define(Event{Number: 8324, Name: "no run left to preempt", Level: zapcore.InfoLevel, Fields: []string{"engine", "peer"}})
 	SignNotWritten   = Define(Event{Number: 8330, Name: "sign of life not written", Level: zapcore.WarnLevel, Fields: []string{"count", "error"}, Action: "The store did not take this node's sign of life. After batch.dead_after the others take its jobs over; look at the store and the way to it."})
 	PassStarting     = Define(Event{Number: 8207, Name: "pass-through starting", Level: zapcore.InfoLevel, Fields: []string{"node", "incarnation", "zone", "version"}})
 )
--- a/internal/passthrough/batch/nodes.go
+++ b/internal/passthrough/batch/nodes.go
@@ -167,7 +167,8 @@
 )
 
 // tend lets go of jobs that are another's or have ended, and claims those
-// that have no live owner.
+// that have no live owner. A node that has just started claims nothing yet: when
+// all start at once, the first would take all jobs, since it knows no other.
 func (s *Service) tend(ctx context.Context) error {
 	ticker := time.NewTicker(tendEvery)
 	defer ticker.Stop()
@@ -182,7 +183,7 @@
 		s.mu.Lock()
 		leaving := s.leaving
 		s.mu.Unlock()
-		if !leaving && !s.blind() {
+		if !leaving && !s.blind() && s.settled(time.Now()) {
 			s.claimOrphans(ctx)
 		}
 	}
--- a/internal/passthrough/batch/owned.go
+++ b/internal/passthrough/batch/owned.go
@@ -324,6 +324,9 @@
 	s.signal()
 }
 
+// OwnedJobs counts the jobs that this node runs.
+func (s *Service) OwnedJobs() int { return len(s.ownedJobs()) }
+
 // EventsKept counts the events that this node keeps of a job's open items.
 func (s *Service) EventsKept(id string) int {
 	s.mu.Lock()
--- a/internal/passthrough/batch/preempt.go
+++ b/internal/passthrough/batch/preempt.go
@@ -15,6 +15,7 @@
 // Why a run is stopped, for the log.
 const (
 	yieldsToOnline = "online work needs its slot"
+	yieldsToPeer   = "online work of another node needs its slot"
 	yieldsToTimely = "it will be late, and others need not be"
 )
 
@@ -35,8 +36,20 @@
 }
 
 // Yield stops some of this node's runs at an engine: those that will be late
-// first, then those due last. What came of their texts is kept.
-func (s *Service) Yield(engine string, count int) {
+// first, then those due last. What came of their texts is kept. It gives the
+// number stopped.
+func (s *Service) Yield(engine string, count int) int {
+	return s.yieldRuns(engine, count, yieldsToOnline)
+}
+
+// YieldTo stops one run at an engine for a request of another node.
+func (s *Service) YieldTo(engine, peer string) {
+	if s.yieldRuns(engine, 1, yieldsToPeer) == 0 {
+		events.NothingToPreempt.Log(s.Logger, zap.String("engine", engine), zap.String("peer", peer))
+	}
+}
+
+func (s *Service) yieldRuns(engine string, count int, why string) int {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	storeNow := s.storeTime()
@@ -50,9 +63,11 @@
 	slices.SortFunc(runs, func(a, b candidate) int {
 		return cmp.Or(compareBool(b.late, a.late), cmp.Compare(b.due, a.due))
 	})
-	for _, run := range runs[:min(count, len(runs))] {
-		s.stopRun(run.job, run.index, yieldsToOnline)
+	runs = runs[:min(count, len(runs))]
+	for _, run := range runs {
+		s.stopRun(run.job, run.index, why)
 	}
+	return len(runs)
 }
 
 // stopLate stops the run that would be late and take longest, where items wait
@@ -61,7 +76,7 @@
 	timely := slices.ContainsFunc(s.candidates(), func(c candidate) bool { return !c.late })
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if !timely && len(s.wanting) == 0 {
+	if !timely && len(s.rivals) == 0 {
 		return
 	}
 	storeNow := s.storeTime()
--- a/internal/passthrough/batch/schedule.go
+++ b/internal/passthrough/batch/schedule.go
@@ -63,8 +63,13 @@
 func (s *Service) startItems() {
 	waiting := s.candidates()
 	s.mu.Lock()
-	s.wants = slices.ContainsFunc(waiting, func(c candidate) bool { return !c.late })
-	rivals := len(s.wanting)
+	s.backlog = 0
+	for _, c := range waiting {
+		if !c.late {
+			s.backlog++
+		}
+	}
+	rivals := len(s.rivals)
 	s.mu.Unlock()
 	turn := s.turns()
 	for _, next := range waiting {
--- a/internal/passthrough/batch/service.go
+++ b/internal/passthrough/batch/service.go
@@ -9,6 +9,7 @@
 	"github.com/prometheus/client_golang/prometheus"
 	"go.uber.org/zap"
 
+	"ringstream.example/ringstream/internal/core/loadsum"
 	"ringstream.example/ringstream/internal/passthrough"
 	"ringstream.example/ringstream/internal/passthrough/catalog"
 	"ringstream.example/ringstream/internal/passthrough/engineconn"
@@ -58,9 +59,9 @@
 	orphans map[string]time.Time // since when a job was seen without a live owner
 	leaving bool
 	running sync.WaitGroup
-	wake    chan struct{} // has one token when there may be items to start
-	wanting []uint32      // lives of other nodes with items that wait
-	wants   bool          // this node has some
+	wake    chan struct{}     // has one token when there may be items to start
+	rivals  []loadsum.Backlog // of other nodes
+	backlog int               // items of this node that wait and can be in time
 	// signMissed is when this node last failed to write its sign of life.
 	signMissed time.Time
 	// signTaken is when the store last took one.
--- a/internal/passthrough/edge/edge.go
+++ b/internal/passthrough/edge/edge.go
@@ -99,7 +99,7 @@
 	node.routesFollower.SlowBy(node.batch.Crowding)
 	node.front = ingress.New(ingress.Dependencies{
 		Headers: platform.Headers, Format: platform.Format, Routes: node.routes, Batch: node.batch, Logger: node.logger,
-		Relay: relay.New(platform.Headers, node.engines, node.pool, node.logger, relay.NewMetrics(node.registry), func(engine string) { node.batch.Yield(engine, 1) }),
+		Relay: relay.New(platform.Headers, node.engines, node.pool, node.logger, relay.NewMetrics(node.registry), node.makeRoom),
 	})
 	if config.PeerAddress != "" {
 		local := &sharer{node: node}
--- a/internal/passthrough/edge/inspect.go
+++ b/internal/passthrough/edge/inspect.go
@@ -62,3 +62,17 @@
 	_, version := n.routes.Document()
 	return version
 }
+
+// Running counts the requests of clients under way.
+func (n *Node) Running() int { return n.front.Running() }
+
+// OwnedJobs counts the jobs that this node runs.
+func (n *Node) OwnedJobs() int { return n.batch.OwnedJobs() }
+
+// BatchElsewhere counts the batch requests of other nodes at an engine, as far
+// as this node has heard.
+func (n *Node) BatchElsewhere(engine string) int {
+	count := 0
+	n.engines.Use(func(set *enginechoice.Set, _ time.Time) { count = set.Remote(engine).Batch })
+	return count
+}
--- a/internal/passthrough/edge/sharer.go
+++ b/internal/passthrough/edge/sharer.go
@@ -39,13 +39,34 @@
 }
 
 // Told implements sharing.Local.
-func (s *sharer) Told(counts map[string]enginechoice.Counts, wanting []uint32) {
-	s.node.batch.Contend(wanting)
-	s.node.engines.Use(func(set *enginechoice.Set, _ time.Time) { set.SetRemote(counts) })
+func (s *sharer) Told(counts map[string]enginechoice.Counts, preemptible map[string]int, backlogs []loadsum.Backlog) {
+	s.node.batch.Contend(backlogs)
+	s.node.engines.Use(func(set *enginechoice.Set, _ time.Time) { set.SetRemote(counts, preemptible) })
 }
 
-// Wants implements sharing.Local.
-func (s *sharer) Wants() bool { return s.node.batch.Wants() }
+// Preempt implements sharing.Local.
+func (s *sharer) Preempt(engine uint32, from string) {
+	for _, id := range s.Engines() {
+		if loadsum.EngineHash(id) == engine {
+			s.node.batch.YieldTo(id, from)
+			return
+		}
+	}
+}
+
+// makeRoom has one batch request at a full engine stopped for a request: one of
+// this node's, else one of another node's.
+func (n *Node) makeRoom(engine, request string) {
+	if n.batch.Yield(engine, 1) > 0 || n.share == nil {
+		return
+	}
+	if n.share.Preempt(engine, request) {
+		n.engines.Use(func(set *enginechoice.Set, _ time.Time) { set.RemotePreempted(engine) })
+	}
+}
+
+// Backlog implements sharing.Local.
+func (s *sharer) Backlog() int { return s.node.batch.Backlog() }
 
 // Peers implements sharing.Local: the nodes that the store tells of.
 func (s *sharer) Peers() []loadsum.Peer { return s.node.batch.Peers() }
--- a/internal/passthrough/relay/attempt.go
+++ b/internal/passthrough/relay/attempt.go
@@ -42,6 +42,7 @@
 // attempt sends the request to one engine and hands its answer on.
 func (e *exchange) attempt(bounded context.Context, choice enginechoice.Choice, work *enginechoice.Work) Outcome {
 	started := time.Now()
+	e.sent, e.firstToken = started, time.Time{}
 	engine := choice.Entry
 	before := e.stream.Count()
 	ctx, cancel := context.WithCancel(bounded)
@@ -234,7 +235,14 @@
 		e.firstEvent = time.Since(e.call.Received)
 	}
 	query := Query(e.call.Pool, e.call.Demand)
+	first := work.AwaitsFirstToken()
 	e.engines.Use(func(set *enginechoice.Set, now time.Time) {
+		if first && choice.HasSlot() {
+			set.ObserveFirst(e.call.Pool, now.Sub(e.sent))
+		}
+		if first {
+			e.firstToken = now
+		}
 		set.FirstToken(choice.Entry.ID, work)
 		set.Remember(choice.Entry.ID, query.Shared, now)
 	})
@@ -265,6 +273,9 @@
 		result = enginechoice.Failed
 	}
 	e.engines.Use(func(set *enginechoice.Set, now time.Time) {
+		if outcome == Completed && !e.firstToken.IsZero() {
+			set.ObserveService(e.call.Pool, now.Sub(e.firstToken))
+		}
 		set.Finish(engine, work, result, now)
 		if errors.Is(err, engineconn.ErrNotSent) && (errors.Is(err, syscall.ECONNREFUSED) || isTimeout(err)) {
 			set.ConnectionRefused(engine, now)
--- a/internal/passthrough/relay/relay.go
+++ b/internal/passthrough/relay/relay.go
@@ -39,14 +39,15 @@
 	pool    *engineconn.Pool
 	logger  *zap.Logger
 	metrics *Metrics
-	// makeRoom stops one of this node's batch requests at an engine.
-	makeRoom func(engine string)
+	// makeRoom has one batch request at an engine stopped for a request.
+	makeRoom func(engine, request string)
+	held     heldQueues
 }
 
 // New makes a relay. It calls makeRoom before it sends a request to an engine
-// that is full and runs batch work of this node.
-func New(headers passthrough.Headers, engines *catalog.Engines, pool *engineconn.Pool, logger *zap.Logger, metrics *Metrics, makeRoom func(engine string)) *Relay {
-	return &Relay{headers: headers, engines: engines, pool: pool, logger: logger, metrics: metrics, makeRoom: makeRoom}
+// that is full and runs batch work.
+func New(headers passthrough.Headers, engines *catalog.Engines, pool *engineconn.Pool, logger *zap.Logger, metrics *Metrics, makeRoom func(engine, request string)) *Relay {
+	return &Relay{headers: headers, engines: engines, pool: pool, logger: logger, metrics: metrics, makeRoom: makeRoom, held: newHeldQueues()}
 }
 
 // exchange is the state of one call over its attempts.
@@ -66,6 +67,9 @@
 	failure    *engineFailure // the last answer of an engine that is a failure
 	status     int            // that the client got
 	headTimer  *patience      // ends an attempt whose engine stays silent
+	heldFor    time.Duration  // waited for a slot, being late at every engine
+	sent       time.Time      // the attempt under way
+	firstToken time.Time      // of that attempt
 }
 
 // Serve answers a call. A stream that cannot be finished ends the connection,
@@ -115,7 +119,7 @@
 		if bounded.Err() != nil || !time.Now().Before(e.deadline) {
 			return e.giveUp(timedOut)
 		}
-		choice, work, found := e.choose()
+		choice, work, found := e.choose(bounded)
 		if !found {
 			if len(e.excluded) == 0 && time.Now().After(patience) || !e.rest(bounded, patience) {
 				return e.concludeUnserved(client, bounded)
@@ -175,32 +179,25 @@
 	return e.giveUp(noEngine)
 }
 
-// choose picks an engine and counts the request there.
-func (e *exchange) choose() (enginechoice.Choice, *enginechoice.Work, bool) {
-	query := Query(e.call.Pool, e.call.Demand)
-	query.Exclude = e.excluded
-	var choice enginechoice.Choice
-	var work *enginechoice.Work
-	found := false
-	e.engines.Use(func(set *enginechoice.Set, now time.Time) {
-		choice, found = set.Pick(query, now)
-		if found {
-			work = &enginechoice.Work{PrefillTokens: choice.PrefillTokens, MemoryTokens: query.MemoryTokens}
-			set.Start(choice.Entry.ID, work)
-		}
-	})
+// choose picks an engine and counts the request there. A request that would be
+// late at every engine is held for a slot first.
+func (e *exchange) choose(bounded context.Context) (enginechoice.Choice, *enginechoice.Work, bool) {
+	choice, work, found, late := e.pick(e.mayBeHeld())
+	if late {
+		choice, work, found = e.hold(bounded)
+	}
 	if !found {
 		events.NoEngine.Log(e.logger, zap.String("request", e.call.Demand.RequestID), zap.String("pool", e.call.Pool), zap.Int("excluded", len(e.excluded)))
 		return choice, nil, false
 	}
 	if choice.MakeRoom {
-		e.makeRoom(choice.Entry.ID)
+		e.makeRoom(choice.Entry.ID, e.call.Demand.RequestID)
 	}
 	e.tries++
 	events.EngineChosen.Log(e.logger,
 		zap.String("request", e.call.Demand.RequestID), zap.String("engine", choice.Entry.ID), zap.Int("attempt", e.tries),
 		zap.Float64("score_ms", choice.Score), zap.Int("in_flight", choice.InFlight), zap.Int("prefill_tokens", choice.PrefillTokens),
-		zap.Bool("makes_room", choice.MakeRoom), zap.Stringer("state", choice.State), zap.Duration("left", time.Until(e.deadline)), zap.String("last_event", e.stream.Last()))
+		zap.Bool("makes_room", choice.MakeRoom), zap.Duration("held", e.heldFor), zap.Stringer("state", choice.State), zap.Duration("left", time.Until(e.deadline)), zap.String("last_event", e.stream.Last()))
 	return choice, work, true
 }
 
--- a/internal/peer/sharing/codec_test.go
+++ b/internal/peer/sharing/codec_test.go
@@ -28,7 +28,7 @@
 		for range rapid.IntRange(1, 8).Draw(t, "messages") {
 			told := message{
 				Kind: messageKind(rapid.IntRange(0, 3).Draw(t, "kind")), Life: rapid.Uint32().Draw(t, "life"),
-				Sequence: rapid.Uint64().Draw(t, "sequence"), Included: rapid.Uint64().Draw(t, "included"), Wants: rapid.Bool().Draw(t, "wants"),
+				Sequence: rapid.Uint64().Draw(t, "sequence"), Included: rapid.Uint64().Draw(t, "included"), Backlog: rapid.Uint32().Draw(t, "backlog"),
 			}
 			if loads := rapid.SliceOfN(rapid.Uint32(), 0, 30).Draw(t, "loads"); len(loads) > 0 {
 				told.Loads = loads
--- a/internal/peer/sharing/loads.go
+++ b/internal/peer/sharing/loads.go
@@ -21,9 +21,10 @@
 type messageKind uint8
 
 const (
-	kindReport  messageKind = iota + 1 // a node to its aggregator
+	kindReport  messageKind = iota + 1 // a node to its aggregator, or to others directly
 	kindSummary                        // an aggregator to others
-	kindTotal                          // an aggregator to the nodes that report to it
+	kindTotal                          // an aggregator to the nodes that ask it
+	kindPreempt                        // a node to one whose batch request is to be stopped
 )
 
 // message is one datagram. It is sent often, so it is small: loads stand in a
@@ -36,13 +37,18 @@
 	// Loads holds for each engine: hash of its id, online and batch requests,
 	// tokens to prefill and of memory, in units of tokenUnit.
 	Loads   []uint32
-	Wants   bool     // kindReport
-	Wanting []uint32 // kindSummary, kindTotal
+	Engine  uint32 // kindPreempt: hash of its id
+	Backlog uint32 // kindReport: batch items that wait
+	Asks    bool   // kindReport
+	Scope   uint8  // kindReport: of the sender; kindTotal: of the receiver
+	// Backlogs holds for each node that has one: hash of its life, items.
+	Backlogs []uint32 // kindSummary, kindTotal
 }
 
 const (
-	loadFields = 5
-	tokenUnit  = 16 // counts of tokens are told in this unit, rounded up
+	loadFields    = 5
+	backlogFields = 2
+	tokenUnit     = 16 // counts of tokens are told in this unit, rounded up
 )
 
 // flatten gives the same list for the same loads.
@@ -68,63 +74,155 @@
 	return loads
 }
 
+func flattenBacklogs(backlogs []loadsum.Backlog) []uint32 {
+	flat := make([]uint32, 0, len(backlogs)*backlogFields)
+	for _, known := range backlogs {
+		flat = append(flat, known.Node, small(known.Items))
+	}
+	return flat
+}
+
+func unflattenBacklogs(flat []uint32) []loadsum.Backlog {
+	backlogs := make([]loadsum.Backlog, 0, len(flat)/backlogFields)
+	for ; len(flat) >= backlogFields; flat = flat[backlogFields:] {
+		backlogs = append(backlogs, loadsum.Backlog{Node: flat[0], Items: int(flat[1])})
+	}
+	return backlogs
+}
+
 func small(count int) uint32 { return uint32(min(max(count, 0), math.MaxInt32)) } //nolint:gosec // bounded
 
 func units(tokens int) uint32 { return small((tokens + tokenUnit - 1) / tokenUnit) }
 
 // Nudge has the node tell its work soon, not only when its time has come.
-func (s *Share) Nudge() {
+func (s *Share) Nudge() { signal(s.nudges) }
+
+// signal leaves a token in a channel that holds one.
+func signal(tokens chan struct{}) {
 	select {
-	case s.nudges <- struct{}{}:
+	case tokens <- struct{}{}:
 	default:
 	}
 }
 
-// report tells the aggregator this node's work as it changes, and hands on
-// what is known of the others'. A node that has nothing under way says so now
-// and then, so that it goes on hearing of the others.
+// report sends this node's work as it changes, and hands on what is known of
+// the others'. A node that has nothing under way says so now and then, so that
+// it goes on hearing of the others.
 func (s *Share) report(ctx context.Context, datagrams net.PacketConn) {
 	var idleTold time.Time
 	for {
-		idle := s.reportOnce(datagrams, time.Since(idleTold) < s.config.IdleEvery)
+		idle, direct := s.reportOnce(datagrams, time.Since(idleTold) < s.config.IdleEvery)
 		if !idle {
 			idleTold = time.Time{}
 		} else if time.Since(idleTold) >= s.config.IdleEvery {
 			idleTold = time.Now()
 		}
-		if !s.pause(ctx) {
+		if !s.pause(ctx, direct) {
 			return
 		}
 	}
 }
 
-// reportOnce reports whether the node is idle; one that is tells it unless
-// quiet.
-func (s *Share) reportOnce(datagrams net.PacketConn, quiet bool) (idle bool) {
+// reportOnce reports whether the node is idle, and how many bytes it sent to
+// other nodes directly. One that is idle says nothing if quiet.
+func (s *Share) reportOnce(datagrams net.PacketConn, quiet bool) (idle bool, direct int) {
 	loads := s.loads()
-	wants := s.local.Wants()
+	backlog := s.local.Backlog()
 	now := time.Now()
 	s.lookAtPeers(now)
 	s.mu.Lock()
-	own := s.tree.SetOwn(loads, wants)
 	before, heard := s.tree.Asked()
 	aggregator := s.tree.Aggregator(now)
-	remote, wanting := s.tree.Remote(now)
+	own := s.tree.SetOwn(loads, backlog)
+	others := s.tree.Direct()
 	s.mu.Unlock()
 	if aggregator != before {
-		events.AggregatorChanged.Log(s.logger, zap.String("from", before), zap.String("to", aggregator), zap.Duration("silent", silence(heard, now)))
+		events.AggregatorChanged.Log(s.logger, zap.String("from", before), zap.String("to", aggregator), zap.Duration("silent", silence(heard, now)), zap.Stringer("scope", own.Scope))
 	}
-	idle = len(loads) == 0 && !wants
-	if aggregator != s.config.Address && (!idle || !quiet) {
-		s.send(datagrams, message{Kind: kindReport, Life: own.Life, Sequence: own.Sequence, Loads: flatten(own.Loads), Wants: own.Wants}, aggregator)
+	idle = len(loads) == 0 && backlog == 0
+	if !idle || !quiet {
+		direct = s.sendReport(datagrams, own, aggregator, others)
 	}
 	if now.Sub(s.toldAt) >= s.config.SumEvery {
 		s.toldAt = now
-		s.local.Told(s.byEngine(remote), wanting)
+		s.deliver()
+	}
+	return idle, direct
+}
+
+// sendReport sends a report to the aggregator and to the nodes that are told
+// directly. It gives the bytes sent to those.
+func (s *Share) sendReport(datagrams net.PacketConn, own loadsum.Report, aggregator string, others []string) int {
+	told := message{Kind: kindReport, Life: own.Life, Sequence: own.Sequence, Loads: flatten(own.Loads), Backlog: small(own.Backlog), Scope: uint8(own.Scope)}
+	bytes := 0
+	if len(others) > 0 {
+		bytes = s.send(datagrams, told, others...) * len(others)
+	}
+	if aggregator != s.config.Address {
+		told.Asks = true
+		s.send(datagrams, told, aggregator)
 	}
-	return idle
+	return bytes
 }
 
+// deliver hands on what is known of the others' work.
+func (s *Share) deliver() {
+	s.mu.Lock()
+	remote, backlogs := s.tree.Remote(time.Now())
+	preemptible := s.tree.Preemptible()
+	s.mu.Unlock()
+	counts := make(map[string]enginechoice.Counts, len(remote))
+	byName := make(map[string]int, len(preemptible))
+	for _, engine := range s.local.Engines() {
+		hash := loadsum.EngineHash(engine)
+		if load, some := remote[hash]; some {
+			counts[engine] = load
+		}
+		if batch := preemptible[hash]; batch > 0 {
+			byName[engine] = batch
+		}
+	}
+	s.local.Told(counts, byName, backlogs)
+}
+
+// Preempt asks the node that runs the most batch requests at an engine to stop
+// one; false when none is known. The message is a hint: where it is lost, the
+// engine is relieved when its excess is seen in the reports.
+func (s *Share) Preempt(engine, request string) bool {
+	hash := loadsum.EngineHash(engine)
+	s.mu.Lock()
+	address, age, found := s.tree.Preempt(hash, time.Now())
+	s.mu.Unlock()
+	datagrams := s.datagrams.Load()
+	if !found || datagrams == nil {
+		return false
+	}
+	events.PreemptionAsked.Log(s.logger, zap.String("request", request), zap.String("engine", engine), zap.String("peer", address), zap.Duration("report_age", age))
+	s.send(*datagrams, message{Kind: kindPreempt, Engine: hash}, address)
+	return true
+}
+
+// deliverSoon hands on what other nodes reported directly, as soon as it comes
+// but with a pause that grows with the number of engines.
+func (s *Share) deliverSoon(ctx context.Context) {
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-s.heard:
+		}
+		s.deliver()
+		pause := max(s.config.DeliverEvery, time.Duration(len(s.local.Engines()))*deliverPerEngine)
+		if !wait.For(ctx, pause) {
+			return
+		}
+	}
+}
+
+// deliverPerEngine is the pause for each known engine between two deliveries,
+// which look at each of them: some 300 ns an engine, so under 2 % of a core.
+const deliverPerEngine = 20 * time.Microsecond
+
 // lookAtPeers has the tree know the nodes that may be alive.
 func (s *Share) lookAtPeers(now time.Time) {
 	if now.Sub(s.lookedAt) < s.config.LookEvery {
@@ -153,22 +251,19 @@
 	return loads
 }
 
-func (s *Share) byEngine(loads loadsum.Loads) map[string]enginechoice.Counts {
-	named := make(map[string]enginechoice.Counts, len(loads))
-	for _, engine := range s.local.Engines() {
-		if counts, told := loads[loadsum.EngineHash(engine)]; told {
-			named[engine] = counts
-		}
+// pause waits for the time to report again, or less when there is news. What
+// was sent directly lengthens it where it goes beyond the bytes allowed.
+func (s *Share) pause(ctx context.Context, direct int) bool {
+	soonest, longest := s.config.Soonest, s.config.Every
+	if direct > 0 {
+		soonest, longest = s.config.DirectSoonest, s.config.DirectEvery
+		now := time.Now()
+		soonest = max(soonest, s.directBytes.ReserveN(now, min(direct, s.directBytes.Burst())).DelayFrom(now))
 	}
-	return named
-}
-
-// pause waits for the time to tell again, or less when there is news.
-func (s *Share) pause(ctx context.Context) bool {
-	if !wait.For(ctx, s.config.Soonest) {
+	if !wait.For(ctx, soonest) {
 		return false
 	}
-	timer := time.NewTimer(s.config.Every - s.config.Soonest)
+	timer := time.NewTimer(max(longest-soonest, 0))
 	defer timer.Stop()
 	select {
 	case <-ctx.Done():
@@ -204,38 +299,40 @@
 // tellSummary tells other aggregators this one's sum; one that has nothing to
 // tell says nothing. It gives the datagram's length.
 func (s *Share) tellSummary(datagrams net.PacketConn, summary loadsum.Summary, to []string) int {
-	if len(summary.Loads) == 0 && len(summary.Wanting) == 0 {
+	if len(summary.Loads) == 0 && len(summary.Backlogs) == 0 {
 		return 0
 	}
-	told := message{Kind: kindSummary, Life: summary.Life, Sequence: summary.Sequence, Loads: flatten(summary.Loads.Busiest(s.config.SumEngines)), Wanting: summary.Wanting}
+	told := message{Kind: kindSummary, Life: summary.Life, Sequence: summary.Sequence, Loads: flatten(summary.Loads.Busiest(s.config.SumEngines)), Backlogs: flattenBacklogs(summary.Backlogs)}
 	return s.send(datagrams, told, to...)
 }
 
-// lastTotal is what the nodes that report here were last told.
+// lastTotal is what the nodes that ask were last told, by their scope.
 type lastTotal struct {
-	loads []uint32
+	loads map[loadsum.Scope][]uint32
 	nodes int
 	at    time.Time
 }
 
-// tellTotals tells the nodes that report here the sum of all. One that they
-// know is told again now and then, as a sign that the aggregator is alive.
+// tellTotals tells the nodes that ask what they do not hear directly. A sum
+// that they know is told again now and then, as a sign that the aggregator is
+// alive. It gives the length of the longest datagram.
 func (s *Share) tellTotals(datagrams net.PacketConn, totals map[string]loadsum.Total, last *lastTotal) int {
 	if len(totals) == 0 {
 		return 0
 	}
-	var loads []uint32
+	loads := make(map[loadsum.Scope][]uint32)
 	for _, total := range totals {
-		loads = flatten(total.Loads.Busiest(s.config.SumEngines)) // the same for all
-		break
+		if _, known := loads[total.Scope]; !known {
+			loads[total.Scope] = flatten(total.Loads.Busiest(s.config.SumEngines)) // the same for all of a scope
+		}
 	}
-	if len(totals) == last.nodes && slices.Equal(loads, last.loads) && time.Since(last.at) < s.config.SumAgain {
+	if len(totals) == last.nodes && maps.EqualFunc(loads, last.loads, slices.Equal) && time.Since(last.at) < s.config.SumAgain {
 		return 0
 	}
 	*last = lastTotal{loads: loads, nodes: len(totals), at: time.Now()}
 	largest := 0
 	for address, total := range totals {
-		told := message{Kind: kindTotal, Life: total.Life, Included: total.Included, Loads: loads, Wanting: total.Wanting}
+		told := message{Kind: kindTotal, Life: total.Life, Included: total.Included, Loads: loads[total.Scope], Backlogs: flattenBacklogs(total.Backlogs), Scope: uint8(total.Scope)}
 		largest = max(largest, s.send(datagrams, told, address))
 	}
 	return largest
@@ -273,16 +370,25 @@
 }
 
 func (s *Share) hear(from string, told message) {
+	if told.Kind == kindPreempt {
+		s.local.Preempt(told.Engine, from)
+		return
+	}
 	now := time.Now()
 	loads := unflatten(told.Loads)
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	switch told.Kind {
 	case kindReport:
-		s.tree.HearReport(from, loadsum.Report{Life: told.Life, Sequence: told.Sequence, Loads: loads, Wants: told.Wants}, now)
+		s.tree.HearReport(from, loadsum.Report{
+			Life: told.Life, Sequence: told.Sequence, Loads: loads, Backlog: int(told.Backlog), Scope: loadsum.Scope(told.Scope), Asks: told.Asks,
+		}, now)
+		if s.tree.Scope() != loadsum.AggregatorScope {
+			signal(s.heard)
+		}
 	case kindSummary:
-		s.tree.HearSummary(from, loadsum.Summary{Life: told.Life, Sequence: told.Sequence, Loads: loads, Wanting: told.Wanting}, now)
+		s.tree.HearSummary(from, loadsum.Summary{Life: told.Life, Sequence: told.Sequence, Loads: loads, Backlogs: unflattenBacklogs(told.Backlogs)}, now)
 	case kindTotal:
-		s.tree.HearTotal(from, loadsum.Total{Life: told.Life, Included: told.Included, Loads: loads, Wanting: told.Wanting}, now)
+		s.tree.HearTotal(from, loadsum.Total{Scope: loadsum.Scope(told.Scope), Life: told.Life, Included: told.Included, Loads: loads, Backlogs: unflattenBacklogs(told.Backlogs)}, now)
 	}
 }
--- a/internal/peer/sharing/sharing.go
+++ b/internal/peer/sharing/sharing.go
@@ -13,9 +13,11 @@
 	"math/rand/v2"
 	"net"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"go.uber.org/zap"
+	"golang.org/x/time/rate"
 
 	"ringstream.example/ringstream/internal/core/enginechoice"
 	"ringstream.example/ringstream/internal/core/loadsum"
@@ -71,11 +73,16 @@
 	Learn(documents Documents, from string)
 	// CallStore makes a call to the store for another node.
 	CallStore(ctx context.Context, call StoreCall) StoreAnswer
-	// Wants says whether this node has batch items that wait for an engine.
-	Wants() bool
-	// Told takes the sum of the other nodes' work at the engines, and the lives
-	// of those that have batch items waiting.
-	Told(counts map[string]enginechoice.Counts, wanting []uint32)
+	// Backlog counts this node's batch items that wait for an engine and can
+	// still be in time.
+	Backlog() int
+	// Told takes the sum of the other nodes' work at the engines, how many of
+	// their batch requests there can be stopped by Share.Preempt, and their
+	// backlogs.
+	Told(counts map[string]enginechoice.Counts, preemptible map[string]int, backlogs []loadsum.Backlog)
+	// Preempt stops one of this node's batch requests at an engine, given by
+	// loadsum.EngineHash, if there is one; from is the peer that asks.
+	Preempt(engine uint32, from string)
 }
 
 // Config says how often nodes tell and ask.
@@ -85,6 +92,12 @@
 	// Every is the longest pause between two reports of a node that has work
 	// under way, and Soonest the shortest.
 	Every, Soonest time.Duration
+	// DirectEvery and DirectSoonest are the same for reports that other nodes
+	// are sent directly, and DirectBytes bounds these, in bytes a second.
+	DirectEvery, DirectSoonest time.Duration
+	DirectBytes                int
+	// DeliverEvery is the least pause between two deliveries of such reports.
+	DeliverEvery time.Duration
 	// IdleEvery is the pause between the reports of a node that has none.
 	IdleEvery time.Duration
 	// SumEvery is the pause between an aggregator's sums, and SumBytes lengthens
@@ -105,6 +118,7 @@
 func DefaultConfig(address, zone string) Config {
 	return Config{
 		Address: address, Zone: zone, Every: 100 * time.Millisecond, Soonest: 20 * time.Millisecond,
+		DirectEvery: 200 * time.Millisecond, DirectSoonest: 2 * time.Millisecond, DirectBytes: 64 << 10, DeliverEvery: time.Millisecond,
 		IdleEvery: 300 * time.Millisecond,
 		SumEvery:  50 * time.Millisecond, SumBytes: 12 << 10, SumEngines: 200, SumAgain: 150 * time.Millisecond,
 		AskEvery: 250 * time.Millisecond, LookEvery: 100 * time.Millisecond, Sums: loadsum.DefaultConfig(),
@@ -125,11 +139,15 @@
 	logger *zap.Logger
 
 	nudges chan struct{} // has one token when there is news to tell
+	heard  chan struct{} // has one token when another node reported directly
 	codec  *codec
 
 	// Of the goroutine that reports:
-	toldAt   time.Time // when Told was last called
-	lookedAt time.Time // when the nodes were last looked at
+	directBytes *rate.Limiter // of bytes sent directly
+	toldAt      time.Time     // when it last had Told called
+	lookedAt    time.Time     // when the nodes were last looked at
+
+	datagrams atomic.Pointer[net.PacketConn] // nil before Run
 
 	mu   sync.Mutex // guards tree
 	tree *loadsum.Tree
@@ -138,7 +156,11 @@
 // New makes a share for a life of a node.
 func New(config Config, self string, local Local, logger *zap.Logger) *Share {
 	tree := loadsum.New(config.Sums, loadsum.Peer{Address: config.Address, Zone: config.Zone}, loadsum.NodeHash(self))
-	return &Share{config: config, local: local, logger: logger, nudges: make(chan struct{}, 1), codec: newCodec(), tree: tree}
+	return &Share{
+		config: config, local: local, logger: logger, tree: tree, codec: newCodec(),
+		nudges: make(chan struct{}, 1), heard: make(chan struct{}, 1),
+		directBytes: rate.NewLimiter(rate.Limit(config.DirectBytes), config.DirectBytes),
+	}
 }
 
 // Run tells and listens until ctx ends.
@@ -148,6 +170,7 @@
 	if err != nil {
 		return err
 	}
+	s.datagrams.Store(&datagrams)
 	network.SetMultipathTCP(false)
 	listener, err := network.Listen(ctx, "tcp", s.config.Address)
 	if err != nil {
@@ -163,6 +186,7 @@
 		func() { s.report(ctx, datagrams) },
 		func() { s.aggregate(ctx, datagrams) },
 		func() { s.listen(ctx, datagrams) },
+		func() { s.deliverSoon(ctx) },
 		func() { s.serveAsks(ctx, listener) },
 		func() { s.askPeers(ctx) },
 	} {
--- a/internal/peer/sharing/sharing_test.go
+++ b/internal/peer/sharing/sharing_test.go
@@ -23,17 +23,18 @@
 	loads     map[string]enginechoice.Counts
 	peers     []loadsum.Peer
 	blind     bool
-	wants     bool
+	backlog   int
 	documents Documents
 	// storeAnswer is what the store says when it is asked for others.
 	storeAnswer StoreAnswer
 	told        chan map[string]enginechoice.Counts
-	wanting     chan []uint32
+	backlogs    chan []loadsum.Backlog
 	learned     chan Documents
+	preempted   chan uint32
 }
 
 func newLocal() *local {
-	return &local{told: make(chan map[string]enginechoice.Counts, 1000), wanting: make(chan []uint32, 1000), learned: make(chan Documents, 10)}
+	return &local{told: make(chan map[string]enginechoice.Counts, 1000), backlogs: make(chan []loadsum.Backlog, 1000), learned: make(chan Documents, 10), preempted: make(chan uint32, 10)}
 }
 
 func (l *local) Loads() map[string]enginechoice.Counts { return l.loads }
@@ -41,7 +42,7 @@
 func (l *local) Peers() []loadsum.Peer                 { l.mu.Lock(); defer l.mu.Unlock(); return l.peers }
 func (l *local) Seeds() []string                       { return nil }
 func (l *local) Blind() bool                           { return l.blind }
-func (l *local) Wants() bool                           { return l.wants }
+func (l *local) Backlog() int                          { return l.backlog }
 func (l *local) Question() Question                    { return Question{RoutesVersion: 3, RowsSince: 7} }
 
 func (l *local) CallStore(context.Context, StoreCall) StoreAnswer {
@@ -57,9 +58,11 @@
 	return l.documents
 }
 func (l *local) Learn(documents Documents, _ string) { l.learned <- documents }
-func (l *local) Told(counts map[string]enginechoice.Counts, wanting []uint32) {
+func (l *local) Preempt(engine uint32, _ string)     { l.preempted <- engine }
+
+func (l *local) Told(counts map[string]enginechoice.Counts, _ map[string]int, backlogs []loadsum.Backlog) {
 	l.told <- counts
-	l.wanting <- wanting
+	l.backlogs <- backlogs
 }
 
 func freeAddress(t *testing.T) string {
@@ -90,18 +93,18 @@
 	firstAddress, secondAddress := freeAddress(t), freeAddress(t)
 	first.peers, second.peers = []loadsum.Peer{{Address: secondAddress, Zone: "z1"}}, []loadsum.Peer{{Address: firstAddress, Zone: "z1"}}
 	first.loads = map[string]enginechoice.Counts{"e1": {Online: 2, Batch: 1, PrefillTokens: 32, MemoryTokens: 48}}
-	first.wants = true
+	first.backlog = 3
 	first.documents = Documents{RoutesVersion: 9, Routes: []byte("routes"), Rows: []passthrough.Row{{Key: "e1", Version: 8}}}
 	second.blind = true
 	start(t, "n1", first, firstAddress)
 	start(t, "n2", second, secondAddress)
 	for {
-		counts, wanting := <-second.told, <-second.wanting
+		counts, backlogs := <-second.told, <-second.backlogs
 		if len(counts) == 0 {
 			continue
 		}
-		if counts["e1"] != first.loads["e1"] || len(wanting) != 1 || wanting[0] != loadsum.NodeHash("n1") {
-			t.Errorf("told %+v by %v", counts, wanting)
+		if counts["e1"] != first.loads["e1"] || len(backlogs) != 1 || backlogs[0] != (loadsum.Backlog{Node: loadsum.NodeHash("n1"), Items: 3}) {
+			t.Errorf("told %+v by %v", counts, backlogs)
 		}
 		break
 	}
@@ -192,3 +195,29 @@
 		t.Error("no fault is an error")
 	}
 }
+
+// TestANodeIsAskedToStopABatchRequest has one node run batch work that another
+// hears of and asks to stop; a node that runs none is not asked.
+func TestANodeIsAskedToStopABatchRequest(t *testing.T) {
+	runs, asks := newLocal(), newLocal()
+	runsAt, asksAt := freeAddress(t), freeAddress(t)
+	runs.peers, asks.peers = []loadsum.Peer{{Address: asksAt, Zone: "z1"}}, []loadsum.Peer{{Address: runsAt, Zone: "z1"}}
+	runs.loads = map[string]enginechoice.Counts{"e1": {Batch: 2}}
+	start(t, "runs", runs, runsAt)
+	ctx, cancel := context.WithCancel(context.Background())
+	asking := New(DefaultConfig(asksAt, "z1"), "asks", asks, zap.NewNop())
+	done := make(chan error, 1)
+	go func() { done <- asking.Run(ctx) }()
+	t.Cleanup(func() { cancel(); <-done })
+	for (<-asks.told)["e1"].Batch != 2 {
+	}
+	if asking.Preempt("e2", "r1") {
+		t.Error("asked for an engine at which nobody runs anything")
+	}
+	if !asking.Preempt("e1", "r1") {
+		t.Fatal("nobody was asked")
+	}
+	if got := <-runs.preempted; got != loadsum.EngineHash("e1") {
+		t.Errorf("asked for engine %d", got)
+	}
+}
