--- a/internal/core/enginechoice/enginechoice.go
+++ b/internal/core/enginechoice/enginechoice.go
@@ -100,6 +100,7 @@
 // Set is the engines of all pools.
 type Set struct {
 	zone    string
+	node    uint64 // hash of this node's name
 	engines map[string]*engine
 	pools   map[string]map[string]*engine
 	paces   map[string]*pace // by pool
@@ -110,8 +111,8 @@
 func (s *Set) WorkChanges() uint64 { return s.changes }
 
 // NewSet makes an empty set for a node in the zone.
-func NewSet(zone string) *Set {
-	return &Set{zone: zone, engines: make(map[string]*engine), pools: make(map[string]map[string]*engine), paces: make(map[string]*pace)}
+func NewSet(zone, node string) *Set {
+	return &Set{zone: zone, node: xxhash.Sum64String(node), engines: make(map[string]*engine), pools: make(map[string]map[string]*engine), paces: make(map[string]*pace)}
 }
 
 // Upsert takes an engine's entry. It reports whether the belief changed.
--- a/internal/core/enginechoice/enginechoice_test.go
+++ b/internal/core/enginechoice/enginechoice_test.go
@@ -17,7 +17,7 @@
 var start = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
 
 func newSet(engines int) *Set {
-	set := NewSet("z1")
+	set := NewSet("z1", "n1")
 	for i := range engines {
 		set.Upsert(Entry{ID: fmt.Sprintf("e%d", i), Pool: "p", Zone: "z1", Slots: 4, MemoryTokens: 10000}, Ready, start)
 	}
--- a/internal/core/enginechoice/pick.go
+++ b/internal/core/enginechoice/pick.go
@@ -27,6 +27,8 @@
 	Exclude               map[string]bool
 	// Former is an engine that may keep all of the prompt; empty: none.
 	Former string
+	// Connected are the engines to which an idle connection is kept.
+	Connected map[string]bool
 	// Turn, if given, says at which engines this node may add batch work now.
 	Turn func(engine string) bool
 }
@@ -57,6 +59,10 @@
 	msShed             = 150.0
 	msSick             = 2000.0
 	msNoMemory         = 80.0
+	// msConnect is what opening a connection costs: its handshake, and one more
+	// of the connections that engines admit. A node so keeps to few engines
+	// while these have slots, and fewer nodes share an engine.
+	msConnect = 6.0
 )
 
 // affinityRanks is how many engines are taken to keep a shared part.
@@ -70,6 +76,7 @@
 func (s *Set) Pick(query Query, now time.Time) (Choice, bool) {
 	preferred := s.preferred(query, now)
 	var best Choice
+	var bestRank uint64 // equal engines are ranked differently by each node
 	found := false
 	for id, known := range s.pools[query.Pool] {
 		if query.Exclude[id] || !known.usable() {
@@ -85,7 +92,12 @@
 		if known.entry.Zone != s.zone {
 			score += msOtherZone
 		}
-		if !found || score < best.Score || (score == best.Score && id < best.Entry.ID) {
+		if !query.Connected[id] {
+			score += msConnect
+		}
+		rank := affinity(s.node, known.hash)
+		if !found || score < best.Score || (score == best.Score && rank > bestRank) {
+			bestRank = rank
 			best = Choice{Entry: known.entry, Score: score, PrefillTokens: prefill, InFlight: inFlight, State: known.state, MakeRoom: makeRoom}
 			found = true
 		}
--- a/internal/events/passthrough.go
+++ b/internal/events/passthrough.go
@@ -17,8 +17,8 @@
 	EngineUnreadable = Define(Event{Number: 8022, Name: "engine entry unreadable", Level: zapcore.ErrorLevel, Fields: []string{"engine", "error"}, Action: "The engine's entry in the store is malformed; look at what wrote it."})
 
 	RequestTaken   = Define(Event{Number: 8101, Name: "request taken", Level: zapcore.DebugLevel, Fields: []string{"request", "route", "routes_version", "left"}})
-	RequestDone    = Define(Event{Number: 8102, Name: "request ended", Level: zapcore.InfoLevel, Fields: []string{"request", "route", "routes_version", "routes_age", "outcome", "status", "attempts", "events", "first_event", "elapsed"}})
-	EngineChosen   = Define(Event{Number: 8103, Name: "engine chosen", Level: zapcore.InfoLevel, Fields: []string{"request", "engine", "attempt", "score_ms", "in_flight", "prefill_tokens", "makes_room", "held", "state", "left", "last_event"}})
+	RequestDone    = Define(Event{Number: 8102, Name: "request ended", Level: zapcore.InfoLevel, Fields: []string{"request", "route", "routes_version", "routes_age", "outcome", "status", "attempts", "events", "first_event", "objective", "elapsed"}})
+	EngineChosen   = Define(Event{Number: 8103, Name: "engine chosen", Level: zapcore.InfoLevel, Fields: []string{"request", "engine", "attempt", "score_ms", "in_flight", "slots", "prefill_tokens", "makes_room", "held", "state", "left", "last_event"}})
 	AttemptEnded   = Define(Event{Number: 8104, Name: "attempt ended", Level: zapcore.InfoLevel, Fields: []string{"request", "engine", "attempt", "outcome", "status", "events", "elapsed", "error"}})
 	NoEngine       = Define(Event{Number: 8105, Name: "no engine can take the request", Level: zapcore.InfoLevel, Fields: []string{"request", "pool", "excluded"}})
 	SurplusAnswer  = Define(Event{Number: 8106, Name: "answer of another request dropped", Level: zapcore.InfoLevel, Fields: []string{"request", "engine", "answered"}})
--- /dev/null
+++ b/internal/explain/summary_test.go
@@ -0,0 +1,82 @@
+package explain
+
+import (
+	"fmt"
+	"strings"
+	"testing"
+
+	"github.com/google/go-cmp/cmp"
+)
+
+// dayLog is a log of one line an event; times rise by line.
+func dayLog(events ...string) string {
+	var log strings.Builder
+	for i, event := range events {
+		fmt.Fprintf(&log, `{"ts":"2026-01-01T00:00:%02d.%03dZ","node":"n1",%s}`+"\n", i/1000, i%1000, event)
+	}
+	return log.String()
+}
+
+func chosen(id string, inFlight int, more string) string {
+	return fmt.Sprintf(`"event":8103,"msg":"engine chosen","request":%q,"slots":8,"in_flight":%d,"state":"ready"%s`, id, inFlight, more)
+}
+
+func ended(id, outcome, first string) string {
+	return fmt.Sprintf(`"event":8102,"msg":"request ended","request":%q,"route":"r","outcome":%q,"objective":"300ms","first_event":%q`, id, outcome, first)
+}
+
+// TestSummaryNamesTheCauses has a request for each cause, and one in time.
+func TestSummaryNamesTheCauses(t *testing.T) {
+	log := dayLog(
+		chosen("in-time", 2, ""), ended("in-time", "completed", "80ms"),
+		chosen("stale", 7, ""), ended("stale", "completed", "400ms"),
+		chosen("full", 8, ""), ended("full", "completed", "400ms"),
+		chosen("held", 7, `,"held":"250ms"`), ended("held", "completed", "350ms"),
+		chosen("room", 8, `,"makes_room":true`), ended("room", "completed", "1.2s"),
+		chosen("twice", 2, ""), `"event":8104,"request":"twice","outcome":"failed","error":"engine connection: broken: EOF"`, chosen("twice", 1, ""),
+		ended("twice", "completed", "900ms"),
+		`"event":8110,"request":"refused","reason":"no_engine_has_room"`, ended("refused", "not_run", "0s"),
+		chosen("cut", 1, ""), `"event":8104,"request":"cut","outcome":"failed","error":"read tcp 1.2.3.4:5: connection reset by peer"`, ended("cut", "cut", "80ms"),
+		ended("unknown", "failed", "0s"),
+		chosen("without-end", 1, ""),
+		`"event":8302,"job":"j","route":"b","outcome":"accepted"`, `"event":8302,"job":"k","route":"b","outcome":"accepted"`,
+		`"event":8321,"job":"j","request":"i","outcome":"whole"`, `"event":8323,"job":"j","request":"i","why":"online work needs its slot"`,
+	)
+	lines, err := Read(strings.NewReader(log))
+	if err != nil {
+		t.Fatal(err)
+	}
+	summary := Summarize(lines)
+	want := Summary{
+		Requests: 9,
+		Late: []Row{
+			{"r", "all engines full: queued at the engine", 1},
+			{"r", "engine believed to have a slot", 1},
+			{"r", "engine full: a batch run was asked to stop", 1},
+			{"r", "no engine had a slot: held at the node", 1},
+			{"r", "several attempts, the first ended failed", 1},
+		},
+		Failed: []Row{
+			{"", "no end in these logs: the node ended, or lines were shed", 1},
+			{"r", "cut, last attempt failed: connection reset by peer", 1},
+			{"r", "failed, no attempt", 1},
+			{"r", "not_run, refused: no_engine_has_room", 1},
+		},
+		HandIns: []Row{{"b", "accepted", 2}},
+		Runs:    []Row{{"", "whole", 1}},
+		Yields:  []Row{{"", "online work needs its slot", 1}},
+	}
+	if diff := cmp.Diff(want, summary); diff != "" {
+		t.Error(diff)
+	}
+	if text := summary.Text(); !strings.Contains(text, "late: 5\n") || !strings.Contains(text, "       2  b            accepted\n") {
+		t.Error(text)
+	}
+}
+
+// TestSummaryOfNothing has no lines, and lines of no request.
+func TestSummaryOfNothing(t *testing.T) {
+	if got := Summarize(nil); got.Requests != 0 || !strings.Contains(got.Text(), "0 requests ended") {
+		t.Errorf("got %+v", got)
+	}
+}
--- a/internal/passthrough/batch/config.go
+++ b/internal/passthrough/batch/config.go
@@ -28,7 +28,7 @@
 func DefaultConfig() Config {
 	return Config{
 		Shards: 8, Heartbeat: time.Second, DeadAfter: 2500 * time.Millisecond,
-		PerEngine: 100, Room: 100, SettleFor: 700 * time.Millisecond, Keep: 2 * time.Minute, BlindFor: 2 * time.Second, TextCacheBytes: 48 << 20,
+		PerEngine: 100, Room: 90, SettleFor: 700 * time.Millisecond, Keep: 2 * time.Minute, BlindFor: 2 * time.Second, TextCacheBytes: 48 << 20,
 	}
 }
 
--- a/internal/passthrough/batch/preempt_test.go
+++ b/internal/passthrough/batch/preempt_test.go
@@ -21,7 +21,7 @@
 // events that took ten seconds each.
 func newTimedService() *Service {
 	service := newTestService(&takingStore{})
-	service.Engines = catalog.NewEngines("z1", nil, nil, service.Logger)
+	service.Engines = catalog.NewEngines("z1", "n1", nil, nil, service.Logger)
 	service.Engines.Use(func(set *enginechoice.Set, now time.Time) {
 		set.Upsert(enginechoice.Entry{ID: "e1", Pool: "p", Zone: "z1", Slots: 8}, enginechoice.Ready, now)
 	})
--- a/internal/passthrough/batch/schedule.go
+++ b/internal/passthrough/batch/schedule.go
@@ -140,7 +140,7 @@
 	demand := s.Headers.Demand(item.Header)
 	query := relay.Query(s.Routes.Pool(route), demand)
 	query.Batch, query.Turn = true, turn
-	query.Former = next.former
+	query.Former, query.Connected = next.former, s.Pool.Connected()
 	var choice enginechoice.Choice
 	work := &enginechoice.Work{Batch: true}
 	s.Engines.Use(func(set *enginechoice.Set, now time.Time) {
--- a/internal/passthrough/catalog/engines.go
+++ b/internal/passthrough/catalog/engines.go
@@ -39,12 +39,12 @@
 }
 
 // NewEngines makes an empty list for a node in the zone.
-func NewEngines(zone string, documents passthrough.Documents, routes *Routes, logger *zap.Logger) *Engines {
+func NewEngines(zone, node string, documents passthrough.Documents, routes *Routes, logger *zap.Logger) *Engines {
 	return &Engines{
 		documents: documents, routes: routes, logger: logger,
 		health: func() Health { return Health{} },
 		worked: func() {},
-		set:    enginechoice.NewSet(zone),
+		set:    enginechoice.NewSet(zone, node),
 		rows:   make(map[string]passthrough.Row),
 		byID:   make(map[string]passthrough.EngineEntry),
 	}
--- a/internal/passthrough/edge/edge.go
+++ b/internal/passthrough/edge/edge.go
@@ -82,7 +82,7 @@
 	follow := catalog.DefaultFollowConfig()
 	whole := []string{""}
 	node.routes = catalog.NewRoutes(platform.Documents, node.logger)
-	node.engines = catalog.NewEngines(identity.Zone, platform.Documents, node.routes, node.logger)
+	node.engines = catalog.NewEngines(identity.Zone, identity.Name, platform.Documents, node.routes, node.logger)
 	node.routesFollower = catalog.NewFollower(follow, node.store, places.RoutesTable, whole, node.routes, node.logger)
 	engineFollow := follow
 	engineFollow.Pace = enginePace
--- a/internal/passthrough/engineconn/pool.go
+++ b/internal/passthrough/engineconn/pool.go
@@ -63,6 +63,19 @@
 	return connection.send(ctx, request)
 }
 
+// Connected gives the ids of the engines to which an idle connection is kept.
+func (p *Pool) Connected() map[string]bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	engines := make(map[string]bool, len(p.idle))
+	for key, list := range p.idle {
+		if len(list) > 0 {
+			engines[key.Engine] = true
+		}
+	}
+	return engines
+}
+
 // take gives an idle connection that is still sound, the last used first.
 func (p *Pool) take(key Key) *conn {
 	for {
--- a/internal/passthrough/relay/hold.go
+++ b/internal/passthrough/relay/hold.go
@@ -52,7 +52,7 @@
 // there and may be held.
 func (e *exchange) pick(mayBeHeld bool) (choice enginechoice.Choice, work *enginechoice.Work, found, late bool) {
 	query := Query(e.call.Pool, e.call.Demand)
-	query.Exclude = e.excluded
+	query.Exclude, query.Connected = e.excluded, e.pool.Connected()
 	e.engines.Use(func(set *enginechoice.Set, now time.Time) {
 		choice, found = set.Pick(query, now)
 		if !found {
@@ -97,7 +97,7 @@
 // pickHeld picks an engine that has a slot, or any once the wait is over.
 func (e *exchange) pickHeld(last bool) (choice enginechoice.Choice, work *enginechoice.Work, found, late bool) {
 	query := Query(e.call.Pool, e.call.Demand)
-	query.Exclude = e.excluded
+	query.Exclude, query.Connected = e.excluded, e.pool.Connected()
 	e.engines.Use(func(set *enginechoice.Set, now time.Time) {
 		choice, found = set.Pick(query, now)
 		late = found && !choice.HasSlot() && !last
--- a/internal/passthrough/relay/relay.go
+++ b/internal/passthrough/relay/relay.go
@@ -88,7 +88,7 @@
 		zap.String("request", call.Demand.RequestID), zap.String("route", call.Route.Name),
 		zap.Int64("routes_version", call.Version), zap.Duration("routes_age", time.Since(call.Learned)),
 		zap.Stringer("outcome", outcome), zap.Int("status", state.status), zap.Int("attempts", state.attempts),
-		zap.Int("events", state.stream.Count()), zap.Duration("first_event", state.firstEvent),
+		zap.Int("events", state.stream.Count()), zap.Duration("first_event", state.firstEvent), zap.Duration("objective", call.Route.Objective),
 		zap.Duration("elapsed", time.Since(call.Received)))
 	if outcome == Cut || (outcome == ClientGone && state.headSent) {
 		panic(http.ErrAbortHandler)
@@ -196,7 +196,7 @@
 	e.tries++
 	events.EngineChosen.Log(e.logger,
 		zap.String("request", e.call.Demand.RequestID), zap.String("engine", choice.Entry.ID), zap.Int("attempt", e.tries),
-		zap.Float64("score_ms", choice.Score), zap.Int("in_flight", choice.InFlight), zap.Int("prefill_tokens", choice.PrefillTokens),
+		zap.Float64("score_ms", choice.Score), zap.Int("in_flight", choice.InFlight), zap.Int("slots", choice.Entry.Slots), zap.Int("prefill_tokens", choice.PrefillTokens),
 		zap.Bool("makes_room", choice.MakeRoom), zap.Duration("held", e.heldFor), zap.Stringer("state", choice.State), zap.Duration("left", time.Until(e.deadline)), zap.String("last_event", e.stream.Last()))
 	return choice, work, true
 }
