--- a/internal/passthrough/batch/owned.go
+++ b/internal/passthrough/batch/owned.go
@@ -324,6 +324,9 @@
 	s.signal()
 }
 
+// KnownJobs counts the jobs of the store that this node has heard of.
+func (s *Service) KnownJobs() int { return len(s.view.all()) }
+
 // OwnedJobs counts the jobs that this node runs.
 func (s *Service) OwnedJobs() int { return len(s.ownedJobs()) }
 
--- a/internal/passthrough/edge/inspect.go
+++ b/internal/passthrough/edge/inspect.go
@@ -66,6 +66,9 @@
 // Running counts the requests of clients under way.
 func (n *Node) Running() int { return n.front.Running() }
 
+// KnownJobs counts the jobs that this node has heard of.
+func (n *Node) KnownJobs() int { return n.batch.KnownJobs() }
+
 // OwnedJobs counts the jobs that this node runs.
 func (n *Node) OwnedJobs() int { return n.batch.OwnedJobs() }
 
