loadsum, sharing: direct reports only in fleets of up to 16 nodes; unknown messages are dropped with a log line; files split

Change: the scope of a zone is removed; larger fleets go by the aggregators as before. Conclusion: direct reports for small fleets only; large ones need subsets of engines.

--- a/internal/core/loadsum/loadsum.go
+++ b/internal/core/loadsum/loadsum.go
@@ -1,12 +1,11 @@
 // Package loadsum sums up the work that nodes report to have at the engines,
 // so that each node sees an engine's whole load. How far a report goes depends
 // on the number of nodes (type Scope): in a small fleet every node reports to
-// every other, in a larger one to the nodes of its zone, and where a zone has
-// too many nodes for that, to the zone's aggregator alone.
+// every other, in a larger one to its zone's aggregator.
 //
 // An aggregator sends the sum of its zone to the aggregators of the other
-// zones, and to the nodes of its own zone what they do not hear directly. What
-// a node receives is so independent of the number of nodes in other zones.
+// zones, and the sum of all to the nodes of its own. What a node receives is so
+// independent of the number of nodes in other zones.
 // There is no election: each node ranks the nodes of its zone alike, leaves out
 // those that have fallen silent, and whoever is asked to sum up does so. Two
 // aggregators in a zone for a while count nothing twice, since a node asks one
@@ -20,56 +19,19 @@
 
 import (
 	"cmp"
-	"maps"
 	"slices"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
-
-	"ringstream.example/ringstream/internal/core/enginechoice"
 	"ringstream.example/ringstream/internal/core/identity"
 	"ringstream.example/ringstream/internal/core/rendezvous"
 )
 
-// Loads is work under way at engines, by EngineHash.
-type Loads map[uint32]enginechoice.Counts
-
-// EngineHash stands for an engine's id in what nodes tell each other.
-func EngineHash(id string) uint32 { return uint32(xxhash.Sum64String(id)) } //nolint:gosec // the low half is meant
-
-// NodeHash stands for a node's life.
-func NodeHash(life string) uint32 { return uint32(xxhash.Sum64String(life)) } //nolint:gosec // the low half is meant
-
 // Peer is a node that can be told something.
 type Peer struct {
 	Address string // IP:port
 	Zone    string
 }
 
-// Backlog is how many batch items wait at a node for an engine.
-type Backlog struct {
-	Node  uint32 // NodeHash of its life
-	Items int
-}
-
-// Scope says to which nodes a node sends its reports.
-type Scope uint8
-
-// The scopes.
-const (
-	// AggregatorScope: reports go to the zone's aggregator alone, which answers
-	// with the sum of all nodes.
-	AggregatorScope Scope = iota
-	// ZoneScope: reports go to all nodes of the zone, and the aggregator answers
-	// with the sum of the other zones.
-	ZoneScope
-	// FleetScope: reports go to all nodes, and nobody sums up for others.
-	FleetScope
-)
-
-// String gives the scope's name for logs.
-func (s Scope) String() string { return [...]string{"aggregator", "zone", "fleet"}[s] }
-
 // Report is one node's own work.
 type Report struct {
 	Life     uint32 // NodeHash of the node's life
@@ -90,10 +52,8 @@
 	Backlogs []Backlog // of the nodes that have one
 }
 
-// Total is the work of other nodes, as sent to one that asked: of all nodes in
-// AggregatorScope, of the nodes of other zones in ZoneScope.
+// Total is the work of all nodes, as sent to one that asked.
 type Total struct {
-	Scope    Scope  // of the receiver's report
 	Life     uint32 // of the receiver, as its report told it
 	Included uint64 // sequence of the receiver's newest report in it
 	Loads    Loads
@@ -108,19 +68,17 @@
 	// tried again costs SilentAfter of hearing nothing, one after the other, and
 	// nothing is lost by staying with the next. The dead go from SetPeers.
 	LeftFor time.Duration
-	// DirectNodes is the most nodes that report to each other directly.
+	// DirectNodes is the most nodes that report to each other directly: their
+	// datagrams grow with the square of the nodes. With 24 nodes of each zone
+	// doing so, 71 nodes sent 20,000 a second (docs/experiments.md, R10).
 	DirectNodes int
 }
 
 // DefaultConfig suits reports every 200 ms at the least.
 func DefaultConfig() Config {
-	return Config{Trust: 800 * time.Millisecond, SilentAfter: 600 * time.Millisecond, LeftFor: time.Minute, DirectNodes: 32}
+	return Config{Trust: 800 * time.Millisecond, SilentAfter: 600 * time.Millisecond, LeftFor: time.Minute, DirectNodes: 16}
 }
 
-// backups is how many nodes of a zone hear the sums of other aggregators: the
-// second takes over without a gap.
-const backups = 2
-
 // historyLength is how many own reports are remembered, to be taken out of
 // totals that include them.
 const historyLength = 64
@@ -188,34 +146,6 @@
 	t.scope = t.scopeFor(len(peers))
 }
 
-func (t *Tree) scopeFor(peers int) Scope {
-	switch {
-	case peers == 0:
-		return AggregatorScope // a seed is asked, which knows more
-	case peers < t.config.DirectNodes:
-		return FleetScope
-	case len(t.zones[t.self.Zone]) <= t.config.DirectNodes:
-		return ZoneScope
-	default:
-		return AggregatorScope
-	}
-}
-
-// Scope gives how far this node's reports go.
-func (t *Tree) Scope() Scope { return t.scope }
-
-// Direct gives the addresses of the nodes that this node's reports go to
-// without a sum, its aggregator left out.
-func (t *Tree) Direct() []string {
-	var direct []string
-	for zone, addresses := range t.zones {
-		if t.scope == FleetScope || (t.scope == ZoneScope && zone == t.self.Zone) {
-			direct = append(direct, addresses...)
-		}
-	}
-	return slices.DeleteFunc(direct, func(address string) bool { return address == t.self.Address || address == t.asked })
-}
-
 func rank(zone, address string) uint64 { return rendezvous.Score(zone, identity.NodeID(address)) }
 
 // Aggregator gives the address that this node reports to; its own when it is
@@ -264,15 +194,6 @@
 	t.nodes[from] = heardReport{report: report, at: now}
 }
 
-// HearSummary takes another aggregator's sum.
-func (t *Tree) HearSummary(from string, summary Summary, now time.Time) {
-	known, found := t.others[from]
-	if from == t.self.Address || (found && known.summary.Life == summary.Life && known.summary.Sequence >= summary.Sequence) {
-		return
-	}
-	t.others[from] = heardSummary{summary: summary, at: now}
-}
-
 // HearTotal takes the sum of all from the aggregator that is reported to; one
 // for an earlier life of this node's address is not taken.
 func (t *Tree) HearTotal(from string, total Total, now time.Time) {
@@ -301,128 +222,6 @@
 	}
 }
 
-// Acting says whether this node is an aggregator: others ask it, or it asks
-// itself.
-func (t *Tree) Acting(now time.Time) bool {
-	t.expire(now)
-	if t.scope != FleetScope && t.asked == t.self.Address {
-		return true
-	}
-	for _, known := range t.nodes {
-		if known.report.Asks {
-			return true
-		}
-	}
-	return false
-}
-
-// Summary gives the sum of the nodes that report to this one, and who is told:
-// the first nodes of each zone, the aggregators that were heard, and one more
-// of each zone in turn, so that aggregators find each other where the first
-// ones are gone.
-func (t *Tree) Summary(now time.Time) (summary Summary, to []string) {
-	t.told++
-	summary = t.sum(now)
-	summary.Sequence = t.told
-	return summary, t.listeners()
-}
-
-// sum adds up the reports of the nodes that ask this one, itself included.
-func (t *Tree) sum(now time.Time) Summary {
-	t.expire(now)
-	summary := Summary{Life: t.own.Life, Loads: make(Loads)}
-	if t.scope != FleetScope && t.asked == t.self.Address {
-		summary.add(t.own)
-	}
-	for _, known := range t.nodes {
-		if known.report.Asks {
-			summary.add(known.report)
-		}
-	}
-	return summary
-}
-
-// heardDirectly adds up the reports that came without a sum: of all nodes, or
-// of those of this node's zone.
-func (t *Tree) heardDirectly() Summary {
-	sum := Summary{Loads: make(Loads)}
-	for address, known := range t.nodes {
-		if t.scope == FleetScope || slices.Contains(t.zones[t.self.Zone], address) {
-			sum.add(known.report)
-		}
-	}
-	return sum
-}
-
-func (t *Tree) listeners() []string {
-	told := make(map[string]bool)
-	for _, addresses := range t.zones {
-		for _, address := range addresses[:min(backups, len(addresses))] {
-			told[address] = true
-		}
-		told[addresses[t.told%uint64(len(addresses))]] = true
-	}
-	heard := slices.Sorted(maps.Keys(t.others))
-	for _, address := range heard[:min(len(heard), backups*len(t.zones))] {
-		told[address] = true
-	}
-	delete(told, t.self.Address)
-	return slices.Sorted(maps.Keys(told))
-}
-
-func (s *Summary) add(report Report) {
-	s.Loads.Add(report.Loads, 1)
-	if report.Backlog > 0 {
-		s.Backlogs = append(s.Backlogs, Backlog{Node: report.Life, Items: report.Backlog})
-	}
-}
-
-// Totals gives what each node that asks this one is told.
-func (t *Tree) Totals(summary Summary, now time.Time) map[string]Total {
-	t.expire(now)
-	var sums [FleetScope + 1]Total
-	sums[ZoneScope] = t.otherZones()
-	sums[AggregatorScope] = t.everything(summary)
-	if t.scope == FleetScope { // a node that knows no other yet asks: it is told of all that report here
-		reports := t.heardDirectly()
-		reports.add(t.own)
-		sums[AggregatorScope] = t.everything(reports)
-	}
-	totals := make(map[string]Total, len(t.nodes))
-	for address, known := range t.nodes {
-		if !known.report.Asks {
-			continue
-		}
-		sum := sums[known.report.Scope%(FleetScope+1)]
-		totals[address] = Total{Scope: known.report.Scope, Life: known.report.Life, Included: known.report.Sequence, Loads: sum.Loads, Backlogs: sum.Backlogs}
-	}
-	return totals
-}
-
-// everything adds the other aggregators' sums to one.
-func (t *Tree) everything(summary Summary) Total {
-	return t.addOthers(summary, func(string) bool { return true })
-}
-
-// otherZones adds up the sums of the other zones' aggregators. Those of a second
-// one in this zone are left out: its nodes are heard directly.
-func (t *Tree) otherZones() Total {
-	own := t.zones[t.self.Zone]
-	return t.addOthers(Summary{}, func(aggregator string) bool { return !slices.Contains(own, aggregator) })
-}
-
-func (t *Tree) addOthers(summary Summary, counts func(aggregator string) bool) Total {
-	sum := Total{Loads: make(Loads), Backlogs: slices.Clone(summary.Backlogs)}
-	sum.Loads.Add(summary.Loads, 1)
-	for address, known := range t.others {
-		if counts(address) {
-			sum.Loads.Add(known.summary.Loads, 1)
-			sum.Backlogs = append(sum.Backlogs, known.summary.Backlogs...)
-		}
-	}
-	return sum
-}
-
 // Remote gives the work of the other nodes, and their backlogs.
 func (t *Tree) Remote(now time.Time) (loads Loads, backlogs []Backlog) {
 	t.expire(now)
@@ -439,91 +238,17 @@
 // remoteTotal gives the sum that Remote rests on; Included is zero where none
 // of this node's own reports is in it.
 func (t *Tree) remoteTotal(now time.Time) Total {
-	told := Total{Loads: make(Loads)}
 	switch {
 	case t.scope == FleetScope:
 		direct := t.heardDirectly()
 		return Total{Loads: direct.Loads, Backlogs: direct.Backlogs}
-	case t.asked == t.self.Address && t.scope == ZoneScope:
-		told = t.otherZones()
 	case t.asked == t.self.Address:
-		told = t.everything(t.sum(now))
-		told.Included = t.own.Sequence
-	case now.Sub(t.heard) <= t.config.Trust && t.total.Scope == t.scope:
-		told = t.total
-	}
-	if t.scope != ZoneScope {
-		return told
-	}
-	sum := t.heardDirectly()
-	sum.Loads.Add(told.Loads, 1)
-	return Total{Loads: sum.Loads, Backlogs: append(sum.Backlogs, told.Backlogs...)}
-}
-
-// Preemptible gives how many batch requests at each engine run on nodes that
-// are heard directly and can so be asked to stop one.
-func (t *Tree) Preemptible() map[uint32]int {
-	counts := make(map[uint32]int)
-	for _, known := range t.nodes {
-		for engine, load := range known.report.Loads {
-			if load.Batch > 0 {
-				counts[engine] += load.Batch
-			}
-		}
-	}
-	return counts
-}
-
-// Preempt picks the node to be asked to stop a batch request at an engine, the
-// one that runs the most there, and counts that request as ended until the
-// node's next report. It gives the age of the report that this rests on; false
-// when no node that is heard directly runs batch work there.
-func (t *Tree) Preempt(engine uint32, now time.Time) (address string, age time.Duration, found bool) {
-	t.expire(now)
-	most := 0
-	for _, candidate := range slices.Sorted(maps.Keys(t.nodes)) {
-		if batch := t.nodes[candidate].report.Loads[engine].Batch; batch > most {
-			address, most = candidate, batch
-		}
-	}
-	if most == 0 {
-		return "", 0, false
-	}
-	known := t.nodes[address]
-	counts := known.report.Loads[engine]
-	counts.Batch--
-	known.report.Loads = maps.Clone(known.report.Loads)
-	known.report.Loads[engine] = counts
-	t.nodes[address] = known
-	return address, now.Sub(known.at), true
-}
-
-// Busiest gives the loads of so many engines at the most, those with the most
-// requests: what is told of a large fleet stays small, and what matters in it
-// is where not to send.
-func (l Loads) Busiest(most int) Loads {
-	if len(l) <= most {
-		return l
-	}
-	engines := slices.SortedFunc(maps.Keys(l), func(a, b uint32) int {
-		return cmp.Or(cmp.Compare(l[b].Online+l[b].Batch, l[a].Online+l[a].Batch), cmp.Compare(a, b))
-	})
-	busiest := make(Loads, most)
-	for _, engine := range engines[:most] {
-		busiest[engine] = l[engine]
-	}
-	return busiest
-}
-
-// Add adds other loads, or takes them away when sign is -1. Counts do not fall
-// below zero.
-func (l Loads) Add(other Loads, sign int) {
-	for engine, counts := range other {
-		sum := l[engine]
-		sum.Online = max(sum.Online+sign*counts.Online, 0)
-		sum.Batch = max(sum.Batch+sign*counts.Batch, 0)
-		sum.PrefillTokens = max(sum.PrefillTokens+sign*counts.PrefillTokens, 0)
-		sum.MemoryTokens = max(sum.MemoryTokens+sign*counts.MemoryTokens, 0)
-		l[engine] = sum
+		total := t.everything(t.sum(now))
+		total.Included = t.own.Sequence
+		return total
+	case now.Sub(t.heard) <= t.config.Trust:
+		return t.total
+	default:
+		return Total{}
 	}
 }
--- a/internal/passthrough/edge/sharer.go
+++ b/internal/passthrough/edge/sharer.go
@@ -5,6 +5,7 @@
 	"context"
 	"math/rand/v2"
 	"slices"
+	"strconv"
 	"time"
 
 	"go.uber.org/zap"
@@ -52,6 +53,7 @@
 			return
 		}
 	}
+	events.NothingToPreempt.Log(s.node.logger, zap.String("engine", "unknown, hash "+strconv.FormatUint(uint64(engine), 16)), zap.String("peer", from))
 }
 
 // makeRoom has one batch request at a full engine stopped for a request: one of
--- a/internal/passthrough/relay/hold.go
+++ b/internal/passthrough/relay/hold.go
@@ -48,30 +48,34 @@
 	return e.call.Route.Objective > 0 && e.heldFor == 0 && e.stream.Count() == 0
 }
 
-// pick picks an engine and counts the request there, unless it would be late
-// there and may be held.
-func (e *exchange) pick(mayBeHeld bool) (choice enginechoice.Choice, work *enginechoice.Work, found, late bool) {
+// pick picks an engine and, if accept takes it, counts the request there. The
+// choice is refused when accept does not.
+func (e *exchange) pick(accept func(set *enginechoice.Set, choice enginechoice.Choice, now time.Time) bool) (choice enginechoice.Choice, work *enginechoice.Work, found, refused bool) {
 	query := Query(e.call.Pool, e.call.Demand)
 	query.Exclude, query.Connected = e.excluded, e.pool.Connected()
 	e.engines.Use(func(set *enginechoice.Set, now time.Time) {
 		choice, found = set.Pick(query, now)
-		if !found {
-			return
-		}
-		if mayBeHeld && !choice.HasSlot() {
-			expected := set.ExpectedFirstToken(choice, e.call.Route.Objective)
-			late = now.Add(expected).After(e.call.Received.Add(e.call.Route.Objective))
-		}
-		if !late {
+		refused = found && !accept(set, choice, now)
+		if found && !refused {
 			work = &enginechoice.Work{PrefillTokens: choice.PrefillTokens, MemoryTokens: query.MemoryTokens}
 			set.Start(choice.Entry.ID, work)
 		}
 	})
-	return choice, work, found, late
+	return choice, work, found, refused
+}
+
+// inTime says whether the request's first token can come within its objective.
+// A request that may not be held is always sent.
+func (e *exchange) inTime(set *enginechoice.Set, choice enginechoice.Choice, now time.Time) bool {
+	if !e.mayBeHeld() || choice.HasSlot() {
+		return true
+	}
+	expected := set.ExpectedFirstToken(choice, e.call.Route.Objective)
+	return !now.Add(expected).After(e.call.Received.Add(e.call.Route.Objective))
 }
 
 // hold waits until an engine has a slot, or until patience ends: then the
-// request takes its place at the engines as before.
+// request takes its place at an engine, however many are before it.
 func (e *exchange) hold(bounded context.Context) (enginechoice.Choice, *enginechoice.Work, bool) {
 	started := time.Now()
 	patience, cancel := context.WithDeadline(bounded, e.call.Received.Add(patienceOf(e.call)))
@@ -82,29 +86,17 @@
 		defer func() { <-queue }()
 	case <-patience.Done():
 	}
-	for {
+	for bounded.Err() == nil {
 		last := patience.Err() != nil
-		choice, work, found, late := e.pickHeld(last)
-		if !late || bounded.Err() != nil {
+		choice, work, found, refused := e.pick(func(_ *enginechoice.Set, choice enginechoice.Choice, _ time.Time) bool {
+			return last || choice.HasSlot()
+		})
+		if !refused {
 			e.heldFor = max(time.Since(started), 1)
-			events.RequestHeld.Log(e.logger, zap.String("request", e.call.Demand.RequestID), zap.Duration("held", e.heldFor), zap.Bool("slot", !last))
-			return choice, work, found && !late
+			events.RequestHeld.Log(e.logger, zap.String("request", e.call.Demand.RequestID), zap.Duration("held", e.heldFor), zap.Bool("slot", found && choice.HasSlot()))
+			return choice, work, found
 		}
 		wait.For(patience, heldEvery)
 	}
-}
-
-// pickHeld picks an engine that has a slot, or any once the wait is over.
-func (e *exchange) pickHeld(last bool) (choice enginechoice.Choice, work *enginechoice.Work, found, late bool) {
-	query := Query(e.call.Pool, e.call.Demand)
-	query.Exclude, query.Connected = e.excluded, e.pool.Connected()
-	e.engines.Use(func(set *enginechoice.Set, now time.Time) {
-		choice, found = set.Pick(query, now)
-		late = found && !choice.HasSlot() && !last
-		if found && !late {
-			work = &enginechoice.Work{PrefillTokens: choice.PrefillTokens, MemoryTokens: query.MemoryTokens}
-			set.Start(choice.Entry.ID, work)
-		}
-	})
-	return choice, work, found, late
+	return enginechoice.Choice{}, nil, false
 }
--- a/internal/passthrough/relay/relay.go
+++ b/internal/passthrough/relay/relay.go
@@ -182,7 +182,7 @@
 // choose picks an engine and counts the request there. A request that would be
 // late at every engine is held for a slot first.
 func (e *exchange) choose(bounded context.Context) (enginechoice.Choice, *enginechoice.Work, bool) {
-	choice, work, found, late := e.pick(e.mayBeHeld())
+	choice, work, found, late := e.pick(e.inTime)
 	if late {
 		choice, work, found = e.hold(bounded)
 	}
--- a/internal/peer/sharing/loads.go
+++ b/internal/peer/sharing/loads.go
@@ -3,10 +3,7 @@
 import (
 	"context"
 	"errors"
-	"maps"
-	"math"
 	"net"
-	"slices"
 	"time"
 
 	"go.uber.org/zap"
@@ -17,83 +14,6 @@
 	"ringstream.example/ringstream/internal/wait"
 )
 
-// messageKind says what a datagram holds.
-type messageKind uint8
-
-const (
-	kindReport  messageKind = iota + 1 // a node to its aggregator, or to others directly
-	kindSummary                        // an aggregator to others
-	kindTotal                          // an aggregator to the nodes that ask it
-	kindPreempt                        // a node to one whose batch request is to be stopped
-)
-
-// message is one datagram. It is sent often, so it is small: loads stand in a
-// flat list of loadFields each.
-type message struct {
-	Kind     messageKind
-	Life     uint32 // of the sender; kindTotal: of the receiver
-	Sequence uint64
-	Included uint64 // kindTotal: the receiver's newest report in it
-	// Loads holds for each engine: hash of its id, online and batch requests,
-	// tokens to prefill and of memory, in units of tokenUnit.
-	Loads   []uint32
-	Engine  uint32 // kindPreempt: hash of its id
-	Backlog uint32 // kindReport: batch items that wait
-	Asks    bool   // kindReport
-	Scope   uint8  // kindReport: of the sender; kindTotal: of the receiver
-	// Backlogs holds for each node that has one: hash of its life, items.
-	Backlogs []uint32 // kindSummary, kindTotal
-}
-
-const (
-	loadFields    = 5
-	backlogFields = 2
-	tokenUnit     = 16 // counts of tokens are told in this unit, rounded up
-)
-
-// flatten gives the same list for the same loads.
-func flatten(loads loadsum.Loads) []uint32 {
-	flat := make([]uint32, 0, len(loads)*loadFields)
-	for _, engine := range slices.Sorted(maps.Keys(loads)) {
-		counts := loads[engine]
-		if counts == (enginechoice.Counts{}) {
-			continue
-		}
-		flat = append(flat, engine, small(counts.Online), small(counts.Batch), units(counts.PrefillTokens), units(counts.MemoryTokens))
-	}
-	return flat
-}
-
-func unflatten(flat []uint32) loadsum.Loads {
-	loads := make(loadsum.Loads, len(flat)/loadFields)
-	for ; len(flat) >= loadFields; flat = flat[loadFields:] {
-		loads[flat[0]] = enginechoice.Counts{
-			Online: int(flat[1]), Batch: int(flat[2]), PrefillTokens: int(flat[3]) * tokenUnit, MemoryTokens: int(flat[4]) * tokenUnit,
-		}
-	}
-	return loads
-}
-
-func flattenBacklogs(backlogs []loadsum.Backlog) []uint32 {
-	flat := make([]uint32, 0, len(backlogs)*backlogFields)
-	for _, known := range backlogs {
-		flat = append(flat, known.Node, small(known.Items))
-	}
-	return flat
-}
-
-func unflattenBacklogs(flat []uint32) []loadsum.Backlog {
-	backlogs := make([]loadsum.Backlog, 0, len(flat)/backlogFields)
-	for ; len(flat) >= backlogFields; flat = flat[backlogFields:] {
-		backlogs = append(backlogs, loadsum.Backlog{Node: flat[0], Items: int(flat[1])})
-	}
-	return backlogs
-}
-
-func small(count int) uint32 { return uint32(min(max(count, 0), math.MaxInt32)) } //nolint:gosec // bounded
-
-func units(tokens int) uint32 { return small((tokens + tokenUnit - 1) / tokenUnit) }
-
 // Nudge has the node tell its work soon, not only when its time has come.
 func (s *Share) Nudge() { signal(s.nudges) }
 
@@ -185,23 +105,6 @@
 	s.local.Told(counts, byName, backlogs)
 }
 
-// Preempt asks the node that runs the most batch requests at an engine to stop
-// one; false when none is known. The message is a hint: where it is lost, the
-// engine is relieved when its excess is seen in the reports.
-func (s *Share) Preempt(engine, request string) bool {
-	hash := loadsum.EngineHash(engine)
-	s.mu.Lock()
-	address, age, found := s.tree.Preempt(hash, time.Now())
-	s.mu.Unlock()
-	datagrams := s.datagrams.Load()
-	if !found || datagrams == nil {
-		return false
-	}
-	events.PreemptionAsked.Log(s.logger, zap.String("request", request), zap.String("engine", engine), zap.String("peer", address), zap.Duration("report_age", age))
-	s.send(*datagrams, message{Kind: kindPreempt, Engine: hash}, address)
-	return true
-}
-
 // deliverSoon hands on what other nodes reported directly, as soon as it comes
 // but with a pause that grows with the number of engines.
 func (s *Share) deliverSoon(ctx context.Context) {
@@ -274,70 +177,6 @@
 	return true
 }
 
-// aggregate sums up while other nodes report to this one.
-func (s *Share) aggregate(ctx context.Context, datagrams net.PacketConn) {
-	pause := s.config.SumEvery
-	var told lastTotal
-	for wait.For(ctx, pause) {
-		now := time.Now()
-		s.mu.Lock()
-		acting := s.tree.Acting(now)
-		var summary loadsum.Summary
-		var others []string
-		var totals map[string]loadsum.Total
-		if acting {
-			summary, others = s.tree.Summary(now)
-			totals = s.tree.Totals(summary, now)
-		}
-		s.mu.Unlock()
-		largest := s.tellSummary(datagrams, summary, others)
-		largest = max(largest, s.tellTotals(datagrams, totals, &told))
-		pause = max(s.config.SumEvery, time.Duration(largest)*time.Second/time.Duration(s.config.SumBytes))
-	}
-}
-
-// tellSummary tells other aggregators this one's sum; one that has nothing to
-// tell says nothing. It gives the datagram's length.
-func (s *Share) tellSummary(datagrams net.PacketConn, summary loadsum.Summary, to []string) int {
-	if len(summary.Loads) == 0 && len(summary.Backlogs) == 0 {
-		return 0
-	}
-	told := message{Kind: kindSummary, Life: summary.Life, Sequence: summary.Sequence, Loads: flatten(summary.Loads.Busiest(s.config.SumEngines)), Backlogs: flattenBacklogs(summary.Backlogs)}
-	return s.send(datagrams, told, to...)
-}
-
-// lastTotal is what the nodes that ask were last told, by their scope.
-type lastTotal struct {
-	loads map[loadsum.Scope][]uint32
-	nodes int
-	at    time.Time
-}
-
-// tellTotals tells the nodes that ask what they do not hear directly. A sum
-// that they know is told again now and then, as a sign that the aggregator is
-// alive. It gives the length of the longest datagram.
-func (s *Share) tellTotals(datagrams net.PacketConn, totals map[string]loadsum.Total, last *lastTotal) int {
-	if len(totals) == 0 {
-		return 0
-	}
-	loads := make(map[loadsum.Scope][]uint32)
-	for _, total := range totals {
-		if _, known := loads[total.Scope]; !known {
-			loads[total.Scope] = flatten(total.Loads.Busiest(s.config.SumEngines)) // the same for all of a scope
-		}
-	}
-	if len(totals) == last.nodes && maps.EqualFunc(loads, last.loads, slices.Equal) && time.Since(last.at) < s.config.SumAgain {
-		return 0
-	}
-	*last = lastTotal{loads: loads, nodes: len(totals), at: time.Now()}
-	largest := 0
-	for address, total := range totals {
-		told := message{Kind: kindTotal, Life: total.Life, Included: total.Included, Loads: loads[total.Scope], Backlogs: flattenBacklogs(total.Backlogs), Scope: uint8(total.Scope)}
-		largest = max(largest, s.send(datagrams, told, address))
-	}
-	return largest
-}
-
 // send gives the length of what was sent; it is a hint, so what cannot be sent
 // is left out.
 func (s *Share) send(datagrams net.PacketConn, told message, to ...string) int {
@@ -363,16 +202,42 @@
 			}
 			continue
 		}
-		if told, err := s.codec.Read(buffer[:count]); err == nil {
-			s.hear(from.String(), told)
+		told, err := s.codec.Read(buffer[:count])
+		if err == nil {
+			err = s.hear(from.String(), told)
+		}
+		if err != nil {
+			s.noteDropped(from.String(), err)
 		}
 	}
 }
 
-func (s *Share) hear(from string, told message) {
+// errUnknownMessage: a datagram of a kind or scope that this program does not
+// know.
+var errUnknownMessage = errors.New("sharing: a message of an unknown kind or scope")
+
+// droppedEvery is the least pause between two log lines about dropped datagrams:
+// while nodes of two versions run beside each other, all of some nodes' are.
+const droppedEvery = time.Second
+
+// noteDropped logs that a datagram was dropped, and how many since the last line.
+func (s *Share) noteDropped(from string, err error) {
+	s.dropped++
+	if time.Since(s.droppedAt) < droppedEvery {
+		return
+	}
+	events.PeerMessageDropped.Log(s.logger, zap.String("peer", from), zap.Int("messages", s.dropped), zap.Error(err))
+	s.dropped, s.droppedAt = 0, time.Now()
+}
+
+// hear takes a message; one that is not known changes nothing.
+func (s *Share) hear(from string, told message) error {
+	if told.Kind < kindReport || told.Kind > kindPreempt || told.Scope > uint8(loadsum.FleetScope) {
+		return errUnknownMessage
+	}
 	if told.Kind == kindPreempt {
 		s.local.Preempt(told.Engine, from)
-		return
+		return nil
 	}
 	now := time.Now()
 	loads := unflatten(told.Loads)
@@ -389,6 +254,7 @@
 	case kindSummary:
 		s.tree.HearSummary(from, loadsum.Summary{Life: told.Life, Sequence: told.Sequence, Loads: loads, Backlogs: unflattenBacklogs(told.Backlogs)}, now)
 	case kindTotal:
-		s.tree.HearTotal(from, loadsum.Total{Scope: loadsum.Scope(told.Scope), Life: told.Life, Included: told.Included, Loads: loads, Backlogs: unflattenBacklogs(told.Backlogs)}, now)
+		s.tree.HearTotal(from, loadsum.Total{Life: told.Life, Included: told.Included, Loads: loads, Backlogs: unflattenBacklogs(told.Backlogs)}, now)
 	}
+	return nil
 }
--- a/internal/peer/sharing/sharing.go
+++ b/internal/peer/sharing/sharing.go
@@ -147,6 +147,10 @@
 	toldAt      time.Time     // when it last had Told called
 	lookedAt    time.Time     // when the nodes were last looked at
 
+	// Of the goroutine that listens:
+	dropped   int       // datagrams since the last log line about them
+	droppedAt time.Time // when that was
+
 	datagrams atomic.Pointer[net.PacketConn] // nil before Run
 
 	mu   sync.Mutex // guards tree
--- a/internal/peer/sharing/sharing_test.go
+++ b/internal/peer/sharing/sharing_test.go
@@ -221,3 +221,23 @@
 		t.Errorf("asked for engine %d", got)
 	}
 }
+
+// TestUnknownMessagesChangeNothing hears messages of kinds and scopes that a
+// later version may send, damaged datagrams, and a good one after them.
+func TestUnknownMessagesChangeNothing(t *testing.T) {
+	share := New(DefaultConfig("127.0.0.1:1", "z1"), "n1", newLocal(), zap.NewNop())
+	for _, told := range []message{{}, {Kind: kindPreempt + 1}, {Kind: kindReport, Scope: uint8(loadsum.FleetScope) + 1}} {
+		if err := share.hear("127.0.0.1:2", told); !errors.Is(err, errUnknownMessage) {
+			t.Errorf("%+v: %v", told, err)
+		}
+	}
+	for range 3 {
+		share.noteDropped("127.0.0.1:2", errUnknownMessage)
+	}
+	if share.dropped != 2 {
+		t.Errorf("%d messages wait for the next log line, want 2", share.dropped)
+	}
+	if err := share.hear("127.0.0.1:2", message{Kind: kindReport, Life: 7, Sequence: 1, Loads: []uint32{1, 2, 3, 4, 5}, Scope: uint8(loadsum.FleetScope)}); err != nil {
+		t.Error(err)
+	}
+}
