--- a/internal/core/enginechoice/pace.go
+++ b/internal/core/enginechoice/pace.go
@@ -8,7 +8,9 @@
 
 // paceLeast is how many requests are observed before their mean is trusted;
 // before that, the objective stands for what the engines can do: a request is
-// taken to hold its slot for priorService objectives.
+// taken to hold its slot for priorService objectives. Without that the first
+// requests after a start, when all nodes come back, were never held
+// (docs/experiments.md, R4).
 const (
 	paceLeast    = 20
 	priorService = 2
--- a/internal/peer/sharing/loads.go
+++ b/internal/peer/sharing/loads.go
@@ -122,8 +122,9 @@
 	}
 }
 
-// deliverPerEngine is the pause for each known engine between two deliveries,
-// which look at each of them: some 300 ns an engine, so under 2 % of a core.
+// deliverPerEngine is the pause for each known engine between two deliveries.
+// A delivery looks at each engine, so that the share of the processor that
+// deliveries take does not grow with their number.
 const deliverPerEngine = 20 * time.Microsecond
 
 // lookAtPeers has the tree know the nodes that may be alive.
