grant: requests in a queue are asked for at the next dispatcher

The old dispatcher took the leaving node's work as ended and granted its slots again. Change: such requests wait at the next dispatcher, which grants them nothing for its first 100 ms; a node that leaves a dispatcher tells what it still has under way. Every change of dispatcher is logged. Measured: TestQueuedRequestsAreAskedForAtTheNextDispatcher (7 requests at 4 slots -> 4, 3 in the queue).

--- a/internal/core/grant/dispatcher.go
+++ b/internal/core/grant/dispatcher.go
@@ -25,13 +25,17 @@
 	// BatchAfter is how long a new dispatcher gives batch work nothing: until
 	// then every node with work has sent a message.
 	BatchAfter time.Duration
+	// QueuedAfter is how long a new dispatcher keeps requests waiting that waited in
+	// another's queue: their engines were full, and it learns of the work there only as
+	// nodes turn to it, most of them within a tenth of a second.
+	QueuedAfter time.Duration
 }
 
 // DefaultDispatcherConfig suits round trips of some milliseconds.
 func DefaultDispatcherConfig() DispatcherConfig {
 	return DispatcherConfig{
 		SilentAfter: time.Second, AttachedFor: 600 * time.Millisecond, UnusedAfter: 300 * time.Millisecond,
-		AgainAfter: 15 * time.Millisecond, BatchAfter: 2 * RefreshEvery,
+		AgainAfter: 15 * time.Millisecond, BatchAfter: 2 * RefreshEvery, QueuedAfter: RefreshEvery / 2,
 	}
 }
 
@@ -77,6 +81,7 @@
 	engines *enginechoice.Set
 	names   map[uint64]string // engine ids by EngineHash
 	began   time.Time
+	busy    time.Time // since when nodes have had something in the lane
 	nodes   map[string]*node
 	online  []*waiting // in no order; few
 	batch   bool       // batch asks may have become grantable
@@ -170,6 +175,9 @@
 	}
 	if known == nil || known.life != state.Life {
 		d.forget(from, now)
+		if len(d.nodes) == 0 {
+			d.busy = now
+		}
 		known = &node{life: state.Life, works: make(map[uint64]*work), asks: make(map[uint64]*waiting)}
 		d.nodes[from] = known
 	}
--- a/internal/core/grant/grant.go
+++ b/internal/core/grant/grant.go
@@ -61,6 +61,8 @@
 	// Late: a batch item that will miss its due time, or a request that has
 	// missed its objective; it goes after those of its rank that need not.
 	Late bool
+	// Queued: another dispatcher had it in its queue.
+	Queued bool
 	// Place: it waits no longer; it gets an engine even where no slot is free.
 	Place bool
 	// TenantRank is the priority of its tenant, which goes before Rank, that of its
--- a/internal/core/grant/network_test.go
+++ b/internal/core/grant/network_test.go
@@ -312,3 +312,27 @@
 		t.Errorf("asks %s", current)
 	}
 }
+
+// TestQueuedRequestsAreAskedForAtTheNextDispatcher fills all engines, and has requests
+// wait when the nodes turn to another dispatcher: they go on waiting there.
+func TestQueuedRequestsAreAskedForAtTheNextDispatcher(t *testing.T) {
+	n := newNetwork(4, 1, 0, 1)
+	for range slots {
+		n.ask(n.nodes[2], false)
+	}
+	n.run(50 * time.Millisecond)
+	for range 3 {
+		n.ask(n.nodes[3], false)
+	}
+	n.run(100 * time.Millisecond)
+	n.nodes[3].requester.SetRanking([]string{"n1", "n2", "n3"}, n.now)
+	n.nodes[2].requester.SetRanking([]string{"n1", "n2", "n3"}, n.now)
+	n.run(100 * time.Millisecond)
+	if n.nodes[3].alone > 0 {
+		t.Errorf("%d requests were left alone", n.nodes[3].alone)
+	}
+	if _, queued := n.nodes[1].dispatcher.Counts(); queued != 3 {
+		t.Errorf("%d wait at the next dispatcher, want 3", queued)
+	}
+	n.checkSlots(t)
+}
--- a/internal/core/grant/poll.go
+++ b/internal/core/grant/poll.go
@@ -21,14 +21,12 @@
 	// Alone are asks of online requests that no dispatcher has answered; they
 	// wait no longer, and their node chooses an engine by itself.
 	Alone []uint64
-	// Silent is a dispatcher that has just been left since it did not answer.
-	Silent string
 }
 
 // Poll gives what is to be done now, and when to poll again at the latest.
 func (r *Requester) Poll(now time.Time, connected []uint64) (due Due, next time.Time) {
 	r.forgiveOwnPause(now)
-	due.Silent = r.leaveSilent(now)
+	r.leaveSilent(now)
 	probes := r.probes(now)
 	due.Alone = r.alone(now)
 	r.ended = slices.DeleteFunc(r.ended, func(known endedAt) bool { return known.sent && now.Sub(known.at) > r.config.KeepEnded })
@@ -46,8 +44,7 @@
 		due.Sends = append(due.Sends, Send{To: address, State: r.probe()})
 	}
 	if r.left != "" {
-		r.sequence++
-		due.Sends = append(due.Sends, Send{To: r.left, State: State{Life: r.life, Sequence: r.sequence, Zone: r.zone}})
+		due.Sends = append(due.Sends, Send{To: r.left, State: r.probe()}) // what is under way keeps its slots there
 		r.left = ""
 	}
 	next = r.next(now)
@@ -88,15 +85,13 @@
 }
 
 // leaveSilent turns to the next node when the dispatcher has not answered twice.
-func (r *Requester) leaveSilent(now time.Time) string {
+func (r *Requester) leaveSilent(now time.Time) {
 	if r.current == "" || !r.resent || len(r.sent) == 0 || now.Sub(r.sent[0].at) < 2*r.answerTime() {
-		return ""
+		return
 	}
-	silent := r.current
-	r.leave(silent, now)
+	r.leave(r.current, now)
 	r.turnTo(r.firstSound(now), now)
 	r.left = "" // it does not listen
-	return silent
 }
 
 func (r *Requester) leave(address string, now time.Time) {
--- a/internal/core/grant/queue.go
+++ b/internal/core/grant/queue.go
@@ -85,6 +85,9 @@
 	})
 	full := false
 	for _, entry := range d.online {
+		if entry.ask.Queued && !entry.ask.Place && now.Sub(d.busy) < d.config.QueuedAfter {
+			continue
+		}
 		if full && !entry.ask.Place && len(entry.ask.Exclude) == 0 {
 			continue
 		}
--- a/internal/core/grant/requester.go
+++ b/internal/core/grant/requester.go
@@ -55,9 +55,9 @@
 type pendingAsk struct {
 	ask      Ask
 	due      time.Time
-	since    time.Time
-	answered bool   // a dispatcher has it
-	sentAs   uint64 // sequence of the first State that had it, to the current dispatcher; 0: none yet
+	since    time.Time // when it was first asked for at the current dispatcher
+	answered bool      // a dispatcher has it
+	sentAs   uint64    // sequence of the first State that had it, to the current dispatcher; 0: none yet
 }
 
 type endedAt struct {
@@ -86,7 +86,7 @@
 	ranking []string // of dispatchers, best first
 	silent  map[string]silence
 	current string
-	left    string // the dispatcher before, to be told that nothing is left there
+	left    string // the dispatcher before, to be told that nothing waits there
 
 	asks  map[uint64]*pendingAsk
 	held  map[uint64]*Held
@@ -146,6 +146,9 @@
 	r.left, r.current = r.current, address
 	r.sent, r.resent = nil, false
 	for _, pending := range r.asks {
+		if pending.answered {
+			pending.since, pending.ask.Queued = now, true // it is to wait in the next queue
+		}
 		pending.answered, pending.sentAs = false, 0
 	}
 	if !r.Idle() || r.attached {
@@ -176,6 +179,7 @@
 		pending = &pendingAsk{since: now}
 		r.asks[ask.ID] = pending
 	}
+	ask.Queued = pending.ask.Queued
 	pending.ask, pending.due = ask, due
 	if ask.Batch {
 		r.soon(now)
--- a/internal/events/passthrough.go
+++ b/internal/events/passthrough.go
@@ -35,7 +35,7 @@
 	OwnWayLost         = Define(Event{Number: 8033, Name: "own way to the store lost", Level: zapcore.WarnLevel, Fields: []string{"failures", "error"}, Action: "The node has peers make its calls to the store while they reach it. One node alone with this line points at its machine or at the store's view of it; all of them, at the store."})
 	OwnWayRegained     = Define(Event{Number: 8034, Name: "own way to the store regained", Level: zapcore.InfoLevel, Fields: []string{"after", "helper"}})
 	PeerMessageDropped = Define(Event{Number: 8035, Name: "message of a peer dropped", Level: zapcore.InfoLevel, Fields: []string{"peer", "messages", "error"}})
-	DispatcherChanged  = Define(Event{Number: 8032, Name: "dispatcher of a lane changed", Level: zapcore.InfoLevel, Fields: []string{"pool", "part", "parts", "from", "to", "silent"}})
+	DispatcherChanged  = Define(Event{Number: 8032, Name: "dispatcher of a lane changed", Level: zapcore.InfoLevel, Fields: []string{"pool", "part", "parts", "from", "to"}})
 	PeerMessageTooLong = Define(Event{Number: 8036, Name: "message to a peer too long", Level: zapcore.WarnLevel, Fields: []string{"peer", "bytes"}, Action: "The node has more under way and waiting in one lane than a datagram holds; it was not sent. Report it with the counts of the metrics."})
 	GrantDeclined      = Define(Event{Number: 8037, Name: "grant declined", Level: zapcore.InfoLevel, Fields: []string{"ask", "engine", "dispatcher", "known", "state"}})
 	EngineExpired      = Define(Event{Number: 8023, Name: "unlisted engine not listed again", Level: zapcore.InfoLevel, Fields: []string{"engine", "after"}})
--- a/internal/passthrough/slots/messages.go
+++ b/internal/passthrough/slots/messages.go
@@ -47,8 +47,15 @@
 }
 
 type dispatcherChange struct {
-	lane             grant.Lane
-	from, to, silent string
+	lane     grant.Lane
+	from, to string
+}
+
+// noteDispatcher has a change of the dispatcher that this node turns to logged.
+func (o *outbox) noteDispatcher(lane grant.Lane, before, after string) {
+	if before != after {
+		o.changes = append(o.changes, dispatcherChange{lane: lane, from: before, to: after})
+	}
 }
 
 // ErrBadLane says that a message names a lane that cannot be.
@@ -119,7 +126,9 @@
 	if known == nil {
 		return
 	}
+	before := known.Current()
 	heard := known.HearReply(from, reply, now)
+	out.noteDispatcher(lane, before, known.Current())
 	for _, given := range heard.Grants {
 		out.grants = append(out.grants, granted{lane: lane, from: from, grant: given})
 	}
@@ -133,7 +142,7 @@
 func (s *Service) deliver(out outbox) {
 	for _, change := range out.changes {
 		events.DispatcherChanged.Log(s.Logger, zap.String("pool", change.lane.Pool), zap.Uint32("part", change.lane.Part), zap.Uint32("parts", change.lane.Parts),
-			zap.String("from", change.from), zap.String("to", change.to), zap.Bool("silent", change.silent != ""))
+			zap.String("from", change.from), zap.String("to", change.to))
 	}
 	for _, message := range out.states {
 		s.transport.SendState(message.to, message.lane, message.state)
--- a/internal/passthrough/slots/slots.go
+++ b/internal/passthrough/slots/slots.go
@@ -200,9 +200,7 @@
 func (s *Service) pollLane(lane grant.Lane, known *requester, now time.Time, connected []uint64, out *outbox) time.Time {
 	before := known.Current()
 	due, next := known.Poll(now, connected)
-	if current := known.Current(); current != before || due.Silent != "" {
-		out.changes = append(out.changes, dispatcherChange{lane: lane, from: before, to: current, silent: due.Silent})
-	}
+	out.noteDispatcher(lane, before, known.Current())
 	out.alone = append(out.alone, due.Alone...)
 	for _, send := range due.Sends {
 		if send.To != s.Self {
@@ -227,6 +225,8 @@
 
 // look brings the view of the engines and of the ranking of nodes up to date.
 func (s *Service) look() {
+	var out outbox
+	defer func() { s.deliver(out) }()
 	now := time.Now()
 	s.mu.Lock()
 	due := now.Sub(s.lookedAt) >= lookEvery
@@ -263,7 +263,9 @@
 	s.lookedAt = now
 	s.live = max(len(candidates), 1)
 	for lane, known := range s.requesters {
+		before := known.Current()
 		known.SetRanking(s.ranking(lane, candidates), now)
+		out.noteDispatcher(lane, before, known.Current())
 	}
 	for _, known := range s.dispatchers {
 		known.SetLive(s.live)
