enginechoice: room for batch work is counted over all engines of a lane

Cause: batch work was kept to nine tenths of each engine's slots, and out of the slots that online work had just left there: of six slots one was never used. Online requests go to any engine with a free slot, so what has to stay free is a part of all slots. Change: Set.BatchRoom counts slots in use and the peak of online requests over the pool; an engine may be filled. batch.room_percent is a part of all engines' slots.

--- a/internal/core/enginechoice/enginechoice.go
+++ b/internal/core/enginechoice/enginechoice.go
@@ -90,8 +90,6 @@
 	failureRate    float64 // smoothed share of failures
 	shedUntil      time.Time
 	yieldedAt      time.Time               // when batch requests were last told to give way
-	onlinePeak     float64                 // online requests under way, falling slowly from their peak
-	peakAt         time.Time               // when onlinePeak was last brought up to date
 	resident       map[string]residentPart // prompt parts sent there lately
 	residentTokens int                     // of all of them
 }
@@ -101,7 +99,8 @@
 	node    uint64 // hash of this node's name
 	engines map[string]*engine
 	pools   map[string]map[string]*engine
-	changes uint64 // of entries and states
+	peaks   map[string]onlinePeak // of online requests, by pool
+	changes uint64                // of entries and states
 }
 
 // Changes counts the changes of entries and states so far.
@@ -109,7 +108,7 @@
 
 // NewSet makes an empty set for a node.
 func NewSet(node string) *Set {
-	return &Set{node: xxhash.Sum64String(node), engines: make(map[string]*engine), pools: make(map[string]map[string]*engine)}
+	return &Set{node: xxhash.Sum64String(node), peaks: make(map[string]onlinePeak), engines: make(map[string]*engine), pools: make(map[string]map[string]*engine)}
 }
 
 // Upsert takes an engine's entry. It reports whether the belief changed.
--- a/internal/core/enginechoice/pick.go
+++ b/internal/core/enginechoice/pick.go
@@ -1,7 +1,6 @@
 package enginechoice
 
 import (
-	"math"
 	"slices"
 	"time"
 
@@ -21,10 +20,9 @@
 	OwnTokens    int    // of the prompt that nobody shares
 	MemoryTokens int    // prompt and expected output
 	Batch        bool
-	// BatchPercent and RoomPercent bound batch work at an engine, in per cent of
-	// its slots: batch requests, and all requests, under way there before this one.
-	BatchPercent, RoomPercent int
-	Exclude                   map[string]bool
+	// BatchPercent bounds the batch requests at an engine, in per cent of its slots.
+	BatchPercent int
+	Exclude      map[string]bool
 	// Zone is that of the node that sends the request; empty: any.
 	Zone string
 	// Former is an engine that may keep all of the prompt; empty: none.
@@ -126,40 +124,15 @@
 		return false
 	}
 	slots := max(e.entry.Slots, 1)
-	if e.own.Batch >= max(slots*query.BatchPercent/100, 1) || inFlight+e.reserve() >= max(slots*query.RoomPercent/100, 1) {
+	if e.own.Batch >= max(slots*query.BatchPercent/100, 1) || inFlight >= slots {
 		return false
 	}
 	memory := e.entry.MemoryTokens
 	return memory == 0 || e.own.MemoryTokens+query.MemoryTokens <= memory*batchMemoryShare/100
 }
 
-// peakHalfLife is the time in which a peak of online requests counts half: a
-// few fluctuations within a burst, and less than the pause between bursts.
-const peakHalfLife = 250 * time.Millisecond
-
-// negligiblePeak is a peak that reserves nothing any more.
-const negligiblePeak = 0.1
-
-// TrackOnline brings the engines' peaks of online requests up to date; called
-// some times a second.
-func (s *Set) TrackOnline(now time.Time) {
-	for _, known := range s.engines {
-		if known.onlinePeak < negligiblePeak && known.online() == 0 {
-			known.onlinePeak = 0
-			continue
-		}
-		fallen := known.onlinePeak * math.Exp2(-now.Sub(known.peakAt).Seconds()/peakHalfLife.Seconds())
-		known.onlinePeak = max(fallen, float64(known.online()))
-		known.peakAt = now
-	}
-}
-
 func (e *engine) online() int { return e.own.Online }
 
-// reserve is how many slots are left free for online requests that come back:
-// batch work that took them would have to give way again.
-func (e *engine) reserve() int { return max(int(e.onlinePeak+0.5)-e.online(), 0) }
-
 // batchMemoryShare is the part of an engine's memory, in per cent, up to which
 // batch work is added.
 const batchMemoryShare = 70
--- a/internal/core/grant/grant.go
+++ b/internal/core/grant/grant.go
@@ -81,8 +81,8 @@
 	MemoryTokens int                 // prompt and expected output
 	Former       uint64              // EngineHash of an engine that may keep its prompt; 0: none
 	Exclude      []uint64            // EngineHash of engines that it must not go to
-	// BatchPercent and RoomPercent bound batch work at an engine, in per cent of
-	// its slots: batch requests, and all requests, under way before this one.
+	// BatchPercent bounds the batch requests at an engine, in per cent of its slots, and
+	// RoomPercent all requests in the lane when a batch request is added.
 	BatchPercent, RoomPercent int
 }
 
--- a/internal/core/grant/queue.go
+++ b/internal/core/grant/queue.go
@@ -144,7 +144,7 @@
 	ask := entry.ask
 	query := enginechoice.Query{
 		Pool: d.lane.Pool, Zone: known.zone, Shared: ask.Shared, OwnTokens: ask.OwnTokens, MemoryTokens: ask.MemoryTokens,
-		Batch: ask.Batch, BatchPercent: ask.BatchPercent, RoomPercent: ask.RoomPercent,
+		Batch: ask.Batch, BatchPercent: ask.BatchPercent,
 		Former: d.names[ask.Former], Connected: known.connected,
 	}
 	if len(ask.Exclude) > 0 {
@@ -207,7 +207,11 @@
 			a.due.Compare(b.due), cmp.Compare(a.ask.ID, b.ask.ID),
 		)
 	})
-	for _, entry := range queue {
+	if len(queue) == 0 {
+		return
+	}
+	room := d.engines.BatchRoom(d.lane.Pool, queue[0].ask.RoomPercent, now)
+	for _, entry := range queue[:min(room, len(queue))] {
 		if !d.grant(entry, now) {
 			return // what is free goes to those at the front
 		}
--- a/internal/passthrough/batch/config.go
+++ b/internal/passthrough/batch/config.go
@@ -17,7 +17,7 @@
 	Heartbeat      time.Duration `koanf:"heartbeat" usage:"pause between two signs of life of a node in the store"`
 	DeadAfter      time.Duration `koanf:"dead_after" usage:"a node without a sign of life for this long has its jobs taken over"`
 	PerEngine      int           `koanf:"per_engine_percent" usage:"share of an engine's slots that batch items may hold, in per cent"`
-	Room           int           `koanf:"room_percent" usage:"share of an engine's slots in use up to which batch items are added, in per cent"`
+	Room           int           `koanf:"room_percent" usage:"share of all engines' slots in use up to which batch items are added, in per cent"`
 	SettleFor      time.Duration `koanf:"settle_for" usage:"no items are started for so long after the node's own start, so that it knows the other nodes' work at the engines first"`
 	Keep           time.Duration `koanf:"keep" usage:"how long a job can be read after it was accepted, when it is not open"`
 	BlindFor       time.Duration `koanf:"blind_for" usage:"items are sent to engines only while the store was heard within this time"`
--- a/internal/passthrough/batch/schedule.go
+++ b/internal/passthrough/batch/schedule.go
@@ -95,7 +95,7 @@
 	item := next.job.items[next.index]
 	query := relay.Query(s.Routes.Pool(route), s.Headers.Demand(item.Header))
 	query.Batch, query.Former = true, next.former
-	query.BatchPercent, query.RoomPercent = s.config.PerEngine, s.config.Room
+	query.BatchPercent = s.config.PerEngine
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	work := &next.job.work[next.index]
@@ -103,7 +103,7 @@
 		work.ask = s.Slots.NewID()
 	}
 	ask := work.ask
-	return slots.BatchAsk{ID: ask, Query: query, TenantRank: next.rank, Rank: route.Priority, Due: due, Late: next.late, Start: func(decision slots.Decision) bool {
+	return slots.BatchAsk{ID: ask, Query: query, RoomPercent: s.config.Room, TenantRank: next.rank, Rank: route.Priority, Due: due, Late: next.late, Start: func(decision slots.Decision) bool {
 		return s.startItem(next, ask, decision, routes)
 	}}
 }
--- a/internal/passthrough/slots/acquire.go
+++ b/internal/passthrough/slots/acquire.go
@@ -188,7 +188,7 @@
 func (s *Service) askOf(id uint64, query enginechoice.Query) grant.Ask {
 	ask := grant.Ask{
 		ID: id, Batch: query.Batch, Shared: query.Shared, OwnTokens: query.OwnTokens, MemoryTokens: query.MemoryTokens,
-		BatchPercent: query.BatchPercent, RoomPercent: query.RoomPercent,
+		BatchPercent: query.BatchPercent,
 	}
 	if query.Former != "" {
 		ask.Former = grant.EngineHash(query.Former)
--- a/internal/passthrough/slots/batch.go
+++ b/internal/passthrough/slots/batch.go
@@ -11,6 +11,8 @@
 type BatchAsk struct {
 	ID    uint64 // of NewID; the same while the item waits
 	Query enginechoice.Query
+	// RoomPercent is how many of the lane's slots may be in use when it gets one.
+	RoomPercent int
 	// TenantRank is the priority of its tenant, which goes before Rank, that of its
 	// route; 0 is the highest.
 	TenantRank, Rank int
@@ -57,6 +59,7 @@
 
 func (s *Service) postBatch(ask BatchAsk) {
 	sent := s.askOf(ask.ID, ask.Query)
+	sent.RoomPercent = ask.RoomPercent
 	sent.Late, sent.TenantRank, sent.Rank = ask.Late, ask.TenantRank, ask.Rank
 	s.mu.Lock()
 	lane, known := s.batchLanes[ask.ID]
