explain: a summary tells by how much and when requests were late, refused keys, and tenants over their limits

Cause: the summary counted late requests by cause alone; refusals by key and limit stood nowhere. Change: late requests by how much they missed and by second, keys refused by verdict, refusals by tenant and by whether the dispatcher had all nodes, events kept of stopped runs.

--- a/internal/explain/summary.go
+++ b/internal/explain/summary.go
@@ -18,6 +18,8 @@
 	eventJobHandedIn    = 8302
 	eventRunEnded       = 8321
 	eventItemYields     = 8323
+	eventKeyRefused     = 8113
+	eventOverLimit      = 8114
 )
 
 // Row is one line of a summary.
@@ -32,7 +34,11 @@
 type Summary struct {
 	Requests int // that ended
 	Late     []Row
+	LateBy   []Row // late requests by how much, in order
+	LateAt   []Row // the seconds with the most late requests, from the first line on
 	Failed   []Row
+	Keys     []Row // requests whose key did not let them in, by verdict
+	Limits   []Row // requests over their tenants' limits, by tenant
 	HandIns  []Row
 	Runs     []Row
 	Yields   []Row
@@ -69,7 +75,8 @@
 	lines = slices.Clone(lines)
 	slices.SortStableFunc(lines, byTime)
 	requests := make(map[string]*request)
-	late, failed, handIns, runs, yields := make(tally), make(tally), make(tally), make(tally), make(tally)
+	late, failed, handIns, runs, yields, keys, limits := make(tally), make(tally), make(tally), make(tally), make(tally), make(tally), make(tally)
+	delays := newDelays(lines)
 	summary := Summary{}
 	for _, line := range lines {
 		id, _ := line.Fields["request"].(string)
@@ -88,13 +95,19 @@
 		case eventRequestEnded:
 			summary.Requests++
 			known.judge(line, late, failed)
+			delays.take(line)
 			delete(requests, line.Node+"/"+id)
 		case eventJobHandedIn:
 			handIns.add(text(line, "route"), text(line, "outcome"))
 		case eventRunEnded:
 			runs.add("", text(line, "outcome"))
 		case eventItemYields:
-			yields.add("", text(line, "why"))
+			yields.add("", fmt.Sprintf("%s, with %s kept", text(line, "why"), eventsKept(number(line, "events_kept"))))
+		case eventKeyRefused:
+			keys.add("", text(line, "verdict"))
+		case eventOverLimit:
+			known.refused = "tenant_over_limit"
+			limits.add("", overLimit(line))
 		}
 	}
 	for _, left := range requests {
@@ -103,6 +116,8 @@
 		}
 	}
 	summary.Late, summary.Failed, summary.HandIns, summary.Runs, summary.Yields = late.rows(), failed.rows(), handIns.rows(), runs.rows(), yields.rows()
+	summary.LateBy, summary.LateAt = delays.rows()
+	summary.Keys, summary.Limits = keys.rows(), limits.rows()
 	return summary
 }
 
@@ -210,7 +225,7 @@
 	for _, part := range []struct {
 		name string
 		rows []Row
-	}{{"late", s.Late}, {"failed", s.Failed}, {"hand-ins of jobs", s.HandIns}, {"runs of items", s.Runs}, {"runs stopped", s.Yields}} {
+	}{{"late", s.Late}, {"late by", s.LateBy}, {"late, by second", s.LateAt}, {"failed", s.Failed}, {"keys refused", s.Keys}, {"over a tenant's limit", s.Limits}, {"hand-ins of jobs", s.HandIns}, {"runs of items", s.Runs}, {"runs stopped", s.Yields}} {
 		total := 0
 		for _, row := range part.rows {
 			total += row.Count
--- a/internal/explain/summary_test.go
+++ b/internal/explain/summary_test.go
@@ -43,7 +43,10 @@
 		ended("unknown", "failed", "0s"),
 		chosen("without-end", 1, ""),
 		`"event":8302,"job":"j","route":"b","outcome":"accepted"`, `"event":8302,"job":"k","route":"b","outcome":"accepted"`,
-		`"event":8321,"job":"j","request":"i","outcome":"whole"`, `"event":8323,"job":"j","request":"i","why":"online work needs its slot"`,
+		`"event":8321,"job":"j","request":"i","outcome":"whole"`, `"event":8323,"job":"j","request":"i","why":"online work needs its slot","events_kept":57`,
+		`"event":8113,"request":"k1","key":"key-01","verdict":"unknown"`, `"event":8113,"request":"k2","key":"key-01","verdict":"unknown"`, `"event":8113,"request":"k3","key":"key-02","verdict":"unsure"`,
+		`"event":8114,"request":"over","tenant":"one","per_second":8,"share":1`, ended("over", "not_run", "0s"),
+		`"event":8114,"request":"apart","tenant":"one","per_second":8,"share":0.2`, ended("apart", "not_run", "0s"),
 	)
 	lines, err := Read(strings.NewReader(log))
 	if err != nil {
@@ -51,7 +54,7 @@
 	}
 	summary := Summarize(lines)
 	want := Summary{
-		Requests: 12,
+		Requests: 14,
 		Late: []Row{
 			{"r", "chosen alone, no dispatcher answered: queued at a full engine", 1},
 			{"r", "granted: engine full, a batch run was stopped", 1},
@@ -62,7 +65,10 @@
 			{"r", "granted: waited for a slot, then queued at a full engine", 1},
 			{"r", "several attempts, the first ended failed", 1},
 		},
+		LateBy: []Row{{"", "up to 100ms", 6}, {"", "up to 1s", 2}},
+		LateAt: []Row{{"", "second 0", 8}},
 		Failed: []Row{
+			{"r", "not_run, refused: tenant_over_limit", 2},
 			{"", "no end in these logs: the node ended, or lines were shed", 1},
 			{"r", "cut, last attempt failed: connection reset by peer", 1},
 			{"r", "failed, no attempt", 1},
@@ -70,7 +76,9 @@
 		},
 		HandIns: []Row{{"b", "accepted", 2}},
 		Runs:    []Row{{"", "whole", 1}},
-		Yields:  []Row{{"", "online work needs its slot", 1}},
+		Yields:  []Row{{"", "online work needs its slot, with up to 100 events kept", 1}},
+		Keys:    []Row{{"", "unknown", 2}, {"", "unsure", 1}},
+		Limits:  []Row{{"", "one, 8 a second", 1}, {"", "one, 8 a second, counted by a dispatcher that had a part of the nodes", 1}},
 	}
 	if diff := cmp.Diff(want, summary); diff != "" {
 		t.Error(diff)
