relay, batch: the log tells a request's content and whether its engine ended; tries in vain are counted, not listed

Change: 8102, 8104 and 8321 carry the digest of host, target, caller and body; after an attempt whose connection broke the engine's address is asked for once (engine_ended). Tries beyond the fourth that no engine ran are debug lines (8115); 8102 tells their number. No decision is changed.

--- /dev/null
+++ b/internal/core/quarantine/digest.go
@@ -0,0 +1,38 @@
+package quarantine
+
+import (
+	"crypto/sha256"
+	"encoding/binary"
+	"encoding/hex"
+)
+
+// Content is what makes two requests the same one, sent again.
+type Content struct {
+	Host   string
+	Target string // path and query, as the client sent them
+	Caller string // name of the tenant; empty: none
+	Body   []byte
+}
+
+// Digest stands for a request's content. It is the front half of a SHA-256 sum, so
+// that nobody can make a request that shares the digest of another caller's.
+type Digest [sha256.Size / 2]byte
+
+// shownBytes is how much of a digest stands in logs: two of a million contents
+// share it with a chance of one in 37 million.
+const shownBytes = 8
+
+// String gives the digest as it stands in logs.
+func (d Digest) String() string { return hex.EncodeToString(d[:shownBytes]) }
+
+// Digest gives the digest of a content, the same at every node.
+func (c Content) Digest() Digest {
+	sum := sha256.New()
+	var length [8]byte
+	for _, part := range [][]byte{[]byte(c.Host), []byte(c.Target), []byte(c.Caller), c.Body} {
+		binary.LittleEndian.PutUint64(length[:], uint64(len(part)))
+		_, _ = sum.Write(length[:]) // a hash takes everything
+		_, _ = sum.Write(part)
+	}
+	return Digest(sum.Sum(nil)[:len(Digest{})])
+}
--- a/internal/passthrough/batch/run.go
+++ b/internal/passthrough/batch/run.go
@@ -13,6 +13,7 @@
 	"ringstream.example/ringstream/internal/core/enginechoice"
 	"ringstream.example/ringstream/internal/core/passjob"
 	"ringstream.example/ringstream/internal/core/passroute"
+	"ringstream.example/ringstream/internal/core/quarantine"
 	"ringstream.example/ringstream/internal/events"
 	"ringstream.example/ringstream/internal/passthrough"
 	"ringstream.example/ringstream/internal/passthrough/engineconn"
@@ -29,6 +30,17 @@
 	decision slots.Decision
 }
 
+// content gives what another run of the item, or of a request like it, has in common
+// with this one.
+func (r itemRun) content() quarantine.Content {
+	return quarantine.Content{Host: r.job.host, Target: r.item.Path, Caller: r.job.tenant, Body: r.item.Body}
+}
+
+func (r itemRun) engineKey() engineconn.Key {
+	engine := r.decision.Choice.Entry
+	return engineconn.Key{Engine: engine.ID, Address: engine.Address}
+}
+
 // runEnd says how a run ended.
 type runEnd uint8
 
@@ -72,6 +84,7 @@
 	before := work.text.events
 	s.mu.Unlock()
 	end, status, err := s.sendItem(ctx, r)
+	ended := end == runBroken && ctx.Err() == nil && engineconn.BrokenByEngine(err) && s.Pool.Ended(ctx, r.engineKey())
 	switch {
 	case end == runWhole || end == runFailed || end == runRejected:
 	case r.job.runs.Err() != nil:
@@ -90,7 +103,7 @@
 	}
 	events.ItemRunEnded.Log(s.Logger, zap.String("job", r.job.id), zap.String("request", r.item.ID), zap.Int64("epoch", r.job.epoch),
 		zap.String("engine", r.decision.Choice.Entry.ID), zap.Stringer("outcome", end), zap.Int("status", status), zap.Int("events_kept", kept),
-		zap.Duration("elapsed", time.Since(started)), zap.Error(err))
+		zap.Duration("elapsed", time.Since(started)), zap.Error(err), zap.Stringer("content", r.content().Digest()), zap.Bool("engine_ended", ended))
 	s.settleItem(r, end)
 	s.signal()
 }
@@ -161,8 +174,7 @@
 	defer cancel()
 	silence := time.AfterFunc(headSilence, cancel)
 	defer silence.Stop()
-	engine := r.decision.Choice.Entry
-	answer, err := s.Pool.Do(ctx, engineconn.Key{Engine: engine.ID, Address: engine.Address}, s.itemRequest(r))
+	answer, err := s.Pool.Do(ctx, r.engineKey(), s.itemRequest(r))
 	if errors.Is(err, engineconn.ErrNotSent) {
 		return runNot, 0, err
 	}
--- a/internal/passthrough/engineconn/conn.go
+++ b/internal/passthrough/engineconn/conn.go
@@ -32,6 +32,16 @@
 	ErrBroken = errors.New("engine connection: broken")
 )
 
+// BrokenByEngine says whether an exchange ended because its connection did, and not
+// because of what came on it or because nothing came for too long.
+func BrokenByEngine(err error) bool {
+	var timeout interface{ Timeout() bool }
+	if errors.As(err, &timeout) && timeout.Timeout() {
+		return false
+	}
+	return errors.Is(err, ErrBroken) || errors.Is(err, io.ErrUnexpectedEOF)
+}
+
 // maxSurplus is how many answers of other requests are read over on a
 // connection before it is given up.
 const maxSurplus = 4
--- a/internal/passthrough/engineconn/pool.go
+++ b/internal/passthrough/engineconn/pool.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"context"
+	"errors"
 	"fmt"
 	"net"
 	"sync"
@@ -63,6 +64,18 @@
 	return connection.send(ctx, request)
 }
 
+// Ended says whether an engine's process has ended, asked after an exchange with it
+// broke: nothing listens at its address any more. A connection that comes up is kept.
+func (p *Pool) Ended(ctx context.Context, key Key) bool {
+	connection, err := p.dial(ctx, key)
+	if err != nil {
+		return errors.Is(err, syscall.ECONNREFUSED)
+	}
+	connection.idleMost = keepDefault
+	p.put(connection)
+	return false
+}
+
 // Connected gives the ids of the engines to which an idle connection is kept.
 func (p *Pool) Connected() map[string]bool {
 	p.mu.Lock()
--- a/internal/passthrough/relay/attempt.go
+++ b/internal/passthrough/relay/attempt.go
@@ -48,31 +48,48 @@
 	before := e.stream.Count()
 	ctx, cancel := context.WithCancel(bounded)
 	defer cancel()
-	answer, err := e.pool.Do(ctx, engineconn.Key{Engine: engine.ID, Address: engine.Address}, e.request(decision.Choice, ctx, cancel))
-	outcome, status := NotRun, 0
+	key := engineconn.Key{Engine: engine.ID, Address: engine.Address}
+	answer, err := e.pool.Do(ctx, key, e.request(decision.Choice, ctx, cancel))
+	outcome, status, left := NotRun, 0, false
 	switch {
 	case err == nil:
 		status = answer.Response.StatusCode
 		outcome, err = e.handOn(answer, decision)
+		left = ctx.Err() != nil
 		if outcome != Completed {
 			cancel() // an answer that is not taken to its end has the engine drop the request
 		}
 		answer.Close()
 	case !errors.Is(err, engineconn.ErrNotSent):
-		outcome = Failed
+		outcome, left = Failed, ctx.Err() != nil
 	}
+	ended := outcome == Failed && !left && engineconn.BrokenByEngine(err) && e.pool.Ended(bounded, key)
 	if outcome == Failed {
 		e.attempts++
 		e.mayHaveRun = true
 	}
 	e.settle(decision.Slot, outcome, err, bounded)
-	events.AttemptEnded.Log(e.logger,
+	fields := []zap.Field{
 		zap.String("request", e.call.Demand.RequestID), zap.String("engine", engine.ID), zap.Int("attempt", e.tries),
-		zap.Stringer("outcome", outcome), zap.Int("status", status), zap.Int("events", e.stream.Count()-before),
-		zap.Duration("elapsed", time.Since(started)), zap.Error(err))
+		zap.Duration("elapsed", time.Since(started)), zap.Error(err),
+	}
+	if outcome == NotRun && e.tries > triesLogged {
+		events.EngineNotReached.Log(e.logger, fields...)
+		return outcome
+	}
+	if e.tries > triesLogged {
+		e.logChoice(decision)
+	}
+	events.AttemptEnded.Log(e.logger, append(fields, zap.Stringer("outcome", outcome), zap.Int("status", status),
+		zap.Int("events", e.stream.Count()-before), zap.Stringer("content", e.content), zap.Bool("engine_ended", ended))...)
 	return outcome
 }
 
+// triesLogged is how many tries of one call are logged that no engine ran: while all
+// engines of a pool were down, calls made up to 53 tries, and their lines were nine
+// tenths of a node's log.
+const triesLogged = 4
+
 // request makes the request to the engine; an engine that stays silent longer
 // than its answer is waited for has its connection closed by cancel.
 func (e *exchange) request(choice enginechoice.Choice, ctx context.Context, cancel context.CancelFunc) engineconn.Request {
--- a/internal/passthrough/relay/relay.go
+++ b/internal/passthrough/relay/relay.go
@@ -14,6 +14,7 @@
 
 	"ringstream.example/ringstream/internal/core/enginechoice"
 	"ringstream.example/ringstream/internal/core/passroute"
+	"ringstream.example/ringstream/internal/core/quarantine"
 	"ringstream.example/ringstream/internal/core/tenant"
 	"ringstream.example/ringstream/internal/events"
 	"ringstream.example/ringstream/internal/passthrough"
@@ -44,6 +45,11 @@
 	return c.Tenant.Name
 }
 
+// content gives what a repeat of the call has in common with it.
+func (c *Call) content() quarantine.Content {
+	return quarantine.Content{Host: c.Request.Host, Target: c.Request.RequestURI, Caller: c.TenantName(), Body: c.Body}
+}
+
 // Relay serves calls. It is safe for concurrent use.
 type Relay struct {
 	headers passthrough.Headers
@@ -67,6 +73,7 @@
 	deadline time.Time // the client's or the route's, whichever is earlier
 	excluded map[string]bool
 
+	content    quarantine.Digest
 	attempts   int  // engines that ran the request, or may have
 	tries      int  // requests sent, those that were not run too
 	mayHaveRun bool // some engine ran it, or may have
@@ -85,7 +92,7 @@
 func (r *Relay) Serve(ctx context.Context, to http.ResponseWriter, call *Call) {
 	state := &exchange{
 		Relay: r, call: call, to: to, deadline: deadlineOf(call),
-		excluded: make(map[string]bool), stream: NewSplitter(call.Demand.LastEvent),
+		excluded: make(map[string]bool), stream: NewSplitter(call.Demand.LastEvent), content: call.content().Digest(),
 	}
 	bounded, cancel := context.WithDeadline(ctx, state.deadline)
 	defer cancel()
@@ -94,9 +101,9 @@
 	events.RequestDone.Log(r.logger,
 		zap.String("request", call.Demand.RequestID), zap.String("route", call.Route.Name),
 		zap.Int64("routes_version", call.Version), zap.Duration("routes_age", time.Since(call.Learned)),
-		zap.Stringer("outcome", outcome), zap.Int("status", state.status), zap.Int("attempts", state.attempts),
+		zap.Stringer("outcome", outcome), zap.Int("status", state.status), zap.Int("attempts", state.attempts), zap.Int("tries", state.tries),
 		zap.Int("events", state.stream.Count()), zap.Duration("first_event", state.firstEvent), zap.Duration("objective", call.Route.Objective),
-		zap.Duration("elapsed", time.Since(call.Received)))
+		zap.Duration("elapsed", time.Since(call.Received)), zap.Stringer("content", state.content))
 	if outcome == Cut || (outcome == ClientGone && state.headSent) {
 		panic(http.ErrAbortHandler)
 	}
@@ -217,13 +224,20 @@
 	}
 	e.counted = true
 	e.tries++
+	if e.tries <= triesLogged {
+		e.logChoice(decision)
+	}
+	return decision, nil
+}
+
+// logChoice logs which engine a try goes to, and why.
+func (e *exchange) logChoice(decision slots.Decision) {
 	choice := decision.Choice
 	events.EngineChosen.Log(e.logger,
 		zap.String("request", e.call.Demand.RequestID), zap.String("engine", choice.Entry.ID), zap.Int("attempt", e.tries),
 		zap.Stringer("chosen_by", decision.Source), zap.String("dispatcher", decision.From), zap.Duration("waited", decision.Waited),
 		zap.Float64("score_ms", choice.Score), zap.Int("in_flight", choice.InFlight), zap.Int("slots", choice.Entry.Slots), zap.Int("prefill_tokens", choice.PrefillTokens),
 		zap.Bool("makes_room", choice.MakeRoom), zap.Stringer("state", choice.State), zap.Duration("left", time.Until(e.deadline)), zap.String("last_event", e.stream.Last()))
-	return decision, nil
 }
 
 // Query translates a request's demand for the choice of an engine. The last
