quarantine, guard: a request that ends engines stops reaching them, at all nodes

Cause: how many engines ended under a request was counted with one call of one node. Sent again, under a new id and at another node, the same request began at none. Change: core/quarantine judges contents by the engines that ended under them; guard notes what this node saw, tells all nodes, and keeps it in a table that all follow; relay and batch ask before each run. The dispatcher has a content that engines ended under run once at a time, and apart from others of its kind from the second engine on.

--- a/internal/core/grant/dispatcher.go
+++ b/internal/core/grant/dispatcher.go
@@ -51,6 +51,7 @@
 	confirmed bool      // the node has told that it is under way
 	tenant    uint64    // whose limit has counted it; 0: nobody's
 	stopped   bool      // to make room; no longer counted
+	suspect   Suspect
 }
 
 // waiting is an ask in the queue.
@@ -89,6 +90,8 @@
 	ready   readiness
 	limits  *quota.Place // nil: no tenant has a limit that is kept here
 	live    int          // nodes of the fleet, as far as is known
+	// suspects are the works whose content engines have ended under.
+	suspects map[*work]bool
 }
 
 // NewDispatcher makes the dispatcher of a lane for a node.
@@ -96,6 +99,7 @@
 	return &Dispatcher{
 		config: config, lane: lane, engines: enginechoice.NewSet(self), names: make(map[uint64]string),
 		began: now, nodes: make(map[string]*node), replies: make(map[string]*Reply),
+		suspects: make(map[*work]bool),
 	}
 }
 
@@ -266,7 +270,9 @@
 	if held.Started {
 		d.engines.FirstToken(engine, counted)
 	}
-	known.works[held.ID] = &work{node: from, id: held.ID, engine: engine, counted: counted, since: now, confirmed: true}
+	told := &work{node: from, id: held.ID, engine: engine, counted: counted, since: now, confirmed: true, suspect: held.Suspect}
+	known.works[held.ID] = told
+	d.noteSuspect(told)
 }
 
 // end takes a request as over.
@@ -279,6 +285,7 @@
 		d.limits.Undo(request.tenant)
 	}
 	delete(known.works, request.id)
+	delete(d.suspects, request)
 	d.batch = true
 }
 
--- a/internal/core/grant/grant.go
+++ b/internal/core/grant/grant.go
@@ -81,11 +81,18 @@
 	MemoryTokens int                 // prompt and expected output
 	Former       uint64              // EngineHash of an engine that may keep its prompt; 0: none
 	Exclude      []uint64            // EngineHash of engines that it must not go to
+	Suspect      Suspect
 	// BatchPercent bounds the batch requests at an engine, in per cent of its slots, and
 	// RoomPercent all requests in the lane when a batch request is added.
 	BatchPercent, RoomPercent int
 }
 
+// Suspect says that engines have ended under a request's content.
+type Suspect struct {
+	Content uint64 // hash; 0: no engine ended under it
+	Crashes int    // engines that did
+}
+
 // promptTokens is the length of the whole prompt.
 func (a Ask) promptTokens() int {
 	tokens := a.OwnTokens
@@ -103,6 +110,7 @@
 	Started       bool // its first token has come
 	PrefillTokens int
 	MemoryTokens  int
+	Suspect       Suspect
 }
 
 // Ended is a request that has ended lately, or a grant that was not used.
--- a/internal/core/grant/queue.go
+++ b/internal/core/grant/queue.go
@@ -98,7 +98,7 @@
 			continue
 		}
 		granted := d.grant(entry, now)
-		full = full || !granted
+		full = full || (!granted && entry.ask.Suspect.Content == 0)
 	}
 	d.online = slices.DeleteFunc(d.online, func(entry *waiting) bool { return !d.queued(entry) })
 }
@@ -106,7 +106,7 @@
 // grant gives an entry the best engine, if there is one that can start it.
 func (d *Dispatcher) grant(entry *waiting, now time.Time) bool {
 	known := d.nodes[entry.node]
-	choice, found := d.engines.Pick(d.query(entry, known), now)
+	choice, found := d.pick(entry, d.query(entry, known), now)
 	if !found || (!entry.ask.Batch && !entry.ask.Place && !choice.HasSlot()) {
 		return false
 	}
@@ -128,7 +128,9 @@
 			ID: entry.ask.ID, Engine: EngineHash(choice.Entry.ID), PrefillTokens: choice.PrefillTokens,
 			InFlight: choice.InFlight, Score: choice.Score, Preempts: choice.MakeRoom, Waited: now.Sub(entry.since),
 		},
+		suspect: entry.ask.Suspect,
 	}
+	d.noteSuspect(granted)
 	if entry.reserved && d.limits != nil {
 		d.limits.Begin(entry.ask.Tenant)
 	}
@@ -212,7 +214,7 @@
 	}
 	room := d.engines.BatchRoom(d.lane.Pool, queue[0].ask.RoomPercent, now)
 	for _, entry := range queue[:min(room, len(queue))] {
-		if !d.grant(entry, now) {
+		if !d.grant(entry, now) && entry.ask.Suspect.Content == 0 {
 			return // what is free goes to those at the front
 		}
 	}
--- /dev/null
+++ b/internal/core/grant/suspect_test.go
@@ -0,0 +1,136 @@
+package grant
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"ringstream.example/ringstream/internal/core/enginechoice"
+)
+
+// suspectDispatcher is a dispatcher of some engines of 4 slots, asked by one node.
+type suspectDispatcher struct {
+	*Dispatcher
+	state State
+	now   time.Time
+}
+
+func newSuspectDispatcher(engines int) *suspectDispatcher {
+	now := time.Unix(1000, 0)
+	lane := Lane{Pool: "p", Parts: 1}
+	d := &suspectDispatcher{Dispatcher: NewDispatcher(DefaultDispatcherConfig(), lane, "self", now), state: State{Life: 1}, now: now}
+	var listed []enginechoice.Listed
+	for i := range engines {
+		listed = append(listed, enginechoice.Listed{Entry: enginechoice.Entry{ID: fmt.Sprint("e", i), Pool: "p", Slots: 4}})
+	}
+	d.SetEngines(listed, now)
+	return d
+}
+
+// tell sends the state and gives the engine of each new grant, by ask.
+func (d *suspectDispatcher) tell() map[uint64]uint64 {
+	d.state.Sequence++
+	d.now = d.now.Add(10 * time.Millisecond)
+	d.Hear("n", d.state, d.now)
+	granted := make(map[uint64]uint64)
+	for _, given := range d.Replies()["n"].Grants {
+		granted[given.ID] = given.Engine
+		for i, ask := range d.state.Waiting {
+			if ask.ID == given.ID {
+				d.state.Held = append(d.state.Held, Held{ID: ask.ID, Engine: given.Engine, Suspect: ask.Suspect})
+				d.state.Waiting = append(d.state.Waiting[:i:i], d.state.Waiting[i+1:]...)
+				break
+			}
+		}
+	}
+	return granted
+}
+
+func (d *suspectDispatcher) ask(id uint64, suspect Suspect) {
+	d.state.Waiting = append(d.state.Waiting, Ask{ID: id, DueIn: time.Second, OwnTokens: 10, Suspect: suspect})
+}
+
+func (d *suspectDispatcher) end(id uint64) {
+	for i, held := range d.state.Held {
+		if held.ID == id {
+			d.state.Held = append(d.state.Held[:i:i], d.state.Held[i+1:]...)
+			d.state.Ended = append(d.state.Ended, Ended{ID: id, Engine: held.Engine})
+			return
+		}
+	}
+}
+
+// TestContentUnderWhichAnEngineEndedRunsOnceAtATime has repeats of one content wait for each
+// other, and another request not wait for them.
+func TestContentUnderWhichAnEngineEndedRunsOnceAtATime(t *testing.T) {
+	d := newSuspectDispatcher(3)
+	for id := range uint64(3) {
+		d.ask(id+1, Suspect{Content: 7, Crashes: 1})
+	}
+	d.ask(9, Suspect{})
+	granted := d.tell()
+	if len(granted) != 2 || granted[9] == 0 {
+		t.Fatalf("granted %v", granted)
+	}
+	if again := d.tell(); len(again) > 0 {
+		t.Errorf("granted %v beside a run of the same content", again)
+	}
+	for id := range granted {
+		if id != 9 {
+			d.end(id)
+		}
+	}
+	if next := d.tell(); len(next) != 1 {
+		t.Errorf("granted %v after it had ended", next)
+	}
+}
+
+// TestSuspectsRunApart gives contents that ended two engines an engine each, keeps others
+// away from there while there is room, and has those that find none wait until they are to
+// be placed in any case.
+func TestSuspectsRunApart(t *testing.T) {
+	d := newSuspectDispatcher(3)
+	for id := range uint64(3) {
+		d.ask(id+1, Suspect{Content: 100 + id, Crashes: 2})
+	}
+	granted := d.tell()
+	engines := make(map[uint64]bool)
+	for _, engine := range granted {
+		engines[engine] = true
+	}
+	if len(granted) != 3 || len(engines) != 3 {
+		t.Fatalf("granted %v", granted)
+	}
+	d.ask(4, Suspect{Content: 200, Crashes: 2})
+	if next := d.tell(); len(next) > 0 {
+		t.Errorf("granted %v beside another suspect", next)
+	}
+	d.end(1)
+	if next := d.tell(); next[4] != granted[1] {
+		t.Errorf("granted %v, want the engine that is free of suspects", next)
+	}
+	d.end(2)
+	d.ask(20, Suspect{})
+	if next := d.tell(); next[20] != granted[2] {
+		t.Errorf("granted %v to a request that is no suspect, want the engine without one", next)
+	}
+	d.ask(5, Suspect{Content: 300, Crashes: 2})
+	d.ask(6, Suspect{Content: 301, Crashes: 2})
+	if next := d.tell(); len(next) != 1 {
+		t.Errorf("granted %v, want one", next)
+	}
+	d.state.Waiting[0].Place = true
+	if next := d.tell(); len(next) != 1 {
+		t.Errorf("granted %v to one that waits no longer", next)
+	}
+}
+
+// TestNewDispatcherKnowsSuspects by what nodes hold.
+func TestNewDispatcherKnowsSuspects(t *testing.T) {
+	d := newSuspectDispatcher(1)
+	d.state.Held = []Held{{ID: 1, Engine: EngineHash("e0"), Suspect: Suspect{Content: 7, Crashes: 1}}}
+	d.ask(2, Suspect{Content: 7, Crashes: 1})
+	if granted := d.tell(); len(granted) > 0 {
+		t.Errorf("granted %v", granted)
+	}
+}
--- a/internal/core/quarantine/digest.go
+++ b/internal/core/quarantine/digest.go
@@ -4,6 +4,7 @@
 	"crypto/sha256"
 	"encoding/binary"
 	"encoding/hex"
+	"fmt"
 )
 
 // Content is what makes two requests the same one, sent again.
@@ -25,6 +26,25 @@
 // String gives the digest as it stands in logs.
 func (d Digest) String() string { return hex.EncodeToString(d[:shownBytes]) }
 
+// Key gives the whole digest as text, for a record's key.
+func (d Digest) Key() string { return hex.EncodeToString(d[:]) }
+
+// ParseDigest reads what Key gave.
+func ParseDigest(text string) (Digest, error) {
+	var digest Digest
+	content, err := hex.DecodeString(text)
+	if err != nil {
+		return digest, err
+	}
+	if len(content) != len(digest) {
+		return digest, fmt.Errorf("quarantine: a digest has %d bytes, not %d", len(digest), len(content))
+	}
+	return Digest(content), nil
+}
+
+// Hash gives a part of the digest, for messages that need only tell contents apart.
+func (d Digest) Hash() uint64 { return binary.LittleEndian.Uint64(d[:]) }
+
 // Digest gives the digest of a content, the same at every node.
 func (c Content) Digest() Digest {
 	sum := sha256.New()
--- a/internal/events/passthrough.go
+++ b/internal/events/passthrough.go
@@ -31,6 +31,15 @@
 	NotReadable      = Define(Event{Number: 8109, Name: "request body not read", Level: zapcore.InfoLevel, Fields: []string{"request", "error"}})
 	RequestRefused   = Define(Event{Number: 8110, Name: "request refused, not run", Level: zapcore.InfoLevel, Fields: []string{"request", "reason", "retry_after"}})
 
+	EngineEnded    = Define(Event{Number: 8140, Name: "engine ended under a request", Level: zapcore.InfoLevel, Fields: []string{"request", "content", "engine", "crashes", "evidence", "blocked"}})
+	EngineLeft     = Define(Event{Number: 8141, Name: "engine that was leaving ended under a request", Level: zapcore.InfoLevel, Fields: []string{"request", "content", "engine"}})
+	ContentBlocked = Define(Event{Number: 8142, Name: "content blocked", Level: zapcore.WarnLevel, Fields: []string{"content", "crashes", "evidence", "for", "source"}, Action: "Engines ended each time they ran a request with this content; requests with it are refused. See docs/operations/quarantine.md: find the caller by content in 8102, keep the request for who looks after the engines' software, and lift the block when that is mended."})
+	ContentRefused = Define(Event{Number: 8143, Name: "request refused, its content is blocked", Level: zapcore.InfoLevel, Fields: []string{"request", "content", "route", "tenant", "crashes", "evidence", "retry_after"}})
+	ContentExcused = Define(Event{Number: 8144, Name: "content excused", Level: zapcore.InfoLevel, Fields: []string{"request", "content", "crashes"}})
+	CrashesTold    = Define(Event{Number: 8145, Name: "crashes learned", Level: zapcore.InfoLevel, Fields: []string{"source", "crashes", "contents"}})
+	CrashesKept    = Define(Event{Number: 8146, Name: "crashes kept in the store", Level: zapcore.InfoLevel, Fields: []string{"content", "crashes", "error"}})
+	ItemHeld       = Define(Event{Number: 8147, Name: "item held, its content is blocked", Level: zapcore.InfoLevel, Fields: []string{"job", "request", "content", "crashes", "evidence", "for"}})
+
 	PeerNotAsked       = Define(Event{Number: 8030, Name: "peer did not answer", Level: zapcore.DebugLevel, Fields: []string{"peer", "error"}})
 	PeerTold           = Define(Event{Number: 8031, Name: "documents taken from a peer", Level: zapcore.InfoLevel, Fields: []string{"peer", "routes_version", "rows", "age"}})
 	OwnWayLost         = Define(Event{Number: 8033, Name: "own way to the store lost", Level: zapcore.WarnLevel, Fields: []string{"failures", "error"}, Action: "The node has peers make its calls to the store while they reach it. One node alone with this line points at its machine or at the store's view of it; all of them, at the store."})
--- a/internal/passthrough/batch/collect.go
+++ b/internal/passthrough/batch/collect.go
@@ -33,6 +33,7 @@
 			}
 		}
 		s.removeSigns(ctx, seen)
+		s.removeCrashes(ctx, now, seen)
 	}
 	return nil
 }
--- a/internal/passthrough/batch/layout.go
+++ b/internal/passthrough/batch/layout.go
@@ -18,6 +18,7 @@
 	// in an object.
 	tableBodies = "bodies"
 	partNodes   = "nodes"
+	partCrashes = "crashes"
 	partQuotas  = "quotas"
 
 	objectPrefix = "job-"
@@ -35,7 +36,7 @@
 
 // parts gives all parts of the table of records.
 func (c Config) parts() []string {
-	parts := []string{partNodes, partQuotas}
+	parts := []string{partNodes, partQuotas, partCrashes}
 	for i := range c.Shards {
 		parts = append(parts, fmt.Sprintf("s%02x", i))
 	}
--- a/internal/passthrough/batch/owned.go
+++ b/internal/passthrough/batch/owned.go
@@ -27,6 +27,7 @@
 	unrun     int                // engines that turned it away in a row
 	text      progress
 	saved     int  // events of the text that the store has
+	held      bool // its content is blocked, and that was logged
 	failed    bool // a failure waits to be written; no run before that
 	// finished is the state to be listed under; Open while the item runs.
 	finished passjob.ItemState
--- a/internal/passthrough/batch/run.go
+++ b/internal/passthrough/batch/run.go
@@ -17,6 +17,7 @@
 	"ringstream.example/ringstream/internal/events"
 	"ringstream.example/ringstream/internal/passthrough"
 	"ringstream.example/ringstream/internal/passthrough/engineconn"
+	"ringstream.example/ringstream/internal/passthrough/guard"
 	"ringstream.example/ringstream/internal/passthrough/relay"
 	"ringstream.example/ringstream/internal/passthrough/slots"
 )
@@ -26,14 +27,14 @@
 	job      *ownedJob
 	index    int
 	item     passthrough.Item
+	digest   quarantine.Digest // of the item's content
 	route    *passroute.Route
 	decision slots.Decision
 }
 
-// content gives what another run of the item, or of a request like it, has in common
-// with this one.
-func (r itemRun) content() quarantine.Content {
-	return quarantine.Content{Host: r.job.host, Target: r.item.Path, Caller: r.job.tenant, Body: r.item.Body}
+// digestOf gives what all runs of an item, and of requests like it, have in common.
+func (j *ownedJob) digestOf(item passthrough.Item) quarantine.Digest {
+	return quarantine.Content{Host: j.host, Target: item.Path, Caller: j.tenant, Body: item.Body}.Digest()
 }
 
 func (r itemRun) engineKey() engineconn.Key {
@@ -84,7 +85,10 @@
 	before := work.text.events
 	s.mu.Unlock()
 	end, status, err := s.sendItem(ctx, r)
-	ended := end == runBroken && ctx.Err() == nil && engineconn.BrokenByEngine(err) && s.Pool.Ended(ctx, r.engineKey())
+	ended := false
+	if end == runBroken && ctx.Err() == nil && engineconn.BrokenByEngine(err) {
+		ended = s.Guard.Broke(ctx, guard.Run{Request: r.item.ID, Content: r.digest, Engine: r.engineKey()})
+	}
 	switch {
 	case end == runWhole || end == runFailed || end == runRejected:
 	case r.job.runs.Err() != nil:
@@ -99,11 +103,12 @@
 	s.mu.Unlock()
 	s.forecast.observeRun(kept-before, time.Since(started))
 	if end == runWhole {
+		s.Guard.Served(r.item.ID, r.digest)
 		s.forecast.observeItem(kept)
 	}
 	events.ItemRunEnded.Log(s.Logger, zap.String("job", r.job.id), zap.String("request", r.item.ID), zap.Int64("epoch", r.job.epoch),
 		zap.String("engine", r.decision.Choice.Entry.ID), zap.Stringer("outcome", end), zap.Int("status", status), zap.Int("events_kept", kept),
-		zap.Duration("elapsed", time.Since(started)), zap.Error(err), zap.Stringer("content", r.content().Digest()), zap.Bool("engine_ended", ended))
+		zap.Duration("elapsed", time.Since(started)), zap.Error(err), zap.Stringer("content", r.digest), zap.Bool("engine_ended", ended))
 	s.settleItem(r, end)
 	s.signal()
 }
--- a/internal/passthrough/batch/schedule.go
+++ b/internal/passthrough/batch/schedule.go
@@ -85,14 +85,43 @@
 			s.finish(next.job, next.index, passjob.DeadLetter, "the route is gone")
 			continue
 		}
+		if s.hold(next) {
+			continue
+		}
 		asks = append(asks, s.askFor(next, route, now.Add(next.due-storeNow), runRoutes{route: route, version: table.Version(), learned: learned}))
 	}
 	s.Slots.WantBatch(asks)
 }
 
+// hold says whether an item must not run, since engines end under its content. It stays
+// open until its job's expiry, or until it is let through again.
+func (s *Service) hold(next candidate) bool {
+	item := next.job.items[next.index]
+	digest := next.job.digestOf(item)
+	verdict := s.Guard.Verdict(digest)
+	if !verdict.Blocked {
+		return false
+	}
+	s.mu.Lock()
+	work := &next.job.work[next.index]
+	work.notBefore = time.Now().Add(heldLook)
+	first := !work.held
+	work.held = true
+	s.mu.Unlock()
+	if first {
+		events.ItemHeld.Log(s.Logger, zap.String("job", next.job.id), zap.String("request", item.ID), zap.Stringer("content", digest),
+			zap.Int("crashes", verdict.Crashes), zap.Float64("evidence", verdict.Evidence), zap.Duration("for", time.Until(verdict.Until)))
+	}
+	return true
+}
+
+// heldLook is the pause between two looks whether a held item may run.
+const heldLook = time.Second
+
 // askFor makes the ask of an item, which keeps its id while it waits.
 func (s *Service) askFor(next candidate, route *passroute.Route, due time.Time, routes runRoutes) slots.BatchAsk {
 	item := next.job.items[next.index]
+	suspect := s.Guard.Suspect(next.job.digestOf(item))
 	query := relay.Query(s.Routes.Pool(route), s.Headers.Demand(item.Header))
 	query.Batch, query.Former = true, next.former
 	query.BatchPercent = s.config.PerEngine
@@ -103,7 +132,7 @@
 		work.ask = s.Slots.NewID()
 	}
 	ask := work.ask
-	return slots.BatchAsk{ID: ask, Query: query, RoomPercent: s.config.Room, TenantRank: next.rank, Rank: route.Priority, Due: due, Late: next.late, Start: func(decision slots.Decision) bool {
+	return slots.BatchAsk{ID: ask, Query: query, RoomPercent: s.config.Room, TenantRank: next.rank, Rank: route.Priority, Due: due, Late: next.late, Suspect: suspect, Start: func(decision slots.Decision) bool {
 		return s.startItem(next, ask, decision, routes)
 	}}
 }
@@ -175,7 +204,7 @@
 		zap.String("engine", decision.Choice.Entry.ID), zap.Int("in_flight", decision.Choice.InFlight), zap.String("last_event", lastEvent),
 		zap.Stringer("chosen_by", decision.Source), zap.String("dispatcher", decision.From), zap.Duration("waited", decision.Waited),
 		zap.Int64("routes_version", routes.version), zap.Duration("routes_age", time.Since(routes.learned)))
-	go s.runItem(ctx, stop, itemRun{job: next.job, index: next.index, item: item, route: routes.route, decision: decision})
+	go s.runItem(ctx, stop, itemRun{job: next.job, index: next.index, item: item, digest: next.job.digestOf(item), route: routes.route, decision: decision})
 	return true
 }
 
--- a/internal/passthrough/batch/service.go
+++ b/internal/passthrough/batch/service.go
@@ -12,6 +12,7 @@
 	"ringstream.example/ringstream/internal/passthrough"
 	"ringstream.example/ringstream/internal/passthrough/catalog"
 	"ringstream.example/ringstream/internal/passthrough/engineconn"
+	"ringstream.example/ringstream/internal/passthrough/guard"
 	"ringstream.example/ringstream/internal/passthrough/slots"
 	"ringstream.example/ringstream/internal/wait"
 )
@@ -26,6 +27,7 @@
 	Engines *catalog.Engines
 	Slots   *slots.Service
 	Pool    *engineconn.Pool
+	Guard   *guard.Service
 	Logger  *zap.Logger
 	// Self names this life of the node, unlike any other.
 	Self, Name, Zone string
--- a/internal/passthrough/batch/view.go
+++ b/internal/passthrough/batch/view.go
@@ -51,6 +51,8 @@
 	gone     map[string]int64 // versions at which rows went
 	nodes    map[string]*nodeView
 	quotas   map[string]int64         // versions of the quota rows, by their keys
+	crashes  map[string]seenCrashes   // by the rows' keys
+	unheard  []heardCrash             // from rows, for the guard
 	watchers map[string]chan struct{} // of jobs that are not known yet
 	wake     chan struct{}            // has one token when something changed
 }
@@ -58,7 +60,7 @@
 func newView(config Config, logger *zap.Logger) *view {
 	return &view{
 		config: config, logger: logger, jobs: make(map[string]*entry), gone: make(map[string]int64),
-		nodes: make(map[string]*nodeView), quotas: make(map[string]int64),
+		nodes: make(map[string]*nodeView), quotas: make(map[string]int64), crashes: make(map[string]seenCrashes),
 		watchers: make(map[string]chan struct{}), wake: make(chan struct{}, 1),
 	}
 }
@@ -111,6 +113,8 @@
 		v.applyNode(row)
 	case partQuotas:
 		v.quotas[row.Key] = max(v.quotas[row.Key], row.Version)
+	case partCrashes:
+		v.applyCrashes(row)
 	default:
 		v.applyJob(row)
 	}
--- a/internal/passthrough/edge/edge.go
+++ b/internal/passthrough/edge/edge.go
@@ -16,11 +16,13 @@
 	"go.uber.org/zap"
 
 	"ringstream.example/ringstream/internal/core/enginechoice"
+	"ringstream.example/ringstream/internal/core/quarantine"
 	"ringstream.example/ringstream/internal/events"
 	"ringstream.example/ringstream/internal/passthrough"
 	"ringstream.example/ringstream/internal/passthrough/batch"
 	"ringstream.example/ringstream/internal/passthrough/catalog"
 	"ringstream.example/ringstream/internal/passthrough/engineconn"
+	"ringstream.example/ringstream/internal/passthrough/guard"
 	"ringstream.example/ringstream/internal/passthrough/ingress"
 	"ringstream.example/ringstream/internal/passthrough/peerstore"
 	"ringstream.example/ringstream/internal/passthrough/relay"
@@ -62,6 +64,7 @@
 	store          *peerstore.Store
 	share          *sharing.Share // nil: the node tells others nothing
 	slots          *slots.Service
+	guard          *guard.Service
 	batch          *batch.Service
 	front          *ingress.Server
 
@@ -93,6 +96,9 @@
 	node.routes.JudgeBy(node.routesFollower.Health)
 	follow.Pace = jobPace
 	node.pool = engineconn.New(engineconn.DefaultConfig())
+	node.guard = guard.New(quarantine.DefaultConfig(), guard.Dependencies{
+		Engines: node.engines, Pool: node.pool, Logger: node.logger, Metrics: guard.NewMetrics(node.registry), Self: node.self, Peers: node.peerAddresses,
+	})
 	node.slots = slots.New(config.Limits, slots.Dependencies{
 		Engines: node.engines, Logger: node.logger, Metrics: slots.NewMetrics(node.registry),
 		Self: node.peerName(), Name: identity.Name, Life: node.self, Zone: identity.Zone,
@@ -102,20 +108,22 @@
 	node.routes.OnChange(node.slots.TakeTable)
 	node.batch = batch.New(config.Batch, batch.Dependencies{
 		Store: node.store, Objects: node.store, Headers: platform.Headers, Format: platform.Format,
-		Routes: node.routes, Engines: node.engines, Slots: node.slots, Pool: node.pool, Logger: node.logger,
+		Routes: node.routes, Engines: node.engines, Slots: node.slots, Pool: node.pool, Guard: node.guard, Logger: node.logger,
 		Self: node.self, Name: identity.Name, Zone: identity.Zone, Peer: config.PeerAddress, Capacity: config.Capacity, Ready: node.knows, Follow: follow, Registerer: node.registry,
 	})
+	node.guard.KeepBy(node.batch)
 	node.engineFollower.SlowBy(node.batch.Crowding)
 	node.routesFollower.SlowBy(node.batch.Crowding)
 	node.front = ingress.New(ingress.Config{Keys: config.Keys}, ingress.Dependencies{
 		Registerer: node.registry,
 		Headers:    platform.Headers, Format: platform.Format, Routes: node.routes, Batch: node.batch, Logger: node.logger,
-		Relay: relay.New(platform.Headers, node.engines, node.slots, node.pool, node.logger, relay.NewMetrics(node.registry)),
+		Relay: relay.New(platform.Headers, node.engines, node.slots, node.pool, node.guard, node.logger, relay.NewMetrics(node.registry)),
 	})
 	if config.PeerAddress != "" {
 		local := &sharer{node: node}
-		node.share = sharing.New(sharing.DefaultConfig(config.PeerAddress), local, node.slots, node.logger)
+		node.share = sharing.New(sharing.DefaultConfig(config.PeerAddress), local, node.slots, node.guard, node.logger)
 		node.slots.UseTransport(node.share)
+		node.guard.UseTransport(node.share)
 		node.store.UsePeers(storePeers{Share: node.share, local: local}, node.caughtUp)
 	}
 	node.registerBeliefs()
@@ -149,6 +157,7 @@
 	}
 	add(n.engines.Run)
 	add(n.slots.Run)
+	add(n.guard.Run)
 	if n.share != nil {
 		add(n.share.Run)
 	}
--- a/internal/passthrough/edge/inspect.go
+++ b/internal/passthrough/edge/inspect.go
@@ -87,3 +87,6 @@
 func (n *Node) Attached() int {
 	return n.countLanes(func(load slots.Load) int { return load.Attached })
 }
+
+// BlockedContents counts the contents that must reach no engine, as far as this node knows.
+func (n *Node) BlockedContents() int { return len(n.guard.Blocked()) }
--- a/internal/passthrough/edge/metrics.go
+++ b/internal/passthrough/edge/metrics.go
@@ -38,6 +38,9 @@
 			_, dialed := n.pool.Counts()
 			return float64(dialed)
 		}),
+		prometheus.NewGaugeFunc(prometheus.GaugeOpts{Name: "ringstream_pass_blocked_contents", Help: "Contents that must reach no engine, since engines ended under them."}, func() float64 {
+			return float64(n.BlockedContents())
+		}),
 		prometheus.NewGaugeFunc(prometheus.GaugeOpts{Name: "ringstream_pass_running", Help: "Requests of clients under way."}, func() float64 {
 			return float64(n.front.Running())
 		}),
--- a/internal/passthrough/edge/sharer.go
+++ b/internal/passthrough/edge/sharer.go
@@ -24,9 +24,12 @@
 const blindAfter = 1300 * time.Millisecond
 
 // Peers implements sharing.Local: the nodes that the store tells of.
-func (s *sharer) Peers() []string {
+func (s *sharer) Peers() []string { return s.node.peerAddresses() }
+
+// peerAddresses gives the addresses of the other nodes that may be alive.
+func (n *Node) peerAddresses() []string {
 	var addresses []string
-	for _, peer := range s.node.batch.Peers() {
+	for _, peer := range n.batch.Peers() {
 		addresses = append(addresses, peer.Address)
 	}
 	return addresses
--- /dev/null
+++ b/internal/passthrough/guard/spread.go
@@ -0,0 +1,201 @@
+package guard
+
+import (
+	"context"
+	"math/rand/v2"
+	"slices"
+	"time"
+
+	"go.uber.org/zap"
+
+	"ringstream.example/ringstream/internal/core/quarantine"
+	"ringstream.example/ringstream/internal/events"
+)
+
+// Times and bounds of telling. A crash reaches a node that one datagram in four is lost to
+// with 63 in 64 of its first three tries; what is still missing comes with the gravest.
+const (
+	// gatherFor is how long crashes are gathered before they are told: all requests of an
+	// engine break within some milliseconds.
+	gatherFor = 5 * time.Millisecond
+	// againEvery and tries say how often a crash is told to all.
+	againEvery = 150 * time.Millisecond
+	tries      = 3
+	// perMessage bounds the crashes of one message, some 40 bytes each.
+	perMessage = 200
+	// gravestEvery is the pause between two tellings of the gravest crashes to one node
+	// by chance: 2 KB/s at the most, none while no content has ended two engines.
+	gravestEvery = time.Second
+	gravest      = 50
+	// gravestOldest is how old the newest crash of a content that is told so may be: a
+	// node that started since has it from the store.
+	gravestOldest = 2 * time.Minute
+	expireEvery   = 10 * time.Second
+)
+
+// repeated is a crash that is told again.
+type repeated struct {
+	crash quarantine.Crash
+	from  time.Time // Age is as of then
+	at    time.Time // of the next telling
+	left  int
+}
+
+// Run tells and keeps what is new until ctx ends.
+func (s *Service) Run(ctx context.Context) error {
+	timer := time.NewTimer(gravestEvery)
+	defer timer.Stop()
+	gravestAt, expireAt := time.Now().Add(gravestEvery), time.Now().Add(expireEvery)
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-timer.C:
+		case <-s.wake:
+			timer.Reset(gatherFor)
+			continue
+		}
+		now := time.Now()
+		s.tellFresh(now)
+		s.keep(ctx)
+		if now.After(gravestAt) {
+			s.tellGravest(now)
+			gravestAt = now.Add(gravestEvery)
+		}
+		if now.After(expireAt) {
+			s.expire(now)
+			expireAt = now.Add(expireEvery)
+		}
+		timer.Reset(s.untilNext(now, gravestAt))
+	}
+}
+
+// untilNext is how long nothing is due.
+func (s *Service) untilNext(now, gravestAt time.Time) time.Duration {
+	next := gravestAt
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if len(s.unkept) > 0 && s.keepAt.Before(next) {
+		next = s.keepAt
+	}
+	for _, known := range s.repeat {
+		if known.at.Before(next) {
+			next = known.at
+		}
+	}
+	return max(next.Sub(now), time.Millisecond)
+}
+
+// tellFresh tells all nodes what is new, and again what was new a moment ago.
+func (s *Service) tellFresh(now time.Time) {
+	if s.transport == nil {
+		s.mu.Lock()
+		s.fresh = nil
+		s.mu.Unlock()
+		return
+	}
+	s.mu.Lock()
+	for _, crash := range s.fresh {
+		s.repeat = append(s.repeat, repeated{crash: crash, from: now, at: now, left: tries})
+	}
+	s.fresh = nil
+	var due []quarantine.Crash
+	for i := range s.repeat {
+		known := &s.repeat[i]
+		if known.at.After(now) {
+			continue
+		}
+		crash := known.crash
+		crash.Age += now.Sub(known.from)
+		due = append(due, crash)
+		known.at = now.Add(againEvery)
+		known.left--
+	}
+	s.repeat = slices.DeleteFunc(s.repeat, func(known repeated) bool { return known.left == 0 })
+	s.mu.Unlock()
+	if len(due) == 0 {
+		return
+	}
+	for _, peer := range s.Peers() {
+		s.tell(peer, due)
+	}
+}
+
+func (s *Service) tell(peer string, crashes []quarantine.Crash) {
+	for part := range slices.Chunk(crashes, perMessage) {
+		s.transport.SendCrashes(peer, part)
+	}
+}
+
+// tellGravest tells one node what all must know in the end.
+func (s *Service) tellGravest(now time.Time) {
+	if s.transport == nil || s.known.Load() == 0 {
+		return
+	}
+	s.mu.Lock()
+	crashes := s.ledger.Gravest(gravest, gravestOldest, now)
+	s.mu.Unlock()
+	peers := s.Peers()
+	if len(crashes) > 0 && len(peers) > 0 {
+		s.tell(peers[rand.IntN(len(peers))], crashes)
+	}
+}
+
+// expire forgets what is too old.
+func (s *Service) expire(now time.Time) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.ledger.Expire(now)
+	for content := range s.own {
+		if len(s.ledger.Crashes(content, now)) == 0 {
+			delete(s.own, content)
+			delete(s.blocked, content)
+		}
+	}
+	contents, _ := s.ledger.Sizes()
+	s.known.Store(int64(contents))
+}
+
+// keptFrom is how many engines end under a content before its crashes are kept in the
+// store. Of each engine's requests some end under one engine only, for which nothing
+// needs to outlive a restart.
+const keptFrom = 2
+
+// keepTime bounds one write; what fails is tried again.
+const keepTime = 1500 * time.Millisecond
+
+// keepAgain is the pause after a write that failed: the store may be down for long, and
+// prices each call.
+const keepAgain = 500 * time.Millisecond
+
+// keep writes the crashes that this node saw, one row a content.
+func (s *Service) keep(ctx context.Context) {
+	if s.keeper == nil || time.Now().Before(s.keepAt) {
+		return
+	}
+	s.mu.Lock()
+	var content quarantine.Digest
+	found := false
+	for content = range s.unkept {
+		found = true
+		break
+	}
+	if !found {
+		s.mu.Unlock()
+		return
+	}
+	delete(s.unkept, content)
+	crashes := s.ledger.Crashes(content, time.Now())
+	s.mu.Unlock()
+	call, cancel := context.WithTimeout(ctx, keepTime)
+	defer cancel()
+	err := s.keeper.KeepCrashes(call, content.Key()+"/"+s.Self, crashes)
+	events.CrashesKept.Log(s.Logger, zap.Stringer("content", content), zap.Int("crashes", len(crashes)), zap.Error(err))
+	s.mu.Lock()
+	if err != nil {
+		s.unkept[content] = true
+		s.keepAt = time.Now().Add(keepAgain)
+	}
+	s.mu.Unlock()
+	s.signal()
+}
--- a/internal/passthrough/relay/attempt.go
+++ b/internal/passthrough/relay/attempt.go
@@ -18,6 +18,7 @@
 	"ringstream.example/ringstream/internal/events"
 	"ringstream.example/ringstream/internal/passthrough"
 	"ringstream.example/ringstream/internal/passthrough/engineconn"
+	"ringstream.example/ringstream/internal/passthrough/guard"
 	"ringstream.example/ringstream/internal/passthrough/slots"
 )
 
@@ -63,7 +64,13 @@
 	case !errors.Is(err, engineconn.ErrNotSent):
 		outcome, left = Failed, ctx.Err() != nil
 	}
-	ended := outcome == Failed && !left && engineconn.BrokenByEngine(err) && e.pool.Ended(bounded, key)
+	ended := false
+	if outcome == Failed && !left && engineconn.BrokenByEngine(err) {
+		ended = e.guard.Broke(bounded, guard.Run{Request: e.call.Demand.RequestID, Content: e.content, Engine: key})
+	}
+	if outcome == Completed {
+		e.guard.Served(e.call.Demand.RequestID, e.content)
+	}
 	if outcome == Failed {
 		e.attempts++
 		e.mayHaveRun = true
--- a/internal/passthrough/relay/outcome.go
+++ b/internal/passthrough/relay/outcome.go
@@ -2,11 +2,13 @@
 
 import (
 	"encoding/json"
+	"fmt"
 	"net/http"
 	"time"
 
 	"go.uber.org/zap"
 
+	"ringstream.example/ringstream/internal/core/quarantine"
 	"ringstream.example/ringstream/internal/events"
 	"ringstream.example/ringstream/internal/passthrough"
 	"ringstream.example/ringstream/internal/passthrough/slots"
@@ -55,13 +57,14 @@
 type Refusal struct {
 	Code    string `json:"code"`
 	Message string `json:"message"`
-	Run     string `json:"run"` // "not_run" or "unknown"
+	Run     string `json:"run"` // "not_run", "unknown" or "failed"
 }
 
 // What a refusal says of the request.
 const (
 	RunNot     = "not_run"
 	RunUnknown = "unknown"
+	RunFailed  = "failed"
 )
 
 // retryAfter is when a client that found no room should come back.
@@ -109,6 +112,25 @@
 	return NotRun
 }
 
+// refuseBlocked answers at once that engines end under the request's content, and when it
+// may be sent again. It promises nothing of the request having run, since the same one has.
+func (e *exchange) refuseBlocked(verdict quarantine.Verdict) Outcome {
+	if e.headSent {
+		return Cut
+	}
+	left := time.Until(verdict.Until)
+	events.ContentRefused.Log(e.logger, zap.String("request", e.call.Demand.RequestID), zap.Stringer("content", e.content), zap.String("route", e.call.Route.Name),
+		zap.String("tenant", e.call.TenantName()), zap.Int("crashes", verdict.Crashes), zap.Float64("evidence", verdict.Evidence), zap.Duration("retry_after", left))
+	e.guard.Metrics.Refused(e.call.Route.Name)
+	e.status = http.StatusBadGateway
+	e.headers.SetRetryAfter(e.to.Header(), left)
+	WriteRefusal(e.to, e.status, Refusal{
+		Code: "request_ends_engines", Run: RunFailed,
+		Message: fmt.Sprintf("%d engines ended while they ran this request; it is not sent to more of them", verdict.Crashes),
+	})
+	return Failed
+}
+
 // RefuseNotRun answers 503 for a request that no engine got, and says when to
 // come back.
 func RefuseNotRun(to http.ResponseWriter, headers passthrough.Headers, after time.Duration, code, message string) {
--- a/internal/passthrough/relay/relay.go
+++ b/internal/passthrough/relay/relay.go
@@ -20,6 +20,7 @@
 	"ringstream.example/ringstream/internal/passthrough"
 	"ringstream.example/ringstream/internal/passthrough/catalog"
 	"ringstream.example/ringstream/internal/passthrough/engineconn"
+	"ringstream.example/ringstream/internal/passthrough/guard"
 	"ringstream.example/ringstream/internal/passthrough/slots"
 	"ringstream.example/ringstream/internal/wait"
 )
@@ -56,13 +57,14 @@
 	engines *catalog.Engines
 	slots   *slots.Service
 	pool    *engineconn.Pool
+	guard   *guard.Service
 	logger  *zap.Logger
 	metrics *Metrics
 }
 
 // New makes a relay.
-func New(headers passthrough.Headers, engines *catalog.Engines, slots *slots.Service, pool *engineconn.Pool, logger *zap.Logger, metrics *Metrics) *Relay {
-	return &Relay{headers: headers, engines: engines, slots: slots, pool: pool, logger: logger, metrics: metrics}
+func New(headers passthrough.Headers, engines *catalog.Engines, slots *slots.Service, pool *engineconn.Pool, guard *guard.Service, logger *zap.Logger, metrics *Metrics) *Relay {
+	return &Relay{headers: headers, engines: engines, slots: slots, pool: pool, guard: guard, logger: logger, metrics: metrics}
 }
 
 // exchange is the state of one call over its attempts.
@@ -133,6 +135,9 @@
 		if bounded.Err() != nil || !time.Now().Before(e.deadline) {
 			return e.giveUp(timedOut)
 		}
+		if verdict := e.guard.Verdict(e.content); verdict.Blocked {
+			return e.refuseBlocked(verdict)
+		}
 		decision, err := e.choose(bounded, patience)
 		if overLimit := (*slots.OverLimitError)(nil); errors.As(err, &overLimit) {
 			return e.refuseOverLimit(overLimit)
@@ -146,6 +151,10 @@
 			}
 			continue
 		}
+		if verdict := e.guard.Verdict(e.content); verdict.Blocked { // since it began to wait
+			decision.Slot.End(enginechoice.Abandoned, false)
+			return e.refuseBlocked(verdict)
+		}
 		ended := e.attempt(bounded, decision)
 		switch ended {
 		case Completed, ClientGone:
@@ -204,7 +213,7 @@
 func (e *exchange) choose(bounded context.Context, patience time.Time) (slots.Decision, error) {
 	query := Query(e.call.Pool, e.call.Demand)
 	query.Exclude = e.excluded
-	request := slots.Request{ID: e.call.Demand.RequestID, Query: query, Rank: e.call.Route.Priority, PlaceAt: patience}
+	request := slots.Request{ID: e.call.Demand.RequestID, Query: query, Rank: e.call.Route.Priority, PlaceAt: patience, Suspect: e.guard.Suspect(e.content)}
 	if e.call.Route.Objective > 0 {
 		request.Due = e.call.Received.Add(e.call.Route.Objective)
 	}
--- a/internal/passthrough/slots/acquire.go
+++ b/internal/passthrough/slots/acquire.go
@@ -25,6 +25,7 @@
 	// PlaceAt is when it waits no longer for a free slot: it then takes its place
 	// at an engine, however many are before it.
 	PlaceAt time.Time
+	Suspect grant.Suspect
 }
 
 // Source says who chose an engine.
@@ -118,7 +119,7 @@
 // newAsk makes the ask of a request.
 func (s *Service) newAsk(request Request, query enginechoice.Query) grant.Ask {
 	ask := s.askOf(s.NewID(), query)
-	ask.TenantRank, ask.Rank = request.TenantRank, request.Rank
+	ask.TenantRank, ask.Rank, ask.Suspect = request.TenantRank, request.Rank, request.Suspect
 	if request.Tenant != "" {
 		ask.Tenant = grant.TenantHash(request.Tenant)
 	}
@@ -135,9 +136,10 @@
 // answered is a verdict with the ask that it is for.
 type answered struct {
 	verdict
-	id   uint64
-	lane grant.Lane
-	name string // of the engine that was granted
+	suspect grant.Suspect
+	id      uint64
+	lane    grant.Lane
+	name    string // of the engine that was granted
 }
 
 // wait asks a lane's dispatcher, and waits for its word.
@@ -154,7 +156,7 @@
 	for {
 		select {
 		case told := <-waiting.told:
-			result := answered{verdict: told, id: id, lane: waiting.lane}
+			result := answered{verdict: told, id: id, lane: waiting.lane, suspect: ask.Suspect}
 			if told.overLimit != nil {
 				return answered{}, told.overLimit
 			}
@@ -200,11 +202,14 @@
 }
 
 // laneFor gives the lane of a pool that an ask goes to: requests that share parts of
-// their prompts ask in the same. The caller holds mu.
+// their prompts ask in the same, and so do those of one content that engines have ended
+// under. The caller holds mu.
 func (s *Service) laneFor(pool string, ask grant.Ask) grant.Lane {
 	lane := grant.Lane{Pool: pool, Parts: max(s.pools[pool].parts, 1)}
 	key := grant.EngineHash(s.Life) + ask.ID
-	if len(ask.Shared) > 0 {
+	if ask.Suspect.Content != 0 {
+		key = ask.Suspect.Content // so that one dispatcher knows all runs of a content
+	} else if len(ask.Shared) > 0 {
 		key = grant.EngineHash(ask.Shared[len(ask.Shared)-1].ID)
 	}
 	lane.Part = uint32(key) & (lane.Parts - 1) //nolint:gosec // the low bits are meant
@@ -308,7 +313,7 @@
 		s.decline(*told.granted)
 	}
 	if usable {
-		decision.Slot = s.begin(told.lane, told.id, decision.Choice, query)
+		decision.Slot = s.begin(told.lane, told.id, decision.Choice, query, told.suspect)
 	}
 	return decision, usable
 }
--- a/internal/passthrough/slots/batch.go
+++ b/internal/passthrough/slots/batch.go
@@ -18,6 +18,7 @@
 	TenantRank, Rank int
 	Due              time.Time
 	Late             bool // it cannot be done when it is due
+	Suspect          grant.Suspect
 	// Start has the item run; false when it no longer waits.
 	Start func(Decision) bool
 }
@@ -60,7 +61,7 @@
 func (s *Service) postBatch(ask BatchAsk) {
 	sent := s.askOf(ask.ID, ask.Query)
 	sent.RoomPercent = ask.RoomPercent
-	sent.Late, sent.TenantRank, sent.Rank = ask.Late, ask.TenantRank, ask.Rank
+	sent.Late, sent.TenantRank, sent.Rank, sent.Suspect = ask.Late, ask.TenantRank, ask.Rank, ask.Suspect
 	s.mu.Lock()
 	lane, known := s.batchLanes[ask.ID]
 	if !known {
@@ -88,7 +89,7 @@
 		return false
 	}
 	decision.Waited = given.grant.Waited
-	decision.Slot = s.begin(given.lane, ask.ID, decision.Choice, ask.Query)
+	decision.Slot = s.begin(given.lane, ask.ID, decision.Choice, ask.Query, ask.Suspect)
 	s.Metrics.granted(decision)
 	if !ask.Start(decision) {
 		decision.Slot.End(enginechoice.Abandoned, false)
--- a/internal/passthrough/slots/slot.go
+++ b/internal/passthrough/slots/slot.go
@@ -18,7 +18,7 @@
 }
 
 // begin counts a request at an engine, here and at the lane's dispatcher.
-func (s *Service) begin(lane grant.Lane, id uint64, choice enginechoice.Choice, query enginechoice.Query) *Slot {
+func (s *Service) begin(lane grant.Lane, id uint64, choice enginechoice.Choice, query enginechoice.Query, suspect grant.Suspect) *Slot {
 	slot := &Slot{
 		service: s, lane: lane, id: id, engine: choice.Entry.ID, shared: query.Shared,
 		counted: &enginechoice.Work{Batch: query.Batch, PrefillTokens: choice.PrefillTokens, MemoryTokens: query.MemoryTokens},
@@ -29,6 +29,7 @@
 	defer s.mu.Unlock()
 	s.requester(lane, now).Begin(grant.Held{
 		ID: id, Engine: grant.EngineHash(slot.engine), Batch: query.Batch, PrefillTokens: choice.PrefillTokens, MemoryTokens: query.MemoryTokens,
+		Suspect: suspect,
 	}, query.PromptTokens(), now)
 	return slot
 }
--- a/internal/peer/sharing/datagrams.go
+++ b/internal/peer/sharing/datagrams.go
@@ -9,6 +9,7 @@
 	"go.uber.org/zap"
 
 	"ringstream.example/ringstream/internal/core/grant"
+	"ringstream.example/ringstream/internal/core/quarantine"
 	"ringstream.example/ringstream/internal/events"
 )
 
@@ -25,6 +26,11 @@
 	s.send(message{Lane: lane, Reply: &reply}, to)
 }
 
+// SendCrashes tells a node which engines ended under which contents.
+func (s *Share) SendCrashes(to string, crashes []quarantine.Crash) {
+	s.send(message{Crashes: crashes}, to)
+}
+
 // send sends a datagram. What cannot be sent is as good as lost on the way: the
 // receiver's next message, or its silence, makes it good.
 func (s *Share) send(told message, to string) {
@@ -67,6 +73,9 @@
 // hear takes a message; one that is not known changes nothing.
 func (s *Share) hear(from string, told message) error {
 	switch {
+	case len(told.Crashes) > 0:
+		s.crashes.Hear(from, told.Crashes)
+		return nil
 	case told.State != nil && told.Reply == nil:
 		return s.slots.HearState(from, told.Lane, *told.State)
 	case told.Reply != nil && told.State == nil:
--- a/internal/peer/sharing/sharing.go
+++ b/internal/peer/sharing/sharing.go
@@ -1,6 +1,7 @@
 // Package sharing is what pass-through nodes tell each other: in datagrams,
-// what each has under way and waiting in a lane of engines, and what its
-// dispatcher grants (package core/grant); over TCP, the platform's documents, for
+// what each has under way and waiting in a lane of engines, what its dispatcher
+// grants (package core/grant), and which engines ended under which contents (package
+// core/quarantine); over TCP, the platform's documents, for
 // a node that the store refuses or does not reach. Both are gob. What is told is
 // a hint: it is lost without harm, and nothing durable rests on it.
 package sharing
@@ -19,6 +20,7 @@
 	"go.uber.org/zap"
 
 	"ringstream.example/ringstream/internal/core/grant"
+	"ringstream.example/ringstream/internal/core/quarantine"
 	"ringstream.example/ringstream/internal/events"
 	"ringstream.example/ringstream/internal/passthrough"
 	"ringstream.example/ringstream/internal/wait"
@@ -76,6 +78,11 @@
 	HearReply(from string, lane grant.Lane, reply grant.Reply) error
 }
 
+// Crashes hears from other nodes which engines ended under which contents.
+type Crashes interface {
+	Hear(from string, crashes []quarantine.Crash)
+}
+
 // Config says where nodes hear each other, and how often one asks.
 type Config struct {
 	Address  string        // IP:port, for both kinds
@@ -95,11 +102,12 @@
 
 // Share tells and asks for one node.
 type Share struct {
-	config Config
-	local  Local
-	slots  Slots
-	logger *zap.Logger
-	codec  *codec
+	config  Config
+	local   Local
+	slots   Slots
+	crashes Crashes
+	logger  *zap.Logger
+	codec   *codec
 
 	// Of the goroutine that listens:
 	dropped   int       // datagrams since the last log line about them
@@ -109,8 +117,8 @@
 }
 
 // New makes a share for a life of a node.
-func New(config Config, local Local, slots Slots, logger *zap.Logger) *Share {
-	return &Share{config: config, local: local, slots: slots, logger: logger, codec: newCodec()}
+func New(config Config, local Local, slots Slots, crashes Crashes, logger *zap.Logger) *Share {
+	return &Share{config: config, local: local, slots: slots, crashes: crashes, logger: logger, codec: newCodec()}
 }
 
 // Run tells and listens until ctx ends.
--- a/internal/peer/sharing/sharing_test.go
+++ b/internal/peer/sharing/sharing_test.go
@@ -13,6 +13,7 @@
 	"go.uber.org/zap"
 
 	"ringstream.example/ringstream/internal/core/grant"
+	"ringstream.example/ringstream/internal/core/quarantine"
 	"ringstream.example/ringstream/internal/passthrough"
 )
 
@@ -47,6 +48,8 @@
 	return nil
 }
 
+func (l *local) Hear(_ string, crashes []quarantine.Crash) { l.heard <- message{Crashes: crashes} }
+
 func (l *local) CallStore(context.Context, StoreCall) StoreAnswer {
 	l.mu.Lock()
 	defer l.mu.Unlock()
@@ -75,7 +78,7 @@
 	t.Helper()
 	ctx, cancel := context.WithCancel(context.Background())
 	done := make(chan error, 1)
-	share := New(DefaultConfig(address), nodeLocal, nodeLocal, zap.NewNop())
+	share := New(DefaultConfig(address), nodeLocal, nodeLocal, nodeLocal, zap.NewNop())
 	go func() { done <- share.Run(ctx) }()
 	t.Cleanup(func() {
 		cancel()
@@ -108,17 +111,21 @@
 	sender := start(t, from, freeAddress(t))
 	want := exampleMessage()
 	reply := message{Lane: want.Lane, Reply: &grant.Reply{Life: 7, Sequence: 9, Grants: []grant.Grant{{ID: 1, Engine: 3, Preempts: true}}, Stops: []uint64{8}}}
-	for _, told := range []message{want, reply} {
+	crashes := message{Crashes: []quarantine.Crash{{Content: quarantine.Content{Host: "h"}.Digest(), Engine: 1 << 63, Age: time.Second, Excused: true}, {Engine: 2}}}
+	for _, told := range []message{want, reply, crashes} {
 		got := message{}
-		for got.State == nil && got.Reply == nil {
-			if told.State != nil {
+		for got.State == nil && got.Reply == nil && got.Crashes == nil {
+			switch {
+			case told.State != nil:
 				sender.SendState(address, told.Lane, *told.State)
-			} else {
+			case told.Reply != nil:
 				sender.SendReply(address, told.Lane, *told.Reply)
+			default:
+				sender.SendCrashes(address, told.Crashes)
 			}
 			select {
 			case got = <-to.heard:
-				if (got.State == nil) != (told.State == nil) {
+				if (got.State == nil) != (told.State == nil) || (got.Reply == nil) != (told.Reply == nil) {
 					got = message{} // another copy of the one before
 				}
 			case <-time.After(20 * time.Millisecond):
@@ -136,7 +143,7 @@
 	served := newLocal()
 	address := freeAddress(t)
 	start(t, served, address)
-	asker := New(DefaultConfig(freeAddress(t)), newLocal(), newLocal(), zap.NewNop())
+	asker := New(DefaultConfig(freeAddress(t)), newLocal(), newLocal(), newLocal(), zap.NewNop())
 	for _, want := range []StoreAnswer{
 		{Commit: passthrough.CommitResult{Applied: true, Version: 9}},
 		{Commit: passthrough.CommitResult{Current: []passthrough.Row{{Table: "t", Key: "k", Value: []byte("v"), Version: 3}}}},
@@ -189,7 +196,7 @@
 // may send, and a good one after them.
 func TestUnknownMessagesChangeNothing(t *testing.T) {
 	node := newLocal()
-	share := New(DefaultConfig("127.0.0.1:1"), node, node, zap.NewNop())
+	share := New(DefaultConfig("127.0.0.1:1"), node, node, node, zap.NewNop())
 	for _, told := range []message{{}, {State: &grant.State{}, Reply: &grant.Reply{}}} {
 		if err := share.hear("127.0.0.1:2", told); !errors.Is(err, errUnknownMessage) {
 			t.Errorf("%+v: %v", told, err)
