--- a/internal/events/passthrough.go
+++ b/internal/events/passthrough.go
@@ -33,7 +33,7 @@
 
 	EngineEnded    = Define(Event{Number: 8140, Name: "engine ended under a request", Level: zapcore.InfoLevel, Fields: []string{"request", "content", "engine", "crashes", "evidence", "blocked"}})
 	EngineLeft     = Define(Event{Number: 8141, Name: "engine that was leaving ended under a request", Level: zapcore.InfoLevel, Fields: []string{"request", "content", "engine"}})
-	ContentBlocked = Define(Event{Number: 8142, Name: "content blocked", Level: zapcore.WarnLevel, Fields: []string{"content", "crashes", "evidence", "for", "source"}, Action: "Engines ended each time they ran a request with this content; requests with it are refused. See docs/operations/quarantine.md: find the caller by content in 8102, keep the request for who looks after the engines' software, and lift the block when that is mended."})
+	ContentBlocked = Define(Event{Number: 8142, Name: "content blocked", Level: zapcore.WarnLevel, Fields: []string{"content", "crashes", "evidence", "for", "source"}, Action: "Engines ended each time they ran a request with this content; requests with it are refused. See docs/operations/quarantine.md: find the caller by content in 8102 and keep the request for who looks after the engines' software. The block ends by itself."})
 	ContentRefused = Define(Event{Number: 8143, Name: "request refused, its content is blocked", Level: zapcore.InfoLevel, Fields: []string{"request", "content", "route", "tenant", "crashes", "evidence", "retry_after"}})
 	ContentExcused = Define(Event{Number: 8144, Name: "content excused", Level: zapcore.InfoLevel, Fields: []string{"request", "content", "crashes"}})
 	CrashesTold    = Define(Event{Number: 8145, Name: "crashes learned", Level: zapcore.InfoLevel, Fields: []string{"source", "crashes", "contents"}})
--- a/internal/explain/explain.go
+++ b/internal/explain/explain.go
@@ -40,6 +40,16 @@
 	return l.Fields["request"] == id || l.Fields["job"] == id
 }
 
+// Numbers of the events that tell of engines ending under a content.
+const firstOfContent, lastOfContent = 8140, 8146
+
+// tellsOfContent says whether a line tells of engines that ended under one of some
+// contents.
+func (l Line) tellsOfContent(contents map[string]bool) bool {
+	content, _ := l.Fields["content"].(string)
+	return l.Number >= firstOfContent && l.Number <= lastOfContent && contents[content]
+}
+
 // maxLine is the longest line that is read, in bytes.
 const maxLine = 1 << 20
 
@@ -80,15 +90,19 @@
 	return line, true
 }
 
-// Story gives the lines about an id in order of time, and the changes of
-// belief of the same nodes from `before` its first line on until its last.
+// Story gives the lines about an id in order of time, the changes of belief of the
+// same nodes from `before` its first line on until its last, and what any node had told
+// until then of engines that ended under the same content.
 func Story(lines []Line, id string, before time.Duration) []Line {
 	var own []Line
-	nodes := make(map[string]bool)
+	nodes, contents := make(map[string]bool), make(map[string]bool)
 	for _, line := range lines {
 		if line.carries(id) {
 			own = append(own, line)
 			nodes[line.Node] = true
+			if content, told := line.Fields["content"].(string); told {
+				contents[content] = true
+			}
 		}
 	}
 	if len(own) == 0 {
@@ -98,7 +112,9 @@
 	from, to := own[0].At.Add(-before), own[len(own)-1].At
 	story := own
 	for _, line := range lines {
-		if line.belief() && nodes[line.Node] && !line.At.Before(from) && !line.At.After(to) {
+		believed := line.belief() && nodes[line.Node] && !line.At.Before(from)
+		crashed := line.tellsOfContent(contents) && !line.carries(id)
+		if (believed || crashed) && !line.At.After(to) {
 			story = append(story, line)
 		}
 	}
--- a/internal/explain/explain_test.go
+++ b/internal/explain/explain_test.go
@@ -46,6 +46,34 @@
 	}
 }
 
+// TestStoryOfARefusedRequestTellsWhichEnginesEnded, at any node and under whatever id.
+func TestStoryOfARefusedRequestTellsWhichEnginesEnded(t *testing.T) {
+	lines, err := Read(strings.NewReader(`
+{"ts":"2026-01-01T00:00:01Z","msg":"engine ended under a request","node":"n1","request":"r1","content":"c1","engine":"e1","event":8140}
+{"ts":"2026-01-01T00:00:02Z","msg":"engine ended under a request","node":"n2","request":"r2","content":"c1","engine":"e2","event":8140}
+{"ts":"2026-01-01T00:00:02Z","msg":"engine ended under a request","node":"n2","request":"r3","content":"c2","engine":"e2","event":8140}
+{"ts":"2026-01-01T00:00:03Z","msg":"request refused, its content is blocked","node":"n3","request":"r4","content":"c1","event":8143}
+{"ts":"2026-01-01T00:00:04Z","msg":"engine ended under a request","node":"n1","request":"r5","content":"c1","engine":"e5","event":8140}
+`))
+	if err != nil {
+		t.Fatal(err)
+	}
+	text := Text(Story(lines, "r4", time.Second))
+	for _, part := range []string{"engine=e1", "engine=e2 request=r2", "request=r4"} {
+		if !strings.Contains(text, part) {
+			t.Errorf("%q is missing in\n%s", part, text)
+		}
+	}
+	for _, part := range []string{"request=r3", "engine=e5"} {
+		if strings.Contains(text, part) {
+			t.Errorf("%q is told in\n%s", part, text)
+		}
+	}
+	if failed := Summarize(append(lines, Line{At: lines[3].At.Add(time.Second), Node: "n3", Number: eventRequestEnded, Fields: map[string]any{"request": "r4", "route": "a", "outcome": "failed"}})).Failed; len(failed) != 1 || failed[0].What != "failed, refused: request_ends_engines" {
+		t.Errorf("got %+v", failed)
+	}
+}
+
 func TestTooLongLineIsTold(t *testing.T) {
 	if _, err := Read(strings.NewReader(strings.Repeat("x", maxLine+1))); err == nil {
 		t.Error("a line over the limit was passed over in silence")
--- a/internal/explain/summary.go
+++ b/internal/explain/summary.go
@@ -20,6 +20,7 @@
 	eventItemYields     = 8323
 	eventKeyRefused     = 8113
 	eventOverLimit      = 8114
+	eventContentRefused = 8143
 )
 
 // Row is one line of a summary.
@@ -105,6 +106,8 @@
 			yields.add("", fmt.Sprintf("%s, with %s kept", text(line, "why"), eventsKept(number(line, "events_kept"))))
 		case eventKeyRefused:
 			keys.add("", text(line, "verdict"))
+		case eventContentRefused:
+			known.refused = "request_ends_engines"
 		case eventOverLimit:
 			known.refused = "tenant_over_limit"
 			limits.add("", overLimit(line))
