suspension: a node that was suspended corrects the age of what it believes before it acts

Cause: the steady clock does not count a suspension and timers sleep through it: a withdrawn key was served, requests were held past their time, items ran by a table of jobs as old as the suspension. Change: package suspension notices that CLOCK_BOOTTIME went ahead of the steady clock; followers, routes, relay, batch, slots, the dispatcher and the pool of connections correct what they keep, before whoever looked acts. A content that is blocked has its runs under way stopped.

--- a/internal/passthrough/catalog/follower_test.go
+++ b/internal/passthrough/catalog/follower_test.go
@@ -10,6 +10,7 @@
 	"go.uber.org/zap"
 
 	"ringstream.example/ringstream/internal/passthrough"
+	"ringstream.example/ringstream/internal/suspension"
 )
 
 func TestPaceSlowsWithTheFleetWithinItsBound(t *testing.T) {
@@ -84,3 +85,39 @@
 		}
 	})
 }
+
+// sleepyRows answers calls for changes across a suspension of the machine.
+type sleepyRows struct {
+	quietRows
+	suspended atomic.Int64
+	gap       time.Duration // of each such call
+}
+
+func (r *sleepyRows) Suspended() time.Duration { return time.Duration(r.suspended.Load()) }
+
+// Feed implements passthrough.Rows.
+func (r *sleepyRows) Feed(ctx context.Context, table string, since int64, wait time.Duration) (passthrough.Snapshot, error) {
+	r.suspended.Add(int64(r.gap))
+	return r.quietRows.Feed(ctx, table, since, wait)
+}
+
+// TestAnswerFromBeforeASuspensionConfirmsNothing: it may be as old as that was long.
+func TestAnswerFromBeforeASuspensionConfirmsNothing(t *testing.T) {
+	for _, gap := range []time.Duration{0, 5 * time.Second} {
+		synctest.Test(t, func(t *testing.T) {
+			rows := &sleepyRows{gap: gap}
+			follower := NewFollower(DefaultFollowConfig(), rows, "t", []string{""}, noSink{}, zap.NewNop())
+			follower.WatchBy(suspension.NewWatch(rows))
+			ctx, cancel := context.WithCancel(t.Context())
+			done := make(chan error, 1)
+			go func() { done <- follower.Run(ctx) }()
+			time.Sleep(time.Second)
+			age := time.Since(follower.Health().LastGood)
+			cancel()
+			<-done
+			if fresh := age < time.Second; fresh != (gap == 0) {
+				t.Errorf("suspended for %v in each call: the last word is %v old", gap, age)
+			}
+		})
+	}
+}
--- a/internal/passthrough/engineconn/conn_test.go
+++ b/internal/passthrough/engineconn/conn_test.go
@@ -1,7 +1,12 @@
 package engineconn
 
 import (
+	"context"
 	"errors"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"strings"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -37,3 +42,30 @@
 		})
 	}
 }
+
+// TestIdleConnectionIsNotUsedPastItsTimeAfterASuspension: the engine has closed it, and the
+// word of that may not have come.
+func TestIdleConnectionIsNotUsedPastItsTimeAfterASuspension(t *testing.T) {
+	server := httptest.NewServer(http.HandlerFunc(func(to http.ResponseWriter, _ *http.Request) { to.WriteHeader(http.StatusOK) }))
+	defer server.Close()
+	pool := New(DefaultConfig())
+	key := Key{Engine: "e", Address: strings.TrimPrefix(server.URL, "http://")}
+	use := func() bool {
+		exchange, err := pool.Do(context.Background(), key, Request{Method: http.MethodGet, Target: "/", Header: make(http.Header), Own: func(http.Header) bool { return true }})
+		if err != nil {
+			t.Fatal(err)
+		}
+		_, _ = io.Copy(io.Discard, exchange)
+		exchange.Close()
+		return exchange.Reused
+	}
+	use()
+	pool.Suspended(time.Second)
+	if !use() {
+		t.Error("a connection in its time was not used")
+	}
+	pool.Suspended(keepDefault)
+	if use() {
+		t.Error("a connection past its time was used")
+	}
+}
--- a/internal/passthrough/relay/attempt.go
+++ b/internal/passthrough/relay/attempt.go
@@ -49,8 +49,8 @@
 	before := e.stream.Count()
 	ctx, cancel := context.WithCancel(bounded)
 	defer cancel()
-	e.attemptStop.set(cancel)
-	defer e.attemptStop.set(nil)
+	e.stoppable.set(cancel)
+	defer e.stoppable.set(nil)
 	key := engineconn.Key{Engine: engine.ID, Address: engine.Address}
 	answer, err := e.pool.Do(ctx, key, e.request(decision.Choice, ctx, cancel))
 	outcome, status, left := NotRun, 0, false
--- a/internal/passthrough/relay/relay.go
+++ b/internal/passthrough/relay/relay.go
@@ -79,11 +79,11 @@
 // exchange is the state of one call over its attempts.
 type exchange struct {
 	*Relay
-	attemptStop
-	call     *Call
-	to       http.ResponseWriter
-	clock    callClock // of the client's deadline or the route's, whichever is earlier
-	excluded map[string]bool
+	call      *Call
+	to        http.ResponseWriter
+	stoppable attemptStop
+	clock     callClock // of the client's deadline or the route's, whichever is earlier
+	excluded  map[string]bool
 
 	content    quarantine.Digest
 	attempts   int  // engines that ran the request, or may have
--- a/internal/passthrough/relay/running.go
+++ b/internal/passthrough/relay/running.go
@@ -49,7 +49,7 @@
 func (r *Relay) StopContent(content quarantine.Digest) {
 	r.running.each(func(call *exchange) {
 		if call.content == content {
-			call.stopAttempt()
+			call.stoppable.stop()
 		}
 	})
 }
@@ -105,7 +105,7 @@
 	a.cancel = cancel
 }
 
-func (a *attemptStop) stopAttempt() {
+func (a *attemptStop) stop() {
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	if a.cancel != nil {
