guard, engineconn: a block that ended is forgotten; whether an engine still listens is asked for 80 ms at most

Cause: contents that other nodes had blocked stayed in a map for good; and a retry waited 400 ms for an engine that was cut off right after its connections broke. Change: expire looks through both maps; Pool.Ended has a time of its own.

--- a/internal/core/quarantine/quarantine.go
+++ b/internal/core/quarantine/quarantine.go
@@ -189,6 +189,9 @@
 	return crashes[:min(most, len(crashes))]
 }
 
+// Knows says whether anything is known of a content.
+func (l *Ledger) Knows(content Digest) bool { return l.contents[content] != nil }
+
 // Empty says whether nothing is known of any content.
 func (l *Ledger) Empty() bool { return len(l.contents) == 0 }
 
--- a/internal/passthrough/engineconn/pool.go
+++ b/internal/passthrough/engineconn/pool.go
@@ -22,13 +22,14 @@
 // Config bounds the pool.
 type Config struct {
 	DialTime    time.Duration // for a connection to come up
+	EndedTime   time.Duration // for the answer whether an engine still listens; a retry waits for it
 	UnackedTime time.Duration // a silent peer's connection ends after this
 	IdlePerKey  int           // idle connections kept for one engine
 }
 
 // DefaultConfig suits engines a few milliseconds away.
 func DefaultConfig() Config {
-	return Config{DialTime: 400 * time.Millisecond, UnackedTime: 1500 * time.Millisecond, IdlePerKey: 16}
+	return Config{DialTime: 400 * time.Millisecond, EndedTime: 80 * time.Millisecond, UnackedTime: 1500 * time.Millisecond, IdlePerKey: 16}
 }
 
 // Pool keeps the idle connections. It is safe for concurrent use.
@@ -67,6 +68,8 @@
 // Ended says whether an engine's process has ended, asked after an exchange with it
 // broke: nothing listens at its address any more. A connection that comes up is kept.
 func (p *Pool) Ended(ctx context.Context, key Key) bool {
+	ctx, cancel := context.WithTimeout(ctx, p.config.EndedTime)
+	defer cancel()
 	connection, err := p.dial(ctx, key)
 	if err != nil {
 		return errors.Is(err, syscall.ECONNREFUSED)
--- a/internal/passthrough/guard/spread.go
+++ b/internal/passthrough/guard/spread.go
@@ -147,8 +147,12 @@
 	defer s.mu.Unlock()
 	s.ledger.Expire(now)
 	for content := range s.own {
-		if len(s.ledger.Crashes(content, now)) == 0 {
+		if !s.ledger.Knows(content) {
 			delete(s.own, content)
+		}
+	}
+	for content := range s.blocked {
+		if !s.ledger.Verdict(content, now).Blocked {
 			delete(s.blocked, content)
 		}
 	}
