soak: SIGHUP only to a process that answers

No program hears a signal before it runs. Change: the series of hang-ups waits until the process answers whether it is ready.

--- a/internal/bench/soak/process.go
+++ b/internal/bench/soak/process.go
@@ -13,6 +13,7 @@
 	"syscall"
 	"time"
 
+	"ringstream.example/ringstream/internal/wait"
 	"ringstream.example/ringstream/platform/platformtest"
 )
 
@@ -223,7 +224,6 @@
 // condition is what the judge needs to know of a node at a moment.
 type condition struct {
 	life      int
-	started   time.Time
 	state     nodeState
 	disturbed time.Time
 	stopping  time.Time
@@ -232,21 +232,41 @@
 func (n *nodeProcess) condition() condition {
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	return condition{life: n.life, started: n.started, state: n.state, disturbed: n.disturbed, stopping: n.stopping}
+	return condition{life: n.life, state: n.state, disturbed: n.disturbed, stopping: n.stopping}
+}
+
+// runningWithin is how long a process may take to answer at all.
+const runningWithin = 10 * time.Second
+
+// awaitRunning waits until the process answers whether it is ready, with whatever word.
+func (n *nodeProcess) awaitRunning(ctx context.Context) bool {
+	until := time.Now().Add(runningWithin)
+	for time.Now().Before(until) {
+		if n.readiness() != 0 {
+			return true
+		}
+		if !wait.For(ctx, readPause) {
+			return false
+		}
+	}
+	return false
 }
 
 // isReady asks the node whether it takes callers.
-func (n *nodeProcess) isReady() bool {
+func (n *nodeProcess) isReady() bool { return n.readiness() == http.StatusOK }
+
+// readiness gives the status of the node's answer; 0: none came.
+func (n *nodeProcess) readiness() int {
 	ctx, cancel := context.WithTimeout(context.Background(), time.Second)
 	defer cancel()
 	question, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+n.ready+"/readyz", nil)
 	if err != nil {
-		return false
+		return 0
 	}
 	answer, err := http.DefaultClient.Do(question)
 	if err != nil {
-		return false
+		return 0
 	}
 	_ = answer.Body.Close()
-	return answer.StatusCode == http.StatusOK
+	return answer.StatusCode
 }
--- a/internal/bench/soak/series.go
+++ b/internal/bench/soak/series.go
@@ -71,12 +71,15 @@
 	}
 }
 
-// hangUpInSeries says that the settings have changed, over and over.
+// hangUpInSeries says that the settings have changed, over and over. No program hears a
+// signal before it runs, and on a busy machine one takes over half a second until then.
 func (s *soak) hangUpInSeries(ctx context.Context, random *rand.Rand) {
 	node := s.anyNode(random)
 	node.control.Lock()
 	defer node.control.Unlock()
-	wait.Until(ctx, node.condition().started.Add(startingTime)) // no program hears a signal before it runs
+	if !node.awaitRunning(ctx) {
+		return
+	}
 	for range 2 + random.IntN(seriesMost) {
 		node.signal(syscall.SIGHUP, nodeRunning)
 		wait.For(ctx, between(random, time.Millisecond, 200*time.Millisecond))
