relay: a suspension while a call is read counts once

A call was told of a suspension only if it was under way when that was noticed; between its receipt and that it went uncounted, as while a long body is read. Change: a call keeps how long the machine had been suspended in all at its receipt, and takes off what came since, whoever tells it and how often. Nothing changes where no suspension is seen.

--- a/internal/passthrough/ingress/ingress.go
+++ b/internal/passthrough/ingress/ingress.go
@@ -97,7 +97,7 @@
 // ServeHTTP implements http.Handler.
 func (s *Server) ServeHTTP(to http.ResponseWriter, request *http.Request) {
 	s.Watch.Look() // before a key or a route is judged by what may be older than it seems
-	received := time.Now()
+	received, slept := time.Now(), s.Watch.Total()
 	s.running.Add(1)
 	defer s.running.Add(-1)
 	if s.leaving.Load() {
@@ -132,7 +132,7 @@
 		return
 	}
 	s.serve(to, &relay.Call{
-		Request: request, Body: body, Route: route, Version: table.Version(), Learned: learned, Demand: demand, Received: received, Tenant: holder,
+		Request: request, Body: body, Route: route, Version: table.Version(), Learned: learned, Demand: demand, Received: received, Slept: slept, Tenant: holder,
 	})
 }
 
--- a/internal/passthrough/relay/relay.go
+++ b/internal/passthrough/relay/relay.go
@@ -36,6 +36,7 @@
 	Learned  time.Time // when that version was learned
 	Demand   passthrough.Demand
 	Received time.Time
+	Slept    time.Duration  // how long the machine was suspended in all, when it was received
 	Tenant   *tenant.Tenant // nil: the request is of none
 }
 
@@ -108,10 +109,11 @@
 	}
 	bounded, cancel := context.WithDeadline(ctx, deadlineOf(call))
 	defer cancel()
-	state.clock = callClock{cancel: cancel, deadline: deadlineOf(call)}
+	state.clock = callClock{cancel: cancel, deadline: deadlineOf(call), slept: call.Slept}
 	defer state.clock.stop()
 	r.running.begin(state)
 	defer r.running.end(state)
+	state.clock.woke(r.watch.Total()) // while the call was read
 	outcome := state.run(ctx, bounded)
 	r.metrics.ended(call.Route.Name, outcome, time.Since(call.Received), state.firstEvent)
 	events.RequestDone.Log(r.logger,
--- a/internal/passthrough/relay/running.go
+++ b/internal/passthrough/relay/running.go
@@ -40,8 +40,9 @@
 
 // Suspended takes the time that the machine was suspended off what is left of every call,
 // and ends those whose time is up: their timers slept too.
-func (r *Relay) Suspended(gap time.Duration) {
-	r.running.each(func(call *exchange) { call.clock.suspended(gap) })
+func (r *Relay) Suspended(time.Duration) {
+	total := r.watch.Total()
+	r.running.each(func(call *exchange) { call.clock.woke(total) })
 }
 
 // StopContent ends the runs of a content that is blocked: those that still wait at their
@@ -60,7 +61,8 @@
 
 	mu       sync.Mutex // guards the rest
 	deadline time.Time
-	timer    *time.Timer // nil: no suspension so far, the context's own timer holds
+	slept    time.Duration // how long the machine was suspended in all, as of deadline
+	timer    *time.Timer   // nil: no suspension so far, the context's own timer holds
 }
 
 // left is how long the call may still take.
@@ -73,11 +75,16 @@
 	return c.deadline
 }
 
-// suspended brings the end nearer by a time that the steady clock did not count.
-func (c *callClock) suspended(gap time.Duration) {
+// woke brings the end nearer by the time that the machine was suspended since the call came
+// in, or since the last word of it. Total is how long it was in all.
+func (c *callClock) woke(total time.Duration) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.deadline = c.deadline.Add(-gap)
+	if total <= c.slept {
+		return
+	}
+	c.deadline = c.deadline.Add(c.slept - total)
+	c.slept = total
 	if c.timer != nil {
 		c.timer.Stop()
 	}
--- /dev/null
+++ b/internal/passthrough/relay/running_test.go
@@ -0,0 +1,43 @@
+package relay
+
+import (
+	"testing"
+	"time"
+)
+
+// TestSuspensionWhileACallIsReadCountsOnce.
+//
+// Symptom: an engine was told 5,999 ms of a request's 6,000, of which the machine had been suspended
+// for three seconds.
+//
+// Sequence: the request is received, the machine is suspended, and only then is the call among those
+// that are told of suspensions.
+//
+// Cause: a call was told of a suspension only if it was under way when that was noticed.
+//
+// What settled it: the test of the whole node failed once, on a busy machine, with the deadline above.
+func TestSuspensionWhileACallIsReadCountsOnce(t *testing.T) {
+	const allowed = 6 * time.Second
+	for _, test := range []struct {
+		name  string
+		woke  []time.Duration // totals, as told
+		taken time.Duration
+	}{
+		{name: "none", woke: []time.Duration{time.Second}},
+		{name: "before the call was under way", woke: []time.Duration{4 * time.Second}, taken: 3 * time.Second},
+		{name: "told twice", woke: []time.Duration{4 * time.Second, 4 * time.Second}, taken: 3 * time.Second},
+		{name: "two, told in any order", woke: []time.Duration{5 * time.Second, 4 * time.Second}, taken: 4 * time.Second},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			begun := time.Now()
+			clock := &callClock{cancel: func() {}, deadline: begun.Add(allowed), slept: time.Second}
+			defer clock.stop()
+			for _, total := range test.woke {
+				clock.woke(total)
+			}
+			if got := clock.until().Sub(begun); got != allowed-test.taken {
+				t.Errorf("%v are left, want %v", got, allowed-test.taken)
+			}
+		})
+	}
+}
--- a/internal/suspension/suspension.go
+++ b/internal/suspension/suspension.go
@@ -60,6 +60,7 @@
 type Watch struct {
 	clock   Clock
 	known   atomic.Int64  // nanoseconds suspended, as far as has been corrected
+	total   atomic.Int64  // the same, from the moment on at which the correcting begins
 	noticed atomic.Uint64 // suspensions
 
 	correcting sync.Mutex
@@ -70,6 +71,7 @@
 func NewWatch(clock Clock) *Watch {
 	watch := &Watch{clock: clock}
 	watch.known.Store(int64(clock.Suspended()))
+	watch.total.Store(watch.known.Load())
 	return watch
 }
 
@@ -95,6 +97,7 @@
 		return // another caller has corrected
 	}
 	w.noticed.Add(1)
+	w.total.Store(int64(suspended))
 	for _, correct := range w.correct {
 		correct(gap)
 	}
@@ -106,6 +109,15 @@
 	return w.clock.Suspended()-time.Duration(w.known.Load()) >= least
 }
 
+// Total gives how long the machine was suspended in all, as far as was noticed: for what is
+// not known yet to a function of OnWake when it is called.
+func (w *Watch) Total() time.Duration {
+	if w == nil {
+		return 0
+	}
+	return time.Duration(w.total.Load())
+}
+
 // Count gives the suspensions noticed so far. What was asked before one and is answered
 // after it may be older than it seems.
 func (w *Watch) Count() uint64 {
