--- a/internal/bench/soak/series.go
+++ b/internal/bench/soak/series.go
@@ -31,18 +31,9 @@
 
 // strikeInSeries strikes until the time is up, and returns when all is over.
 func (s *soak) strikeInSeries(ctx context.Context) {
-	random := rand.New(rand.NewPCG(s.options.Seed, seriesStream))
-	kinds := seriesKinds()
-	total := 0
-	for _, kind := range kinds {
-		total += kind.weight
-	}
-	room := make(chan struct{}, atOnce)
 	var lasting sync.WaitGroup
-	until := time.Now().Add(s.options.For)
-	for time.Now().Before(until) && ctx.Err() == nil {
-		kind := drawKind(kinds, random.IntN(total))
-		own := rand.New(rand.NewPCG(s.options.Seed, random.Uint64()))
+	room := make(chan struct{}, atOnce)
+	s.draw(ctx, seriesStream, seriesKinds(), func(random, own *rand.Rand, kind fault) {
 		room <- struct{}{}
 		lasting.Go(func() {
 			defer func() { <-room }()
@@ -52,7 +43,7 @@
 			kind.strike(s, ctx, own)
 		})
 		wait.For(ctx, between(random, 300*time.Millisecond, 2*time.Second))
-	}
+	})
 	lasting.Wait()
 }
 
--- a/internal/bench/soak/strike.go
+++ b/internal/bench/soak/strike.go
@@ -48,23 +48,14 @@
 
 // strikeAtRandom strikes until the time is up, and returns when all is over.
 func (s *soak) strikeAtRandom(ctx context.Context) {
-	random := rand.New(rand.NewPCG(s.options.Seed, 0))
-	kinds := faultKinds()
-	total := 0
-	for _, kind := range kinds {
-		total += kind.weight
-	}
-	room := make(chan struct{}, atOnce)
 	var lasting sync.WaitGroup
-	until := time.Now().Add(s.options.For)
-	for time.Now().Before(until) && ctx.Err() == nil {
-		kind := drawKind(kinds, random.IntN(total))
-		own := rand.New(rand.NewPCG(s.options.Seed, random.Uint64()))
+	room := make(chan struct{}, atOnce)
+	s.draw(ctx, 0, faultKinds(), func(random, own *rand.Rand, kind fault) {
 		if kind.name == "calm" {
 			lasting.Wait() // a calm stop has no fault beside it
 			s.note(kind.name)
 			kind.strike(s, ctx, own)
-			continue
+			return
 		}
 		room <- struct{}{}
 		s.note(kind.name)
@@ -73,10 +64,25 @@
 			kind.strike(s, ctx, own)
 		})
 		wait.For(ctx, between(random, 100*time.Millisecond, 900*time.Millisecond))
-	}
+	})
 	lasting.Wait()
 }
 
+// draw draws kinds until the time is up, from a stream of the seed's draws; each strike gets
+// that stream, and draws of its own.
+func (s *soak) draw(ctx context.Context, stream uint64, kinds []fault, strike func(random, own *rand.Rand, kind fault)) {
+	random := rand.New(rand.NewPCG(s.options.Seed, stream))
+	total := 0
+	for _, kind := range kinds {
+		total += kind.weight
+	}
+	until := time.Now().Add(s.options.For)
+	for time.Now().Before(until) && ctx.Err() == nil {
+		kind := drawKind(kinds, random.IntN(total))
+		strike(random, rand.New(rand.NewPCG(s.options.Seed, random.Uint64())), kind)
+	}
+}
+
 func drawKind(kinds []fault, at int) fault {
 	for _, kind := range kinds {
 		if at < kind.weight {
--- a/internal/gateway/site.go
+++ b/internal/gateway/site.go
@@ -202,7 +202,7 @@
 // an error: before its first byte as a status, in a stream as an error event.
 func passThrough(c echo.Context, response backend.SiteResponse, deadline time.Time) error {
 	defer func() { _ = response.Body.Close() }()
-	_ = http.NewResponseController(c.Response()).SetWriteDeadline(deadline.Add(writeGrace))
+	_ = http.NewResponseController(c.Response()).SetWriteDeadline(deadline.Add(writeGrace)) // where it cannot be set, a caller that does not read holds its connection longer
 	header := c.Response().Header()
 	if !strings.HasPrefix(response.ContentType, contentTypeEvents) {
 		body, err := io.ReadAll(io.LimitReader(response.Body, maxSiteBody+1))
@@ -234,7 +234,7 @@
 		}
 		if readErr != nil {
 			// The break may lie in the middle of an event: end that first.
-			_, _ = c.Response().Write(appendErrorEvent([]byte(eventClose), c, errSiteLost))
+			_, _ = c.Response().Write(appendErrorEvent([]byte(eventClose), c, errSiteLost)) // the caller may have left; readErr is told
 			return readErr
 		}
 	}
--- a/internal/jobs/messages.go
+++ b/internal/jobs/messages.go
@@ -59,7 +59,7 @@
 	case holder == m.bus.Self():
 		m.runner.Submitted(number)
 	default:
-		_ = m.bus.Send(holder, jobSubmitted{Shard: number})
+		_ = m.bus.Send(holder, jobSubmitted{Shard: number}) // a lost word costs one poll
 	}
 }
 
--- a/internal/limits/service.go
+++ b/internal/limits/service.go
@@ -188,12 +188,12 @@
 				s.takeRecall(due.message)
 				continue
 			}
-			_ = s.bus.Send(node, due.message)
+			_ = s.bus.Send(node, due.message) // a lost recall is made good by the next one, recallInterval later
 		}
 	}
 	for node, list := range asks {
 		s.metrics.asks.Add(float64(len(list)))
-		_ = s.bus.Send(node, asksMessage{Asks: list})
+		_ = s.bus.Send(node, asksMessage{Asks: list}) // a lost ask is overdue after AskTimeout (expire)
 	}
 }
 
