--- a/internal/suspension/suspension.go
+++ b/internal/suspension/suspension.go
@@ -52,9 +52,9 @@
 	return ahead
 }
 
-// least is the shortest suspension that is noticed: well over the clocks' noise, and under
+// Least is the shortest suspension that is noticed: well over the clocks' noise, and under
 // the shortest time by which nodes judge each other (grant.DispatcherConfig.UnusedAfter).
-const least = 50 * time.Millisecond
+const Least = 50 * time.Millisecond
 
 // Watch notices suspensions. A nil Watch notices none.
 type Watch struct {
@@ -93,7 +93,7 @@
 	defer w.correcting.Unlock()
 	suspended := w.clock.Suspended()
 	gap := suspended - time.Duration(w.known.Load())
-	if gap < least {
+	if gap < Least {
 		return // another caller has corrected
 	}
 	w.noticed.Add(1)
@@ -106,7 +106,7 @@
 
 // apart says whether the clocks went apart since the last correction.
 func (w *Watch) apart() bool {
-	return w.clock.Suspended()-time.Duration(w.known.Load()) >= least
+	return w.clock.Suspended()-time.Duration(w.known.Load()) >= Least
 }
 
 // Total gives how long the machine was suspended in all, as far as was noticed: for what is
--- a/internal/suspension/suspension_test.go
+++ b/internal/suspension/suspension_test.go
@@ -1,21 +1,19 @@
-package suspension
+package suspension_test
 
 import (
 	"sync"
 	"sync/atomic"
 	"testing"
 	"time"
-)
-
-// handClock is suspended by hand.
-type handClock struct{ suspended atomic.Int64 }
 
-func (c *handClock) Suspended() time.Duration { return time.Duration(c.suspended.Load()) }
+	"ringstream.example/ringstream/internal/suspension"
+	"ringstream.example/ringstream/internal/suspension/suspensiontest"
+)
 
 func TestSuspensionIsCorrectedOnceBeforeAnybodyActs(t *testing.T) {
-	clock := &handClock{}
-	clock.suspended.Store(int64(time.Hour)) // before the node started
-	watch := NewWatch(clock)
+	clock := &suspensiontest.Clock{}
+	clock.Suspend(time.Hour) // before the node started
+	watch := suspension.NewWatch(clock)
 	var corrected atomic.Int64
 	watch.OnWake(func(gap time.Duration) {
 		time.Sleep(5 * time.Millisecond) // others look meanwhile
@@ -25,7 +23,7 @@
 	if corrected.Load() != 0 {
 		t.Error("a suspension from before the start is corrected")
 	}
-	clock.suspended.Add(int64(3 * time.Second))
+	clock.Suspend(3 * time.Second)
 	var group sync.WaitGroup
 	for range 8 {
 		group.Go(func() {
@@ -42,30 +40,30 @@
 }
 
 func TestShortSuspensionsAddUp(t *testing.T) {
-	clock := &handClock{}
-	watch := NewWatch(clock)
+	clock := &suspensiontest.Clock{}
+	watch := suspension.NewWatch(clock)
 	var corrected time.Duration
 	watch.OnWake(func(gap time.Duration) { corrected += gap })
 	for range 10 {
-		clock.suspended.Add(int64(least / 4))
+		clock.Suspend(suspension.Least / 4)
 		watch.Look()
 	}
-	if corrected != 2*least {
+	if corrected != 2*suspension.Least {
 		t.Errorf("corrected %v", corrected)
 	}
 }
 
 func TestSystemClockStandsStillWhileTheMachineRuns(t *testing.T) {
-	clock := NewSystemClock()
+	clock := suspension.NewSystemClock()
 	before := clock.Suspended()
 	time.Sleep(30 * time.Millisecond)
-	if drift := (clock.Suspended() - before).Abs(); drift >= least {
+	if drift := (clock.Suspended() - before).Abs(); drift >= suspension.Least {
 		t.Errorf("the clocks went apart by %v", drift)
 	}
 }
 
 func TestNilWatch(t *testing.T) {
-	var watch *Watch
+	var watch *suspension.Watch
 	watch.OnWake(func(time.Duration) { t.Error("called") })
 	watch.Look()
 	if watch.Count() != 0 {
@@ -74,7 +72,7 @@
 }
 
 func BenchmarkLook(b *testing.B) {
-	watch := NewWatch(NewSystemClock())
+	watch := suspension.NewWatch(suspension.NewSystemClock())
 	for b.Loop() {
 		watch.Look()
 	}
