passthrough: logs tell what an answer about a job rests on, and what a feed passed over

Cause: the age of what a denial of results rests on, and a feed that passes a change over, could not be told from the logs. Change: 8310 tells the results listed, whether the copy or the store was asked and when; 8001 tells how far the feed had got before a listing and which rows below that it had not told. Measured: tests of events and passthrough pass; no logic is changed.

--- a/internal/events/passthrough.go
+++ b/internal/events/passthrough.go
@@ -4,7 +4,7 @@
 
 // Events of the pass-through gateway: 8000 to 8999.
 var (
-	TableListed   = Define(Event{Number: 8001, Name: "store table listed", Level: zapcore.InfoLevel, Fields: []string{"table", "rows", "store_version"}})
+	TableListed   = Define(Event{Number: 8001, Name: "store table listed", Level: zapcore.InfoLevel, Fields: []string{"table", "rows", "store_version", "followed_to", "lacked", "first_lacked"}, Action: "lacked above 0: the feed had passed over changes that it was followed beyond; what the node believed was incomplete until now."})
 	HistoryGone   = Define(Event{Number: 8002, Name: "store history gone", Level: zapcore.InfoLevel, Fields: []string{"table", "store_version"}})
 	StoreLost     = Define(Event{Number: 8003, Name: "store lost", Level: zapcore.WarnLevel, Fields: []string{"table", "last_answer_age", "error"}, Action: "The node goes on with what it knows and with what peers tell. Look at the platform's store, and at other nodes for the same line: one node alone points at its machine."})
 	StoreRegained = Define(Event{Number: 8004, Name: "store regained", Level: zapcore.InfoLevel, Fields: []string{"table", "after", "failures"}})
@@ -66,7 +66,7 @@
 	JobReleased        = Define(Event{Number: 8307, Name: "job released", Level: zapcore.InfoLevel, Fields: []string{"job", "applied", "epoch", "rows_of_progress", "error"}})
 	JobsHandedOver     = Define(Event{Number: 8308, Name: "jobs handed over", Level: zapcore.InfoLevel, Fields: []string{"jobs", "left", "elapsed"}})
 	JobCollected       = Define(Event{Number: 8309, Name: "job collected", Level: zapcore.InfoLevel, Fields: []string{"job", "error"}})
-	JobCallAnswered    = Define(Event{Number: 8310, Name: "call about a job answered", Level: zapcore.InfoLevel, Fields: []string{"job", "tenant", "call", "status", "from", "row_version", "view_age", "elapsed"}})
+	JobCallAnswered    = Define(Event{Number: 8310, Name: "call about a job answered", Level: zapcore.InfoLevel, Fields: []string{"job", "tenant", "call", "status", "from", "listed", "row_version", "view_age", "evidence", "evidence_age", "elapsed"}})
 	ProgressLoaded     = Define(Event{Number: 8311, Name: "progress loaded", Level: zapcore.InfoLevel, Fields: []string{"job", "epoch", "items"}})
 	ItemStarted        = Define(Event{Number: 8320, Name: "item started", Level: zapcore.InfoLevel, Fields: []string{"job", "request", "epoch", "engine", "in_flight", "last_event", "chosen_by", "dispatcher", "waited", "routes_version", "routes_age"}})
 	ItemRunEnded       = Define(Event{Number: 8321, Name: "item run ended", Level: zapcore.InfoLevel, Fields: []string{"job", "request", "epoch", "engine", "outcome", "status", "events_kept", "elapsed", "error", "content", "engine_ended"}})
--- a/internal/passthrough/batch/read.go
+++ b/internal/passthrough/batch/read.go
@@ -30,18 +30,36 @@
 	started := time.Now()
 	ctx, cancel := context.WithTimeout(request.Context(), readTime+min(demand.Wait, longestWait))
 	defer cancel()
-	var status int
+	answered := callOutcome{evidence: fromCopy, asked: s.follower.Health().LastGood}
 	switch call.Kind {
 	case passthrough.ReadResults:
-		status = s.answerResults(ctx, to, call, min(demand.Wait, longestWait))
+		answered.status = s.answerResults(ctx, to, call, min(demand.Wait, longestWait), &answered)
 	case passthrough.ReadItem:
-		status = s.answerItem(ctx, to, call)
+		answered.status = s.answerItem(ctx, to, call)
 	default:
-		status = s.answerEnd(ctx, to, call)
+		answered.status = s.answerEnd(ctx, to, call)
 	}
 	known, _ := s.view.job(call.Job)
-	events.JobCallAnswered.Log(s.Logger, zap.String("job", call.Job), zap.String("tenant", call.Tenant), zap.Uint8("call", uint8(call.Kind)), zap.Int("status", status), zap.Int("from", call.From),
-		zap.Int64("row_version", known.version), zap.Duration("view_age", time.Since(s.follower.Health().LastGood)), zap.Duration("elapsed", time.Since(started)))
+	events.JobCallAnswered.Log(s.Logger, zap.String("job", call.Job), zap.String("tenant", call.Tenant), zap.Uint8("call", uint8(call.Kind)), zap.Int("status", answered.status), zap.Int("from", call.From),
+		zap.Int("listed", answered.listed), zap.Int64("row_version", known.version), zap.Duration("view_age", time.Since(s.follower.Health().LastGood)),
+		zap.String("evidence", string(answered.evidence)), zap.Duration("evidence_age", time.Since(answered.asked)), zap.Duration("elapsed", time.Since(started)))
+}
+
+// evidence says what an answer about a job rests on.
+type evidence string
+
+// What an answer may rest on.
+const (
+	fromCopy  evidence = "copy"
+	fromStore evidence = "store"
+)
+
+// callOutcome is how a call about a job was answered, for the log.
+type callOutcome struct {
+	status   int
+	listed   int // results of the job, as the answer has it
+	evidence evidence
+	asked    time.Time // when the evidence was asked for; of the copy: when it was last confirmed
 }
 
 // find gives a job from the view, or from the store when the view lacks it; found is false only when the store says so.
@@ -78,7 +96,7 @@
 
 // answerResults gives the results from a position on; with a wait it is held
 // until there is one.
-func (s *Service) answerResults(ctx context.Context, to http.ResponseWriter, call passthrough.JobCall, hold time.Duration) int {
+func (s *Service) answerResults(ctx context.Context, to http.ResponseWriter, call passthrough.JobCall, hold time.Duration, answered *callOutcome) int {
 	known, found, err := s.findFor(ctx, call)
 	if err != nil || !found {
 		return s.refuseCall(to, found, err)
@@ -91,10 +109,11 @@
 		}
 	}
 	if call.From >= known.record.Listed && known.record.Active() {
-		if known, found, err = s.confirm(ctx, known); err != nil || !found {
+		if known, found, err = s.confirm(ctx, known, answered); err != nil || !found {
 			return s.refuseCall(to, found, err)
 		}
 	}
+	answered.listed = known.record.Listed
 	from := max(call.From, 0)
 	texts, err := s.textsFrom(ctx, known.record, from)
 	if err != nil {
@@ -118,10 +137,12 @@
 const freshFor = 400 * time.Millisecond
 
 // confirm gives the job as the store has it now, unless the copy is fresh.
-func (s *Service) confirm(ctx context.Context, known entry) (entry, bool, error) {
-	if time.Since(s.follower.Health().LastGood) <= freshFor {
+func (s *Service) confirm(ctx context.Context, known entry, answered *callOutcome) (entry, bool, error) {
+	answered.asked = s.follower.Health().LastGood
+	if time.Since(answered.asked) <= freshFor {
 		return known, true, nil
 	}
+	answered.evidence, answered.asked = fromStore, time.Now()
 	record, version, found, err := s.readRecord(ctx, known.record.ID)
 	if err != nil || !found {
 		return entry{}, found, err
--- a/internal/passthrough/catalog/follower.go
+++ b/internal/passthrough/catalog/follower.go
@@ -56,6 +56,7 @@
 	hurry  chan struct{}        // has one token when the next call should come at once
 	logger *zap.Logger
 	watch  *suspension.Watch
+	told   toldRows // used by Run's goroutine alone
 
 	mu          sync.Mutex // guards the rest; never held during a call
 	listed      bool
@@ -68,7 +69,7 @@
 func NewFollower(config FollowConfig, rows passthrough.Rows, table string, parts []string, sink Sink, logger *zap.Logger) *Follower {
 	fixed := func(context.Context) ([]string, error) { return parts, nil }
 	pace := func() time.Duration { return config.Pace }
-	return &Follower{config: config, rows: rows, table: table, parts: fixed, sink: sink, clock: func(time.Duration) {}, pace: pace, hurry: make(chan struct{}, 1), logger: logger}
+	return &Follower{config: config, rows: rows, table: table, parts: fixed, sink: sink, clock: func(time.Duration) {}, pace: pace, hurry: make(chan struct{}, 1), logger: logger, told: newToldRows()}
 }
 
 // OnStoreClock has a function hear the store's clock; called before Run.
@@ -125,9 +126,12 @@
 		suspensions := f.watch.Count()
 		rows, version, err := f.listAll(ctx)
 		if err == nil {
+			followedTo := f.told.followedTo
+			lacked := f.told.replace(rows, version)
 			f.sink.Replace(rows, version)
 			f.succeeded(true, suspensions)
-			events.TableListed.Log(f.logger, zap.String("table", f.table), zap.Int("rows", len(rows)), zap.Int64("store_version", version))
+			events.TableListed.Log(f.logger, zap.String("table", f.table), zap.Int("rows", len(rows)), zap.Int64("store_version", version),
+				zap.Int64("followed_to", followedTo), zap.Int("lacked", len(lacked)), zap.String("first_lacked", firstKey(lacked)))
 			return version, true
 		}
 		f.failed(err)
@@ -201,6 +205,7 @@
 			f.sink.Change(snapshot.Rows)
 		}
 		version = max(version, snapshot.Version)
+		f.told.change(snapshot.Rows, version)
 		f.rest(ctx, f.pace()-time.Since(started))
 	}
 }
