sharing: what a peer says is as old as the question, and as its last look at the clocks

Cause: a node that does not hear the store took a peer's routes for confirmed at the moment at which the answer arrived, minus the peer's age. The answer may come 0.4 s (askTime) after it was asked for, and what the peer knew is older by as much. A peer that had just woken from a suspension told its age without it, up to 0.1 s long (the pause between two looks of suspension.Watch). And the peer measured its age before it read the routes, which nothing tied together. Change: the moment of asking counts. sharer.Answer looks at the clocks before and after; an answer across a suspension of either side is stale. catalog.Routes.Known gives routes and their age in one critical section; what the store's word rests on is asked before, so that the routes may be newer than their age says and never older. What a peer confirmed is passed on with its age. Conclusion: an age is never told too low but for a suspension that falls in the microseconds between the last look and the sending.

--- a/internal/passthrough/catalog/routes.go
+++ b/internal/passthrough/catalog/routes.go
@@ -59,18 +59,30 @@
 	}
 }
 
-// Age gives how long ago the routes in force were known to be the newest, by the
-// store's word or a peer's.
-func (r *Routes) Age() time.Duration {
-	heard := r.health().LastGood
+// Known is what a node knows of the routes at one moment.
+type Known struct {
+	Table    *passroute.Table // nil before the first
+	Document []byte           // behind Table
+	Learned  time.Time        // when Table was taken
+	// AsOf is when Table was last known to be the newest, by the store's word or a peer's.
+	AsOf time.Time
+}
+
+// Known gives the routes in force and of when they are. What the store's word rests on is
+// asked before the routes are read: they may then be newer than AsOf says, and never older.
+func (r *Routes) Known() Known {
+	asOf := r.health().LastGood
 	r.mu.RLock()
 	defer r.mu.RUnlock()
-	if r.confirmed.After(heard) {
-		heard = r.confirmed
+	if r.confirmed.After(asOf) {
+		asOf = r.confirmed
 	}
-	return time.Since(heard)
+	return Known{Table: r.table, Document: r.document, Learned: r.learned, AsOf: asOf}
 }
 
+// Age gives how long ago the routes in force were known to be the newest.
+func (r *Routes) Age() time.Duration { return time.Since(r.Known().AsOf) }
+
 // OnChange adds a function that hears of each version taken. It is called
 // before Run, and must not block.
 func (r *Routes) OnChange(hear func(*passroute.Table)) {
--- a/internal/passthrough/edge/sharer.go
+++ b/internal/passthrough/edge/sharer.go
@@ -82,20 +82,24 @@
 
 // Answer implements sharing.Local.
 func (s *sharer) Answer(question sharing.Question) sharing.Documents {
-	health := s.node.routesFollower.Health()
-	documents := sharing.Documents{Rows: s.node.engines.Since(question.RowsSince), Age: time.Since(health.LastGood)}
-	document, version := s.node.routes.Document()
-	documents.RoutesVersion = version
-	if version > question.RoutesVersion {
-		documents.Routes = document
+	suspensions := s.Suspensions()
+	known := s.node.routes.Known()
+	documents := sharing.Documents{Rows: s.node.engines.Since(question.RowsSince)}
+	if known.Table != nil {
+		documents.RoutesVersion = known.Table.Version()
 	}
+	if documents.RoutesVersion > question.RoutesVersion {
+		documents.Routes = known.Document
+	}
+	documents.Age = time.Since(known.AsOf)
+	documents.Stale = s.Suspensions() != suspensions
 	return documents
 }
 
 // Learn implements sharing.Local.
-func (s *sharer) Learn(documents sharing.Documents, from string) {
+func (s *sharer) Learn(documents sharing.Documents, from string, asked time.Time) {
 	if !documents.Stale {
-		defer s.node.routes.Confirm(documents.RoutesVersion, time.Now().Add(-documents.Age))
+		defer s.node.routes.Confirm(documents.RoutesVersion, asked.Add(-documents.Age))
 	}
 	if documents.Routes == nil && len(documents.Rows) == 0 {
 		return
--- a/internal/peer/sharing/sharing.go
+++ b/internal/peer/sharing/sharing.go
@@ -37,9 +37,9 @@
 	RoutesVersion int64
 	Routes        []byte // nil: nothing newer
 	Rows          []passthrough.Row
-	// Age is how long ago the answerer heard the store.
+	// Age is how long before the question the answerer heard the store, at the most.
 	Age time.Duration
-	// Stale: this node was suspended before it read the answer, which confirms nothing.
+	// Stale: a node of the two was suspended between question and answer, which confirms nothing.
 	Stale bool
 }
 
@@ -69,8 +69,8 @@
 	Question() Question
 	// Answer gives what the asker lacks.
 	Answer(Question) Documents
-	// Learn takes an answer; from is the peer's address.
-	Learn(documents Documents, from string)
+	// Learn takes an answer to a question sent at a time; from is the peer's address.
+	Learn(documents Documents, from string, asked time.Time)
 	// CallStore makes a call to the store for another node.
 	CallStore(ctx context.Context, call StoreCall) StoreAnswer
 }
@@ -197,13 +197,13 @@
 		}
 		peer := peers[rand.IntN(len(peers))]
 		suspensions := s.local.Suspensions()
-		documents, err := s.askOne(ctx, peer)
-		documents.Stale = s.local.Suspensions() != suspensions
+		documents, asked, err := s.askOne(ctx, peer)
+		documents.Stale = documents.Stale || s.local.Suspensions() != suspensions
 		if err != nil {
 			events.PeerNotAsked.Log(s.logger, zap.String("peer", peer), zap.Error(err))
 			continue
 		}
-		s.local.Learn(documents, peer)
+		s.local.Learn(documents, peer, asked)
 	}
 }
 
@@ -215,20 +215,21 @@
 	return s.local.Seeds()
 }
 
-func (s *Share) askOne(ctx context.Context, peer string) (Documents, error) {
-	var documents Documents
+// askOne asks a peer, and gives when it did.
+func (s *Share) askOne(ctx context.Context, peer string) (documents Documents, asked time.Time, err error) {
 	dialer := net.Dialer{Timeout: askTime}
 	connection, err := dialer.DialContext(ctx, "tcp", peer)
 	if err != nil {
-		return documents, err
+		return documents, asked, err
 	}
 	defer connection.Close() //nolint:errcheck // only read
-	_ = connection.SetDeadline(time.Now().Add(askTime))
 	question := s.local.Question()
+	asked = time.Now()
+	_ = connection.SetDeadline(asked.Add(askTime))
 	if err := gob.NewEncoder(connection).Encode(ask{Question: &question}); err != nil {
-		return documents, err
+		return documents, asked, err
 	}
 	answered := answer{Documents: &documents}
 	err = gob.NewDecoder(io.LimitReader(connection, documentBytes)).Decode(&answered)
-	return documents, err
+	return documents, asked, err
 }
--- a/internal/peer/sharing/sharing_test.go
+++ b/internal/peer/sharing/sharing_test.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"net"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -26,17 +27,26 @@
 	// storeAnswer is what the store says when it is asked for others.
 	storeAnswer StoreAnswer
 	gravest     []quarantine.Crash
-	learned     chan Documents
+	learned     chan told
 	heard       chan message
+	suspensions atomic.Uint64
+	// onAnswer is called before a question is answered; nil: nothing is.
+	onAnswer func()
+}
+
+// told is an answer that a node has learned, and when it had asked.
+type told struct {
+	documents Documents
+	asked     time.Time
 }
 
 func newLocal() *local {
-	return &local{learned: make(chan Documents, 10), heard: make(chan message, 10)}
+	return &local{learned: make(chan told, 10), heard: make(chan message, 10)}
 }
 
 func (l *local) Peers() []string     { return l.peers }
 func (l *local) Seeds() []string     { return nil }
-func (l *local) Suspensions() uint64 { return 0 }
+func (l *local) Suspensions() uint64 { return l.suspensions.Load() }
 func (l *local) Blind() bool         { return l.blind }
 func (l *local) Question() Question  { return Question{RoutesVersion: 3, RowsSince: 7} }
 
@@ -64,9 +74,15 @@
 	if asked.RoutesVersion != 3 || asked.RowsSince != 7 {
 		return Documents{}
 	}
+	if l.onAnswer != nil {
+		l.onAnswer()
+	}
 	return l.documents
 }
-func (l *local) Learn(documents Documents, _ string) { l.learned <- documents }
+
+func (l *local) Learn(documents Documents, _ string, asked time.Time) {
+	l.learned <- told{documents, asked}
+}
 
 func freeAddress(t *testing.T) string {
 	t.Helper()
@@ -101,11 +117,49 @@
 	second.blind = true
 	start(t, first, firstAddress)
 	start(t, second, secondAddress)
-	if got := <-second.learned; got.RoutesVersion != 9 || string(got.Routes) != "routes" || len(got.Rows) != 1 {
+	if got := (<-second.learned).documents; got.RoutesVersion != 9 || string(got.Routes) != "routes" || len(got.Rows) != 1 {
 		t.Errorf("learned %+v", got)
 	}
 }
 
+// TestAnswerIsAsOldAsItsQuestion: a peer that had heard the store just when it answered said
+// so with an age of 0, and the node that asked took its routes for confirmed at the moment
+// at which the answer came. That may be 0.4 s (askTime) after the question: with a key
+// withdrawn in that time the node judged by routes that were up to 0.4 s older than it
+// believed. The moment of asking errs to the safe side alone.
+func TestAnswerIsAsOldAsItsQuestion(t *testing.T) {
+	answerer, asker := newLocal(), newLocal()
+	address := freeAddress(t)
+	asker.peers, asker.blind = []string{address}, true
+	answering := make(chan time.Time, 10)
+	answerer.onAnswer = func() { answering <- time.Now() }
+	start(t, answerer, address)
+	start(t, asker, freeAddress(t))
+	if got, heard := <-asker.learned, <-answering; got.asked.After(heard) {
+		t.Errorf("taken as of %v after the peer had answered", got.asked.Sub(heard))
+	}
+}
+
+// TestAnswerAcrossASuspensionIsStale: on either side.
+func TestAnswerAcrossASuspensionIsStale(t *testing.T) {
+	for _, ofAnswerer := range []bool{true, false} {
+		answerer, asker := newLocal(), newLocal()
+		address := freeAddress(t)
+		asker.peers, asker.blind = []string{address}, true
+		answerer.documents.Stale = ofAnswerer
+		answerer.onAnswer = func() {
+			if !ofAnswerer {
+				asker.suspensions.Add(1)
+			}
+		}
+		start(t, answerer, address)
+		start(t, asker, freeAddress(t))
+		if got := <-asker.learned; !got.documents.Stale {
+			t.Errorf("the answerer was suspended: %v; the answer counts as fresh", ofAnswerer)
+		}
+	}
+}
+
 // TestDatagramsTravelWhole sends what a node has in a lane, and a reply; a
 // datagram may be lost, so each is sent until it came.
 func TestDatagramsTravelWhole(t *testing.T) {
