catalog: an old row of a peer lists no engine that the store's word has ended

Cause: a node that does not hear the store takes rows of engines from peers. The end of an engine that the node had not known (it came and went between two answers of the feed) was not kept, nor was what a listing lacks. A row of a peer that lags behind then listed the engine as ready, for good: the feed had told of its end already. Change: the end of an unknown engine is kept, and told on. Rows that a node has never seen and that are older than its last listing are passed over. Conclusion: what is known of an engine is the newest of listing, feed and peers, whatever the order.

--- a/internal/passthrough/catalog/engines.go
+++ b/internal/passthrough/catalog/engines.go
@@ -35,6 +35,8 @@
 	set  *enginechoice.Set
 	rows map[string]passthrough.Row // the newest of each engine, removed ones too
 	byID map[string]passthrough.EngineEntry
+	// listedAt is the version of the last listing: what it lacked was gone by then.
+	listedAt int64
 }
 
 // NewEngines makes an empty list for a node.
@@ -73,6 +75,7 @@
 			e.remove(id, version)
 		}
 	}
+	e.listedAt = max(e.listedAt, version)
 }
 
 // Change implements Sink.
@@ -80,6 +83,9 @@
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	for _, row := range rows {
+		if _, found := e.rows[row.Key]; !found && row.Version < e.listedAt {
+			continue // from a peer that lags behind the listing
+		}
 		e.apply(row)
 	}
 }
@@ -121,11 +127,11 @@
 }
 
 func (e *Engines) remove(id string, version int64) {
+	e.rows[id] = passthrough.Row{Key: id, Version: version, Gone: true}
 	if _, known := e.byID[id]; !known {
 		return
 	}
 	delete(e.byID, id)
-	e.rows[id] = passthrough.Row{Key: id, Version: version, Gone: true}
 	now := time.Now()
 	health := e.health()
 	sick := !health.LastBad.IsZero() && now.Sub(health.LastBad) < sickBefore
