batch: crashes are dated by a store's clock that is known

Cause: KeepCrashes took the store's clock also when none was heard yet (a node serves once it has routes and engines; its listing of jobs may still be refused). The row was dated 0. A node that read it took the crashes for older than the half hour that they count, and the hourly clean-up removed the row at once: a block did not outlive a restart of all nodes. Change: without the clock nothing is written, and the guard tries again after its 500 ms (guard.keepAgain). Conclusion: a row of crashes always has a date that its readers can use.

--- a/internal/passthrough/batch/crashes.go
+++ b/internal/passthrough/batch/crashes.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"fmt"
 	"strings"
 	"time"
 
@@ -31,9 +32,15 @@
 // crashesKept is how long such a row is kept.
 const crashesKept = time.Hour
 
+// errNoStoreClock: crashes are dated by the store's clock, which was not heard yet.
+var errNoStoreClock = fmt.Errorf("%w: the store's clock is not known", passthrough.ErrNothingDone)
+
 // KeepCrashes implements guard.Keeper.
 func (s *Service) KeepCrashes(ctx context.Context, key string, crashes []quarantine.Crash) error {
-	at, _ := s.now()
+	at, known := s.now()
+	if !known {
+		return errNoStoreClock
+	}
 	row := crashRow{WrittenAt: at}
 	for _, crash := range crashes {
 		row.Crashes = append(row.Crashes, crashEntry{Engine: crash.Engine, Age: crash.Age, Excused: crash.Excused})
