batch: an item is given up for want of a route only by routes that are newer than the job

Cause: askForSlots lists an item as given up when the node's routes have none for it. A job that was accepted by another node under a newer configuration may come to a node that has an older one: the store's feeds of routes and of jobs are heard apart, and a node that starts or whose routes are not confirmed takes jobs over as well. Its items were lost for good. Conclusion: an item whose route is really gone is given up about a second later than before at a node that has just taken its job.

--- a/internal/passthrough/batch/owned.go
+++ b/internal/passthrough/batch/owned.go
@@ -41,6 +41,7 @@
 	tenant  string // empty: it is of none
 	epoch   int64
 	itemIDs []string
+	since   time.Time       // when this node took it
 	ctx     context.Context // ends with the ownership
 	cancel  context.CancelFunc
 	// runs ends with the ownership, or earlier when the job is handed over.
@@ -58,7 +59,7 @@
 // newOwnedJob makes the ownership of a job as its row tells it.
 func newOwnedJob(record passjob.Record, version int64, items []passthrough.Item) *ownedJob {
 	job := &ownedJob{
-		id: record.ID, host: record.Host, tenant: record.Tenant, epoch: record.Epoch, itemIDs: make([]string, len(record.Items)),
+		id: record.ID, host: record.Host, tenant: record.Tenant, epoch: record.Epoch, itemIDs: make([]string, len(record.Items)), since: time.Now(),
 		record: record, version: version, items: items, work: make([]itemWork, len(record.Items)),
 	}
 	for index, item := range record.Items {
--- a/internal/passthrough/batch/schedule.go
+++ b/internal/passthrough/batch/schedule.go
@@ -13,6 +13,7 @@
 	"ringstream.example/ringstream/internal/core/passroute"
 	"ringstream.example/ringstream/internal/core/tenant"
 	"ringstream.example/ringstream/internal/events"
+	"ringstream.example/ringstream/internal/passthrough/catalog"
 	"ringstream.example/ringstream/internal/passthrough/relay"
 	"ringstream.example/ringstream/internal/passthrough/slots"
 )
@@ -68,11 +69,11 @@
 // askForSlots has the items that are due first wait for slots, those that will
 // be late after all others.
 func (s *Service) askForSlots() {
-	table, learned := s.Routes.Table()
-	if table == nil {
+	known := s.Routes.Known()
+	if known.Table == nil {
 		return
 	}
-	tenants := table.Tenants().Directory
+	tenants := known.Table.Tenants().Directory
 	waiting := s.candidates(tenants)
 	storeNow, _ := s.now()
 	now := time.Now()
@@ -81,19 +82,26 @@
 		if len(asks) == mostAsks {
 			break
 		}
-		route, found := table.Lookup(next.job.host, next.job.items[next.index].Path)
-		if !found {
-			s.finish(next.job, next.index, passjob.DeadLetter, "the route is gone")
+		route, found := s.routeOf(known, next)
+		if !found || s.hold(next) {
 			continue
 		}
-		if s.hold(next) {
-			continue
-		}
-		asks = append(asks, s.askFor(next, route, now.Add(next.due-storeNow), runRoutes{route: route, version: table.Version(), learned: learned}))
+		asks = append(asks, s.askFor(next, route, now.Add(next.due-storeNow), runRoutes{route: route, version: known.Table.Version(), learned: known.Learned}))
 	}
 	s.Slots.WantBatch(asks)
 }
 
+// routeOf gives an item's route. An item without one is given up, but only when the routes
+// were the newest at a time at which this node had the job: the node that accepted it may
+// have known newer ones.
+func (s *Service) routeOf(known catalog.Known, next candidate) (*passroute.Route, bool) {
+	route, found := known.Table.Lookup(next.job.host, next.job.items[next.index].Path)
+	if !found && known.AsOf.After(next.job.since) {
+		s.finish(next.job, next.index, passjob.DeadLetter, "the route is gone")
+	}
+	return route, found
+}
+
 // hold says whether an item must not run, since engines end under its content. It stays
 // open until its job's expiry, or until it is let through again.
 func (s *Service) hold(next candidate) bool {
