passthrough: what is denied is asked for; a feed goes on from what it told, and what it passes over is found

Cause: a node denied results that others had given. It took the arrival of the feed's last answer for the moment of what the answer told, and an answer without rows for word that nothing has changed; and it went on from the newest version that such an answer named, past what it had not been told. Change: that a job has no further result is said on the store's word, asked for by a call begun after the reader's, shared by readers; a call whose time is up is refused, where it got an empty 200. Follower: ages by storeclock (Health.AsOf), rows applied before the age moves, position only by rows told, rows that calls beside the feed show are expected from the feed, and a table is listed anew when they do not come (8005). A node that is not told its own signs of life judges nobody. A call broken off by the node's own end is no lost store.

--- a/internal/events/passthrough.go
+++ b/internal/events/passthrough.go
@@ -9,6 +9,8 @@
 	StoreLost     = Define(Event{Number: 8003, Name: "store lost", Level: zapcore.WarnLevel, Fields: []string{"table", "last_answer_age", "error"}, Action: "The node goes on with what it knows and with what peers tell. Look at the platform's store, and at other nodes for the same line: one node alone points at its machine."})
 	StoreRegained = Define(Event{Number: 8004, Name: "store regained", Level: zapcore.InfoLevel, Fields: []string{"table", "after", "failures"}})
 
+	FeedPassedOver = Define(Event{Number: 8005, Name: "feed passed a change over", Level: zapcore.WarnLevel, Fields: []string{"table", "row", "row_version", "followed_to", "known_for"}, Action: "The node lists the table anew and goes on. At many nodes at once: the store's feeds tell nothing, or not all; look there."})
+
 	RoutesTaken   = Define(Event{Number: 8010, Name: "routes taken", Level: zapcore.InfoLevel, Fields: []string{"version", "replaces", "source", "tenants"}})
 	TenantProblem = Define(Event{Number: 8012, Name: "tenant definition does not hold as it stands", Level: zapcore.ErrorLevel, Fields: []string{"version", "tenant", "error"}, Action: "The configuration defines a tenant in a way that cannot hold; error says what holds instead. Correct the document."})
 	RoutesRefused = Define(Event{Number: 8011, Name: "routes refused", Level: zapcore.ErrorLevel, Fields: []string{"source", "error"}, Action: "The configuration document cannot be read; the version before stays in force. Correct the document."})
--- a/internal/passthrough/batch/nodes.go
+++ b/internal/passthrough/batch/nodes.go
@@ -66,12 +66,13 @@
 		return false // strings and numbers always can be written
 	}
 	row := passthrough.Row{Table: tableJobs, Part: partNodes, Key: s.Self, Value: value}
-	_, err = s.commit(ctx, passthrough.Transaction{Put: []passthrough.Row{row}})
-	s.mu.Lock()
+	result, err := s.commit(ctx, passthrough.Transaction{Put: []passthrough.Row{row}})
 	if err == nil {
+		s.mu.Lock()
 		s.signTaken = time.Now()
+		s.mu.Unlock()
+		s.follower.Expect(partNodes, s.Self, result.Version)
 	}
-	s.mu.Unlock()
 	if err == nil || ctx.Err() != nil {
 		return true
 	}
@@ -93,15 +94,15 @@
 
 // lookAtNodes judges the nodes. A node is dead when its machine has started a
 // new life, or when no sign of life came for DeadAfter while the store was
-// heard and took this node's own signs all that time: a store that takes no
-// writes silences everybody.
+// heard, took this node's own signs all that time and told them back: a store that takes
+// no writes silences everybody, and so does one whose feed tells nothing.
 func (s *Service) lookAtNodes(now time.Time) fleet {
 	health := s.follower.Health()
-	deadAfter := s.deadAfter()
-	trusted := !health.LastGood.IsZero() && now.Sub(health.LastGood) < s.config.Heartbeat+deadAfter/2
+	heartbeat, deadAfter := s.heartbeat(), s.deadAfter()
+	trusted := !health.AsOf.IsZero() && now.Sub(health.AsOf) < s.config.Heartbeat+deadAfter/2
 	s.mu.Lock()
 	signMissed := s.signMissed
-	signDue := s.signTaken.Add(s.heartbeat() + deadAfter/2)
+	signDue := s.signTaken.Add(heartbeat + deadAfter/2)
 	s.mu.Unlock()
 	quietSince := now.Sub(health.LastBad) > deadAfter && now.Sub(signMissed) > deadAfter && now.Sub(s.started) > deadAfter && now.Before(signDue)
 	s.view.mu.Lock()
@@ -111,6 +112,8 @@
 		newest[node.sign.Name] = max(newest[node.sign.Name], node.sign.Started)
 	}
 	seen := fleet{live: map[string]bool{s.Self: true}, able: []identity.NodeID{identity.NodeID(s.Self)}, dead: make(map[string]string)}
+	own := s.view.nodes[s.Self]
+	trusted = trusted && own != nil && now.Sub(own.heard) < heartbeat+deadAfter/2
 	for id, node := range s.view.nodes {
 		silent := now.Sub(node.heard)
 		switch {
@@ -285,7 +288,7 @@
 	}
 	if !result.applied {
 		if _, row, found := currentRecord(result.current, record.ID); found {
-			s.view.Learn(row)
+			s.learn(row)
 		}
 		return
 	}
--- a/internal/passthrough/batch/owned.go
+++ b/internal/passthrough/batch/owned.go
@@ -294,7 +294,7 @@
 func (s *Service) takeCurrent(job *ownedJob, current []passthrough.Row) bool {
 	record, row, found := currentRecord(current, job.id)
 	if found {
-		s.view.Learn(row)
+		s.learn(row)
 	}
 	if !found || record.Owner != s.Self || record.Epoch != job.epoch {
 		s.drop(job, "another write came first")
--- a/internal/passthrough/batch/read.go
+++ b/internal/passthrough/batch/read.go
@@ -30,7 +30,7 @@
 	started := time.Now()
 	ctx, cancel := context.WithTimeout(request.Context(), readTime+min(demand.Wait, longestWait))
 	defer cancel()
-	answered := callOutcome{evidence: fromCopy, asked: s.follower.Health().LastGood}
+	answered := callOutcome{evidence: fromCopy, asked: s.follower.Health().AsOf}
 	switch call.Kind {
 	case passthrough.ReadResults:
 		answered.status = s.answerResults(ctx, to, call, min(demand.Wait, longestWait), &answered)
@@ -41,7 +41,7 @@
 	}
 	known, _ := s.view.job(call.Job)
 	events.JobCallAnswered.Log(s.Logger, zap.String("job", call.Job), zap.String("tenant", call.Tenant), zap.Uint8("call", uint8(call.Kind)), zap.Int("status", answered.status), zap.Int("from", call.From),
-		zap.Int("listed", answered.listed), zap.Int64("row_version", known.version), zap.Duration("view_age", time.Since(s.follower.Health().LastGood)),
+		zap.Int("listed", answered.listed), zap.Int64("row_version", known.version), zap.Duration("view_age", time.Since(s.follower.Health().AsOf)),
 		zap.String("evidence", string(answered.evidence)), zap.Duration("evidence_age", time.Since(answered.asked)), zap.Duration("elapsed", time.Since(started)))
 }
 
@@ -95,23 +95,22 @@
 }
 
 // answerResults gives the results from a position on; with a wait it is held
-// until there is one.
+// until there is one. That there is none, and that the job may have more, is said on the store's
+// word alone; a job that has ended or has all its results listed gets no more of them.
 func (s *Service) answerResults(ctx context.Context, to http.ResponseWriter, call passthrough.JobCall, hold time.Duration, answered *callOutcome) int {
+	received := time.Now()
 	known, found, err := s.findFor(ctx, call)
 	if err != nil || !found {
 		return s.refuseCall(to, found, err)
 	}
-	until := time.Now().Add(hold)
-	for call.From >= known.record.Listed && known.record.Active() && time.Now().Before(until) {
-		known = s.awaitChange(ctx, known, until)
-		if ctx.Err() != nil {
-			return 0
-		}
-	}
+	known = s.awaitResult(ctx, known, call.From, received.Add(hold))
 	if call.From >= known.record.Listed && known.record.Active() {
-		if known, found, err = s.confirm(ctx, known, answered); err != nil || !found {
-			return s.refuseCall(to, found, err)
+		confirmed := s.confirmations.confirm(ctx, call.Job, received)
+		answered.evidence, answered.asked = fromStore, confirmed.asked
+		if confirmed.err != nil || !confirmed.found {
+			return s.refuseCall(to, confirmed.found, confirmed.err)
 		}
+		known = confirmed.entry
 	}
 	answered.listed = known.record.Listed
 	from := max(call.From, 0)
@@ -130,24 +129,12 @@
 	return http.StatusOK
 }
 
-// freshFor is how old this node's copy may be when it says that there is no
-// further result: what another node has given is to be seen here within a second
-// (the platform's bound). The feed tells of changes at once while it works, but
-// one that has fallen silent is noticed only after FollowConfig's Wait and Slack.
-const freshFor = 400 * time.Millisecond
-
-// confirm gives the job as the store has it now, unless the copy is fresh.
-func (s *Service) confirm(ctx context.Context, known entry, answered *callOutcome) (entry, bool, error) {
-	answered.asked = s.follower.Health().LastGood
-	if time.Since(answered.asked) <= freshFor {
-		return known, true, nil
-	}
-	answered.evidence, answered.asked = fromStore, time.Now()
-	record, version, found, err := s.readRecord(ctx, known.record.ID)
-	if err != nil || !found {
-		return entry{}, found, err
+// awaitResult waits until a job has a result at a position, can have none, or time is up.
+func (s *Service) awaitResult(ctx context.Context, known entry, position int, until time.Time) entry {
+	for position >= known.record.Listed && known.record.Active() && time.Now().Before(until) && ctx.Err() == nil {
+		known = s.awaitChange(ctx, known, until)
 	}
-	return entry{record: record, version: version}, true, nil
+	return known
 }
 
 func (s *Service) awaitChange(ctx context.Context, known entry, until time.Time) entry {
@@ -309,7 +296,7 @@
 		if !found {
 			return s.refuseCall(to, false, nil)
 		}
-		s.view.Learn(row)
+		s.learn(row)
 		known = entry{record: current, version: row.Version}
 	}
 	if !known.record.Ended {
--- a/internal/passthrough/batch/service.go
+++ b/internal/passthrough/batch/service.go
@@ -39,7 +39,9 @@
 	// Ready says whether the node takes clients; nil: it does.
 	Ready func() bool
 	// Follow says how the table of jobs is followed.
-	Follow     catalog.FollowConfig
+	Follow catalog.FollowConfig
+	// StoreTime is what this node knows of the store's clock; nil: what the service itself hears.
+	StoreTime  *catalog.StoreTime
 	Registerer prometheus.Registerer
 }
 
@@ -59,6 +61,8 @@
 	pace     storePace
 	watch    *suspension.Watch
 	forecast forecast
+	// confirmations asks the store on behalf of readers.
+	confirmations *confirmations
 
 	mu      sync.Mutex // guards the rest
 	owned   map[string]*ownedJob
@@ -84,8 +88,12 @@
 		texts: newTextCache(config.TextCacheBytes), started: time.Now(),
 		owned: make(map[string]*ownedJob), taking: make(map[string]int), orphans: make(map[string]time.Time), wake: make(chan struct{}, 1),
 	}
+	service.confirmations = newConfirmations(service.askRecord)
 	service.follower = catalog.NewFollower(dependencies.Follow, dependencies.Store, tableJobs, config.parts(), service.view, dependencies.Logger)
 	service.follower.OnStoreClock(service.tellTime)
+	if dependencies.StoreTime != nil {
+		service.follower.TimeBy(dependencies.StoreTime)
+	}
 	service.follower.SlowBy(service.Crowding)
 	return service
 }
@@ -138,11 +146,11 @@
 
 const readyPause = 20 * time.Millisecond
 
-// tellTime takes the store's clock.
-func (s *Service) tellTime(at time.Duration) {
+// tellTime takes the store's clock as of a moment.
+func (s *Service) tellTime(at time.Duration, as time.Time) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.storeAt, s.storeAs = at, time.Now()
+	s.storeAt, s.storeAs = at, as
 }
 
 // now estimates the store's clock; false before it was heard.
@@ -159,7 +167,7 @@
 // blind says that what is known of jobs may be too old to act on.
 func (s *Service) blind() bool {
 	health := s.follower.Health()
-	return !health.Listed || time.Since(health.LastGood) > s.config.BlindFor
+	return !health.Listed || time.Since(health.AsOf) > s.config.BlindFor
 }
 
 func (s *Service) signal() {
--- a/internal/passthrough/batch/write.go
+++ b/internal/passthrough/batch/write.go
@@ -52,6 +52,7 @@
 		switch {
 		case err == nil && result.Applied:
 			s.learnOwn(record, expected)
+			s.follower.Expect(shard, record.ID, result.Version)
 			return written{applied: true, version: result.Version}, nil
 		case err == nil:
 			return s.settle(result, record), nil
@@ -139,7 +140,28 @@
 	for i := range snapshot.Rows {
 		snapshot.Rows[i].Table, snapshot.Rows[i].Part = tableJobs, s.config.shard(id)
 	}
-	s.view.Learn(snapshot.Rows...)
+	s.learn(snapshot.Rows...)
 	record, row, found := currentRecord(snapshot.Rows, id)
 	return record, row.Version, found, nil
 }
+
+// askRecord reads a job's row for readers, once more when the store does not answer.
+func (s *Service) askRecord(ctx context.Context, id string) recordAnswer {
+	for attempt := 0; ; attempt++ {
+		record, version, found, err := s.readRecord(ctx, id)
+		if err == nil {
+			return recordAnswer{entry: entry{record: record, version: version}, found: found}
+		}
+		if !wait.For(ctx, retryPause(attempt)) {
+			return recordAnswer{err: err}
+		}
+	}
+}
+
+// learn takes rows that calls beside the feed have shown in the store; the feed has to tell them too.
+func (s *Service) learn(rows ...passthrough.Row) {
+	s.view.Learn(rows...)
+	for _, row := range rows {
+		s.follower.Expect(row.Part, row.Key, row.Version)
+	}
+}
--- a/internal/passthrough/catalog/engines.go
+++ b/internal/passthrough/catalog/engines.go
@@ -143,7 +143,7 @@
 
 func (e *Engines) expire(now time.Time) {
 	health := e.health()
-	if now.Sub(health.LastBad) < relistTime || now.Sub(health.LastGood) > relistTime {
+	if now.Sub(health.LastBad) < relistTime || now.Sub(health.AsOf) > relistTime {
 		return // the list still says little
 	}
 	e.mu.Lock()
--- a/internal/passthrough/catalog/follower.go
+++ b/internal/passthrough/catalog/follower.go
@@ -20,6 +20,8 @@
 
 // FollowConfig says how a table is followed.
 type FollowConfig struct {
+	// Patience is how long the feed may lag behind what other calls have shown.
+	Patience time.Duration
 	Wait     time.Duration // longest that the store holds a feed call
 	Slack    time.Duration // how much longer an answer may take
 	Pace     time.Duration // least time between two feed calls
@@ -31,7 +33,8 @@
 // DefaultFollowConfig suits a store that answers within some milliseconds.
 func DefaultFollowConfig() FollowConfig {
 	return FollowConfig{
-		Wait: time.Second, Slack: 900 * time.Millisecond, Pace: 100 * time.Millisecond, PaceMost: 700 * time.Millisecond,
+		Patience: 400 * time.Millisecond,
+		Wait:     time.Second, Slack: 900 * time.Millisecond, Pace: 100 * time.Millisecond, PaceMost: 700 * time.Millisecond,
 		RetryMin: 50 * time.Millisecond, RetryMax: 500 * time.Millisecond,
 	}
 }
@@ -51,16 +54,17 @@
 	table  string
 	parts  func(context.Context) ([]string, error)
 	sink   Sink
-	clock  func(time.Duration)
+	clock  func(storeAt time.Duration, made time.Time)
 	pace   func() time.Duration // at least config.Pace
 	hurry  chan struct{}        // has one token when the next call should come at once
 	logger *zap.Logger
 	watch  *suspension.Watch
-	told   toldRows // used by Run's goroutine alone
+	time   *StoreTime
 
 	mu          sync.Mutex // guards the rest; never held during a call
+	told        toldRows
 	listed      bool
-	lastGood    time.Time
+	asOf        time.Time
 	lastBad     time.Time
 	disconnects int
 }
@@ -69,11 +73,15 @@
 func NewFollower(config FollowConfig, rows passthrough.Rows, table string, parts []string, sink Sink, logger *zap.Logger) *Follower {
 	fixed := func(context.Context) ([]string, error) { return parts, nil }
 	pace := func() time.Duration { return config.Pace }
-	return &Follower{config: config, rows: rows, table: table, parts: fixed, sink: sink, clock: func(time.Duration) {}, pace: pace, hurry: make(chan struct{}, 1), logger: logger, told: newToldRows()}
+	return &Follower{config: config, rows: rows, table: table, parts: fixed, sink: sink, clock: func(time.Duration, time.Time) {}, pace: pace, hurry: make(chan struct{}, 1), logger: logger, told: newToldRows(), time: NewStoreTime()}
 }
 
-// OnStoreClock has a function hear the store's clock; called before Run.
-func (f *Follower) OnStoreClock(hear func(time.Duration)) { f.clock = hear }
+// OnStoreClock has a function hear the store's clock, and the moment before which it certainly did not
+// show that; called before Run.
+func (f *Follower) OnStoreClock(hear func(storeAt time.Duration, made time.Time)) { f.clock = hear }
+
+// TimeBy has the follower share what is known of the store's clock; called before Run.
+func (f *Follower) TimeBy(storeTime *StoreTime) { f.time = storeTime }
 
 // WatchBy has the follower correct its health after a suspension, and not take an answer
 // for fresh that one came across; called before Run.
@@ -82,7 +90,7 @@
 	watch.OnWake(func(gap time.Duration) {
 		f.mu.Lock()
 		defer f.mu.Unlock()
-		f.lastGood = f.lastGood.Add(-gap)
+		f.asOf = f.asOf.Add(-gap)
 	})
 }
 
@@ -97,16 +105,27 @@
 
 // Health says how well the table is followed.
 type Health struct {
-	Listed   bool      // a whole listing was taken
-	LastGood time.Time // last answer
-	LastBad  time.Time // last failure; zero: never
+	Listed bool // a whole listing was taken
+	// AsOf is a moment at which the feed had told all that it had to tell: never later than
+	// the store made the last answer, whenever that arrived.
+	AsOf    time.Time
+	LastBad time.Time // last failure; zero: never
 }
 
 // Health gives the follower's health.
 func (f *Follower) Health() Health {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	return Health{Listed: f.listed, LastGood: f.lastGood, LastBad: f.lastBad}
+	return Health{Listed: f.listed, AsOf: f.asOf, LastBad: f.lastBad}
+}
+
+// Expect tells the follower of a row that a call beside the feed has shown in the store. If the feed
+// doesn't tell it, the table is listed anew: a feed that passes changes over is found by the calls
+// that are made anyway, within Patience and one call for changes.
+func (f *Follower) Expect(part, key string, version int64) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.told.expect(rowPlace{part, key}, version, time.Now())
 }
 
 // Run follows until ctx ends.
@@ -123,23 +142,30 @@
 // list takes whole listings until one succeeds.
 func (f *Follower) list(ctx context.Context) (int64, bool) {
 	for attempt := 0; ctx.Err() == nil; attempt++ {
-		suspensions := f.watch.Count()
+		sent, suspensions := time.Now(), f.watch.Count()
 		rows, version, err := f.listAll(ctx)
 		if err == nil {
-			followedTo := f.told.followedTo
-			lacked := f.told.replace(rows, version)
-			f.sink.Replace(rows, version)
-			f.succeeded(true, suspensions)
-			events.TableListed.Log(f.logger, zap.String("table", f.table), zap.Int("rows", len(rows)), zap.Int64("store_version", version),
-				zap.Int64("followed_to", followedTo), zap.Int("lacked", len(lacked)), zap.String("first_lacked", firstKey(lacked)))
+			f.takeListing(rows, version)
+			f.succeeded(f.confirmed(sent, suspensions))
 			return version, true
 		}
-		f.failed(err)
+		f.failed(ctx, err)
 		wait.For(ctx, f.pause(attempt))
 	}
 	return 0, false
 }
 
+func (f *Follower) takeListing(rows []passthrough.Row, version int64) {
+	f.mu.Lock()
+	followedTo := f.told.followedTo
+	lacked := f.told.replace(rows, version)
+	f.listed = true
+	f.mu.Unlock()
+	f.sink.Replace(rows, version)
+	events.TableListed.Log(f.logger, zap.String("table", f.table), zap.Int("rows", len(rows)), zap.Int64("store_version", version),
+		zap.Int64("followed_to", followedTo), zap.Int("lacked", len(lacked)), zap.String("first_lacked", firstKey(lacked)))
+}
+
 func (f *Follower) listAll(ctx context.Context) (rows []passthrough.Row, version int64, err error) {
 	parts, err := f.parts(ctx)
 	if err != nil {
@@ -161,16 +187,17 @@
 func (f *Follower) listPart(ctx context.Context, part string) (rows []passthrough.Row, version int64, err error) {
 	from := ""
 	for {
+		sent, suspensions := time.Now(), f.watch.Count()
 		call, cancel := context.WithTimeout(ctx, f.config.Wait+f.config.Slack)
 		snapshot, err := f.rows.List(call, f.table, part, from, "", 0)
 		cancel()
 		if err != nil {
 			return nil, 0, err
 		}
+		f.hearClock(sent, suspensions, snapshot.StoreAt)
 		if version == 0 {
 			version = snapshot.Version
 		}
-		f.clock(snapshot.StoreAt)
 		rows = append(rows, snapshot.Rows...)
 		if !snapshot.More || len(snapshot.Rows) == 0 {
 			return rows, version, nil
@@ -179,10 +206,11 @@
 	}
 }
 
-// feed goes on from a version until the history is gone or ctx ends.
+// feed goes on from a version until the history is gone, the feed has passed a change
+// over, or ctx ends.
 func (f *Follower) feed(ctx context.Context, version int64) {
 	for attempt := 0; ctx.Err() == nil; {
-		started, suspensions := time.Now(), f.watch.Count()
+		sent, suspensions := time.Now(), f.watch.Count()
 		call, cancel := context.WithTimeout(ctx, f.config.Wait+f.config.Slack)
 		snapshot, err := f.rows.Feed(call, f.table, version, f.config.Wait)
 		cancel()
@@ -191,23 +219,65 @@
 			return
 		}
 		if err != nil {
-			f.failed(err)
+			f.failed(ctx, err)
 			wait.For(ctx, f.pause(attempt))
 			attempt++
 			continue
 		}
 		attempt = 0
-		f.succeeded(false, suspensions)
-		if f.watch.Count() == suspensions {
-			f.clock(snapshot.StoreAt)
-		}
-		if len(snapshot.Rows) > 0 {
-			f.sink.Change(snapshot.Rows)
+		asOf := f.hearClock(sent, suspensions, snapshot.StoreAt)
+		version = f.takeChanges(snapshot.Rows)
+		f.succeeded(asOf)
+		if f.passedOver(sent) {
+			return
 		}
-		version = max(version, snapshot.Version)
-		f.told.change(snapshot.Rows, version)
-		f.rest(ctx, f.pace()-time.Since(started))
+		f.rest(ctx, f.pace()-time.Since(sent))
+	}
+}
+
+// confirmed gives a moment that an answer confirms, asked for after so many suspensions. One that
+// a suspension lies between may be as old as that was long, and confirms nothing.
+func (f *Follower) confirmed(moment time.Time, suspensions uint64) time.Time {
+	if f.watch.Count() != suspensions {
+		return time.Time{}
+	}
+	return moment
+}
+
+// hearClock takes the store's time from an answer, and gives the moment before which that was
+// certainly not made.
+func (f *Follower) hearClock(sent time.Time, suspensions uint64, storeAt time.Duration) time.Time {
+	if f.confirmed(sent, suspensions).IsZero() {
+		return time.Time{}
+	}
+	made := f.time.MadeAt(sent, storeAt)
+	f.clock(storeAt, made)
+	return made
+}
+
+// takeChanges applies what the feed told, and gives the version to go on from. It goes on from
+// what was told, not from the newest version that an answer names: a feed that was silent
+// while the routes changed left them unknown for good.
+func (f *Follower) takeChanges(rows []passthrough.Row) int64 {
+	if len(rows) > 0 {
+		f.sink.Change(rows)
 	}
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.told.change(rows)
+	return f.told.followedTo
+}
+
+// passedOver says whether an answer whose call was sent at a moment lacked what it had to tell.
+func (f *Follower) passedOver(sent time.Time) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	place, missing, found := f.told.passedOver(sent, f.config.Patience)
+	if found {
+		events.FeedPassedOver.Log(f.logger, zap.String("table", f.table), zap.String("row", place.part+"/"+place.key),
+			zap.Int64("row_version", missing.version), zap.Int64("followed_to", f.told.followedTo), zap.Duration("known_for", time.Since(missing.since)))
+	}
+	return found
 }
 
 // Hurry has the next call for changes come at once, for who waits for what a
@@ -239,30 +309,30 @@
 	return longest/2 + rand.N(longest/2+1)
 }
 
-// succeeded notes an answer that was asked for after so many suspensions. One that a
-// suspension lies between may be as old as that was long, and confirms nothing.
-func (f *Follower) succeeded(listed bool, suspensions uint64) {
-	fresh := f.watch.Count() == suspensions
+// succeeded notes an answer that told the table as of a moment; the zero time: as of none that
+// is known.
+func (f *Follower) succeeded(asOf time.Time) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	now := time.Now()
-	if !fresh {
-		now = f.lastGood
-	}
 	if f.disconnects > 0 {
-		events.StoreRegained.Log(f.logger, zap.String("table", f.table), zap.Duration("after", now.Sub(f.lastGood)), zap.Int("failures", f.disconnects))
+		events.StoreRegained.Log(f.logger, zap.String("table", f.table), zap.Duration("after", time.Since(f.asOf)), zap.Int("failures", f.disconnects))
 	}
 	f.disconnects = 0
-	f.lastGood = now
-	f.listed = f.listed || listed
+	if asOf.After(f.asOf) {
+		f.asOf = asOf
+	}
 }
 
-func (f *Follower) failed(err error) {
+// failed notes a call without an answer; one that this node's own end broke off says nothing.
+func (f *Follower) failed(ctx context.Context, err error) {
+	if ctx.Err() != nil {
+		return
+	}
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.lastBad = time.Now()
 	f.disconnects++
 	if f.disconnects == 1 {
-		events.StoreLost.Log(f.logger, zap.String("table", f.table), zap.Duration("last_answer_age", f.lastBad.Sub(f.lastGood)), zap.Error(err))
+		events.StoreLost.Log(f.logger, zap.String("table", f.table), zap.Duration("last_answer_age", f.lastBad.Sub(f.asOf)), zap.Error(err))
 	}
 }
--- a/internal/passthrough/catalog/routes.go
+++ b/internal/passthrough/catalog/routes.go
@@ -62,7 +62,7 @@
 // Age gives how long ago the routes in force were known to be the newest, by the
 // store's word or a peer's.
 func (r *Routes) Age() time.Duration {
-	heard := r.health().LastGood
+	heard := r.health().AsOf
 	r.mu.RLock()
 	defer r.mu.RUnlock()
 	if r.confirmed.After(heard) {
--- a/internal/passthrough/edge/edge.go
+++ b/internal/passthrough/edge/edge.go
@@ -63,6 +63,7 @@
 	engines        *catalog.Engines
 	routesFollower *catalog.Follower
 	engineFollower *catalog.Follower
+	storeTime      *catalog.StoreTime
 	pool           *engineconn.Pool
 	store          *peerstore.Store
 	share          *sharing.Share // nil: the node tells others nothing
@@ -96,6 +97,9 @@
 	engineFollow := follow
 	engineFollow.Pace = enginePace
 	node.engineFollower = catalog.NewFollower(engineFollow, node.store, places.EnginesTable, whole, node.engines, node.logger)
+	node.storeTime = catalog.NewStoreTime()
+	node.routesFollower.TimeBy(node.storeTime)
+	node.engineFollower.TimeBy(node.storeTime)
 	node.engines.JudgeBy(node.engineFollower.Health)
 	node.routes.JudgeBy(node.routesFollower.Health)
 	follow.Pace = jobPace
@@ -113,7 +117,7 @@
 	node.batch = batch.New(config.Batch, batch.Dependencies{
 		Store: node.store, Objects: node.store, Headers: platform.Headers, Format: platform.Format,
 		Routes: node.routes, Engines: node.engines, Slots: node.slots, Pool: node.pool, Guard: node.guard, Logger: node.logger,
-		Self: node.self, Name: identity.Name, Zone: identity.Zone, Peer: config.PeerAddress, Capacity: config.Capacity, Ready: node.knows, Follow: follow, Registerer: node.registry,
+		Self: node.self, Name: identity.Name, Zone: identity.Zone, Peer: config.PeerAddress, Capacity: config.Capacity, Ready: node.knows, Follow: follow, StoreTime: node.storeTime, Registerer: node.registry,
 	})
 	node.guard.KeepBy(node.batch)
 	node.engineFollower.SlowBy(node.batch.Crowding)
@@ -320,6 +324,7 @@
 	}
 	n.watch = suspension.NewWatch(clock)
 	n.watch.OnWake(func(gap time.Duration) { events.Suspended.Log(n.logger, zap.Duration("gap", gap)) })
+	n.storeTime.WatchBy(n.watch)
 	n.routesFollower.WatchBy(n.watch)
 	n.engineFollower.WatchBy(n.watch)
 	n.routes.WatchBy(n.watch)
--- a/internal/passthrough/edge/metrics.go
+++ b/internal/passthrough/edge/metrics.go
@@ -57,8 +57,8 @@
 }
 
 func ageOf(health catalog.Health) float64 {
-	if health.LastGood.IsZero() {
+	if health.AsOf.IsZero() {
 		return -1
 	}
-	return time.Since(health.LastGood).Seconds()
+	return time.Since(health.AsOf).Seconds()
 }
--- a/internal/passthrough/edge/sharer.go
+++ b/internal/passthrough/edge/sharer.go
@@ -66,7 +66,7 @@
 // Blind implements sharing.Local.
 func (s *sharer) Blind() bool {
 	now := time.Now()
-	return now.Sub(s.node.routesFollower.Health().LastGood) > blindAfter || now.Sub(s.node.engineFollower.Health().LastGood) > blindAfter
+	return now.Sub(s.node.routesFollower.Health().AsOf) > blindAfter || now.Sub(s.node.engineFollower.Health().AsOf) > blindAfter
 }
 
 // CallStore implements sharing.Local.
@@ -83,7 +83,7 @@
 // Answer implements sharing.Local.
 func (s *sharer) Answer(question sharing.Question) sharing.Documents {
 	health := s.node.routesFollower.Health()
-	documents := sharing.Documents{Rows: s.node.engines.Since(question.RowsSince), Age: time.Since(health.LastGood)}
+	documents := sharing.Documents{Rows: s.node.engines.Since(question.RowsSince), Age: time.Since(health.AsOf)}
 	document, version := s.node.routes.Document()
 	documents.RoutesVersion = version
 	if version > question.RoutesVersion {
