batch: a job that is there already is known where there seems to be no room

Cause: found by looking for the same cause elsewhere: a refusal for lack of room rested on the copy alone, which may lack the very job that comes again. Change: before such a refusal the store is asked for the job.

--- a/internal/passthrough/batch/intake.go
+++ b/internal/passthrough/batch/intake.go
@@ -127,7 +127,7 @@
 		}
 		waiting, quota := s.view.waiting(queueOf(call))
 		if limit := call.Route.QueueTokens; limit > 0 && waiting+tokensOf(items) > limit {
-			return full, nil
+			return s.fullUnlessTaken(ctx, call)
 		}
 		if !stored && len(call.Body) > bodiesMost {
 			if err := s.putObject(ctx, objectName(id), call.Body); err != nil {
@@ -142,6 +142,20 @@
 	}
 }
 
+// fullUnlessTaken asks the store whether a job that would not fit is there already: the copy may lack
+// one that another node has taken, and whose 202 its client has not seen.
+func (s *Service) fullUnlessTaken(ctx context.Context, call *relay.Call) (intakeOutcome, error) {
+	present, _, found, err := s.readRecord(ctx, call.Demand.RequestID)
+	switch {
+	case err != nil:
+		return refused, err
+	case found:
+		return sameJob(present, call), nil
+	default:
+		return full, nil
+	}
+}
+
 // beginTaking keeps this node from claiming a job whose creation it has not
 // heard of yet.
 func (s *Service) beginTaking(id string) {
@@ -183,7 +197,7 @@
 		return accepted, false, nil
 	}
 	if present, row, found := currentRecord(result.current, record.ID); found {
-		s.view.Learn(row)
+		s.learn(row)
 		return sameJob(present, call), false, nil
 	}
 	return refused, s.awaitQuota(ctx, queueOf(call), result.current), nil
