--- a/internal/passthrough/batch/crashes_test.go
+++ b/internal/passthrough/batch/crashes_test.go
@@ -24,7 +24,7 @@
 	if written := store.version.Load(); written != 0 {
 		t.Errorf("%d rows were written", written)
 	}
-	service.tellTime(time.Hour)
+	service.tellTime(time.Hour, time.Now())
 	if err := service.KeepCrashes(t.Context(), key, crashes); err != nil || store.version.Load() != 1 {
 		t.Errorf("with the clock: %v, %d rows", err, store.version.Load())
 	}
--- a/internal/passthrough/catalog/routes.go
+++ b/internal/passthrough/catalog/routes.go
@@ -71,7 +71,7 @@
 // Known gives the routes in force and of when they are. What the store's word rests on is
 // asked before the routes are read: they may then be newer than AsOf says, and never older.
 func (r *Routes) Known() Known {
-	asOf := r.health().LastGood
+	asOf := r.health().AsOf
 	r.mu.RLock()
 	defer r.mu.RUnlock()
 	if r.confirmed.After(asOf) {
--- a/internal/passthrough/catalog/routes_test.go
+++ b/internal/passthrough/catalog/routes_test.go
@@ -31,7 +31,7 @@
 	heard := time.Now()
 	routes.JudgeBy(func() Health {
 		routes.Take([]byte("2"), "test")
-		return Health{LastGood: heard}
+		return Health{AsOf: heard}
 	})
 	if known := routes.Known(); known.Table.Version() != 2 || string(known.Document) != "2" || !known.AsOf.Equal(heard) {
 		t.Errorf("version %d, document %s, as of %v", known.Table.Version(), known.Document, known.AsOf.Sub(heard))
@@ -42,7 +42,7 @@
 func TestWordOfPeersHoldsForItsVersion(t *testing.T) {
 	routes := NewRoutes(versions{}, zap.NewNop())
 	heard := time.Now()
-	routes.JudgeBy(func() Health { return Health{LastGood: heard} })
+	routes.JudgeBy(func() Health { return Health{AsOf: heard} })
 	routes.Take([]byte("1"), "test")
 	routes.Confirm(1, heard.Add(-time.Second))
 	routes.Confirm(2, heard.Add(time.Second))
--- a/internal/passthrough/edge/sharer.go
+++ b/internal/passthrough/edge/sharer.go
@@ -66,7 +66,7 @@
 // Blind implements sharing.Local.
 func (s *sharer) Blind() bool {
 	now := time.Now()
-	return now.Sub(s.node.routesFollower.Health().LastGood) > blindAfter || now.Sub(s.node.engineFollower.Health().LastGood) > blindAfter
+	return now.Sub(s.node.routesFollower.Health().AsOf) > blindAfter || now.Sub(s.node.engineFollower.Health().AsOf) > blindAfter
 }
 
 // CallStore implements sharing.Local.
