limits: what was borrowed is not used after a suspension of the machine

Cause: quota rests on leases whose borrower never takes them for younger than the owner does. A node's clock stands still while its machine is suspended: it took permits of a concurrency for fresh that the owner had lent to others meanwhile, until its next renewal (20 s), and credits beyond their 6 s. An owner that woke lent on by a ledger of before. Change: limits.Service looks for suspensions (suspension.Watch) at each admission, message and tick; when there was one it drops what it borrowed and lent, declares what runs with the next ask, and lends permits again after adoptTime. node.Run gives it the machine's clock; fleets in virtual time run without one, as before. Conclusion: after a suspension a limit begins with an empty bucket.

--- a/internal/limits/admission.go
+++ b/internal/limits/admission.go
@@ -13,6 +13,7 @@
 		return releaseNothing, Decision{Allowed: true}
 	}
 	estimate := float64(max(0, tokens))
+	s.watch.Look()
 	now := time.Now()
 	s.mu.Lock()
 	a := admission{service: s, estimate: estimate}
--- a/internal/limits/meter.go
+++ b/internal/limits/meter.go
@@ -220,6 +220,18 @@
 	m.wake()
 }
 
+// drop gives up all that is borrowed, and the answer that is waited for. The owner is told of
+// what runs at once.
+func (m *meter) drop(now time.Time) {
+	m.requests.Scale(0)
+	m.tokens.Scale(0)
+	m.permits.Scale(0)
+	m.asking = false
+	m.renewAt = now
+	m.deputyUntil, m.unreachable = time.Time{}, time.Time{}
+	m.wake()
+}
+
 // wake lets the waiting requests look again.
 func (m *meter) wake() {
 	if m.answered != nil {
--- a/internal/limits/ownership.go
+++ b/internal/limits/ownership.go
@@ -26,6 +26,8 @@
 	generation uint64
 	current    fleet
 	past       []fleet // newest first
+	// notBefore is when this node can at the earliest have become the owner of anything.
+	notBefore time.Time
 }
 
 // update takes a view; false when the live nodes are the same.
@@ -91,6 +93,9 @@
 		}
 		since = view.since
 	}
+	if since.Before(o.notBefore) {
+		return o.notBefore
+	}
 	return since
 }
 
--- a/internal/limits/service.go
+++ b/internal/limits/service.go
@@ -14,6 +14,7 @@
 	"ringstream.example/ringstream/internal/events"
 	"ringstream.example/ringstream/internal/peer"
 	"ringstream.example/ringstream/internal/rows"
+	"ringstream.example/ringstream/internal/suspension"
 )
 
 const (
@@ -33,6 +34,7 @@
 	logger     *zap.Logger
 	metrics    *metrics
 	started    time.Time
+	watch      *suspension.Watch // nil: the machine is never suspended
 
 	mu        sync.Mutex
 	ownership ownership
@@ -79,6 +81,26 @@
 	return s
 }
 
+// WatchBy has the service look for suspensions of the machine before it admits, lends or
+// borrows; called before Run.
+func (s *Service) WatchBy(watch *suspension.Watch) {
+	s.watch = watch
+	watch.OnWake(func(time.Duration) { s.woke(time.Now()) })
+}
+
+// woke drops what this node had borrowed, and what it lent: its clock stood still while the
+// leases on both sides ran out. What runs here is told to the owners with the next asks.
+func (s *Service) woke(now time.Time) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	clear(s.asked)
+	for _, m := range s.meters {
+		m.drop(now)
+	}
+	clear(s.lenders)
+	s.ownership.notBefore = now
+}
+
 // Run follows the member list and makes the routine asks until the context ends.
 func (s *Service) Run(ctx context.Context) error {
 	ticker := time.NewTicker(tickInterval)
@@ -209,6 +231,7 @@
 
 // tick makes the routine asks of the limits in use, and forgets idle ones.
 func (s *Service) tick(now time.Time) {
+	s.watch.Look()
 	s.mu.Lock()
 	asks := outbox{}
 	for key, m := range s.meters {
@@ -236,6 +259,7 @@
 }
 
 func (s *Service) takeAsks(from identity.NodeID, message asksMessage) {
+	s.watch.Look()
 	now := time.Now()
 	s.mu.Lock()
 	answers := make([]answer, 0, len(message.Asks))
@@ -260,6 +284,7 @@
 }
 
 func (s *Service) takeAnswers(message answersMessage) {
+	s.watch.Look()
 	now := time.Now()
 	s.mu.Lock()
 	defer s.mu.Unlock()
--- a/internal/limits/service_test.go
+++ b/internal/limits/service_test.go
@@ -12,6 +12,8 @@
 	"ringstream.example/ringstream/internal/core/membership"
 	"ringstream.example/ringstream/internal/core/policy"
 	"ringstream.example/ringstream/internal/peer/peertest"
+	"ringstream.example/ringstream/internal/suspension"
+	"ringstream.example/ringstream/internal/suspension/suspensiontest"
 )
 
 // fixedRows is a table that tests set.
@@ -43,6 +45,7 @@
 	rows    *fixedRows
 	nodes   []*Service
 	buses   []*peertest.Node
+	clocks  []*suspensiontest.Clock // of the nodes' machines
 }
 
 func runLimitFleet(t *testing.T, count int, row policy.Row, test func(f *limitFleet, row policy.Row)) {
@@ -56,6 +59,9 @@
 		var running sync.WaitGroup
 		for _, bus := range f.buses {
 			service := New(DefaultConfig(), bus, f.rows, nil, nil)
+			clock := &suspensiontest.Clock{}
+			service.WatchBy(suspension.NewWatch(clock))
+			f.clocks = append(f.clocks, clock)
 			f.nodes = append(f.nodes, service)
 			running.Go(func() { _ = service.Run(ctx) })
 		}
--- a/internal/node/compose.go
+++ b/internal/node/compose.go
@@ -32,6 +32,7 @@
 	client := store.New(n.platform.Table)
 	n.rows = rows.New(config.Rows, client, n.bus, n.logger, n.registry)
 	n.limits = limits.New(config.Limits, n.bus, n.rows, n.logger, n.registry)
+	n.limits.WatchBy(n.suspensions)
 	n.engines = fleet.New(config.Fleet, n.platform.Machines, n.platform.Engines, n.bus, n.logger, n.registry)
 	n.dispatch = dispatch.New(config.Dispatch, n.engines, n.bus, n.rows, n.logger, n.registry)
 	n.idempotency = idempotency.New(config.Idempotency, client, n.platform.Objects, n.bus, n.logger)
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -26,6 +26,7 @@
 	"ringstream.example/ringstream/internal/peer"
 	"ringstream.example/ringstream/internal/rows"
 	"ringstream.example/ringstream/internal/settings"
+	"ringstream.example/ringstream/internal/suspension"
 	"ringstream.example/ringstream/internal/tlsconfig"
 	"ringstream.example/ringstream/internal/version"
 )
@@ -37,6 +38,8 @@
 	logger   *zap.Logger
 	registry *prometheus.Registry
 	network  peer.Network
+	// suspensions is nil where none is noticed.
+	suspensions *suspension.Watch
 
 	platform    *httpclient.Clients
 	auth        *auth.Keys
@@ -65,6 +68,12 @@
 	return func(n *Node) { n.network = network }
 }
 
+// WithSuspensions makes the node notice by a clock that its machine was suspended; without it
+// the node takes the machine for one that never is.
+func WithSuspensions(clock suspension.Clock) Option {
+	return func(n *Node) { n.suspensions = suspension.NewWatch(clock) }
+}
+
 // New builds a node from checked settings. It opens no socket; errors are
 // settings that cannot work together or files that cannot be read.
 func New(config settings.Settings, logger *zap.Logger, options ...Option) (*Node, error) {
@@ -88,7 +97,7 @@
 
 // Run builds a node and runs it until ctx is done.
 func Run(ctx context.Context, config settings.Settings, logger *zap.Logger) error {
-	node, err := New(config, logger)
+	node, err := New(config, logger, WithSuspensions(suspension.NewSystemClock()))
 	if err != nil {
 		return err
 	}
