rows: an answer from before a second pause does not end it

Cause: a node that paused asks what it missed, and is ready when an answer came. A second pause while that answer was under way was ended by it too. The answer may be as old as the second pause was long. Change: pauses are counted, and an answer ends those that were noticed before its question. Measured: the new test fails with the code before: ready before the second answer. Conclusion: a node serves by its table only after an answer to a question asked after its last pause, or after catch_up_limit.

--- a/internal/rows/convergence_test.go
+++ b/internal/rows/convergence_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"math/rand/v2"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -49,6 +50,41 @@
 	})
 }
 
+// TestPauseWhileTheNodeCatchesUpCounts has a node pause again while the answer to what it asked
+// after a first pause is on its way. The answer may be as old as the second pause was long;
+// the node took it for the end of both, and was ready with a table that lacked edits until the
+// next question was answered.
+func TestPauseWhileTheNodeCatchesUpCounts(t *testing.T) {
+	runFleet(t, 3, func(f *fleet) {
+		node := f.nodes[1]
+		pause := func() {
+			node.lastTick.Store(time.Now().Add(-10 * time.Second).UnixNano())
+			node.noticePause(time.Now())
+		}
+		var asked atomic.Int64
+		var readyAgain atomic.Bool
+		f.network.SetFilter(func(from, _ identity.NodeID, message any) peertest.Verdict {
+			if _, isRequest := message.(changesRequest); isRequest && from == node.bus.Self() {
+				switch asked.Add(1) {
+				case 1:
+					pause()
+				case 2:
+					readyAgain.Store(node.Ready())
+				}
+			}
+			return peertest.Verdict{}
+		})
+		pause()
+		f.settle(time.Second)
+		if asked.Load() < 2 || readyAgain.Load() {
+			t.Errorf("asked %d times, ready before the second answer: %v", asked.Load(), readyAgain.Load())
+		}
+		if !node.Ready() {
+			t.Error("not ready a second after the pauses")
+		}
+	})
+}
+
 // dropHeld is a filter for TestPausedNodeIsNotReadyUntilItHasCaughtUp: only
 // calls reach the node, so that it must ask for what it missed.
 func dropHeld(paused *Service) func(from, to identity.NodeID, message any) peertest.Verdict {
--- a/internal/rows/distribute.go
+++ b/internal/rows/distribute.go
@@ -115,7 +115,9 @@
 // when nobody answers within the limit the node goes on with what it has.
 func (s *Service) catchUp(ctx context.Context) {
 	deadline := time.Now().Add(s.config.CatchUpLimit)
+	var pauses uint64
 	for {
+		pauses = s.pauses.Load() // an answer across a later one may be as old as that was long
 		err := s.fetchAnywhere(ctx)
 		if err == nil {
 			break
@@ -128,7 +130,7 @@
 			return
 		}
 	}
-	s.behind.Store(false)
+	s.caughtUp.Store(pauses)
 }
 
 // reload replaces a table that has diverged by the store's, if that is not older.
--- a/internal/rows/messages.go
+++ b/internal/rows/messages.go
@@ -133,7 +133,7 @@
 
 // changesAfter answers from the recent changes.
 func (s *Service) changesAfter(after uint64) changesReply {
-	if !s.loaded.Load() || s.behind.Load() {
+	if !s.loaded.Load() || s.behind() {
 		return changesReply{Unready: true}
 	}
 	s.mu.Lock()
@@ -152,7 +152,7 @@
 
 // snapshotAfter answers with one page of rows.
 func (s *Service) snapshotAfter(after identity.RowID) snapshotReply {
-	if !s.loaded.Load() || s.behind.Load() {
+	if !s.loaded.Load() || s.behind() {
 		return snapshotReply{Unready: true}
 	}
 	table := s.Table()
--- a/internal/rows/service.go
+++ b/internal/rows/service.go
@@ -33,7 +33,8 @@
 	// lastTick is the time of the last tick, in nanoseconds of the wall clock.
 	lastTick atomic.Int64
 	loaded   atomic.Bool
-	behind   atomic.Bool // paused, and not yet caught up
+	pauses   atomic.Uint64 // that were noticed
+	caughtUp atomic.Uint64 // of them, those that the node has caught up after
 	// editing is held by the edit that this node is committing.
 	editing chan struct{}
 	// repair holds one token when the repair loop has something to do.
@@ -92,9 +93,12 @@
 // has caught up since its last pause. It is false from the first instant after
 // a pause, before any goroutine of the service has run.
 func (s *Service) Ready() bool {
-	return s.loaded.Load() && !s.behind.Load() && s.sinceTick(time.Now()) < s.config.PauseThreshold
+	return s.loaded.Load() && !s.behind() && s.sinceTick(time.Now()) < s.config.PauseThreshold
 }
 
+// behind says that the node has paused, and not yet caught up.
+func (s *Service) behind() bool { return s.caughtUp.Load() < s.pauses.Load() }
+
 // Run loads the table, then keeps it up to date until the context ends.
 func (s *Service) Run(ctx context.Context) error {
 	s.lastTick.Store(wallClock(time.Now()))
@@ -139,7 +143,7 @@
 func (s *Service) noticePause(now time.Time) {
 	gap := s.sinceTick(now)
 	if gap >= s.config.PauseThreshold && s.loaded.Load() {
-		s.behind.Store(true)
+		s.pauses.Add(1)
 		s.metrics.catchUps.Inc()
 		events.RowsPauseNoticed.Log(s.logger, zap.Duration("gap", gap), zap.Uint64("revision", s.Table().Revision()))
 		s.ask(want{confirm: true})
