--- a/internal/passthrough/batch/read.go
+++ b/internal/passthrough/batch/read.go
@@ -87,6 +87,7 @@
 
 func (s *Service) refuseCall(to http.ResponseWriter, found bool, err error) int {
 	if err == nil && !found {
+		s.metrics.denials.WithLabelValues(deniedJob).Inc()
 		relay.WriteRefusal(to, http.StatusNotFound, relay.Refusal{Code: "no_such_job", Message: "there is no such job", Run: relay.RunNot})
 		return http.StatusNotFound
 	}
@@ -111,6 +112,9 @@
 			return s.refuseCall(to, confirmed.found, confirmed.err)
 		}
 		known = confirmed.entry
+		if call.From >= known.record.Listed {
+			s.metrics.denials.WithLabelValues(deniedResult).Inc()
+		}
 	}
 	answered.listed = known.record.Listed
 	from := max(call.From, 0)
--- a/internal/passthrough/catalog/follower.go
+++ b/internal/passthrough/catalog/follower.go
@@ -67,6 +67,8 @@
 	asOf        time.Time
 	lastBad     time.Time
 	disconnects int
+
+	passedOverCount int
 }
 
 // NewFollower makes a follower of a table's listed parts.
@@ -110,13 +112,15 @@
 	// the store made the last answer, whenever that arrived.
 	AsOf    time.Time
 	LastBad time.Time // last failure; zero: never
+	// PassedOver counts the times that the feed lacked what other calls had shown.
+	PassedOver int
 }
 
 // Health gives the follower's health.
 func (f *Follower) Health() Health {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	return Health{Listed: f.listed, AsOf: f.asOf, LastBad: f.lastBad}
+	return Health{Listed: f.listed, AsOf: f.asOf, LastBad: f.lastBad, PassedOver: f.passedOverCount}
 }
 
 // Expect tells the follower of a row that a call beside the feed has shown in the store. If the feed
@@ -274,6 +278,7 @@
 	defer f.mu.Unlock()
 	place, missing, found := f.told.passedOver(sent, f.config.Patience)
 	if found {
+		f.passedOverCount++
 		events.FeedPassedOver.Log(f.logger, zap.String("table", f.table), zap.String("row", place.part+"/"+place.key),
 			zap.Int64("row_version", missing.version), zap.Int64("followed_to", f.told.followedTo), zap.Duration("known_for", time.Since(missing.since)))
 	}
--- a/internal/passthrough/edge/metrics.go
+++ b/internal/passthrough/edge/metrics.go
@@ -16,9 +16,13 @@
 		"routes": n.routesFollower.Health, "engines": n.engineFollower.Health, "jobs": n.batch.Health,
 	} {
 		n.registry.MustRegister(prometheus.NewGaugeFunc(prometheus.GaugeOpts{
-			Name: "ringstream_pass_belief_age_seconds", Help: "Time since the store last answered about a table; -1: never.",
+			Name: "ringstream_pass_belief_age_seconds", Help: "Time since the moment that the store's last answer about a table told of; -1: never.",
 			ConstLabels: prometheus.Labels{"table": table},
 		}, func() float64 { return ageOf(health()) }))
+		n.registry.MustRegister(prometheus.NewCounterFunc(prometheus.CounterOpts{
+			Name: "ringstream_pass_feed_passed_over_total", Help: "Times that a table was listed anew since its feed lacked what other calls had shown.",
+			ConstLabels: prometheus.Labels{"table": table},
+		}, func() float64 { return float64(health().PassedOver) }))
 	}
 	for state, count := range map[string]func(slots.Load) int{
 		"under_way": func(load slots.Load) int { return load.UnderWay }, "waiting": func(load slots.Load) int { return load.Queued },
