batch: no item is given up before its expiry by a clock that may be ahead

Cause: the estimate of the store's clock rests on a moment before which the answer that told it was certainly not made. It is never behind, and ahead by as long as the quickest call of the last half minute took: milliseconds, up to 1.9 s while the store is slow. giveUpOverdue listed items as given up by so much before their expiry. Change: an item is given up when its expiry is past by the longest call for changes (Wait and Slack, 1.9 s). Measured: the new test fails with the code before: given up half a second early by an answer that may have been made 1.5 s before it came. Conclusion: items end up to 1.9 s later than their expiry in place of up to 1.9 s earlier.

--- a/internal/passthrough/batch/schedule.go
+++ b/internal/passthrough/batch/schedule.go
@@ -228,7 +228,11 @@
 	s.flush(job)
 }
 
-// giveUpOverdue lists what may be given up by now.
+// clockAhead is how much the estimate of the store's clock may be ahead: an answer that told it
+// was made as late as it came, and its call may have been sent that much before.
+func (s *Service) clockAhead() time.Duration { return s.Follow.Wait + s.Follow.Slack }
+
+// giveUpOverdue lists what may be given up by now, for certain.
 func (s *Service) giveUpOverdue() {
 	now, known := s.now()
 	if !known {
@@ -237,7 +241,7 @@
 	for _, job := range s.ownedJobs() {
 		s.mu.Lock()
 		var overdue []int
-		if job.record.Overdue(now) {
+		if job.record.Overdue(now - s.clockAhead()) {
 			for index := range job.work {
 				if job.record.Items[index].State == passjob.Open && job.work[index].finished == passjob.Open {
 					overdue = append(overdue, index)
--- a/internal/passthrough/batch/schedule_test.go
+++ b/internal/passthrough/batch/schedule_test.go
@@ -32,3 +32,27 @@
 		t.Errorf("by routes that were the newest after it came: found %v, state %v", found, finished())
 	}
 }
+
+// TestItemIsNotGivenUpBeforeItsExpiry: the node's estimate of the store's clock is never behind,
+// and ahead by as long as the quickest call of the last half minute took: up to 1.9 s where the
+// store is slow (Wait and Slack of the feed). An item was given up by so much before its expiry.
+func TestItemIsNotGivenUpBeforeItsExpiry(t *testing.T) {
+	const expiry, ahead = time.Minute, 1500 * time.Millisecond
+	service := newTestService(&takingStore{})
+	record := testRecord(1)
+	record.AcceptedAt, record.Expiry = time.Hour-expiry+time.Second, expiry // it ends a second from now
+	service.adopt(record, 1, make([]passthrough.Item, 1))
+	job := service.ownedJobs()[0]
+	for _, test := range []struct {
+		as   time.Duration // how long ago the answer may have been made that told the time
+		want passjob.ItemState
+	}{{ahead, passjob.Open}, {time.Second + 2*service.clockAhead(), passjob.DeadLetter}} {
+		service.tellTime(time.Hour, time.Now().Add(-test.as))
+		service.giveUpOverdue()
+		service.mu.Lock()
+		if got := job.work[0].finished; got != test.want {
+			t.Errorf("with an answer of %v ago: state %v, want %v", test.as, got, test.want)
+		}
+		service.mu.Unlock()
+	}
+}
