--- a/internal/core/quarantine/quarantine.go
+++ b/internal/core/quarantine/quarantine.go
@@ -93,12 +93,13 @@
 	config   Config
 	contents map[Digest]*contentRecord
 	engines  map[uint64]*engineRecord
-	judged   *judgement // nil: something has changed since
+	orders   map[Digest]ordered // of operators
+	judged   *judgement         // nil: something has changed since
 }
 
 // NewLedger makes an empty ledger.
 func NewLedger(config Config) *Ledger {
-	return &Ledger{config: config, contents: make(map[Digest]*contentRecord), engines: make(map[uint64]*engineRecord)}
+	return &Ledger{config: config, contents: make(map[Digest]*contentRecord), engines: make(map[uint64]*engineRecord), orders: make(map[Digest]ordered)}
 }
 
 // Note takes a crash, own or told; it reports whether that was news.
@@ -193,7 +194,7 @@
 func (l *Ledger) Knows(content Digest) bool { return l.contents[content] != nil }
 
 // Empty says whether nothing is known of any content.
-func (l *Ledger) Empty() bool { return len(l.contents) == 0 }
+func (l *Ledger) Empty() bool { return len(l.contents)+len(l.orders) == 0 }
 
 // Sizes gives how many contents and engines are remembered.
 func (l *Ledger) Sizes() (contents, engines int) { return len(l.contents), len(l.engines) }
@@ -205,6 +206,7 @@
 			l.forget(content)
 		}
 	}
+	l.expireOrders(now)
 }
 
 func (l *Ledger) forget(content Digest) {
--- a/internal/core/quarantine/verdict.go
+++ b/internal/core/quarantine/verdict.go
@@ -15,11 +15,18 @@
 	// Blocked: it must reach no engine before Until.
 	Blocked bool
 	Until   time.Time
+	// Ordered: an operator has blocked it.
+	Ordered bool
 }
 
-// Verdict judges a content. One under which fewer engines ended than are needed to block
-// it costs two look-ups.
+// Verdict judges a content, by the word of operators and by its crashes.
 func (l *Ledger) Verdict(content Digest, now time.Time) Verdict {
+	return l.byOrder(content, l.byCrashes(content, now), now)
+}
+
+// byCrashes judges a content. One under which fewer engines ended than are needed to block
+// it costs two look-ups.
+func (l *Ledger) byCrashes(content Digest, now time.Time) Verdict {
 	record := l.contents[content]
 	if record == nil {
 		return Verdict{}
@@ -46,8 +53,15 @@
 
 // Blocked gives the contents that are blocked, in the order of their digests.
 func (l *Ledger) Blocked(now time.Time) []BlockedContent {
-	var blocked []BlockedContent
+	known := make(map[Digest]bool, len(l.contents))
 	for content := range l.contents {
+		known[content] = true
+	}
+	for content := range l.orders {
+		known[content] = true
+	}
+	var blocked []BlockedContent
+	for content := range known {
 		if verdict := l.Verdict(content, now); verdict.Blocked {
 			blocked = append(blocked, BlockedContent{Content: content, Verdict: verdict, Crashes: l.Crashes(content, now)})
 		}
--- a/internal/passthrough/batch/crashes.go
+++ b/internal/passthrough/batch/crashes.go
@@ -21,6 +21,14 @@
 type crashRow struct {
 	WrittenAt time.Duration `json:"written_at"` // by the store's clock
 	Crashes   []crashEntry  `json:"crashes"`
+	// Order is an operator's word; nil in the rows of nodes.
+	Order *orderEntry `json:"order,omitempty"`
+}
+
+// orderEntry is an operator's word on a content.
+type orderEntry struct {
+	BlockFor time.Duration `json:"block_for"` // from WrittenAt; 0: it is not blocked
+	Reason   string        `json:"reason"`
 }
 
 type crashEntry struct {
@@ -29,7 +37,7 @@
 	Excused bool          `json:"excused,omitempty"`
 }
 
-// crashesKept is how long such a row is kept.
+// crashesKept is how long such a row is kept; a block of an operator so much longer than it holds.
 const crashesKept = time.Hour
 
 // errNoStoreClock: crashes are dated by the store's clock, which was not heard yet.
@@ -57,9 +65,28 @@
 type seenCrashes struct {
 	version   int64
 	writtenAt time.Duration
+	keptFor   time.Duration
 	seenAt    time.Time
 }
 
+// keptFor is how long a row is kept.
+func (r crashRow) keptFor() time.Duration {
+	if r.Order == nil {
+		return crashesKept
+	}
+	return crashesKept + r.Order.BlockFor
+}
+
+// readCrashRow reads a row of crashes.
+func readCrashRow(row passthrough.Row) (content quarantine.Digest, kept crashRow, err error) {
+	text, _, _ := strings.Cut(row.Key, "/")
+	content, err = quarantine.ParseDigest(text)
+	if err == nil {
+		err = json.Unmarshal(row.Value, &kept)
+	}
+	return content, kept, err
+}
+
 // applyCrashes takes a row of crashes; the caller holds mu.
 func (v *view) applyCrashes(row passthrough.Row) {
 	if row.Version <= v.crashes[row.Key].version {
@@ -69,17 +96,16 @@
 		delete(v.crashes, row.Key)
 		return
 	}
-	text, _, _ := strings.Cut(row.Key, "/")
-	content, err := quarantine.ParseDigest(text)
-	var kept crashRow
-	if err == nil {
-		err = json.Unmarshal(row.Value, &kept)
-	}
+	content, kept, err := readCrashRow(row)
 	if err != nil {
 		events.JobRowUnreadable.Log(v.logger, zap.String("row", row.Key), zap.Error(err))
 		return
 	}
-	v.crashes[row.Key] = seenCrashes{version: row.Version, writtenAt: kept.WrittenAt, seenAt: time.Now()}
+	v.crashes[row.Key] = seenCrashes{version: row.Version, writtenAt: kept.WrittenAt, keptFor: kept.keptFor(), seenAt: time.Now()}
+	if kept.Order != nil {
+		order := quarantine.Order{Content: content, Version: row.Version, Left: kept.Order.BlockFor}
+		v.unheard = append(v.unheard, heardCrash{order: &order, writtenAt: kept.WrittenAt})
+	}
 	for _, entry := range kept.Crashes {
 		v.unheard = append(v.unheard, heardCrash{
 			crash:     quarantine.Crash{Content: content, Engine: entry.Engine, Age: entry.Age, Excused: entry.Excused},
@@ -88,10 +114,11 @@
 	}
 }
 
-// heardCrash is a crash from a row, which the guard has not been told of.
+// heardCrash is a crash from a row, or an operator's word, which the guard has not been told of.
 type heardCrash struct {
 	crash     quarantine.Crash
-	writtenAt time.Duration // by the store's clock
+	order     *quarantine.Order // nil: it is a crash
+	writtenAt time.Duration     // by the store's clock
 }
 
 // learnCrashes tells the guard of the crashes in rows that came since.
@@ -105,13 +132,21 @@
 	}
 	at, known := s.now()
 	crashes := make([]quarantine.Crash, 0, len(heard))
+	var orders []quarantine.Order
 	for _, told := range heard {
+		since := time.Duration(0)
 		if known {
-			told.crash.Age += max(at-told.writtenAt, 0)
+			since = max(at-told.writtenAt, 0)
+		}
+		if told.order != nil {
+			orders = append(orders, quarantine.Order{Content: told.order.Content, Version: told.order.Version, Left: max(told.order.Left-since, 0)})
+			continue
 		}
+		told.crash.Age += since
 		crashes = append(crashes, told.crash)
 	}
 	s.Guard.Learn(crashes)
+	s.Guard.LearnOrders(orders)
 }
 
 // removeCrashes removes rows of crashes that are no longer needed.
@@ -119,7 +154,7 @@
 	var old []passthrough.Row
 	s.view.mu.Lock()
 	for key, known := range s.view.crashes {
-		if now > known.writtenAt+crashesKept && time.Since(known.seenAt) > collectEvery && len(old) < removeRows {
+		if now > known.writtenAt+known.keptFor && time.Since(known.seenAt) > collectEvery && len(old) < removeRows {
 			old = append(old, passthrough.Row{Table: tableJobs, Part: partCrashes, Key: key})
 		}
 	}
--- /dev/null
+++ b/internal/passthrough/batch/orders.go
@@ -0,0 +1,141 @@
+package batch
+
+import (
+	"cmp"
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"slices"
+	"time"
+
+	"ringstream.example/ringstream/internal/core/ordering"
+	"ringstream.example/ringstream/internal/core/quarantine"
+	"ringstream.example/ringstream/internal/passthrough"
+)
+
+// Quarantine is what the store keeps of contents that end engines, for operators: nodes are not
+// asked, and all that follow the store hear of a change.
+type Quarantine struct{ Rows passthrough.Rows }
+
+// KnownContent is a content that the store tells of.
+type KnownContent struct {
+	quarantine.BlockedContent
+	Reason string // of the operator's last word; empty: there is none
+}
+
+// operatorKey is the key of the operators' row of a content.
+func operatorKey(content quarantine.Digest) string { return content.Key() + "/operator" }
+
+// LongestBlock bounds a block by an operator.
+const LongestBlock = 7 * 24 * time.Hour
+
+// ErrBlockLength says that a block is too short or too long.
+var ErrBlockLength = fmt.Errorf("a block lasts for more than 0 and at most %s", LongestBlock)
+
+// Read gives the contents that the store tells of, the blocked ones first.
+func (q Quarantine) Read(ctx context.Context) ([]KnownContent, error) {
+	rows, storeNow, err := q.list(ctx)
+	if err != nil {
+		return nil, err
+	}
+	ledger, now := quarantine.NewLedger(quarantine.DefaultConfig()), time.Now()
+	known := make(map[quarantine.Digest]*KnownContent)
+	for _, row := range rows {
+		content, kept, err := readCrashRow(row)
+		if err != nil {
+			return nil, fmt.Errorf("row %s: %w", row.Key, err)
+		}
+		if known[content] == nil {
+			known[content] = &KnownContent{BlockedContent: quarantine.BlockedContent{Content: content}}
+		}
+		since := max(storeNow-kept.WrittenAt, 0)
+		for _, entry := range kept.Crashes {
+			ledger.Note(quarantine.Crash{Content: content, Engine: entry.Engine, Age: entry.Age + since, Excused: entry.Excused}, now)
+		}
+		if kept.Order != nil {
+			known[content].Reason = kept.Order.Reason
+			ledger.Order(quarantine.Order{Content: content, Version: row.Version, Left: max(kept.Order.BlockFor-since, 0)}, now)
+		}
+	}
+	list := make([]KnownContent, 0, len(known))
+	for content, told := range known {
+		told.Verdict, told.Crashes = ledger.Verdict(content, now), ledger.Crashes(content, now)
+		list = append(list, *told)
+	}
+	slices.SortFunc(list, func(a, b KnownContent) int {
+		return cmp.Or(ordering.FalseFirst(b.Verdict.Blocked, a.Verdict.Blocked), cmp.Compare(b.Verdict.Crashes, a.Verdict.Crashes), slices.Compare(a.Content[:], b.Content[:]))
+	})
+	return list, nil
+}
+
+// Block has a content reach no engine for some time, whatever its crashes tell.
+func (q Quarantine) Block(ctx context.Context, content quarantine.Digest, lasting time.Duration, reason string) error {
+	if lasting <= 0 || lasting > LongestBlock {
+		return ErrBlockLength
+	}
+	_, storeNow, err := q.list(ctx)
+	if err != nil {
+		return err
+	}
+	return q.put(ctx, content, crashRow{WrittenAt: storeNow, Order: &orderEntry{BlockFor: lasting, Reason: reason}})
+}
+
+// Lift ends the block of a content, by an operator or by its crashes: those that the store
+// tells of count no longer. Engines that end under it from then on count anew. It gives
+// ErrNotFound for a content that the store does not tell of.
+func (q Quarantine) Lift(ctx context.Context, content quarantine.Digest, reason string) error {
+	rows, storeNow, err := q.list(ctx)
+	if err != nil {
+		return err
+	}
+	lifted := crashRow{WrittenAt: storeNow, Order: &orderEntry{Reason: reason}}
+	found := false
+	for _, row := range rows {
+		of, kept, err := readCrashRow(row)
+		if err != nil || of != content {
+			continue
+		}
+		found = true
+		for _, entry := range kept.Crashes {
+			entry.Age += max(storeNow-kept.WrittenAt, 0)
+			entry.Excused = true
+			lifted.Crashes = append(lifted.Crashes, entry)
+		}
+	}
+	if !found {
+		return passthrough.ErrNotFound
+	}
+	return q.put(ctx, content, lifted)
+}
+
+// errNotWritten says that the store refused a row without a reason.
+var errNotWritten = errors.New("the store did not take the row")
+
+func (q Quarantine) put(ctx context.Context, content quarantine.Digest, row crashRow) error {
+	value, err := json.Marshal(row)
+	if err != nil {
+		return err
+	}
+	result, err := q.Rows.Commit(ctx, passthrough.Transaction{Put: []passthrough.Row{{Table: tableJobs, Part: partCrashes, Key: operatorKey(content), Value: value}}})
+	if err == nil && !result.Applied {
+		return errNotWritten
+	}
+	return err
+}
+
+// list reads all rows of crashes, and the store's clock.
+func (q Quarantine) list(ctx context.Context) (rows []passthrough.Row, storeNow time.Duration, err error) {
+	from := ""
+	for {
+		snapshot, err := q.Rows.List(ctx, tableJobs, partCrashes, from, "", 0)
+		if err != nil {
+			return nil, 0, err
+		}
+		rows, storeNow = append(rows, snapshot.Rows...), snapshot.StoreAt
+		if !snapshot.More || len(snapshot.Rows) == 0 {
+			return rows, storeNow, nil
+		}
+		from = snapshot.Rows[len(snapshot.Rows)-1].Key + "\x00"
+	}
+}
--- a/internal/passthrough/guard/guard.go
+++ b/internal/passthrough/guard/guard.go
@@ -56,7 +56,7 @@
 	transport Transport // nil: this node is alone
 	keeper    Keeper    // nil: nothing is kept
 	onBlocked func(quarantine.Digest)
-	known     atomic.Int64
+	known     atomic.Bool   // something, of any content
 	wake      chan struct{} // has one token when there is something to tell
 	toKeep    chan struct{} // has one token when there is something to keep
 
@@ -89,7 +89,7 @@
 // Verdict judges a content. While no engine has ended under any request it costs one
 // atomic load.
 func (s *Service) Verdict(content quarantine.Digest) quarantine.Verdict {
-	if s.known.Load() == 0 {
+	if !s.known.Load() {
 		return quarantine.Verdict{}
 	}
 	now := time.Now()
@@ -154,7 +154,7 @@
 
 // Served takes word that a run of a content was whole.
 func (s *Service) Served(request string, content quarantine.Digest) {
-	if s.known.Load() == 0 {
+	if !s.known.Load() {
 		return
 	}
 	now := time.Now()
@@ -217,11 +217,37 @@
 	}
 }
 
+// LearnOrders takes the words of operators that were kept in the store.
+func (s *Service) LearnOrders(orders []quarantine.Order) {
+	now := time.Now()
+	newly := make(map[quarantine.Digest]quarantine.Verdict)
+	s.mu.Lock()
+	for _, order := range orders {
+		if !s.ledger.Order(order, now) {
+			continue
+		}
+		verdict := s.ledger.Verdict(order.Content, now)
+		if !verdict.Blocked {
+			delete(s.blocked, order.Content)
+		}
+		if s.noteBlocked(order.Content, verdict) {
+			newly[order.Content] = verdict
+		}
+	}
+	s.countKnown()
+	s.mu.Unlock()
+	for content, verdict := range newly {
+		s.logBlocked(true, content, verdict, "operator")
+	}
+}
+
+// countKnown has Verdict look at the ledger once something is known; the caller holds mu.
+func (s *Service) countKnown() { s.known.Store(!s.ledger.Empty()) }
+
 // note puts a crash into the ledger; the caller holds mu.
 func (s *Service) note(crash quarantine.Crash, now time.Time) bool {
 	news := s.ledger.Note(crash, now)
-	contents, _ := s.ledger.Sizes()
-	s.known.Store(int64(contents))
+	s.countKnown()
 	return news
 }
 
--- a/internal/passthrough/guard/spread.go
+++ b/internal/passthrough/guard/spread.go
@@ -170,7 +170,7 @@
 
 // tellGravest tells one node what all must know in the end.
 func (s *Service) tellGravest(now time.Time) {
-	if s.transport == nil || s.known.Load() == 0 {
+	if s.transport == nil || !s.known.Load() {
 		return
 	}
 	s.mu.Lock()
@@ -197,8 +197,7 @@
 			delete(s.blocked, content)
 		}
 	}
-	contents, _ := s.ledger.Sizes()
-	s.known.Store(int64(contents))
+	s.countKnown()
 }
 
 // keptFrom is how many engines end under a content before its crashes are kept in the
--- a/internal/passthrough/relay/outcome.go
+++ b/internal/passthrough/relay/outcome.go
@@ -112,22 +112,27 @@
 	return NotRun
 }
 
-// refuseBlocked answers at once that engines end under the request's content, and when it
-// may be sent again. It promises nothing of the request having run, since the same one has.
+// refuseBlocked answers at once that engines end under the request's content, or that an
+// operator has blocked it, and when it may be sent again. It promises nothing of the
+// request having run.
 func (e *exchange) refuseBlocked(verdict quarantine.Verdict) Outcome {
 	if e.headSent {
 		return Cut
 	}
 	left := time.Until(verdict.Until)
 	events.ContentRefused.Log(e.logger, zap.String("request", e.call.Demand.RequestID), zap.Stringer("content", e.content), zap.String("route", e.call.Route.Name),
-		zap.String("tenant", e.call.TenantName()), zap.Int("crashes", verdict.Crashes), zap.Float64("evidence", verdict.Evidence), zap.Duration("retry_after", left))
+		zap.String("tenant", e.call.TenantName()), zap.Int("crashes", verdict.Crashes), zap.Float64("evidence", verdict.Evidence), zap.Bool("by_operator", verdict.Ordered), zap.Duration("retry_after", left))
 	e.guard.Metrics.Refused(e.call.Route.Name)
 	e.status = http.StatusBadGateway
 	e.headers.SetRetryAfter(e.to.Header(), left)
-	WriteRefusal(e.to, e.status, Refusal{
+	refusal := Refusal{
 		Code: "request_ends_engines", Run: RunFailed,
 		Message: fmt.Sprintf("%d engines ended while they ran this request; it is not sent to more of them", verdict.Crashes),
-	})
+	}
+	if verdict.Ordered {
+		refusal = Refusal{Code: "content_blocked", Run: RunUnknown, Message: "an operator has blocked this request; it is sent to no engine"}
+	}
+	WriteRefusal(e.to, e.status, refusal)
 	return Failed
 }
 
