ringstream: quarantine list, block, lift and digest

Cause: operators had logs alone to see what is blocked and why. Conclusion: no API of the pass-through nodes is needed.

--- a/cmd/ringstream/failure.go
+++ b/cmd/ringstream/failure.go
@@ -8,6 +8,7 @@
 	"strings"
 
 	"ringstream.example/ringstream/internal/adminclient"
+	"ringstream.example/ringstream/internal/passthrough"
 	"ringstream.example/ringstream/internal/settings"
 )
 
@@ -47,11 +48,11 @@
 	var connection *adminclient.ConnectionError
 	var untold *noStoryError
 	switch {
-	case errors.As(err, &untold):
+	case errors.As(err, &untold), errors.Is(err, passthrough.ErrNotFound):
 		return exitNotFound
 	case errors.As(err, &usage), errors.As(err, &wrong), strings.HasPrefix(err.Error(), "unknown command"):
 		return exitUsage
-	case errors.As(err, &connection):
+	case errors.As(err, &connection), errors.Is(err, passthrough.ErrNothingDone), errors.Is(err, passthrough.ErrOutcomeUnknown):
 		return exitUnavailable
 	case errors.As(err, &answer):
 		return exitCodeOf(answer.Status)
--- a/cmd/ringstream/root.go
+++ b/cmd/ringstream/root.go
@@ -18,7 +18,7 @@
 )
 
 const exitCodesHelp = `Exit codes: 0 done; 1 another failure; 2 wrong command line or settings;
-3 no such row, job or node; 4 the row was changed by someone else;
+3 no such row, job, node or content; 4 the row was changed by someone else;
 5 the key is missing, unknown or not allowed; 6 the node or the store cannot
 be reached; 7 the request was refused as wrong.`
 
@@ -55,7 +55,7 @@
 		}
 		return &usageError{command: command.CommandPath(), cause: fmt.Errorf("--output: %q is not allowed; allowed: json, table", options.output)}
 	}
-	root.AddCommand(newNode(options), newRow(options), newJob(options), newConfig(options), newExplain(), newVersion(options))
+	root.AddCommand(newNode(options), newRow(options), newJob(options), newConfig(options), newExplain(), newQuarantine(options), newVersion(options))
 	return root
 }
 
