platform: read the start of an engine from its entry

Cause: an engine may start again under its id, and an entry gave no start. Change: EngineEntry.BornMs, the Unix milliseconds of the start, 0 where the entry does not tell it. Conclusion: the field is there to build on; nothing uses it yet.

--- a/internal/passthrough/passthrough.go
+++ b/internal/passthrough/passthrough.go
@@ -84,6 +84,7 @@
 	Slots   int
 	State   EngineState
 	ColdFor time.Duration // how much longer it is slow from its start
+	BornMs  int64         // Unix time of its start in milliseconds; 0: not told
 }
 
 // Documents reads the platform's documents.
