catalog: an engine whose entry names none to use gets no new request

Cause: an entry that could not be read was logged and passed over, so that the former one stayed in use; its removal was passed over where nothing had been known; a service that no configuration names was taken for a pool; a draining engine whose entry went while the store was sick came back into use. Change: entries are judged when they change and when the routes in force do, before each use of the engines. A refused one puts its engine into the new state withheld: not picked, not expected to end, with all that was learned of it. A doubtful removal revives no leaving engine.

--- a/internal/core/enginechoice/enginechoice.go
+++ b/internal/core/enginechoice/enginechoice.go
@@ -12,30 +12,6 @@
 	"github.com/cespare/xxhash/v2"
 )
 
-// State says whether an engine takes new work.
-type State uint8
-
-// The states of an engine.
-const (
-	Ready   State = iota
-	Leaving       // told so, or its entry went: takes no new work
-	// Unlisted engines lost their entry while the list could not be trusted;
-	// they are used until ExpireUnlisted.
-	Unlisted
-)
-
-// String gives the state's name for logs.
-func (s State) String() string {
-	switch s {
-	case Leaving:
-		return "leaving"
-	case Unlisted:
-		return "unlisted"
-	default:
-		return "ready"
-	}
-}
-
 // Entry is an engine as the list tells it.
 type Entry struct {
 	ID, Pool, Address, Zone string
@@ -149,6 +125,7 @@
 	if known == nil {
 		return
 	}
+	doubtful = doubtful && known.usable() // one that was leaving does not come back by it
 	known.since = now
 	known.state = Leaving
 	s.changes++
@@ -158,6 +135,19 @@
 	s.forgetIdle(now)
 }
 
+// Withhold takes word that an engine's entry names no engine to use. What was learned
+// of the engine stays, for the entry may hold again; one that was leaving still is. It
+// reports whether the belief changed.
+func (s *Set) Withhold(id string, now time.Time) bool {
+	known := s.engines[id]
+	if known == nil || !known.usable() {
+		return false
+	}
+	known.state, known.since = Withheld, now
+	s.changes++
+	return true
+}
+
 // ExpireUnlisted takes engines as gone that lost their entry before a time and
 // were not listed again. It gives their ids.
 func (s *Set) ExpireUnlisted(before, now time.Time) []string {
@@ -243,7 +233,7 @@
 	return count
 }
 
-func (e *engine) usable() bool { return e.state != Leaving }
+func (e *engine) usable() bool { return e.state.Usable() }
 
 // Own gives this node's work under way at each engine that has some.
 func (s *Set) Own() map[string]Counts {
--- a/internal/core/enginechoice/enginechoice_test.go
+++ b/internal/core/enginechoice/enginechoice_test.go
@@ -169,6 +169,51 @@
 	}
 }
 
+func TestWithheldEngineTakesNoWorkAndKeepsWhatWasLearned(t *testing.T) {
+	set := newSet(2)
+	work := startAll(set, "e0", 2, 0)
+	set.Remember("e0", []Part{{ID: "a", Tokens: 50}}, start)
+	if !set.Withhold("e0", start) || set.Withhold("e0", start) || set.Withhold("unknown", start) {
+		t.Error("a change of the belief is told wrongly")
+	}
+	for range 10 {
+		if choice, found := set.Pick(Query{Pool: "p"}, start); !found || choice.Entry.ID != "e1" {
+			t.Fatalf("picked %+v", choice)
+		}
+	}
+	if listed, _ := set.Find("e0"); listed.State != Withheld || set.Serving("p") != 1 {
+		t.Errorf("e0 is %s, %d serve", listed.State, set.Serving("p"))
+	}
+	if counts := set.Own()["e0"]; counts.Online != len(work) {
+		t.Errorf("%+v are under way at the withheld engine, want %d", counts, len(work))
+	}
+	set.Upsert(Entry{ID: "e0", Pool: "p", Zone: "z1", Slots: 4}, Ready, start)
+	if set.Serving("p") != 2 || set.engines["e0"].resident["a"].tokens != 50 {
+		t.Error("an engine whose entry holds again serves as another")
+	}
+}
+
+func TestWithheldEngineWhoseEntryGoesIsGone(t *testing.T) {
+	set := newSet(1)
+	set.Withhold("e0", start)
+	set.Remove("e0", true, start)
+	if listed, _ := set.Find("e0"); listed.State != Leaving {
+		t.Errorf("after a doubtful removal the withheld engine is %s", listed.State)
+	}
+}
+
+func TestLeavingEngineDoesNotComeBackByADoubtfulRemoval(t *testing.T) {
+	set := newSet(1)
+	set.Upsert(Entry{ID: "e0", Pool: "p", Zone: "z1", Slots: 4}, Leaving, start)
+	if set.Withhold("e0", start) {
+		t.Error("a leaving engine was withheld, as if its end were not expected")
+	}
+	set.Remove("e0", true, start)
+	if listed, _ := set.Find("e0"); listed.State != Leaving {
+		t.Errorf("a draining engine whose entry goes while the store is sick is %s", listed.State)
+	}
+}
+
 func startAll(set *Set, engine string, online, batch int) []*Work {
 	var all []*Work
 	for i := range online + batch {
--- a/internal/core/passroute/passroute.go
+++ b/internal/core/passroute/passroute.go
@@ -133,6 +133,12 @@
 // Pool gives a pool's description; the zero Pool when the table has none.
 func (t *Table) Pool(name string) Pool { return t.pools[name] }
 
+// HasPool says whether the table names a pool.
+func (t *Table) HasPool(name string) bool {
+	_, named := t.pools[name]
+	return named
+}
+
 // Lookup gives the route with the longest prefix of path at the host.
 func (t *Table) Lookup(host, path string) (*Route, bool) {
 	for _, route := range t.byHost[NormalHost(host)] {
--- a/internal/passthrough/catalog/engines.go
+++ b/internal/passthrough/catalog/engines.go
@@ -8,6 +8,7 @@
 	"go.uber.org/zap"
 
 	"ringstream.example/ringstream/internal/core/enginechoice"
+	"ringstream.example/ringstream/internal/core/passroute"
 	"ringstream.example/ringstream/internal/events"
 	"ringstream.example/ringstream/internal/passthrough"
 	"ringstream.example/ringstream/internal/wait"
@@ -30,31 +31,38 @@
 	routes    *Routes
 	health    func() Health
 	logger    *zap.Logger
+	refusals  *Refusals
 
-	mu   sync.Mutex // guards the rest
-	set  *enginechoice.Set
-	rows map[string]passthrough.Row // the newest of each engine, removed ones too
-	byID map[string]passthrough.EngineEntry
+	mu       sync.Mutex // guards the rest
+	set      *enginechoice.Set
+	rows     map[string]passthrough.Row // the newest of each engine, removed ones too
+	listed   map[string]listedEntry     // those with a row, by their ids
+	judgedBy *passroute.Table           // that the entries were last judged by
 }
 
 // NewEngines makes an empty list for a node.
 func NewEngines(node string, documents passthrough.Documents, routes *Routes, logger *zap.Logger) *Engines {
 	return &Engines{
 		documents: documents, routes: routes, logger: logger,
-		health: func() Health { return Health{} },
-		set:    enginechoice.NewSet(node),
-		rows:   make(map[string]passthrough.Row),
-		byID:   make(map[string]passthrough.EngineEntry),
+		refusals: NewRefusals(nil, logger),
+		health:   func() Health { return Health{} },
+		set:      enginechoice.NewSet(node),
+		rows:     make(map[string]passthrough.Row),
+		listed:   make(map[string]listedEntry),
 	}
 }
 
 // JudgeBy has the list ask how well the store is followed; called before Run.
 func (e *Engines) JudgeBy(health func() Health) { e.health = health }
 
+// CountBy has refused entries counted; called before Run.
+func (e *Engines) CountBy(refusals *Refusals) { e.refusals = refusals }
+
 // Use runs a function on the set under its lock.
 func (e *Engines) Use(do func(set *enginechoice.Set, now time.Time)) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
+	e.judgeAnew()
 	do(e.set, time.Now())
 }
 
@@ -68,7 +76,7 @@
 		listed[row.Key] = true
 		e.apply(row)
 	}
-	for id := range e.byID {
+	for id := range e.listed {
 		if !listed[id] && e.rows[id].Version <= version {
 			e.remove(id, version)
 		}
@@ -92,13 +100,10 @@
 		e.remove(row.Key, row.Version)
 		return
 	}
+	e.judgeAnew()
 	e.rows[row.Key] = row
 	entry, err := e.documents.Engine(row.Key, row.Value)
-	if err != nil {
-		events.EngineUnreadable.Log(e.logger, zap.String("engine", row.Key), zap.Error(err))
-		return
-	}
-	e.take(entry, row.Version)
+	e.judge(row.Key, listedEntry{entry: entry, unread: err, version: row.Version})
 }
 
 func (e *Engines) take(entry passthrough.EngineEntry, version int64) {
@@ -114,17 +119,16 @@
 	if entry.ColdFor > 0 {
 		known.ColdUntil = now.Add(entry.ColdFor)
 	}
-	e.byID[entry.ID] = entry
 	if e.set.Upsert(known, state, now) {
 		events.EngineSeen.Log(e.logger, zap.String("engine", entry.ID), zap.String("address", entry.Address), zap.Stringer("state", state), zap.Int64("store_version", version))
 	}
 }
 
 func (e *Engines) remove(id string, version int64) {
-	if _, known := e.byID[id]; !known {
+	if _, known := e.listed[id]; !known {
 		return
 	}
-	delete(e.byID, id)
+	delete(e.listed, id)
 	e.rows[id] = passthrough.Row{Key: id, Version: version, Gone: true}
 	now := time.Now()
 	health := e.health()
--- /dev/null
+++ b/internal/passthrough/catalog/entries_test.go
@@ -0,0 +1,259 @@
+package catalog
+
+import (
+	"errors"
+	"fmt"
+	"strconv"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/prometheus/client_golang/prometheus"
+	"go.uber.org/zap"
+	"go.uber.org/zap/zaptest/observer"
+
+	"ringstream.example/ringstream/internal/core/enginechoice"
+	"ringstream.example/ringstream/internal/core/passroute"
+	"ringstream.example/ringstream/internal/events"
+	"ringstream.example/ringstream/internal/passthrough"
+)
+
+// plainDocuments reads entries of the form "POOL STATE" and configurations of the form
+// "VERSION POOL..."; others are of no engine and no routes.
+type plainDocuments struct{}
+
+func (plainDocuments) Places() passthrough.Places { return passthrough.Places{RoutesKey: "routes"} }
+
+func (plainDocuments) Routes(document []byte) (*passroute.Table, error) {
+	words := strings.Fields(string(document))
+	if len(words) == 0 {
+		return nil, errors.New("empty")
+	}
+	version, err := strconv.ParseInt(words[0], 10, 64)
+	if err != nil {
+		return nil, &passthrough.DocumentError{Reason: passthrough.DocumentWrongType, Field: "version", Detail: err.Error()}
+	}
+	var pools []passroute.Pool
+	for _, name := range words[1:] {
+		pools = append(pools, passroute.Pool{Name: name})
+	}
+	return passroute.NewTable(version, nil, pools, passroute.Limits{}, passroute.Tenants{}), nil
+}
+
+func (plainDocuments) Engine(id string, document []byte) (passthrough.EngineEntry, error) {
+	pool, state, found := strings.Cut(string(document), " ")
+	if !found {
+		return passthrough.EngineEntry{}, &passthrough.DocumentError{Reason: passthrough.DocumentMissingField, Field: "state", Detail: "not there"}
+	}
+	entry := passthrough.EngineEntry{ID: id, Pool: pool, Address: "127.0.0.1:1", Zone: "z1", Slots: 2}
+	if state == "draining" {
+		entry.State = passthrough.EngineDraining
+	}
+	return entry, nil
+}
+
+// listing is a list of engines with the routes that it is judged by.
+type listing struct {
+	t       *testing.T
+	engines *Engines
+	routes  *Routes
+	metrics *prometheus.Registry
+	lines   *observer.ObservedLogs
+	version int64
+}
+
+func newListing(t *testing.T) *listing {
+	core, lines := observer.New(zap.InfoLevel)
+	logger := zap.New(core)
+	l := &listing{t: t, metrics: prometheus.NewRegistry(), lines: lines}
+	l.routes = NewRoutes(plainDocuments{}, logger)
+	l.engines = NewEngines("n1", plainDocuments{}, l.routes, logger)
+	refusals := NewRefusals(l.metrics, logger)
+	l.routes.CountBy(refusals)
+	l.engines.CountBy(refusals)
+	return l
+}
+
+func (l *listing) put(id, document string) {
+	l.version++
+	l.engines.Change([]passthrough.Row{{Key: id, Value: []byte(document), Version: l.version}})
+}
+
+func (l *listing) remove(id string) {
+	l.version++
+	l.engines.Change([]passthrough.Row{{Key: id, Version: l.version, Gone: true}})
+}
+
+// expect checks which engines of a pool would get a request.
+func (l *listing) expect(when, pool string, want ...string) {
+	l.t.Helper()
+	l.engines.Use(func(set *enginechoice.Set, now time.Time) {
+		if serving := set.Serving(pool); serving != len(want) {
+			l.t.Errorf("%s: %d engines of %s serve, want %v", when, serving, pool, want)
+		}
+		exclude := make(map[string]bool)
+		for range want {
+			choice, _ := set.Pick(enginechoice.Query{Pool: pool, Exclude: exclude}, now)
+			exclude[choice.Entry.ID] = true
+		}
+		for _, id := range want {
+			if !exclude[id] {
+				l.t.Errorf("%s: picked of %s are %v, want %v", when, pool, exclude, want)
+			}
+		}
+	})
+}
+
+// warnings gives the reasons of the entries that were warned of.
+func (l *listing) warnings() []string {
+	var reasons []string
+	for _, line := range l.lines.FilterMessage(events.EngineWithheld.Name).All() {
+		reasons = append(reasons, fmt.Sprint(line.ContextMap()["reason"]))
+	}
+	return reasons
+}
+
+// count gives a count as it stands on the metrics.
+func (l *listing) count(document, reason string) float64 {
+	l.t.Helper()
+	families, err := l.metrics.Gather()
+	if err != nil {
+		l.t.Fatal(err)
+	}
+	for _, family := range families {
+		for _, metric := range family.GetMetric() {
+			labels := make(map[string]string)
+			for _, label := range metric.GetLabel() {
+				labels[label.GetName()] = label.GetValue()
+			}
+			if labels["document"] == document && labels["reason"] == reason {
+				return metric.GetCounter().GetValue()
+			}
+		}
+	}
+	return 0
+}
+
+// TestUnreadableEntryTakesItsEngineOutOfUse.
+//
+// Symptom: an engine whose entry had turned unreadable kept getting requests, for as long as
+// the entry lay there.
+//
+// Cause: an entry that could not be read was logged and passed over; what was known of the
+// engine before stayed in force, and its removal later was passed over where nothing had been
+// known.
+func TestUnreadableEntryTakesItsEngineOutOfUse(t *testing.T) {
+	l := newListing(t)
+	l.routes.Take([]byte("1 chat"), "test")
+	l.put("e0", "chat ready")
+	l.put("e1", "chat ready")
+	work := &enginechoice.Work{}
+	l.engines.Use(func(set *enginechoice.Set, _ time.Time) { set.Start("e0", work) })
+	l.expect("at first", "chat", "e0", "e1")
+	l.put("e0", "unreadable")
+	l.expect("unreadable", "chat", "e1")
+	l.engines.Use(func(set *enginechoice.Set, _ time.Time) {
+		if set.Own()["e0"].Online != 1 {
+			t.Error("what ran there is no longer counted")
+		}
+	})
+	l.put("e0", "chat ready")
+	l.expect("readable again", "chat", "e0", "e1")
+	l.put("e0", "unreadable")
+	l.remove("e0")
+	l.expect("gone", "chat", "e1")
+	l.put("e2", "unreadable")
+	l.remove("e2")
+	l.put("e2", "chat ready")
+	l.expect("came unreadable, went and came whole", "chat", "e1", "e2")
+}
+
+func TestRemovedUnreadableEntryIsToldOnAsGone(t *testing.T) {
+	l := newListing(t)
+	l.put("e0", "unreadable")
+	l.engines.Replace(nil, l.version)
+	if rows := l.engines.Since(0); len(rows) != 1 || !rows[0].Gone {
+		t.Errorf("told to peers: %+v", rows)
+	}
+}
+
+func TestEntryOfAServiceThatIsNotNamed(t *testing.T) {
+	t.Run("the entry comes first", func(t *testing.T) {
+		l := newListing(t)
+		l.put("e0", "chat ready")
+		l.put("e1", "other ready")
+		l.routes.Take([]byte("1 chat"), "test")
+		l.expect("version 1", "chat", "e0")
+		l.expect("version 1", "other")
+		l.routes.Take([]byte("2 chat other"), "test")
+		l.expect("version 2", "other", "e1")
+		l.routes.Take([]byte("3 other"), "test")
+		l.expect("version 3", "chat")
+		if got := l.warnings(); fmt.Sprint(got) != "[unknown_service unknown_service]" {
+			t.Errorf("warned: %v", got)
+		}
+	})
+	t.Run("the configuration comes first", func(t *testing.T) {
+		l := newListing(t)
+		l.routes.Take([]byte("1 chat"), "test")
+		l.put("e1", "other ready")
+		l.expect("version 1", "other")
+		l.routes.Take([]byte("2 chat other"), "test")
+		l.expect("version 2", "other", "e1")
+		l.put("e1", "third ready")
+		l.expect("the entry names another", "other")
+	})
+}
+
+func TestEachChangeOfARefusedEntryIsWarnedOfOnce(t *testing.T) {
+	l := newListing(t)
+	l.routes.Take([]byte("1 chat"), "test")
+	l.put("e0", "unreadable")
+	for range 5 {
+		l.engines.Replace([]passthrough.Row{{Key: "e0", Value: []byte("unreadable"), Version: l.version}}, l.version)
+	}
+	l.put("e0", "unreadable")
+	l.put("e0", "other ready")
+	l.routes.Take([]byte("2 chat"), "test")
+	l.put("e0", "chat ready")
+	l.put("e0", "unreadable")
+	if got := l.warnings(); fmt.Sprint(got) != "[missing_field missing_field unknown_service missing_field]" {
+		t.Errorf("warned: %v", got)
+	}
+	if got := l.count("engine", "missing_field"); got != 3 {
+		t.Errorf("counted %v", got)
+	}
+	if got := l.count("engine", "unknown_service"); got != 1 {
+		t.Errorf("counted %v", got)
+	}
+}
+
+func TestFloodOfBadEntriesDoesNotFloodTheLog(t *testing.T) {
+	const entries = 5000
+	l := newListing(t)
+	for i := range entries {
+		l.put(fmt.Sprint("e", i), "unreadable")
+	}
+	// A run of the test that crosses a tick may write the lines of two.
+	if got := len(l.warnings()); got < refusalLines || got > 2*refusalLines {
+		t.Errorf("%d lines", got)
+	}
+	if got := l.count("engine", "missing_field"); got != entries {
+		t.Errorf("counted %v", got)
+	}
+}
+
+func TestRefusedRoutesLeaveTheFormerInForce(t *testing.T) {
+	l := newListing(t)
+	l.routes.Take([]byte("4 chat"), "test")
+	l.routes.Change([]passthrough.Row{{Key: "routes", Value: []byte("five chat"), Version: 9}, {Key: "routes", Value: nil, Version: 10}})
+	if table, _ := l.routes.Table(); table.Version() != 4 {
+		t.Errorf("version %d is in force", table.Version())
+	}
+	if wrong, unreadable := l.count("routes", "wrong_type"), l.count("routes", "unreadable"); wrong != 1 || unreadable != 1 {
+		t.Errorf("counted %v and %v", wrong, unreadable)
+	}
+	if lines := l.lines.FilterMessage(events.RoutesRefused.Name).Len(); lines != 2 {
+		t.Errorf("%d lines", lines)
+	}
+}
--- a/internal/passthrough/catalog/routes.go
+++ b/internal/passthrough/catalog/routes.go
@@ -18,6 +18,7 @@
 type Routes struct {
 	documents passthrough.Documents
 	logger    *zap.Logger
+	refusals  *Refusals
 
 	mu       sync.RWMutex
 	table    *passroute.Table
@@ -32,9 +33,12 @@
 
 // NewRoutes makes a holder that knows no routes yet.
 func NewRoutes(documents passthrough.Documents, logger *zap.Logger) *Routes {
-	return &Routes{documents: documents, logger: logger, splitter: passroute.NewSplitter(rand.Float64), health: func() Health { return Health{} }}
+	return &Routes{documents: documents, logger: logger, refusals: NewRefusals(nil, logger), splitter: passroute.NewSplitter(rand.Float64), health: func() Health { return Health{} }}
 }
 
+// CountBy has refused documents counted; called before Run.
+func (r *Routes) CountBy(refusals *Refusals) { r.refusals = refusals }
+
 // JudgeBy has the routes ask how well the store is followed; called before Run.
 func (r *Routes) JudgeBy(health func() Health) { r.health = health }
 
@@ -106,7 +110,7 @@
 func (r *Routes) Take(document []byte, source string) bool {
 	table, err := r.documents.Routes(document)
 	if err != nil {
-		events.RoutesRefused.Log(r.logger, zap.String("source", source), zap.Error(err))
+		r.refusals.note(routesDocument, events.RoutesRefused, err, zap.String("source", source))
 		return false
 	}
 	r.mu.Lock()
--- a/internal/passthrough/edge/edge.go
+++ b/internal/passthrough/edge/edge.go
@@ -92,6 +92,9 @@
 	whole := []string{""}
 	node.routes = catalog.NewRoutes(platform.Documents, node.logger)
 	node.engines = catalog.NewEngines(identity.Name, platform.Documents, node.routes, node.logger)
+	refusals := catalog.NewRefusals(node.registry, node.logger)
+	node.routes.CountBy(refusals)
+	node.engines.CountBy(refusals)
 	node.routesFollower = catalog.NewFollower(follow, node.store, places.RoutesTable, whole, node.routes, node.logger)
 	engineFollow := follow
 	engineFollow.Pace = enginePace
--- a/internal/passthrough/slots/acquire.go
+++ b/internal/passthrough/slots/acquire.go
@@ -329,7 +329,7 @@
 	var listed enginechoice.Listed
 	found := false
 	s.Engines.Use(func(set *enginechoice.Set, _ time.Time) { listed, found = set.Find(id) })
-	if !found || listed.State == enginechoice.Leaving || query.Exclude[id] {
+	if !found || !listed.State.Usable() || query.Exclude[id] {
 		events.GrantDeclined.Log(s.Logger, zap.Uint64("ask", given.grant.ID), zap.String("engine", id), zap.String("dispatcher", given.from), zap.Bool("known", found), zap.Stringer("state", listed.State))
 		return Decision{}, false
 	}
