batch: rows that cannot be relied on are taken neither for something else nor for nothing

Cause: a job's row that could not be read counted as no row, so that calls about the job were answered 404; a record's positions were used as they came; a kept text under a negative index was taken in, and one with a last event and no pieces had its item go on without them; null and empty objects passed for signs of life and crashes. Conclusion: such rows are logged and left; the job waits for a node that can read it.

--- a/internal/core/passjob/passjob.go
+++ b/internal/core/passjob/passjob.go
@@ -73,9 +73,37 @@
 	if record.Format > RecordFormat {
 		return Record{}, fmt.Errorf("job record %s: format %d, this program knows formats up to %d", record.ID, record.Format, RecordFormat)
 	}
+	if err := record.check(); err != nil {
+		return Record{}, fmt.Errorf("job record %s: %w", record.ID, err)
+	}
 	return record, nil
 }
 
+// check refuses what no writer of this program leaves: whoever reads a record relies on
+// each listed item having its own position below Listed.
+func (r Record) check() error {
+	if r.ID == "" || r.Epoch < 0 || r.BodyBytes < 0 {
+		return fmt.Errorf("id %q, epoch %d, body_bytes %d", r.ID, r.Epoch, r.BodyBytes)
+	}
+	taken := make(map[int]bool, len(r.Items))
+	for index, item := range r.Items {
+		if item.ID == "" || item.Failures < 0 || item.State > DeadLetter {
+			return fmt.Errorf("items[%d]: id %q, failures %d, state %d", index, item.ID, item.Failures, item.State)
+		}
+		if item.State == Open {
+			continue
+		}
+		if item.Position < 0 || item.Position >= r.Listed || taken[item.Position] {
+			return fmt.Errorf("items[%d]: position %d of %d listed, or twice", index, item.Position, r.Listed)
+		}
+		taken[item.Position] = true
+	}
+	if len(taken) != r.Listed {
+		return fmt.Errorf("listed %d, and %d items have positions", r.Listed, len(taken))
+	}
+	return nil
+}
+
 // OpenTo says whether a tenant, given by its name, may read and end the job: its
 // own may, and anybody may where the record names none.
 func (r Record) OpenTo(tenant string) bool { return r.Tenant == "" || r.Tenant == tenant }
--- a/internal/passthrough/batch/crashes.go
+++ b/internal/passthrough/batch/crashes.go
@@ -66,7 +66,7 @@
 	content, err := quarantine.ParseDigest(text)
 	var kept crashRow
 	if err == nil {
-		err = json.Unmarshal(row.Value, &kept)
+		kept, err = decodeCrashes(row.Value)
 	}
 	if err != nil {
 		events.JobRowUnreadable.Log(v.logger, zap.String("row", row.Key), zap.Error(err))
--- a/internal/passthrough/batch/intake.go
+++ b/internal/passthrough/batch/intake.go
@@ -186,6 +186,9 @@
 		s.view.Learn(row)
 		return sameJob(present, call), false, nil
 	}
+	if err := unreadableRecord(result.current, record.ID); err != nil {
+		return unknown, false, err // it was accepted before, and may run
+	}
 	return refused, s.awaitQuota(ctx, queueOf(call), result.current), nil
 }
 
--- a/internal/passthrough/batch/owned.go
+++ b/internal/passthrough/batch/owned.go
@@ -117,7 +117,7 @@
 	for attempt := 0; ; attempt++ {
 		body, err := s.readBody(ctx, record)
 		if err == nil {
-			return s.Format.Items(body)
+			return s.itemsIn(body, record)
 		}
 		if errors.Is(err, passthrough.ErrNotFound) && attempt >= objectMisses {
 			return nil, err
@@ -128,6 +128,23 @@
 	}
 }
 
+// itemsIn reads a job's body, which has to hold the items that its record names.
+func (s *Service) itemsIn(body []byte, record passjob.Record) ([]passthrough.Item, error) {
+	items, err := s.Format.Items(body)
+	if err != nil {
+		return nil, err
+	}
+	if len(items) != len(record.Items) {
+		return nil, fmt.Errorf("the body of job %s holds %d items, its record %d", record.ID, len(items), len(record.Items))
+	}
+	for index, item := range items {
+		if item.ID != record.Items[index].ID {
+			return nil, fmt.Errorf("the body of job %s has %q where its record has %q", record.ID, item.ID, record.Items[index].ID)
+		}
+	}
+	return items, nil
+}
+
 // objectMisses is how often an object may be missing before that is believed.
 const objectMisses = 5
 
--- a/internal/passthrough/batch/progress.go
+++ b/internal/passthrough/batch/progress.go
@@ -113,12 +113,12 @@
 func addPartial(kept map[int]progress, row passthrough.Row, items int) {
 	_, rest, _ := strings.Cut(row.Key, "/")
 	index := 0
-	if _, err := fmt.Sscanf(rest, "%06d/", &index); err != nil || index >= items {
+	if _, err := fmt.Sscanf(rest, "%06d/", &index); err != nil || index < 0 || index >= items {
 		return
 	}
-	var piece partial
-	if err := json.Unmarshal(row.Value, &piece); err != nil {
-		return
+	piece, err := decodePartial(row.Value)
+	if err != nil {
+		return // the item goes on from the rows before it, or begins anew
 	}
 	text := kept[index]
 	if piece.First != text.events {
--- a/internal/passthrough/batch/read.go
+++ b/internal/passthrough/batch/read.go
@@ -307,7 +307,7 @@
 		}
 		current, row, found := currentRecord(result.current, call.Job)
 		if !found {
-			return s.refuseCall(to, false, nil)
+			return s.refuseCall(to, false, unreadableRecord(result.current, call.Job))
 		}
 		s.view.Learn(row)
 		known = entry{record: current, version: row.Version}
--- a/internal/passthrough/batch/view.go
+++ b/internal/passthrough/batch/view.go
@@ -1,7 +1,6 @@
 package batch
 
 import (
-	"encoding/json"
 	"sync"
 	"time"
 
@@ -129,8 +128,8 @@
 		delete(v.nodes, row.Key)
 		return
 	}
-	var sign nodeSign
-	if err := json.Unmarshal(row.Value, &sign); err != nil {
+	sign, err := decodeSign(row.Value)
+	if err != nil {
 		events.JobRowUnreadable.Log(v.logger, zap.String("row", row.Key), zap.Error(err))
 		return
 	}
@@ -146,7 +145,7 @@
 		v.drop(row.Key, row.Version)
 		return
 	}
-	record, err := passjob.Decode(row.Value)
+	record, err := decodeRecord(row)
 	if err != nil {
 		events.JobRowUnreadable.Log(v.logger, zap.String("row", row.Key), zap.Error(err))
 		return
--- a/internal/passthrough/batch/write.go
+++ b/internal/passthrough/batch/write.go
@@ -78,7 +78,7 @@
 		if row.Key != record.ID || row.Version == 0 {
 			continue
 		}
-		current, err := passjob.Decode(row.Value)
+		current, err := decodeRecord(row)
 		if err == nil && current.Commit == record.Commit {
 			return written{applied: true, version: row.Version}
 		}
@@ -120,13 +120,27 @@
 		if row.Table != tableJobs || row.Key != id || row.Version == 0 || row.Gone {
 			continue
 		}
-		if record, err := passjob.Decode(row.Value); err == nil {
+		if record, err := decodeRecord(row); err == nil {
 			return record, row, true
 		}
 	}
 	return passjob.Record{}, passthrough.Row{}, false
 }
 
+// unreadableRecord gives why a job's row that is there cannot be read; nil: there is none,
+// or it can. Such a job exists, though this node cannot say what of it is done.
+func unreadableRecord(rows []passthrough.Row, id string) error {
+	for _, row := range rows {
+		if row.Table != tableJobs || row.Key != id || row.Version == 0 || row.Gone {
+			continue
+		}
+		if _, err := decodeRecord(row); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
 // readRecord reads a job's row from the store; found is false when there is
 // none for sure.
 func (s *Service) readRecord(ctx context.Context, id string) (record passjob.Record, version int64, found bool, err error) {
@@ -140,6 +154,9 @@
 		snapshot.Rows[i].Table, snapshot.Rows[i].Part = tableJobs, s.config.shard(id)
 	}
 	s.view.Learn(snapshot.Rows...)
+	if err := unreadableRecord(snapshot.Rows, id); err != nil {
+		return passjob.Record{}, 0, false, err
+	}
 	record, row, found := currentRecord(snapshot.Rows, id)
 	return record, row.Version, found, nil
 }
