--- a/internal/passthrough/batch/decode_test.go
+++ b/internal/passthrough/batch/decode_test.go
@@ -13,8 +13,10 @@
 	"go.uber.org/zap"
 
 	"ringstream.example/ringstream/internal/core/passjob"
+	"ringstream.example/ringstream/internal/core/passroute"
 	"ringstream.example/ringstream/internal/core/quarantine"
 	"ringstream.example/ringstream/internal/passthrough"
+	"ringstream.example/ringstream/internal/passthrough/relay"
 )
 
 // oddValues are values that no writer of this program leaves in any row.
@@ -153,6 +155,20 @@
 	}
 }
 
+// TestHandInOfAJobWhoseRowCannotBeRead: the row was taken for none, and the client was told
+// that the job is not kept, though another node may run it.
+func TestHandInOfAJobWhoseRowCannotBeRead(t *testing.T) {
+	service := newTestService(oneRowStore{row: passthrough.Row{Table: tableJobs, Key: "job1", Value: []byte("{}"), Version: 7}})
+	call := &relay.Call{
+		Request: httptest.NewRequest(http.MethodPost, "/", nil), Route: &passroute.Route{Name: "batch", Kind: passroute.KindBatch},
+		Demand: passthrough.Demand{RequestID: "job1"},
+	}
+	outcome, again, err := service.create(t.Context(), call, []passthrough.Item{{ID: "i"}}, 0)
+	if outcome != unknown || again || err == nil {
+		t.Errorf("outcome %s, again %t, %v", outcome, again, err)
+	}
+}
+
 // bodyFormat reads a body of one letter for each item.
 type bodyFormat struct{ passthrough.JobFormat }
 
--- a/internal/passthrough/batch/view.go
+++ b/internal/passthrough/batch/view.go
@@ -58,7 +58,7 @@
 
 func newView(config Config, logger *zap.Logger) *view {
 	return &view{
-		config: config, logger: logger, jobs: make(map[string]*entry), gone: make(map[string]int64),
+		config: config, logger: events.Bounded(logger), jobs: make(map[string]*entry), gone: make(map[string]int64),
 		nodes: make(map[string]*nodeView), quotas: make(map[string]int64), crashes: make(map[string]seenCrashes),
 		watchers: make(map[string]chan struct{}), wake: make(chan struct{}, 1),
 	}
--- a/internal/passthrough/catalog/entries_test.go
+++ b/internal/passthrough/catalog/entries_test.go
@@ -234,8 +234,8 @@
 	for i := range entries {
 		l.put(fmt.Sprint("e", i), "unreadable")
 	}
-	// A run of the test that crosses a tick may write the lines of two.
-	if got := len(l.warnings()); got < refusalLines || got > 2*refusalLines {
+	// At most 20 lines are written in 10 s; a run that crosses a tick may write those of two.
+	if got := len(l.warnings()); got < 20 || got > 40 {
 		t.Errorf("%d lines", got)
 	}
 	if got := l.count("engine", "missing_field"); got != entries {
--- a/internal/passthrough/engineconn/conn.go
+++ b/internal/passthrough/engineconn/conn.go
@@ -169,13 +169,14 @@
 const (
 	keepDefault = 3 * time.Second
 	keepMargin  = 700 * time.Millisecond
+	keepMost    = time.Hour // a longer one is no time that an engine keeps
 )
 
 func keepAlive(header http.Header) time.Duration {
 	for part := range strings.SplitSeq(header.Get("Keep-Alive"), ",") {
 		name, value, _ := strings.Cut(strings.TrimSpace(part), "=")
 		seconds, err := strconv.Atoi(strings.TrimSpace(value))
-		if strings.EqualFold(name, "timeout") && err == nil {
+		if strings.EqualFold(name, "timeout") && err == nil && seconds >= 0 && seconds <= int(keepMost.Seconds()) {
 			return time.Duration(seconds)*time.Second - keepMargin
 		}
 	}
--- a/internal/passthrough/engineconn/conn_test.go
+++ b/internal/passthrough/engineconn/conn_test.go
@@ -69,3 +69,17 @@
 		t.Error("a connection past its time was used")
 	}
 }
+
+// TestTimesToKeepAConnectionThatAreNone: a time that overflowed a duration closed each
+// connection after one request.
+func TestTimesToKeepAConnectionThatAreNone(t *testing.T) {
+	for text, want := range map[string]time.Duration{
+		"timeout=5": 5*time.Second - keepMargin, "Timeout=5, max=100": 5*time.Second - keepMargin, "max=3, timeout=0": -keepMargin,
+		"": keepDefault, "timeout": keepDefault, "timeout=x": keepDefault, "timeout=2.5": keepDefault, "timeout=-4": keepDefault,
+		"timeout=9223372037": keepDefault, "timeout=99999999999999999999": keepDefault,
+	} {
+		if got := keepAlive(http.Header{"Keep-Alive": {text}}); got != want {
+			t.Errorf("%q: %s, want %s", text, got, want)
+		}
+	}
+}
