--- a/internal/passthrough/batch/view.go
+++ b/internal/passthrough/batch/view.go
@@ -1,7 +1,6 @@
 package batch
 
 import (
-	"encoding/json"
 	"sync"
 	"time"
 
@@ -59,7 +58,7 @@
 
 func newView(config Config, logger *zap.Logger) *view {
 	return &view{
-		config: config, logger: logger, jobs: make(map[string]*entry), gone: make(map[string]int64),
+		config: config, logger: events.Bounded(logger), jobs: make(map[string]*entry), gone: make(map[string]int64),
 		nodes: make(map[string]*nodeView), quotas: make(map[string]int64), crashes: make(map[string]seenCrashes),
 		watchers: make(map[string]chan struct{}), wake: make(chan struct{}, 1),
 	}
@@ -129,8 +128,8 @@
 		delete(v.nodes, row.Key)
 		return
 	}
-	var sign nodeSign
-	if err := json.Unmarshal(row.Value, &sign); err != nil {
+	sign, err := decodeSign(row.Value)
+	if err != nil {
 		events.JobRowUnreadable.Log(v.logger, zap.String("row", row.Key), zap.Error(err))
 		return
 	}
@@ -146,7 +145,7 @@
 		v.drop(row.Key, row.Version)
 		return
 	}
-	record, err := passjob.Decode(row.Value)
+	record, err := decodeRecord(row)
 	if err != nil {
 		events.JobRowUnreadable.Log(v.logger, zap.String("row", row.Key), zap.Error(err))
 		return
