--- a/cmd/ringstream/quarantine.go
+++ b/cmd/ringstream/quarantine.go
@@ -32,10 +32,7 @@
 	if content, err := quarantine.ParseDigest(text); err == nil {
 		return content, nil
 	}
-	known, err := kept.Read(ctx)
-	if err != nil {
-		return quarantine.Digest{}, err
-	}
+	known, unreadable := kept.Read(ctx)
 	var found []quarantine.Digest
 	for _, content := range known {
 		if text != "" && strings.HasPrefix(content.Content.Key(), text) {
@@ -43,6 +40,9 @@
 		}
 	}
 	if len(found) != 1 {
+		if unreadable != nil {
+			return quarantine.Digest{}, unreadable
+		}
 		return quarantine.Digest{}, &usageError{cause: fmt.Errorf("%q is no digest, and the start of %d in the list", text, len(found))}
 	}
 	return found[0], nil
@@ -106,9 +106,9 @@
 			if err != nil {
 				return err
 			}
-			known, err := kept.Read(command.Context())
-			if err != nil {
-				return err
+			known, unreadable := kept.Read(command.Context())
+			if known == nil {
+				return unreadable
 			}
 			now := time.Now()
 			list := make([]shownContent, 0, len(known))
@@ -116,13 +116,13 @@
 				list = append(list, showContent(content, now))
 			}
 			if options.output == outputJSON {
-				return printJSON(command.OutOrStdout(), list)
+				return errors.Join(printJSON(command.OutOrStdout(), list), unreadable)
 			}
 			shown := &grid{header: []string{"content", "blocked by", "left", "engines ended", "evidence", "reason"}}
 			for _, content := range list {
 				shown.add(content.Content, content.By, content.Left, content.Ended, content.Evidence, content.Reason)
 			}
-			return shown.print(command.OutOrStdout())
+			return errors.Join(shown.print(command.OutOrStdout()), unreadable)
 		},
 	}
 }
--- a/internal/passthrough/batch/crashes.go
+++ b/internal/passthrough/batch/crashes.go
@@ -82,7 +82,7 @@
 	text, _, _ := strings.Cut(row.Key, "/")
 	content, err = quarantine.ParseDigest(text)
 	if err == nil {
-		err = json.Unmarshal(row.Value, &kept)
+		kept, err = decodeCrashes(row.Value)
 	}
 	return content, kept, err
 }
--- a/internal/passthrough/batch/orders.go
+++ b/internal/passthrough/batch/orders.go
@@ -33,7 +33,8 @@
 // ErrBlockLength says that a block is too short or too long.
 var ErrBlockLength = fmt.Errorf("a block lasts for more than 0 and at most %s", LongestBlock)
 
-// Read gives the contents that the store tells of, the blocked ones first.
+// Read gives the contents that the store tells of, the blocked ones first; beside it an error
+// that names the rows which can't be read, and which nodes pass over.
 func (q Quarantine) Read(ctx context.Context) ([]KnownContent, error) {
 	rows, storeNow, err := q.list(ctx)
 	if err != nil {
@@ -41,10 +42,12 @@
 	}
 	ledger, now := quarantine.NewLedger(quarantine.DefaultConfig()), time.Now()
 	known := make(map[quarantine.Digest]*KnownContent)
+	var unreadable []error
 	for _, row := range rows {
 		content, kept, err := readCrashRow(row)
 		if err != nil {
-			return nil, fmt.Errorf("row %s: %w", row.Key, err)
+			unreadable = append(unreadable, fmt.Errorf("row %s: %w", row.Key, err))
+			continue
 		}
 		if known[content] == nil {
 			known[content] = &KnownContent{BlockedContent: quarantine.BlockedContent{Content: content}}
@@ -66,7 +69,7 @@
 	slices.SortFunc(list, func(a, b KnownContent) int {
 		return cmp.Or(ordering.FalseFirst(b.Verdict.Blocked, a.Verdict.Blocked), cmp.Compare(b.Verdict.Crashes, a.Verdict.Crashes), slices.Compare(a.Content[:], b.Content[:]))
 	})
-	return list, nil
+	return list, errors.Join(unreadable...)
 }
 
 // Block has a content reach no engine for some time, whatever its crashes tell.
