--- a/internal/core/enginechoice/bench_test.go
+++ b/internal/core/enginechoice/bench_test.go
@@ -20,3 +20,18 @@
 		})
 	}
 }
+
+// BenchmarkUpsert takes the entries of a fleet again as they are, which each listing does.
+func BenchmarkUpsert(b *testing.B) {
+	for _, engines := range []int{12, 300, 3000} {
+		b.Run(fmt.Sprint(engines), func(b *testing.B) {
+			set := newSet(engines)
+			listed := set.List("p")
+			b.ReportAllocs()
+			for turn := 0; b.Loop(); turn++ {
+				next := listed[turn%len(listed)]
+				set.Upsert(next.Entry, next.State, start)
+			}
+		})
+	}
+}
--- a/internal/core/enginechoice/enginechoice.go
+++ b/internal/core/enginechoice/enginechoice.go
@@ -22,6 +22,9 @@
 	// Unlisted engines lost their entry while the list could not be trusted;
 	// they are used until ExpireUnlisted.
 	Unlisted
+	// Ended engines have started again under their id without a word before: what ran
+	// there is over.
+	Ended
 )
 
 // String gives the state's name for logs.
@@ -31,14 +34,20 @@
 		return "leaving"
 	case Unlisted:
 		return "unlisted"
+	case Ended:
+		return "ended"
 	default:
 		return "ready"
 	}
 }
 
+// Serves says whether an engine in the state takes new work.
+func (s State) Serves() bool { return s == Ready || s == Unlisted }
+
 // Entry is an engine as the list tells it.
 type Entry struct {
 	ID, Pool, Address, Zone string
+	Born                    int64 // see Incarnation
 	Slots                   int
 	MemoryTokens            int // 0: not said
 	ColdUntil               time.Time
@@ -77,7 +86,7 @@
 // engine is one engine's beliefs.
 type engine struct {
 	entry Entry
-	hash  uint64 // of its id
+	hash  uint64 // of its incarnation
 	state State
 	since time.Time // of state
 
@@ -97,8 +106,9 @@
 // Set is the engines of all pools.
 type Set struct {
 	node    uint64 // hash of this node's name
-	engines map[string]*engine
-	pools   map[string]map[string]*engine
+	engines map[Incarnation]*engine
+	newest  map[string]int64 // the start of the latest incarnation of each id
+	pools   map[string]map[Incarnation]*engine
 	peaks   map[string]onlinePeak // of online requests, by pool
 	changes uint64                // of entries and states
 }
@@ -108,25 +118,22 @@
 
 // NewSet makes an empty set for a node.
 func NewSet(node string) *Set {
-	return &Set{node: xxhash.Sum64String(node), peaks: make(map[string]onlinePeak), engines: make(map[string]*engine), pools: make(map[string]map[string]*engine)}
+	return &Set{node: xxhash.Sum64String(node), peaks: make(map[string]onlinePeak), engines: make(map[Incarnation]*engine), newest: make(map[string]int64), pools: make(map[string]map[Incarnation]*engine)}
 }
 
-// Upsert takes an engine's entry. It reports whether the belief changed.
-func (s *Set) Upsert(entry Entry, state State, now time.Time) bool {
-	known := s.engines[entry.ID]
+// Upsert takes an engine's entry. The entry of a later incarnation than the one that is
+// known ends that one, and begins with nothing known; that of an earlier one is ignored.
+func (s *Set) Upsert(entry Entry, state State, now time.Time) News {
+	engine := entry.Incarnation()
+	news := s.order(engine, now)
+	if news == Outdated {
+		return Outdated
+	}
+	known := s.engines[engine]
 	if known == nil {
-		known = &engine{hash: xxhash.Sum64String(entry.ID), resident: make(map[string]residentPart)}
-		s.engines[entry.ID] = known
-		pool := s.pools[entry.Pool]
-		if pool == nil {
-			pool = make(map[string]*engine)
-			s.pools[entry.Pool] = pool
-		}
-		pool[entry.ID] = known
-		known.state, known.since = state, now
-		known.entry = entry
-		s.changes++
-		return true
+		s.add(entry, state, now)
+		s.forgetIdle(now)
+		return max(news, Changed)
 	}
 	if known.state == Leaving && state == Ready && known.entry.Address == entry.Address {
 		known.sickUntil = time.Time{}
@@ -136,17 +143,32 @@
 		s.changes++
 	}
 	known.entry = entry
-	if changed {
-		known.state, known.since = state, now
+	if !changed {
+		return Unchanged
 	}
-	return changed
+	known.state, known.since = state, now
+	return Changed
+}
+
+// add takes an engine of which nothing is known.
+func (s *Set) add(entry Entry, state State, now time.Time) {
+	engineID := entry.Incarnation()
+	added := &engine{entry: entry, hash: engineID.Hash(), state: state, since: now, resident: make(map[string]residentPart)}
+	s.engines[engineID] = added
+	pool := s.pools[entry.Pool]
+	if pool == nil {
+		pool = make(map[Incarnation]*engine)
+		s.pools[entry.Pool] = pool
+	}
+	pool[engineID] = added
+	s.changes++
 }
 
 // Remove takes word that an engine's entry went. A doubtful removal leaves the
 // engine in use until ExpireUnlisted, since the list could not be trusted.
-func (s *Set) Remove(id string, doubtful bool, now time.Time) {
-	known := s.engines[id]
-	if known == nil {
+func (s *Set) Remove(engine Incarnation, doubtful bool, now time.Time) {
+	known := s.engines[engine]
+	if known == nil || known.state == Ended {
 		return
 	}
 	known.since = now
@@ -159,9 +181,9 @@
 }
 
 // ExpireUnlisted takes engines as gone that lost their entry before a time and
-// were not listed again. It gives their ids.
-func (s *Set) ExpireUnlisted(before, now time.Time) []string {
-	var expired []string
+// were not listed again. It gives which.
+func (s *Set) ExpireUnlisted(before, now time.Time) []Incarnation {
+	var expired []Incarnation
 	for id, known := range s.engines {
 		if known.state == Unlisted && known.since.Before(before) {
 			known.state, known.since = Leaving, now
@@ -178,10 +200,12 @@
 func (s *Set) forgetIdle(now time.Time) {
 	for id, known := range s.engines {
 		idle := known.own.Online == 0 && known.own.Batch == 0
-		if known.state == Leaving && idle && now.Sub(known.since) > forgetAfter {
-			delete(s.engines, id)
-			delete(s.pools[known.entry.Pool], id)
+		if known.usable() || !idle || now.Sub(known.since) <= forgetAfter {
+			continue
 		}
+		delete(s.engines, id)
+		delete(s.pools[known.entry.Pool], id)
+		s.forgetOrder(id.ID)
 	}
 }
 
@@ -204,17 +228,17 @@
 }
 
 // Find gives an engine's entry and state.
-func (s *Set) Find(id string) (Listed, bool) {
-	known := s.engines[id]
+func (s *Set) Find(engine Incarnation) (Listed, bool) {
+	known := s.engines[engine]
 	if known == nil {
 		return Listed{}, false
 	}
 	return Listed{Entry: known.entry, State: known.state}, true
 }
 
-// Known gives the ids of the engines that have an entry.
-func (s *Set) Known() []string {
-	ids := make([]string, 0, len(s.engines))
+// Known gives the engines that have an entry, or had one lately.
+func (s *Set) Known() []Incarnation {
+	ids := make([]Incarnation, 0, len(s.engines))
 	for id := range s.engines {
 		ids = append(ids, id)
 	}
@@ -243,11 +267,11 @@
 	return count
 }
 
-func (e *engine) usable() bool { return e.state != Leaving }
+func (e *engine) usable() bool { return e.state.Serves() }
 
 // Own gives this node's work under way at each engine that has some.
-func (s *Set) Own() map[string]Counts {
-	counts := make(map[string]Counts)
+func (s *Set) Own() map[Incarnation]Counts {
+	counts := make(map[Incarnation]Counts)
 	for id, known := range s.engines {
 		if known.own != (Counts{}) {
 			counts[id] = known.own
@@ -257,27 +281,27 @@
 }
 
 // Start counts a request that is sent to an engine.
-func (s *Set) Start(id string, work *Work) {
-	if known := s.engines[id]; known != nil {
+func (s *Set) Start(engine Incarnation, work *Work) {
+	if known := s.engines[engine]; known != nil {
 		known.own.add(work, 1)
 	}
 }
 
 // FirstToken counts that the engine has read the request's prompt.
-func (s *Set) FirstToken(id string, work *Work) {
+func (s *Set) FirstToken(engine Incarnation, work *Work) {
 	if work.started || work.ended {
 		return
 	}
 	work.started = true
-	if known := s.engines[id]; known != nil {
+	if known := s.engines[engine]; known != nil {
 		known.own.PrefillTokens -= work.PrefillTokens
 	}
 }
 
 // Finish counts a request's end and what it says of the engine. A second end of
 // the same request, one that was stopped to make room, counts nothing.
-func (s *Set) Finish(id string, work *Work, result Result, now time.Time) {
-	known := s.engines[id]
+func (s *Set) Finish(engine Incarnation, work *Work, result Result, now time.Time) {
+	known := s.engines[engine]
 	if known == nil || work.ended {
 		return
 	}
@@ -326,16 +350,16 @@
 }
 
 // ConnectionRefused takes the address as dead for a while: nothing listens.
-func (s *Set) ConnectionRefused(id string, now time.Time) {
-	if known := s.engines[id]; known != nil {
+func (s *Set) ConnectionRefused(engine Incarnation, now time.Time) {
+	if known := s.engines[engine]; known != nil {
 		known.failures = max(known.failures, 2)
 		known.sickUntil = now.Add(min(sickBase<<min(known.failures-1, 6), sickMost))
 	}
 }
 
 // Observe takes an engine's own count from the head of an answer.
-func (s *Set) Observe(id string, running, waiting int, now time.Time) {
-	if known := s.engines[id]; known != nil {
+func (s *Set) Observe(engine Incarnation, running, waiting int, now time.Time) {
+	if known := s.engines[engine]; known != nil {
 		known.reported = running + waiting
 		known.reportedOwn = known.own.Online + known.own.Batch
 		known.reportedAt = now
@@ -343,8 +367,8 @@
 }
 
 // Remember takes note that the engine has read the parts of a prompt.
-func (s *Set) Remember(id string, parts []Part, now time.Time) {
-	known := s.engines[id]
+func (s *Set) Remember(engine Incarnation, parts []Part, now time.Time) {
+	known := s.engines[engine]
 	if known == nil {
 		return
 	}
--- a/internal/core/enginechoice/enginechoice_test.go
+++ b/internal/core/enginechoice/enginechoice_test.go
@@ -29,7 +29,7 @@
 	rapid.Check(t, func(t *rapid.T) {
 		set := newSet(3)
 		type running struct {
-			engine string
+			engine Incarnation
 			work   *Work
 		}
 		var list []running
@@ -37,7 +37,7 @@
 			switch rapid.IntRange(0, 2).Draw(t, "step") {
 			case 0:
 				work := &Work{Batch: rapid.Bool().Draw(t, "batch"), PrefillTokens: 10, MemoryTokens: 20}
-				next := running{fmt.Sprintf("e%d", rapid.IntRange(0, 2).Draw(t, "engine")), work}
+				next := running{named(fmt.Sprintf("e%d", rapid.IntRange(0, 2).Draw(t, "engine"))), work}
 				set.Start(next.engine, work)
 				list = append(list, next)
 			case 1:
@@ -52,7 +52,7 @@
 					list = append(list[:at], list[at+1:]...)
 				}
 			}
-			want := make(map[string]Counts)
+			want := make(map[Incarnation]Counts)
 			for _, next := range list {
 				counts := want[next.engine]
 				if next.work.Batch {
@@ -87,7 +87,7 @@
 		if !found {
 			t.Fatal("no engine")
 		}
-		set.Start(choice.Entry.ID, &Work{})
+		set.Start(choice.Entry.Incarnation(), &Work{})
 		counts[choice.Entry.ID]++
 	}
 	for id, count := range counts {
@@ -95,7 +95,7 @@
 			t.Errorf("%s got %d of 9", id, count)
 		}
 	}
-	choice, _ := set.Pick(Query{Pool: "p", Exclude: map[string]bool{"e0": true, "e1": true}}, start)
+	choice, _ := set.Pick(Query{Pool: "p", Exclude: map[Incarnation]bool{named("e0"): true, named("e1"): true}}, start)
 	if choice.Entry.ID != "e2" {
 		t.Errorf("picked %s", choice.Entry.ID)
 	}
@@ -108,13 +108,13 @@
 	set := newSet(3)
 	shared := []Part{{ID: "a", Tokens: 2000}, {ID: "b", Tokens: 3000}}
 	first, _ := set.Pick(Query{Pool: "p", Shared: shared}, start)
-	set.Remember(first.Entry.ID, shared, start)
+	set.Remember(first.Entry.Incarnation(), shared, start)
 	second, _ := set.Pick(Query{Pool: "p", Shared: shared, OwnTokens: 7}, start)
 	if second.Entry.ID != first.Entry.ID || second.PrefillTokens != 7 {
 		t.Errorf("got %s with %d tokens to read, want %s with 7", second.Entry.ID, second.PrefillTokens, first.Entry.ID)
 	}
 	for range 20 { // a queue there costs more than reading the prompt again
-		set.Start(first.Entry.ID, &Work{PrefillTokens: 2000})
+		set.Start(first.Entry.Incarnation(), &Work{PrefillTokens: 2000})
 	}
 	if third, _ := set.Pick(Query{Pool: "p", Shared: shared}, start); third.Entry.ID == first.Entry.ID {
 		t.Error("picked an engine with a long queue")
@@ -124,19 +124,19 @@
 func TestSickAndSheddingEnginesComeLast(t *testing.T) {
 	set := newSet(2)
 	for range 3 {
-		set.Finish("e0", &Work{}, Failed, start)
+		set.Finish(named("e0"), &Work{}, Failed, start)
 	}
 	if choice, _ := set.Pick(Query{Pool: "p"}, start); choice.Entry.ID != "e1" {
 		t.Errorf("picked the sick %s", choice.Entry.ID)
 	}
-	if choice, found := set.Pick(Query{Pool: "p", Exclude: map[string]bool{"e1": true}}, start); !found || choice.Entry.ID != "e0" {
+	if choice, found := set.Pick(Query{Pool: "p", Exclude: map[Incarnation]bool{named("e1"): true}}, start); !found || choice.Entry.ID != "e0" {
 		t.Error("a sick engine is no longer tried when there is no other")
 	}
 	later := start.Add(time.Minute)
 	for range 40 {
-		set.Finish("e0", &Work{}, Succeeded, later)
+		set.Finish(named("e0"), &Work{}, Succeeded, later)
 	}
-	set.Finish("e1", &Work{}, Shed, later)
+	set.Finish(named("e1"), &Work{}, Shed, later)
 	if choice, _ := set.Pick(Query{Pool: "p"}, later); choice.Entry.ID != "e0" {
 		t.Errorf("picked %s, which has just turned a request away", choice.Entry.ID)
 	}
@@ -144,8 +144,8 @@
 
 func TestRemovalLeavingAndDoubt(t *testing.T) {
 	set := newSet(3)
-	set.Remove("e0", false, start)
-	set.Remove("e1", true, start)
+	set.Remove(named("e0"), false, start)
+	set.Remove(named("e1"), true, start)
 	set.Upsert(Entry{ID: "e2", Pool: "p", Zone: "z1", Slots: 4}, Leaving, start)
 	if choice, found := set.Pick(Query{Pool: "p"}, start); !found || choice.Entry.ID != "e1" || choice.State != Unlisted {
 		t.Errorf("got %+v", choice)
@@ -153,7 +153,7 @@
 	if expired := set.ExpireUnlisted(start, start); len(expired) != 0 {
 		t.Errorf("expired %v too early", expired)
 	}
-	if expired := set.ExpireUnlisted(start.Add(time.Second), start.Add(2*time.Second)); len(expired) != 1 || expired[0] != "e1" {
+	if expired := set.ExpireUnlisted(start.Add(time.Second), start.Add(2*time.Second)); len(expired) != 1 || expired[0] != named("e1") {
 		t.Errorf("expired %v", expired)
 	}
 	if _, found := set.Pick(Query{Pool: "p"}, start); found {
@@ -163,8 +163,8 @@
 	if set.Serving("p") != 1 {
 		t.Error("an engine that is listed again does not serve")
 	}
-	set.Remove("e0", false, start.Add(2*forgetAfter))
-	if set.Remove("e0", false, start.Add(4*forgetAfter)); len(set.Known()) != 2 {
+	set.Remove(named("e0"), false, start.Add(2*forgetAfter))
+	if set.Remove(named("e0"), false, start.Add(4*forgetAfter)); len(set.Known()) != 2 {
 		t.Errorf("known: %v", set.Known())
 	}
 }
@@ -173,7 +173,7 @@
 	var all []*Work
 	for i := range online + batch {
 		work := &Work{Batch: i >= online}
-		set.Start(engine, work)
+		set.Start(named(engine), work)
 		all = append(all, work)
 	}
 	return all
@@ -222,7 +222,7 @@
 	if crowds := onlyBatch.Crowded(later); len(crowds) != 0 {
 		t.Errorf("batch gives way to batch: %+v", crowds)
 	}
-	if !set.Full("e0", start) {
+	if !set.Full(named("e0"), start) {
 		t.Error("8 requests at 4 slots are not full")
 	}
 }
@@ -234,18 +234,18 @@
 	set := newSet(1)
 	work := []*Work{{}, {}, {}}
 	for _, one := range work {
-		set.Start("e0", one)
+		set.Start(named("e0"), one)
 	}
 	set.TrackOnline(start)
 	for _, one := range work {
-		set.Finish("e0", one, Succeeded, start)
+		set.Finish(named("e0"), one, Succeeded, start)
 	}
 	set.TrackOnline(start.Add(10 * time.Millisecond))
 	room := func(after time.Duration) int { return set.BatchRoom("p", 100, start.Add(after)) }
 	if got := room(0); got != 1 {
 		t.Errorf("room for %d, want that of the slot that online work did not use", got)
 	}
-	set.Start("e0", &Work{Batch: true})
+	set.Start(named("e0"), &Work{Batch: true})
 	if got := room(0); got != 0 {
 		t.Errorf("room for %d in slots that online work has just left", got)
 	}
@@ -261,7 +261,7 @@
 	startAll(set, "e0", 4, 0)
 	startAll(set, "e1", 1, 2)
 	startAll(set, "e2", 9, 0) // more than its slots
-	set.Remove("e3", false, start)
+	set.Remove(named("e3"), false, start)
 	if got := set.BatchRoom("p", 75, start); got != 1 { // 12 of 16, less 4, 3 and 4
 		t.Errorf("room for %d", got)
 	}
@@ -275,11 +275,11 @@
 
 func TestEnginesOwnCountIsTrustedForAMoment(t *testing.T) {
 	set := newSet(1)
-	set.Observe("e0", 4, 2, start)
-	if !set.Full("e0", start.Add(reportTrust)) {
+	set.Observe(named("e0"), 4, 2, start)
+	if !set.Full(named("e0"), start.Add(reportTrust)) {
 		t.Error("the engine's own count was not taken")
 	}
-	if set.Full("e0", start.Add(2*reportTrust)) {
+	if set.Full(named("e0"), start.Add(2*reportTrust)) {
 		t.Error("an old count is still trusted")
 	}
 }
@@ -290,22 +290,22 @@
 	rapid.Check(t, func(t *rapid.T) {
 		set := newSet(rapid.IntRange(0, 12).Draw(t, "engines"))
 		for id := range set.engines {
-			if rapid.IntRange(0, 3).Draw(t, id) == 0 {
+			if rapid.IntRange(0, 3).Draw(t, id.ID) == 0 {
 				set.Remove(id, false, start)
 			}
 		}
 		part := rapid.StringN(1, 4, 8).Draw(t, "part")
 		key := xxhash.Sum64String(part)
-		var ids []string
+		var ids []Incarnation
 		for id, known := range set.engines {
 			if known.state == Ready {
 				ids = append(ids, id)
 			}
 		}
-		slices.SortFunc(ids, func(a, b string) int {
-			return cmp.Or(cmp.Compare(affinity(key, set.engines[b].hash), affinity(key, set.engines[a].hash)), cmp.Compare(a, b))
+		slices.SortFunc(ids, func(a, b Incarnation) int {
+			return cmp.Or(cmp.Compare(affinity(key, set.engines[b].hash), affinity(key, set.engines[a].hash)), cmp.Compare(a.ID, b.ID))
 		})
-		var want [affinityRanks]string
+		var want [affinityRanks]Incarnation
 		copy(want[:], ids)
 		if got := set.preferred(Query{Pool: "p", Shared: []Part{{ID: part}}}, start); got != want {
 			t.Fatalf("got %v, want %v", got, want)
@@ -326,12 +326,12 @@
 	if choice, _ := set.Pick(Query{Pool: "p", Batch: true, BatchPercent: 200}, start); choice.MakeRoom {
 		t.Error("batch work gives way to batch work")
 	}
-	set.Finish("e1", work[0], Succeeded, start)
+	set.Finish(named("e1"), work[0], Succeeded, start)
 	if choice, _ := set.Pick(Query{Pool: "p"}, start); choice.MakeRoom {
 		t.Error("batch work gives way where a slot is free")
 	}
 	startAll(set, "e1", 1, 0)
-	set.Finish("e1", work[3], Abandoned, start)
+	set.Finish(named("e1"), work[3], Abandoned, start)
 	startAll(set, "e1", 1, 0)
 	if choice, _ := set.Pick(Query{Pool: "p"}, start); choice.MakeRoom || choice.HasSlot() || choice.InFlight != 4 {
 		t.Errorf("nothing is left to give way: %+v", choice)
@@ -343,10 +343,10 @@
 func TestStoppedWorkEndsOnce(t *testing.T) {
 	set := newSet(1)
 	work := &Work{Batch: true, PrefillTokens: 10, MemoryTokens: 20}
-	set.Start("e0", work)
-	set.Finish("e0", work, Abandoned, start)
-	set.FirstToken("e0", work)
-	set.Finish("e0", work, Failed, start)
+	set.Start(named("e0"), work)
+	set.Finish(named("e0"), work, Abandoned, start)
+	set.FirstToken(named("e0"), work)
+	set.Finish(named("e0"), work, Failed, start)
 	if own := set.Own(); len(own) != 0 {
 		t.Errorf("got %v", own)
 	}
@@ -356,7 +356,7 @@
 // own part of the prompt need not be read there again.
 func TestFormerEngineIsPreferred(t *testing.T) {
 	set := newSet(3)
-	query := Query{Pool: "p", OwnTokens: 1200, Batch: true, BatchPercent: 100, Former: "e2"}
+	query := Query{Pool: "p", OwnTokens: 1200, Batch: true, BatchPercent: 100, Former: named("e2")}
 	if choice, _ := set.Pick(query, start); choice.Entry.ID != "e2" || choice.PrefillTokens != 0 {
 		t.Errorf("got %s with %d tokens to read", choice.Entry.ID, choice.PrefillTokens)
 	}
--- a/internal/core/enginechoice/pick.go
+++ b/internal/core/enginechoice/pick.go
@@ -22,13 +22,13 @@
 	Batch        bool
 	// BatchPercent bounds the batch requests at an engine, in per cent of its slots.
 	BatchPercent int
-	Exclude      map[string]bool
+	Exclude      map[Incarnation]bool
 	// Zone is that of the node that sends the request; empty: any.
 	Zone string
-	// Former is an engine that may keep all of the prompt; empty: none.
-	Former string
+	// Former is an engine that may keep all of the prompt; the zero value: none.
+	Former Incarnation
 	// Connected are the engines to which an idle connection is kept.
-	Connected map[string]bool
+	Connected map[Incarnation]bool
 }
 
 // PromptTokens is the length of the whole prompt.
@@ -151,12 +151,12 @@
 const reportTrust = 300 * time.Millisecond
 
 // preferred gives the engines that the deepest shared part belongs to.
-func (s *Set) preferred(query Query, now time.Time) [affinityRanks]string {
+func (s *Set) preferred(query Query, now time.Time) [affinityRanks]Incarnation {
 	if len(query.Shared) == 0 {
-		return [affinityRanks]string{}
+		return [affinityRanks]Incarnation{}
 	}
 	key := xxhash.Sum64String(query.Shared[len(query.Shared)-1].ID)
-	var best [affinityRanks]string
+	var best [affinityRanks]Incarnation
 	var scores [affinityRanks]uint64
 	for id, known := range s.pools[query.Pool] {
 		if known.state != Ready || now.Before(known.sickUntil) {
@@ -164,7 +164,7 @@
 		}
 		score := affinity(key, known.hash)
 		for rank := range best {
-			if best[rank] == "" || score > scores[rank] || (score == scores[rank] && id < best[rank]) {
+			if best[rank] == (Incarnation{}) || score > scores[rank] || (score == scores[rank] && id.ID < best[rank].ID) {
 				copy(best[rank+1:], best[rank:])
 				copy(scores[rank+1:], scores[rank:])
 				best[rank], scores[rank] = id, score
@@ -194,15 +194,15 @@
 
 // missing estimates the tokens that the engine has to read: parts that it
 // keeps count only while all parts before them are kept as well.
-func (e *engine) missing(query Query, preferred [affinityRanks]string) int {
-	if query.Former == e.entry.ID {
+func (e *engine) missing(query Query, preferred [affinityRanks]Incarnation) int {
+	if query.Former == e.entry.Incarnation() {
 		return 0
 	}
 	tokens := query.OwnTokens
 	kept := true
 	for _, part := range query.Shared {
 		_, sent := e.resident[part.ID]
-		kept = kept && (sent || slices.Contains(preferred[:], e.entry.ID))
+		kept = kept && (sent || slices.Contains(preferred[:], e.entry.Incarnation()))
 		if !kept {
 			tokens += part.Tokens
 		}
@@ -248,7 +248,7 @@
 
 // Crowd is an engine with more requests than slots, online ones among them.
 type Crowd struct {
-	Engine string
+	Engine Incarnation
 	Yield  int // how many batch requests should give way
 }
 
@@ -280,7 +280,7 @@
 
 // Full says whether an engine is believed to have no free slot, so that a
 // request there may wait in silence.
-func (s *Set) Full(id string, now time.Time) bool {
-	known := s.engines[id]
+func (s *Set) Full(engine Incarnation, now time.Time) bool {
+	known := s.engines[engine]
 	return known != nil && known.entry.Slots > 0 && known.inFlight(now) > known.entry.Slots
 }
--- a/internal/core/grant/dispatcher.go
+++ b/internal/core/grant/dispatcher.go
@@ -43,7 +43,7 @@
 type work struct {
 	node      string
 	id        uint64
-	engine    string
+	engine    enginechoice.Incarnation
 	grant     Grant
 	counted   *enginechoice.Work
 	since     time.Time // granted, or first heard of
@@ -69,7 +69,7 @@
 	life, sequence uint64
 	heard          time.Time
 	zone           string
-	connected      map[string]bool
+	connected      map[enginechoice.Incarnation]bool
 	attached       bool
 	works          map[uint64]*work
 	asks           map[uint64]*waiting
@@ -80,7 +80,7 @@
 	config  DispatcherConfig
 	lane    Lane
 	engines *enginechoice.Set
-	names   map[uint64]string // engine ids by EngineHash
+	names   map[uint64]enginechoice.Incarnation // engines by EngineHash
 	began   time.Time
 	busy    time.Time // since when nodes have had something in the lane
 	nodes   map[string]*node
@@ -97,7 +97,7 @@
 // NewDispatcher makes the dispatcher of a lane for a node.
 func NewDispatcher(config DispatcherConfig, lane Lane, self string, now time.Time) *Dispatcher {
 	return &Dispatcher{
-		config: config, lane: lane, engines: enginechoice.NewSet(self), names: make(map[uint64]string),
+		config: config, lane: lane, engines: enginechoice.NewSet(self), names: make(map[uint64]enginechoice.Incarnation),
 		began: now, nodes: make(map[string]*node), replies: make(map[string]*Reply),
 		suspects: make(map[*work]bool),
 	}
@@ -107,12 +107,12 @@
 func (d *Dispatcher) SetEngines(entries []enginechoice.Listed, now time.Time) {
 	listed := make(map[uint64]bool, len(entries))
 	for _, known := range entries {
-		hash := EngineHash(known.Entry.ID)
+		hash := EngineHash(known.Entry.Incarnation())
 		if known.Entry.Pool != d.lane.Pool || !d.lane.Holds(hash) {
 			continue
 		}
 		listed[hash] = true
-		d.names[hash] = known.Entry.ID
+		d.names[hash] = known.Entry.Incarnation()
 		d.engines.Upsert(known.Entry, known.State, now)
 	}
 	for hash, id := range d.names {
@@ -188,7 +188,7 @@
 	}
 	known.sequence, known.heard, known.zone, known.attached = state.Sequence, now, state.Zone, state.Attached
 	d.advanceLimits(now)
-	known.connected = make(map[string]bool, len(state.Connected))
+	known.connected = make(map[enginechoice.Incarnation]bool, len(state.Connected))
 	for _, engine := range state.Connected {
 		known.connected[d.names[engine]] = true
 	}
--- a/internal/core/grant/dispatcher_test.go
+++ b/internal/core/grant/dispatcher_test.go
@@ -145,7 +145,7 @@
 	d.SetEngines(entries(1), start)
 	var held []Held
 	for id := range uint64(slots) {
-		held = append(held, Held{ID: 100 + id, Engine: EngineHash("e0")})
+		held = append(held, Held{ID: 100 + id, Engine: EngineHash(enginechoice.Incarnation{ID: "e0"})})
 	}
 	state := State{Life: 1, Sequence: 1, Held: held, Waiting: []Ask{
 		{ID: 1, Rank: 1, DueIn: 5 * time.Millisecond},
@@ -158,7 +158,7 @@
 	var order []uint64
 	for len(state.Waiting) > 0 && len(state.Held) > 0 {
 		state.Sequence++
-		state.Ended = []Ended{{ID: state.Held[0].ID, Engine: EngineHash("e0")}}
+		state.Ended = []Ended{{ID: state.Held[0].ID, Engine: EngineHash(enginechoice.Incarnation{ID: "e0"})}}
 		state.Held = state.Held[1:]
 		now := start.Add(time.Duration(state.Sequence) * 400 * time.Millisecond) // peaks of online work are forgotten
 		d.Hear("n1", state, now)
@@ -186,7 +186,7 @@
 	d.SetEngines(entries(1), start)
 	var held []Held
 	for id := range uint64(slots) {
-		held = append(held, Held{ID: 100 + id, Engine: EngineHash("e0")})
+		held = append(held, Held{ID: 100 + id, Engine: EngineHash(enginechoice.Incarnation{ID: "e0"})})
 	}
 	d.Hear("n1", State{Life: 1, Sequence: 1, Held: held, Waiting: []Ask{{ID: 1}}}, start)
 	if reply := d.Replies()["n1"]; len(reply.Grants) != 0 || reply.Queued != 1 {
@@ -207,7 +207,7 @@
 	d.SetEngines(entries(1), start)
 	state := State{Life: 1, Sequence: 1, Waiting: []Ask{{ID: 1}}}
 	for id := range uint64(slots) {
-		state.Held = append(state.Held, Held{ID: 100 + id, Engine: EngineHash("e0"), Batch: true})
+		state.Held = append(state.Held, Held{ID: 100 + id, Engine: EngineHash(enginechoice.Incarnation{ID: "e0"}), Batch: true})
 	}
 	d.Hear("n1", state, start)
 	reply := d.Replies()["n1"]
@@ -217,10 +217,10 @@
 	state.Sequence, state.Waiting = 2, nil
 	for at, held := range state.Held {
 		if held.ID == reply.Stops[0] {
-			state.Held[at] = Held{ID: 1, Engine: EngineHash("e0"), Started: true}
+			state.Held[at] = Held{ID: 1, Engine: EngineHash(enginechoice.Incarnation{ID: "e0"}), Started: true}
 		}
 	}
-	state.Loads = []Load{{Engine: EngineHash("e0"), Running: slots + 1}}
+	state.Loads = []Load{{Engine: EngineHash(enginechoice.Incarnation{ID: "e0"}), Running: slots + 1}}
 	d.Hear("n1", state, start.Add(5*time.Millisecond))
 	d.Tick(start.Add(10 * time.Millisecond))
 	if stops := d.Replies()["n1"].Stops; len(stops) != 0 {
@@ -236,7 +236,7 @@
 	d.SetEngines(list, start)
 	d.Hear("n1", State{Life: 1, Sequence: 1, Waiting: []Ask{{ID: 1}, {ID: 2}}}, start)
 	for _, granted := range d.Replies()["n1"].Grants {
-		if granted.Engine != EngineHash("e1") {
+		if granted.Engine != EngineHash(enginechoice.Incarnation{ID: "e1"}) {
 			t.Errorf("granted %+v", granted)
 		}
 	}
@@ -286,7 +286,7 @@
 	for engine := range uint64(100) {
 		holders := 0
 		for part := range uint32(4) {
-			if (Lane{Pool: "p", Parts: 4, Part: part}).Holds(EngineHash(fmt.Sprint(engine))) {
+			if (Lane{Pool: "p", Parts: 4, Part: part}).Holds(EngineHash(enginechoice.Incarnation{ID: fmt.Sprint(engine)})) {
 				holders++
 			}
 		}
@@ -330,7 +330,7 @@
 		}
 		state := State{Life: 1, Sequence: 1}
 		for id := range uint64(slots) {
-			state.Held = append(state.Held, Held{ID: 100 + id, Engine: EngineHash("e0")})
+			state.Held = append(state.Held, Held{ID: 100 + id, Engine: EngineHash(enginechoice.Incarnation{ID: "e0"})})
 		}
 		for id := range uint64(rapid.IntRange(1, 8).Draw(t, "requests")) {
 			state.Waiting = append(state.Waiting, Ask{
@@ -347,14 +347,14 @@
 				}
 			}
 			state.Sequence++
-			state.Ended = []Ended{{ID: state.Held[0].ID, Engine: EngineHash("e0")}}
+			state.Ended = []Ended{{ID: state.Held[0].ID, Engine: EngineHash(enginechoice.Incarnation{ID: "e0"})}}
 			state.Held = state.Held[1:]
 			d.Hear("n1", state, start.Add(time.Duration(state.Sequence)*time.Minute))
 			grants := d.Replies()["n1"].Grants
 			if len(grants) != 1 || grants[0].ID != state.Waiting[best].ID {
 				t.Fatalf("granted %+v, want %+v of %+v", grants, state.Waiting[best], state.Waiting)
 			}
-			state.Held = append(state.Held, Held{ID: grants[0].ID, Engine: EngineHash("e0")})
+			state.Held = append(state.Held, Held{ID: grants[0].ID, Engine: EngineHash(enginechoice.Incarnation{ID: "e0"})})
 			state.Waiting = append(state.Waiting[:best:best], state.Waiting[best+1:]...)
 		}
 	})
--- a/internal/core/grant/grant.go
+++ b/internal/core/grant/grant.go
@@ -34,8 +34,15 @@
 // Holds says whether an engine, given by EngineHash, belongs to the lane.
 func (l Lane) Holds(engine uint64) bool { return uint32(engine)&(l.Parts-1) == l.Part } //nolint:gosec // the low bits are meant
 
-// EngineHash stands for an engine's id in messages.
-func EngineHash(id string) uint64 { return xxhash.Sum64String(id) }
+// EngineHash stands for an engine in messages.
+func EngineHash(engine enginechoice.Incarnation) uint64 { return engine.Hash() }
+
+// LifeHash stands for a node's life in messages.
+func LifeHash(life string) uint64 { return xxhash.Sum64String(life) }
+
+// PartHash gives the number by which requests that share a part of their prompts choose
+// the same lane.
+func PartHash(part string) uint64 { return xxhash.Sum64String(part) }
 
 // TenantHash stands for a tenant's name in messages.
 func TenantHash(name string) uint64 { return xxhash.Sum64String(name) }
--- a/internal/core/grant/network_test.go
+++ b/internal/core/grant/network_test.go
@@ -137,7 +137,7 @@
 		if n.onAlone != nil && !n.onAlone(node, id) {
 			continue
 		}
-		n.begin(node, id, EngineHash("e0"))
+		n.begin(node, id, EngineHash(enginechoice.Incarnation{ID: "e0"}))
 	}
 }
 
--- a/internal/core/grant/queue.go
+++ b/internal/core/grant/queue.go
@@ -111,9 +111,9 @@
 		return false
 	}
 	if choice.MakeRoom {
-		d.stopOne(choice.Entry.ID, now)
+		d.stopOne(choice.Entry.Incarnation(), now)
 	}
-	d.engines.Remember(choice.Entry.ID, entry.ask.Shared, now)
+	d.engines.Remember(choice.Entry.Incarnation(), entry.ask.Shared, now)
 	d.begin(known, entry, choice, now)
 	return true
 }
@@ -121,11 +121,11 @@
 // begin grants an entry an engine, or the zero Choice where it wanted none.
 func (d *Dispatcher) begin(known *node, entry *waiting, choice enginechoice.Choice, now time.Time) {
 	counted := &enginechoice.Work{Batch: entry.ask.Batch, PrefillTokens: choice.PrefillTokens, MemoryTokens: entry.ask.MemoryTokens}
-	d.engines.Start(choice.Entry.ID, counted)
+	d.engines.Start(choice.Entry.Incarnation(), counted)
 	granted := &work{
-		node: entry.node, id: entry.ask.ID, engine: choice.Entry.ID, counted: counted, since: now,
+		node: entry.node, id: entry.ask.ID, engine: choice.Entry.Incarnation(), counted: counted, since: now,
 		grant: Grant{
-			ID: entry.ask.ID, Engine: EngineHash(choice.Entry.ID), PrefillTokens: choice.PrefillTokens,
+			ID: entry.ask.ID, Engine: EngineHash(choice.Entry.Incarnation()), PrefillTokens: choice.PrefillTokens,
 			InFlight: choice.InFlight, Score: choice.Score, Preempts: choice.MakeRoom, Waited: now.Sub(entry.since),
 		},
 		suspect: entry.ask.Suspect,
@@ -150,7 +150,7 @@
 		Former: d.names[ask.Former], Connected: known.connected,
 	}
 	if len(ask.Exclude) > 0 {
-		query.Exclude = make(map[string]bool, len(ask.Exclude))
+		query.Exclude = make(map[enginechoice.Incarnation]bool, len(ask.Exclude))
 		for _, engine := range ask.Exclude {
 			query.Exclude[d.names[engine]] = true
 		}
@@ -167,7 +167,7 @@
 
 // stopOne has the batch run at an engine stopped that began last: it has lost
 // the least.
-func (d *Dispatcher) stopOne(engine string, now time.Time) {
+func (d *Dispatcher) stopOne(engine enginechoice.Incarnation, now time.Time) {
 	var last *work
 	for _, known := range d.nodes {
 		for _, request := range known.works {
--- a/internal/core/grant/suspect.go
+++ b/internal/core/grant/suspect.go
@@ -34,7 +34,7 @@
 	apart := query
 	apart.Exclude = maps.Clone(query.Exclude)
 	if apart.Exclude == nil {
-		apart.Exclude = make(map[string]bool, len(away))
+		apart.Exclude = make(map[enginechoice.Incarnation]bool, len(away))
 	}
 	maps.Copy(apart.Exclude, away)
 	choice, found := d.engines.Pick(apart, now)
@@ -57,11 +57,11 @@
 
 // away gives the engines that a request is to be kept away from: a suspect from those with
 // any other, and all others from those with one that is to run apart.
-func (d *Dispatcher) away(suspect Suspect) map[string]bool {
+func (d *Dispatcher) away(suspect Suspect) map[enginechoice.Incarnation]bool {
 	if len(d.suspects) == 0 {
 		return nil
 	}
-	away := make(map[string]bool)
+	away := make(map[enginechoice.Incarnation]bool)
 	for request := range d.suspects {
 		if suspect.Content != 0 || request.suspect.Crashes >= apartFrom {
 			away[request.engine] = true
--- a/internal/core/grant/suspect_test.go
+++ b/internal/core/grant/suspect_test.go
@@ -128,7 +128,7 @@
 // TestNewDispatcherKnowsSuspects by what nodes hold.
 func TestNewDispatcherKnowsSuspects(t *testing.T) {
 	d := newSuspectDispatcher(1)
-	d.state.Held = []Held{{ID: 1, Engine: EngineHash("e0"), Suspect: Suspect{Content: 7, Crashes: 1}}}
+	d.state.Held = []Held{{ID: 1, Engine: EngineHash(enginechoice.Incarnation{ID: "e0"}), Suspect: Suspect{Content: 7, Crashes: 1}}}
 	d.ask(2, Suspect{Content: 7, Crashes: 1})
 	if granted := d.tell(); len(granted) > 0 {
 		t.Errorf("granted %v", granted)
--- a/internal/core/grant/suspension_test.go
+++ b/internal/core/grant/suspension_test.go
@@ -3,6 +3,8 @@
 import (
 	"testing"
 	"time"
+
+	"ringstream.example/ringstream/internal/core/enginechoice"
 )
 
 // TestDispatcherThatWasSuspendedForgetsWhoTurnedAway: its nodes have another dispatcher by now,
@@ -19,7 +21,7 @@
 	} {
 		d := newSuspectDispatcher(1)
 		d.state.Attached = true
-		d.state.Held = []Held{{ID: 1, Engine: EngineHash("e0")}}
+		d.state.Held = []Held{{ID: 1, Engine: EngineHash(enginechoice.Incarnation{ID: "e0"})}}
 		d.tell()
 		d.Suspended(test.gap, d.now.Add(10*time.Millisecond))
 		underWay, _ := d.Counts()
--- a/internal/events/passthrough.go
+++ b/internal/events/passthrough.go
@@ -13,9 +13,13 @@
 	TenantProblem = Define(Event{Number: 8012, Name: "tenant definition does not hold as it stands", Level: zapcore.ErrorLevel, Fields: []string{"version", "tenant", "error"}, Action: "The configuration defines a tenant in a way that cannot hold; error says what holds instead. Correct the document."})
 	RoutesRefused = Define(Event{Number: 8011, Name: "routes refused", Level: zapcore.ErrorLevel, Fields: []string{"source", "error"}, Action: "The configuration document cannot be read; the version before stays in force. Correct the document."})
 
-	EngineSeen       = Define(Event{Number: 8020, Name: "engine entry", Level: zapcore.InfoLevel, Fields: []string{"engine", "address", "state", "store_version"}})
-	EngineGone       = Define(Event{Number: 8021, Name: "engine entry gone", Level: zapcore.InfoLevel, Fields: []string{"engine", "store_was_sick", "store_version"}})
-	EngineUnreadable = Define(Event{Number: 8022, Name: "engine entry unreadable", Level: zapcore.ErrorLevel, Fields: []string{"engine", "error"}, Action: "The engine's entry in the store is malformed; look at what wrote it."})
+	EngineSeen = Define(Event{Number: 8020, Name: "engine entry", Level: zapcore.InfoLevel, Fields: []string{"engine", "address", "state", "store_version"}})
+	EngineGone = Define(Event{Number: 8021, Name: "engine entry gone", Level: zapcore.InfoLevel, Fields: []string{"engine", "store_was_sick", "store_version"}})
+	// EngineRestarted and EngineEntryOutdated name incarnations as id@start, the start in
+	// Unix milliseconds.
+	EngineRestarted     = Define(Event{Number: 8026, Name: "engine started again under its id", Level: zapcore.InfoLevel, Fields: []string{"engine", "former", "address", "state", "store_version"}})
+	EngineEntryOutdated = Define(Event{Number: 8027, Name: "engine entry of a former incarnation ignored", Level: zapcore.InfoLevel, Fields: []string{"engine", "newest", "address", "state", "store_version"}})
+	EngineUnreadable    = Define(Event{Number: 8022, Name: "engine entry unreadable", Level: zapcore.ErrorLevel, Fields: []string{"engine", "error"}, Action: "The engine's entry in the store is malformed; look at what wrote it."})
 
 	RequestTaken     = Define(Event{Number: 8101, Name: "request taken", Level: zapcore.DebugLevel, Fields: []string{"request", "route", "tenant", "routes_version", "left"}})
 	KeyRefused       = Define(Event{Number: 8113, Name: "key refused", Level: zapcore.InfoLevel, Fields: []string{"request", "key", "verdict", "routes_version", "confirmed_age"}})
--- a/internal/passthrough/batch/owned.go
+++ b/internal/passthrough/batch/owned.go
@@ -8,6 +8,7 @@
 
 	"go.uber.org/zap"
 
+	"ringstream.example/ringstream/internal/core/enginechoice"
 	"ringstream.example/ringstream/internal/core/passjob"
 	"ringstream.example/ringstream/internal/events"
 	"ringstream.example/ringstream/internal/passthrough"
@@ -18,13 +19,13 @@
 // itemWork is the owner's work on one item; guarded by Service.mu.
 type itemWork struct {
 	running   bool
-	ask       uint64             // that waits for a slot; 0: none
-	engine    string             // that runs it, or ran it last
-	slot      *slots.Slot        // of the run
-	yield     context.CancelFunc // stops the run, to make room
-	yieldedAt time.Time          // when its last run was stopped to make room
-	notBefore time.Time          // of the next run
-	unrun     int                // engines that turned it away in a row
+	ask       uint64                   // that waits for a slot; 0: none
+	engine    enginechoice.Incarnation // that runs it, or ran it last
+	slot      *slots.Slot              // of the run
+	yield     context.CancelFunc       // stops the run, to make room
+	yieldedAt time.Time                // when its last run was stopped to make room
+	notBefore time.Time                // of the next run
+	unrun     int                      // engines that turned it away in a row
 	text      progress
 	saved     int  // events of the text that the store has
 	held      bool // its content is blocked, and that was logged
--- a/internal/passthrough/batch/preempt.go
+++ b/internal/passthrough/batch/preempt.go
@@ -45,7 +45,7 @@
 // once: the engine drops it as soon as it sees the connection close.
 func (s *Service) stopRun(job *ownedJob, index int, why string) {
 	work := &job.work[index]
-	events.ItemYields.Log(s.Logger, zap.String("job", job.id), zap.String("request", job.itemIDs[index]), zap.String("engine", work.engine),
+	events.ItemYields.Log(s.Logger, zap.String("job", job.id), zap.String("request", job.itemIDs[index]), zap.Stringer("engine", work.engine),
 		zap.Int("events_kept", work.text.events), zap.String("why", why))
 	work.yield()
 	work.yield = nil
--- a/internal/passthrough/batch/run.go
+++ b/internal/passthrough/batch/run.go
@@ -39,7 +39,7 @@
 
 func (r itemRun) engineKey() engineconn.Key {
 	engine := r.decision.Choice.Entry
-	return engineconn.Key{Engine: engine.ID, Address: engine.Address}
+	return engineconn.Key{Engine: engine.Incarnation(), Address: engine.Address}
 }
 
 // runEnd says how a run ended.
@@ -107,7 +107,7 @@
 		s.forecast.observeItem(kept)
 	}
 	events.ItemRunEnded.Log(s.Logger, zap.String("job", r.job.id), zap.String("request", r.item.ID), zap.Int64("epoch", r.job.epoch),
-		zap.String("engine", r.decision.Choice.Entry.ID), zap.Stringer("outcome", end), zap.Int("status", status), zap.Int("events_kept", kept),
+		zap.Stringer("engine", r.decision.Choice.Entry.Incarnation()), zap.Stringer("outcome", end), zap.Int("status", status), zap.Int("events_kept", kept),
 		zap.Duration("elapsed", time.Since(started)), zap.Error(err), zap.Stringer("content", r.digest), zap.Bool("engine_ended", ended))
 	s.settleItem(r, end)
 	s.signal()
@@ -207,7 +207,7 @@
 			return s.Headers.Answer(http.StatusOK, answered).RequestID == r.item.ID
 		},
 		Surplus: func(answered http.Header) {
-			events.SurplusAnswer.Log(s.Logger, zap.String("request", r.item.ID), zap.String("engine", r.decision.Choice.Entry.ID),
+			events.SurplusAnswer.Log(s.Logger, zap.String("request", r.item.ID), zap.Stringer("engine", r.decision.Choice.Entry.Incarnation()),
 				zap.String("answered", s.Headers.Answer(http.StatusOK, answered).RequestID))
 		},
 	}
@@ -224,7 +224,9 @@
 	case said.NotRun:
 		_, _ = io.Copy(io.Discard, io.LimitReader(answer, bodyLimit)) // so that the connection can be kept
 		if response.StatusCode == http.StatusMisdirectedRequest {
-			s.Engines.Use(func(set *enginechoice.Set, now time.Time) { set.Remove(r.decision.Choice.Entry.ID, false, now) })
+			s.Engines.Use(func(set *enginechoice.Set, now time.Time) {
+				set.Remove(r.decision.Choice.Entry.Incarnation(), false, now)
+			})
 		}
 		return runNot, nil
 	case response.StatusCode == http.StatusUnprocessableEntity && said.Sealed:
--- a/internal/passthrough/batch/schedule.go
+++ b/internal/passthrough/batch/schedule.go
@@ -8,6 +8,7 @@
 
 	"go.uber.org/zap"
 
+	"ringstream.example/ringstream/internal/core/enginechoice"
 	"ringstream.example/ringstream/internal/core/ordering"
 	"ringstream.example/ringstream/internal/core/passjob"
 	"ringstream.example/ringstream/internal/core/passroute"
@@ -32,7 +33,7 @@
 	due   time.Duration
 	late  bool // it cannot be done when it is due, by what is known of such items
 	// former is the engine that ran it and may still keep its prompt.
-	former string
+	former enginechoice.Incarnation
 }
 
 // schedule starts items while engines have room for batch work.
@@ -197,12 +198,12 @@
 		return false
 	}
 	ctx, stop := context.WithCancel(next.job.runs)
-	work.running, work.ask, work.slot, work.engine, work.yield = true, 0, decision.Slot, decision.Choice.Entry.ID, stop
+	work.running, work.ask, work.slot, work.engine, work.yield = true, 0, decision.Slot, decision.Choice.Entry.Incarnation(), stop
 	lastEvent := work.text.lastEvent
 	s.running.Add(1)
 	s.mu.Unlock()
 	events.ItemStarted.Log(s.Logger, zap.String("job", next.job.id), zap.String("request", item.ID), zap.Int64("epoch", next.job.epoch),
-		zap.String("engine", decision.Choice.Entry.ID), zap.Int("in_flight", decision.Choice.InFlight), zap.String("last_event", lastEvent),
+		zap.Stringer("engine", decision.Choice.Entry.Incarnation()), zap.Int("in_flight", decision.Choice.InFlight), zap.String("last_event", lastEvent),
 		zap.Stringer("chosen_by", decision.Source), zap.String("dispatcher", decision.From), zap.Duration("waited", decision.Waited),
 		zap.Int64("routes_version", routes.version), zap.Duration("routes_age", time.Since(routes.learned)))
 	go s.runItem(ctx, stop, itemRun{job: next.job, index: next.index, item: item, digest: next.job.digestOf(item), route: routes.route, decision: decision})
--- a/internal/passthrough/catalog/engines.go
+++ b/internal/passthrough/catalog/engines.go
@@ -35,6 +35,9 @@
 	set  *enginechoice.Set
 	rows map[string]passthrough.Row // the newest of each engine, removed ones too
 	byID map[string]passthrough.EngineEntry
+
+	onRestart func(former enginechoice.Incarnation)
+	restarted []enginechoice.Incarnation // that onRestart has not heard of
 }
 
 // NewEngines makes an empty list for a node.
@@ -45,6 +48,8 @@
 		set:    enginechoice.NewSet(node),
 		rows:   make(map[string]passthrough.Row),
 		byID:   make(map[string]passthrough.EngineEntry),
+
+		onRestart: func(enginechoice.Incarnation) {},
 	}
 }
 
@@ -61,6 +66,7 @@
 // Replace implements Sink: engines that the listing lacks are gone, unless
 // something newer than the listing is known of them.
 func (e *Engines) Replace(rows []passthrough.Row, version int64) {
+	defer e.tellRestarts()
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	listed := make(map[string]bool, len(rows))
@@ -77,6 +83,7 @@
 
 // Change implements Sink.
 func (e *Engines) Change(rows []passthrough.Row) {
+	defer e.tellRestarts()
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	for _, row := range rows {
@@ -107,17 +114,19 @@
 	if entry.State == passthrough.EngineDraining {
 		state = enginechoice.Leaving
 	}
-	known := enginechoice.Entry{ID: entry.ID, Pool: entry.Pool, Address: entry.Address, Zone: entry.Zone, Slots: entry.Slots}
+	known := enginechoice.Entry{ID: entry.ID, Pool: entry.Pool, Address: entry.Address, Zone: entry.Zone, Slots: entry.Slots, Born: entry.BornMs}
 	if table, _ := e.routes.Table(); table != nil {
 		known.MemoryTokens = table.Pool(entry.Pool).MemoryTokens
 	}
 	if entry.ColdFor > 0 {
 		known.ColdUntil = now.Add(entry.ColdFor)
 	}
-	e.byID[entry.ID] = entry
-	if e.set.Upsert(known, state, now) {
-		events.EngineSeen.Log(e.logger, zap.String("engine", entry.ID), zap.String("address", entry.Address), zap.Stringer("state", state), zap.Int64("store_version", version))
+	former, _ := e.set.Newest(entry.ID)
+	if entry.BornMs == 0 { // it says nothing of a start: it speaks of the newest
+		known.Born = former.Born
 	}
+	e.byID[entry.ID] = entry
+	e.noteNews(e.set.Upsert(known, state, now), known, state, former, version)
 }
 
 func (e *Engines) remove(id string, version int64) {
@@ -129,8 +138,9 @@
 	now := time.Now()
 	health := e.health()
 	sick := !health.LastBad.IsZero() && now.Sub(health.LastBad) < sickBefore
-	e.set.Remove(id, sick, now)
-	events.EngineGone.Log(e.logger, zap.String("engine", id), zap.Bool("store_was_sick", sick), zap.Int64("store_version", version))
+	engine, _ := e.set.Newest(id)
+	e.set.Remove(engine, sick, now)
+	events.EngineGone.Log(e.logger, zap.Stringer("engine", engine), zap.Bool("store_was_sick", sick), zap.Int64("store_version", version))
 }
 
 // Run expires engines that were not listed again, until ctx ends.
@@ -148,8 +158,8 @@
 	}
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	for _, id := range e.set.ExpireUnlisted(now.Add(-relistTime), now) {
-		events.EngineExpired.Log(e.logger, zap.String("engine", id), zap.Duration("after", relistTime))
+	for _, engine := range e.set.ExpireUnlisted(now.Add(-relistTime), now) {
+		events.EngineExpired.Log(e.logger, zap.Stringer("engine", engine), zap.Duration("after", relistTime))
 	}
 }
 
--- a/internal/passthrough/edge/edge.go
+++ b/internal/passthrough/edge/edge.go
@@ -120,6 +120,7 @@
 	node.routesFollower.SlowBy(node.batch.Crowding)
 	forward := relay.New(platform.Headers, node.engines, node.slots, node.pool, node.guard, node.logger, relay.NewMetrics(node.registry))
 	node.guard.OnBlocked(forward.StopContent)
+	node.engines.OnRestart(node.guard.Restarted)
 	node.watchSuspensions(platform.Clock, forward)
 	node.front = ingress.New(ingress.Config{Keys: config.Keys}, ingress.Dependencies{
 		Registerer: node.registry,
@@ -301,13 +302,14 @@
 // sweep closes engine connections that have rested too long.
 func (n *Node) sweep(ctx context.Context) error {
 	for wait.For(ctx, sweepEvery) {
-		live := make(map[string]bool)
+		live := make(map[enginechoice.Incarnation]bool)
 		n.engines.Use(func(set *enginechoice.Set, _ time.Time) {
-			for _, id := range set.Known() {
-				live[id] = true
+			for _, engine := range set.Known() {
+				known, _ := set.Find(engine)
+				live[engine] = known.State != enginechoice.Ended
 			}
 		})
-		n.pool.Sweep(func(engine string) bool { return live[engine] })
+		n.pool.Sweep(func(engine enginechoice.Incarnation) bool { return live[engine] })
 	}
 	return nil
 }
--- a/internal/passthrough/engineconn/conn_test.go
+++ b/internal/passthrough/engineconn/conn_test.go
@@ -10,6 +10,8 @@
 	"testing"
 	"testing/synctest"
 	"time"
+
+	"ringstream.example/ringstream/internal/core/enginechoice"
 )
 
 // TestWriterThatIsSlowToReportLosesNoConnection has the answer come before the
@@ -49,7 +51,7 @@
 	server := httptest.NewServer(http.HandlerFunc(func(to http.ResponseWriter, _ *http.Request) { to.WriteHeader(http.StatusOK) }))
 	defer server.Close()
 	pool := New(DefaultConfig())
-	key := Key{Engine: "e", Address: strings.TrimPrefix(server.URL, "http://")}
+	key := Key{Engine: enginechoice.Incarnation{ID: "e"}, Address: strings.TrimPrefix(server.URL, "http://")}
 	use := func() bool {
 		exchange, err := pool.Do(context.Background(), key, Request{Method: http.MethodGet, Target: "/", Header: make(http.Header), Own: func(http.Header) bool { return true }})
 		if err != nil {
--- a/internal/passthrough/engineconn/pool.go
+++ b/internal/passthrough/engineconn/pool.go
@@ -11,11 +11,13 @@
 	"time"
 
 	"golang.org/x/sys/unix"
+
+	"ringstream.example/ringstream/internal/core/enginechoice"
 )
 
-// Key names one life of an engine: an address may be used again by another.
+// Key names one incarnation of an engine: an address may be used again by another.
 type Key struct {
-	Engine  string
+	Engine  enginechoice.Incarnation
 	Address string
 }
 
@@ -79,11 +81,11 @@
 	return false
 }
 
-// Connected gives the ids of the engines to which an idle connection is kept.
-func (p *Pool) Connected() map[string]bool {
+// Connected gives the engines to which an idle connection is kept.
+func (p *Pool) Connected() map[enginechoice.Incarnation]bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	engines := make(map[string]bool, len(p.idle))
+	engines := make(map[enginechoice.Incarnation]bool, len(p.idle))
 	for key, list := range p.idle {
 		if len(list) > 0 {
 			engines[key.Engine] = true
@@ -169,7 +171,7 @@
 
 // Sweep closes connections that have been idle too long, and all of engines
 // that live says are gone.
-func (p *Pool) Sweep(live func(engine string) bool) {
+func (p *Pool) Sweep(live func(engine enginechoice.Incarnation) bool) {
 	var drop []*conn
 	p.mu.Lock()
 	for key, list := range p.idle {
--- a/internal/passthrough/guard/guard.go
+++ b/internal/passthrough/guard/guard.go
@@ -67,6 +67,7 @@
 	unkept  map[quarantine.Digest]bool // to be written to the store
 	repeat  []repeated
 	own     map[quarantine.Digest]map[uint64]bool // engines of the crashes that this node saw
+	broken  []brokenRun                           // of late, the oldest first
 }
 
 // New makes a service; Run does its periodic work.
@@ -115,20 +116,27 @@
 }
 
 // Broke looks whether the engine of a run that broke has ended, and if so notes that it
-// did under the run's content. An engine that was leaving ends as planned, and nothing is
-// noted.
+// did under the run's content. One that listens may have started again; its next entry
+// tells (Restarted).
 func (s *Service) Broke(ctx context.Context, run Run) (ended bool) {
-	if !s.Pool.Ended(ctx, run.Engine) {
+	if s.Pool.Ended(ctx, run.Engine) {
+		s.noteEnd(run)
+		return true
+	}
+	s.awaitRestart(run)
+	if s.stateOf(run.Engine.Engine) != enginechoice.Ended {
 		return false
 	}
-	leaving := true
-	s.Engines.Use(func(set *enginechoice.Set, _ time.Time) {
-		listed, found := set.Find(run.Engine.Engine)
-		leaving = !found || listed.State == enginechoice.Leaving
-	})
-	if leaving {
-		events.EngineLeft.Log(s.Logger, zap.String("request", run.Request), zap.Stringer("content", run.Content), zap.String("engine", run.Engine.Engine))
-		return true
+	s.Restarted(run.Engine.Engine)
+	return true
+}
+
+// noteEnd notes that an engine ended under a run. One that was leaving ends as planned, and
+// nothing is noted.
+func (s *Service) noteEnd(run Run) {
+	if s.stateOf(run.Engine.Engine) == enginechoice.Leaving {
+		events.EngineLeft.Log(s.Logger, zap.String("request", run.Request), zap.Stringer("content", run.Content), zap.Stringer("engine", run.Engine.Engine))
+		return
 	}
 	crash := quarantine.Crash{Content: run.Content, Engine: grant.EngineHash(run.Engine.Engine)}
 	now := time.Now()
@@ -146,10 +154,9 @@
 	s.mu.Unlock()
 	s.signal()
 	s.Metrics.crashed()
-	events.EngineEnded.Log(s.Logger, zap.String("request", run.Request), zap.Stringer("content", run.Content), zap.String("engine", run.Engine.Engine),
+	events.EngineEnded.Log(s.Logger, zap.String("request", run.Request), zap.Stringer("content", run.Content), zap.Stringer("engine", run.Engine.Engine),
 		zap.Int("crashes", verdict.Crashes), zap.Float64("evidence", verdict.Evidence), zap.Bool("blocked", verdict.Blocked))
 	s.logBlocked(newly, run.Content, verdict, "own run")
-	return true
 }
 
 // Served takes word that a run of a content was whole.
--- /dev/null
+++ b/internal/passthrough/guard/restarts_test.go
@@ -0,0 +1,55 @@
+package guard
+
+import (
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"go.uber.org/zap"
+
+	"ringstream.example/ringstream/internal/core/enginechoice"
+	"ringstream.example/ringstream/internal/core/quarantine"
+	"ringstream.example/ringstream/internal/passthrough/catalog"
+	"ringstream.example/ringstream/internal/passthrough/engineconn"
+)
+
+// TestRunThatBrokeLongBeforeARestartCountsForNothing has runs break at an engine that
+// listens: those just before it is known to have started again ended with it, once each; one
+// from long before, one at another incarnation, and one at an engine that was leaving did not.
+func TestRunThatBrokeLongBeforeARestartCountsForNothing(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		former, next := enginechoice.Incarnation{ID: "e0", Born: 1000}, enginechoice.Incarnation{ID: "e0", Born: 2000}
+		leaving := enginechoice.Incarnation{ID: "e1", Born: 1000}
+		engines := catalog.NewEngines("n1", nil, nil, zap.NewNop())
+		engines.Use(func(set *enginechoice.Set, now time.Time) {
+			set.Upsert(enginechoice.Entry{ID: "e0", Born: former.Born, Pool: "p"}, enginechoice.Ready, now)
+			set.Upsert(enginechoice.Entry{ID: "e1", Born: leaving.Born, Pool: "p"}, enginechoice.Leaving, now)
+		})
+		s := New(quarantine.DefaultConfig(), Dependencies{Engines: engines, Logger: zap.NewNop(), Metrics: NewMetrics(nil)})
+		broke := func(body string, engine enginechoice.Incarnation) quarantine.Digest {
+			content := quarantine.Content{Host: "h", Body: []byte(body)}.Digest()
+			s.awaitRestart(Run{Request: body, Content: content, Engine: engineconn.Key{Engine: engine}})
+			return content
+		}
+		early := broke("early", former)
+		time.Sleep(restartSeenWithin + time.Millisecond)
+		late, elsewhere, planned := broke("late", former), broke("elsewhere", next), broke("planned", leaving)
+		time.Sleep(restartSeenWithin / 2)
+		engines.Use(func(set *enginechoice.Set, now time.Time) {
+			set.Upsert(enginechoice.Entry{ID: "e0", Born: next.Born, Pool: "p"}, enginechoice.Ready, now)
+			set.Upsert(enginechoice.Entry{ID: "e1", Born: next.Born, Pool: "p"}, enginechoice.Ready, now)
+		})
+		for range 2 {
+			s.Restarted(former)
+			s.Restarted(leaving)
+		}
+		for name, test := range map[string]struct {
+			content quarantine.Digest
+			want    int
+		}{"early": {early, 0}, "late": {late, 1}, "elsewhere": {elsewhere, 0}, "planned": {planned, 0}} {
+			if got := s.Verdict(test.content).Crashes; got != test.want {
+				t.Errorf("%s: %d engines ended under it, want %d", name, got, test.want)
+			}
+		}
+	})
+}
--- a/internal/passthrough/relay/attempt.go
+++ b/internal/passthrough/relay/attempt.go
@@ -51,7 +51,7 @@
 	defer cancel()
 	e.stoppable.set(cancel)
 	defer e.stoppable.set(nil)
-	key := engineconn.Key{Engine: engine.ID, Address: engine.Address}
+	key := engineconn.Key{Engine: engine.Incarnation(), Address: engine.Address}
 	answer, err := e.pool.Do(ctx, key, e.request(decision.Choice, ctx, cancel))
 	outcome, status, left := NotRun, 0, false
 	switch {
@@ -79,7 +79,7 @@
 	}
 	e.settle(decision.Slot, outcome, err, bounded)
 	fields := []zap.Field{
-		zap.String("request", e.call.Demand.RequestID), zap.String("engine", engine.ID), zap.Int("attempt", e.tries),
+		zap.String("request", e.call.Demand.RequestID), zap.Stringer("engine", engine.Incarnation()), zap.Int("attempt", e.tries),
 		zap.Duration("elapsed", time.Since(started)), zap.Error(err),
 	}
 	if outcome == NotRun && e.tries > triesLogged {
@@ -122,7 +122,7 @@
 			return e.headers.Answer(http.StatusOK, answered).RequestID == e.call.Demand.RequestID
 		},
 		Surplus: func(answered http.Header) {
-			events.SurplusAnswer.Log(e.logger, zap.String("request", e.call.Demand.RequestID), zap.String("engine", engine.ID),
+			events.SurplusAnswer.Log(e.logger, zap.String("request", e.call.Demand.RequestID), zap.Stringer("engine", engine.Incarnation()),
 				zap.String("answered", e.headers.Answer(http.StatusOK, answered).RequestID))
 		},
 	}
@@ -151,7 +151,7 @@
 // silence means a queue; leaving it would only queue elsewhere.
 func (e *exchange) waitsItsTurn(choice enginechoice.Choice) bool {
 	full := !choice.HasSlot()
-	e.engines.Use(func(set *enginechoice.Set, now time.Time) { full = full || set.Full(choice.Entry.ID, now) })
+	e.engines.Use(func(set *enginechoice.Set, now time.Time) { full = full || set.Full(choice.Entry.Incarnation(), now) })
 	return full
 }
 
@@ -183,7 +183,7 @@
 func (e *exchange) notRun(answer *engineconn.Exchange, choice enginechoice.Choice) (Outcome, error) {
 	_, err := io.Copy(io.Discard, io.LimitReader(answer, maxBuffered))
 	if answer.Response.StatusCode == http.StatusMisdirectedRequest {
-		e.engines.Use(func(set *enginechoice.Set, now time.Time) { set.Remove(choice.Entry.ID, false, now) })
+		e.engines.Use(func(set *enginechoice.Set, now time.Time) { set.Remove(choice.Entry.Incarnation(), false, now) })
 	}
 	return NotRun, err
 }
--- a/internal/passthrough/relay/relay.go
+++ b/internal/passthrough/relay/relay.go
@@ -84,7 +84,7 @@
 	to        http.ResponseWriter
 	stoppable attemptStop
 	clock     callClock // of the client's deadline or the route's, whichever is earlier
-	excluded  map[string]bool
+	excluded  map[enginechoice.Incarnation]bool
 
 	content    quarantine.Digest
 	attempts   int  // engines that ran the request, or may have
@@ -105,7 +105,7 @@
 func (r *Relay) Serve(ctx context.Context, to http.ResponseWriter, call *Call) {
 	state := &exchange{
 		Relay: r, call: call, to: to,
-		excluded: make(map[string]bool), stream: NewSplitter(call.Demand.LastEvent), content: call.content().Digest(),
+		excluded: make(map[enginechoice.Incarnation]bool), stream: NewSplitter(call.Demand.LastEvent), content: call.content().Digest(),
 	}
 	bounded, cancel := context.WithDeadline(ctx, deadlineOf(call))
 	defer cancel()
@@ -181,13 +181,13 @@
 		case Completed, ClientGone:
 			return ended
 		case NotRun:
-			e.excluded[decision.Choice.Entry.ID] = true
+			e.excluded[decision.Choice.Entry.Incarnation()] = true
 			continue
 		}
 		if client.Err() != nil {
 			return ClientGone
 		}
-		e.excluded[decision.Choice.Entry.ID] = true
+		e.excluded[decision.Choice.Entry.Incarnation()] = true
 		if !e.call.Route.Repeatable() || e.attempts >= e.call.Route.Attempts {
 			return e.giveUp(attemptsUsed)
 		}
@@ -264,7 +264,7 @@
 func (e *exchange) logChoice(decision slots.Decision) {
 	choice := decision.Choice
 	events.EngineChosen.Log(e.logger,
-		zap.String("request", e.call.Demand.RequestID), zap.String("engine", choice.Entry.ID), zap.Int("attempt", e.tries),
+		zap.String("request", e.call.Demand.RequestID), zap.Stringer("engine", choice.Entry.Incarnation()), zap.Int("attempt", e.tries),
 		zap.Stringer("chosen_by", decision.Source), zap.String("dispatcher", decision.From), zap.Duration("waited", decision.Waited),
 		zap.Float64("score_ms", choice.Score), zap.Int("in_flight", choice.InFlight), zap.Int("slots", choice.Entry.Slots), zap.Int("prefill_tokens", choice.PrefillTokens),
 		zap.Bool("makes_room", choice.MakeRoom), zap.Stringer("state", choice.State), zap.Duration("left", e.clock.left()), zap.String("last_event", e.stream.Last()))
--- a/internal/passthrough/slots/acquire.go
+++ b/internal/passthrough/slots/acquire.go
@@ -9,6 +9,7 @@
 	"ringstream.example/ringstream/internal/core/enginechoice"
 	"ringstream.example/ringstream/internal/core/grant"
 	"ringstream.example/ringstream/internal/events"
+	"ringstream.example/ringstream/internal/wait"
 )
 
 // Request is an online request that needs a slot.
@@ -99,10 +100,19 @@
 			s.Metrics.granted(decision)
 			return decision, nil
 		}
+		if told.granted != nil && told.engine == (enginechoice.Incarnation{}) {
+			wait.For(ctx, unknownEnginePause) // ended by ctx it is the next wait that says so
+			continue
+		}
 		query = excluding(query, told)
 	}
 }
 
+// unknownEnginePause is the pause after a grant at an engine that this node has not read of
+// yet: it reads the store some times a second. Without it the node asked, and was granted
+// the same, at each round trip until then.
+const unknownEnginePause = 20 * time.Millisecond
+
 // count has a request counted by its tenant's limit, where that is not the same
 // lane's dispatcher that will grant it a slot; false: it is yet to be counted there.
 func (s *Service) count(ctx context.Context, request Request, ask grant.Ask, lane grant.Lane) (bool, error) {
@@ -144,7 +154,7 @@
 	suspect grant.Suspect
 	id      uint64
 	lane    grant.Lane
-	name    string // of the engine that was granted
+	engine  enginechoice.Incarnation // that was granted
 }
 
 // wait asks a lane's dispatcher, and waits for its word.
@@ -169,7 +179,7 @@
 				return answered{}, ErrLimitNotKnown
 			}
 			if told.granted != nil {
-				result.name = s.engineName(told.granted.grant.Engine)
+				result.engine = s.engineBy(told.granted.grant.Engine)
 			}
 			return result, nil
 		case <-place.C:
@@ -197,7 +207,7 @@
 		ID: id, Batch: query.Batch, Shared: query.Shared, OwnTokens: query.OwnTokens, MemoryTokens: query.MemoryTokens,
 		BatchPercent: query.BatchPercent,
 	}
-	if query.Former != "" {
+	if query.Former != (enginechoice.Incarnation{}) {
 		ask.Former = grant.EngineHash(query.Former)
 	}
 	for engine := range query.Exclude {
@@ -211,11 +221,11 @@
 // under. The caller holds mu.
 func (s *Service) laneFor(pool string, ask grant.Ask) grant.Lane {
 	lane := grant.Lane{Pool: pool, Parts: max(s.pools[pool].parts, 1)}
-	key := grant.EngineHash(s.Life) + ask.ID
+	key := grant.LifeHash(s.Life) + ask.ID
 	if ask.Suspect.Content != 0 {
 		key = ask.Suspect.Content // so that one dispatcher knows all runs of a content
 	} else if len(ask.Shared) > 0 {
-		key = grant.EngineHash(ask.Shared[len(ask.Shared)-1].ID)
+		key = grant.PartHash(ask.Shared[len(ask.Shared)-1].ID)
 	}
 	lane.Part = uint32(key) & (lane.Parts - 1) //nolint:gosec // the low bits are meant
 	return lane
@@ -325,12 +335,12 @@
 
 // take gives the engine that a grant names.
 func (s *Service) take(given granted, query enginechoice.Query) (Decision, bool) {
-	id := s.engineName(given.grant.Engine)
+	engine := s.engineBy(given.grant.Engine)
 	var listed enginechoice.Listed
 	found := false
-	s.Engines.Use(func(set *enginechoice.Set, _ time.Time) { listed, found = set.Find(id) })
-	if !found || listed.State == enginechoice.Leaving || query.Exclude[id] {
-		events.GrantDeclined.Log(s.Logger, zap.Uint64("ask", given.grant.ID), zap.String("engine", id), zap.String("dispatcher", given.from), zap.Bool("known", found), zap.Stringer("state", listed.State))
+	s.Engines.Use(func(set *enginechoice.Set, _ time.Time) { listed, found = set.Find(engine) })
+	if !found || !listed.State.Serves() || query.Exclude[engine] {
+		events.GrantDeclined.Log(s.Logger, zap.Uint64("ask", given.grant.ID), zap.Stringer("engine", engine), zap.String("dispatcher", given.from), zap.Bool("known", found), zap.Stringer("state", listed.State))
 		return Decision{}, false
 	}
 	decision := Decision{Source: ByDispatcher, From: given.from, Choice: enginechoice.Choice{
@@ -343,8 +353,8 @@
 	return decision, true
 }
 
-// engineName gives the id of an engine by its hash; empty: not known here.
-func (s *Service) engineName(hash uint64) string {
+// engineBy gives an engine by its hash; the zero value: not known here.
+func (s *Service) engineBy(hash uint64) enginechoice.Incarnation {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	return s.engines[hash]
@@ -352,12 +362,12 @@
 
 // excluding leaves the engine out that could not be used.
 func excluding(query enginechoice.Query, told answered) enginechoice.Query {
-	exclude := make(map[string]bool, len(query.Exclude)+1)
+	exclude := make(map[enginechoice.Incarnation]bool, len(query.Exclude)+1)
 	for id := range query.Exclude {
 		exclude[id] = true
 	}
 	if told.granted != nil {
-		exclude[told.name] = true
+		exclude[told.engine] = true
 	}
 	query.Exclude = exclude
 	return query
--- a/internal/passthrough/slots/slot.go
+++ b/internal/passthrough/slots/slot.go
@@ -12,7 +12,7 @@
 	service *Service
 	lane    grant.Lane
 	id      uint64
-	engine  string
+	engine  enginechoice.Incarnation
 	shared  []enginechoice.Part
 	counted *enginechoice.Work
 }
@@ -20,7 +20,7 @@
 // begin counts a request at an engine, here and at the lane's dispatcher.
 func (s *Service) begin(lane grant.Lane, id uint64, choice enginechoice.Choice, query enginechoice.Query, suspect grant.Suspect) *Slot {
 	slot := &Slot{
-		service: s, lane: lane, id: id, engine: choice.Entry.ID, shared: query.Shared,
+		service: s, lane: lane, id: id, engine: choice.Entry.Incarnation(), shared: query.Shared,
 		counted: &enginechoice.Work{Batch: query.Batch, PrefillTokens: choice.PrefillTokens, MemoryTokens: query.MemoryTokens},
 	}
 	s.Engines.Use(func(set *enginechoice.Set, _ time.Time) { set.Start(slot.engine, slot.counted) })
--- a/internal/passthrough/slots/slots.go
+++ b/internal/passthrough/slots/slots.go
@@ -40,8 +40,8 @@
 	Seeds func() []string
 	// Ready says whether this node knows the engines.
 	Ready func() bool
-	// Connected gives ids of engines to which an idle connection is kept.
-	Connected func() map[string]bool
+	// Connected gives the engines to which an idle connection is kept.
+	Connected func() map[enginechoice.Incarnation]bool
 	// Stop ends one of this node's batch runs, by the id of its ask.
 	Stop func(id uint64)
 }
@@ -94,8 +94,8 @@
 	batch       map[uint64]BatchAsk
 	batchLanes  map[uint64]grant.Lane
 	pools       map[string]poolView
-	engines     map[uint64]string // ids by grant.EngineHash
-	seen        uint64            // Changes of the engines that pools and engines are of
+	engines     map[uint64]enginechoice.Incarnation // by grant.EngineHash
+	seen        uint64                              // Changes of the engines that pools and engines are of
 	lookedAt    time.Time
 	limits      limits
 	live        int          // nodes that are alive, this one among them
@@ -113,10 +113,10 @@
 func New(config LimitsConfig, dependencies Dependencies) *Service {
 	return &Service{
 		config: config, lone: quota.NewLonePlace(config.margin(), time.Now()), live: 1,
-		Dependencies: dependencies, life: grant.EngineHash(dependencies.Life), wake: make(chan struct{}, 1),
+		Dependencies: dependencies, life: grant.LifeHash(dependencies.Life), wake: make(chan struct{}, 1),
 		requesters: make(map[grant.Lane]*requester), dispatchers: make(map[grant.Lane]*dispatcher),
 		waits: make(map[uint64]*waiter), batch: make(map[uint64]BatchAsk), batchLanes: make(map[uint64]grant.Lane),
-		pools: make(map[string]poolView), engines: make(map[uint64]string),
+		pools: make(map[string]poolView), engines: make(map[uint64]enginechoice.Incarnation),
 	}
 }
 
@@ -236,8 +236,8 @@
 // connected gives the engines that an idle connection is kept to.
 func (s *Service) connected() []uint64 {
 	var hashes []uint64
-	for id := range s.Connected() {
-		if hashes = append(hashes, grant.EngineHash(id)); len(hashes) == mostConnected {
+	for engine := range s.Connected() {
+		if hashes = append(hashes, grant.EngineHash(engine)); len(hashes) == mostConnected {
 			break
 		}
 	}
@@ -297,10 +297,11 @@
 // takeEngines has all parts know the engines; the caller holds mu.
 func (s *Service) takeEngines(pools map[string]poolView, changes uint64, now time.Time) {
 	s.pools, s.seen = pools, changes
-	s.engines = make(map[uint64]string)
+	s.engines = make(map[uint64]enginechoice.Incarnation)
 	for _, view := range pools {
 		for _, known := range view.listed {
-			s.engines[grant.EngineHash(known.Entry.ID)] = known.Entry.ID
+			engine := known.Entry.Incarnation()
+			s.engines[grant.EngineHash(engine)] = engine
 		}
 	}
 	for lane, known := range s.dispatchers {
--- a/internal/passthrough/slots/slots_test.go
+++ b/internal/passthrough/slots/slots_test.go
@@ -69,7 +69,7 @@
 		node.Service = New(DefaultLimitsConfig(), Dependencies{
 			Engines: list, Logger: zap.NewNop(), Metrics: NewMetrics(nil), Self: name, Name: name, Life: name, Zone: "z1",
 			Candidates: func() []grant.Candidate { return nil }, Seeds: func() []string { return []string{"n0"} },
-			Ready: func() bool { return true }, Connected: func() map[string]bool { return nil },
+			Ready: func() bool { return true }, Connected: func() map[enginechoice.Incarnation]bool { return nil },
 			Stop: func(ask uint64) { node.stopped <- ask },
 		})
 		node.UseTransport(node)
@@ -158,7 +158,7 @@
 func TestGrantAtAnEngineThatLeavesIsDeclined(t *testing.T) {
 	bubble(t, func(t *testing.T, ctx context.Context) {
 		f := newFleet(ctx, 2, 2)
-		f.nodes["n1"].Engines.Use(func(set *enginechoice.Set, now time.Time) { set.Remove("e0", false, now) })
+		f.nodes["n1"].Engines.Use(func(set *enginechoice.Set, now time.Time) { set.Remove(enginechoice.Incarnation{ID: "e0"}, false, now) })
 		for range 2 {
 			if got := <-f.nodes["n1"].acquire(ctx); got.Choice.Entry.ID != "e1" {
 				t.Errorf("got %+v", got)
@@ -243,7 +243,7 @@
 		lanes := make(map[uint32]int)
 		for range requests {
 			got := <-f.nodes["n1"].acquire(ctx)
-			if got.Source != ByDispatcher || got.Slot.lane.Parts != 2 || !got.Slot.lane.Holds(grant.EngineHash(got.Choice.Entry.ID)) {
+			if got.Source != ByDispatcher || got.Slot.lane.Parts != 2 || !got.Slot.lane.Holds(grant.EngineHash(got.Choice.Entry.Incarnation())) {
 				t.Fatalf("got %+v in lane %+v", got, got.Slot.lane)
 			}
 			lanes[got.Slot.lane.Part]++
