--- a/internal/core/enginechoice/enginechoice.go
+++ b/internal/core/enginechoice/enginechoice.go
@@ -12,38 +12,6 @@
 	"github.com/cespare/xxhash/v2"
 )
 
-// State says whether an engine takes new work.
-type State uint8
-
-// The states of an engine.
-const (
-	Ready   State = iota
-	Leaving       // told so, or its entry went: takes no new work
-	// Unlisted engines lost their entry while the list could not be trusted;
-	// they are used until ExpireUnlisted.
-	Unlisted
-	// Ended engines have started again under their id without a word before: what ran
-	// there is over.
-	Ended
-)
-
-// String gives the state's name for logs.
-func (s State) String() string {
-	switch s {
-	case Leaving:
-		return "leaving"
-	case Unlisted:
-		return "unlisted"
-	case Ended:
-		return "ended"
-	default:
-		return "ready"
-	}
-}
-
-// Serves says whether an engine in the state takes new work.
-func (s State) Serves() bool { return s == Ready || s == Unlisted }
-
 // Entry is an engine as the list tells it.
 type Entry struct {
 	ID, Pool, Address, Zone string
@@ -171,6 +139,7 @@
 	if known == nil || known.state == Ended {
 		return
 	}
+	doubtful = doubtful && known.usable() // one that was leaving does not come back by it
 	known.since = now
 	known.state = Leaving
 	s.changes++
@@ -180,6 +149,19 @@
 	s.forgetIdle(now)
 }
 
+// Withhold takes word that an engine's entry names no engine to use. What was learned
+// of the engine stays, for the entry may hold again; one that was leaving still is. It
+// reports whether the belief changed.
+func (s *Set) Withhold(engine Incarnation, now time.Time) bool {
+	known := s.engines[engine]
+	if known == nil || !known.usable() {
+		return false
+	}
+	known.state, known.since = Withheld, now
+	s.changes++
+	return true
+}
+
 // ExpireUnlisted takes engines as gone that lost their entry before a time and
 // were not listed again. It gives which.
 func (s *Set) ExpireUnlisted(before, now time.Time) []Incarnation {
@@ -267,7 +249,7 @@
 	return count
 }
 
-func (e *engine) usable() bool { return e.state.Serves() }
+func (e *engine) usable() bool { return e.state.Usable() }
 
 // Own gives this node's work under way at each engine that has some.
 func (s *Set) Own() map[Incarnation]Counts {
--- a/internal/core/enginechoice/incarnation.go
+++ b/internal/core/enginechoice/incarnation.go
@@ -82,7 +82,7 @@
 // end takes an incarnation as over. One that had said that it leaves has left.
 func (s *Set) end(engine Incarnation, now time.Time) {
 	known := s.engines[engine]
-	if known == nil || !known.usable() {
+	if known == nil || known.state == Leaving || known.state == Ended {
 		return
 	}
 	known.state, known.since = Ended, now
--- a/internal/core/enginechoice/model_test.go
+++ b/internal/core/enginechoice/model_test.go
@@ -48,22 +48,29 @@
 	if found && engine.Born < newest.Born {
 		return
 	}
-	if found && engine.Born > newest.Born && n.states[newest].Serves() {
+	if found && engine.Born > newest.Born && n.states[newest] != Leaving {
 		n.set(newest, Ended, now)
 	}
 	n.set(engine, state, now)
 }
 
 func (n *naiveSet) remove(engine Incarnation, doubtful bool, now time.Time) {
-	if known, found := n.states[engine]; !found || known == Ended {
+	known, found := n.states[engine]
+	if !found || known == Ended {
 		return
 	}
 	n.states[engine], n.since[engine] = Leaving, now
-	if doubtful {
+	if doubtful && known.Usable() {
 		n.states[engine] = Unlisted
 	}
 }
 
+func (n *naiveSet) withhold(engine Incarnation, now time.Time) {
+	if n.states[engine].Usable() {
+		n.set(engine, Withheld, now)
+	}
+}
+
 func (n *naiveSet) expire(before, now time.Time) {
 	for engine, state := range n.states {
 		if state == Unlisted && n.since[engine].Before(before) {
@@ -97,7 +104,7 @@
 	r.now = r.now.Add(time.Duration(rapid.IntRange(0, 400).Draw(r.t, "ms")) * time.Millisecond)
 	engine := r.anyEngine()
 	_, known := r.plain.states[engine]
-	switch rapid.IntRange(0, 8).Draw(r.t, "step") {
+	switch rapid.IntRange(0, 9).Draw(r.t, "step") {
 	case 0, 1, 2: // an entry, by the feed or a peer, in any order
 		state := State(rapid.IntRange(int(Ready), int(Leaving)).Draw(r.t, "state"))
 		r.set.Upsert(entryOf(engine), state, r.now)
@@ -114,13 +121,18 @@
 	case 5:
 		r.set.ExpireUnlisted(r.now.Add(-time.Second), r.now)
 		r.plain.expire(r.now.Add(-time.Second), r.now)
-	case 6:
+	case 6: // its entry names no engine to use
+		if newest, found := r.plain.newest(engine.ID); found {
+			r.set.Withhold(newest, r.now)
+			r.plain.withhold(newest, r.now)
+		}
+	case 7:
 		if work := (&Work{}); known {
 			r.set.Start(engine, work)
 			r.works = append(r.works, startedWork{engine: engine, work: work})
 			r.plain.work[engine]++
 		}
-	case 7:
+	case 8:
 		if len(r.works) > 0 {
 			ended := r.works[0]
 			r.works = r.works[1:]
@@ -167,7 +179,7 @@
 	}
 	serving := make(map[Incarnation]bool)
 	for engine, state := range r.plain.states {
-		if newest, _ := r.plain.newest(engine.ID); newest != engine && state.Serves() {
+		if newest, _ := r.plain.newest(engine.ID); newest != engine && state.Usable() {
 			r.t.Fatalf("%v serves beside %v", engine, newest)
 		}
 		if counts := r.set.Own()[engine]; counts.Online != r.plain.work[engine] {
@@ -176,7 +188,7 @@
 		if held := len(r.set.engines[engine].resident); held != len(r.plain.held[engine]) {
 			r.t.Fatalf("%v is held to keep %d parts, want %d", engine, held, len(r.plain.held[engine]))
 		}
-		if state.Serves() {
+		if state.Usable() {
 			serving[engine] = true
 		}
 		listed, _ := r.second.Find(engine)
--- a/internal/passthrough/catalog/engines.go
+++ b/internal/passthrough/catalog/engines.go
@@ -8,6 +8,7 @@
 	"go.uber.org/zap"
 
 	"ringstream.example/ringstream/internal/core/enginechoice"
+	"ringstream.example/ringstream/internal/core/passroute"
 	"ringstream.example/ringstream/internal/events"
 	"ringstream.example/ringstream/internal/passthrough"
 	"ringstream.example/ringstream/internal/wait"
@@ -30,11 +31,13 @@
 	routes    *Routes
 	health    func() Health
 	logger    *zap.Logger
+	refusals  *Refusals
 
-	mu   sync.Mutex // guards the rest
-	set  *enginechoice.Set
-	rows map[string]passthrough.Row // the newest of each engine, removed ones too
-	byID map[string]passthrough.EngineEntry
+	mu       sync.Mutex // guards the rest
+	set      *enginechoice.Set
+	rows     map[string]passthrough.Row // the newest of each engine, removed ones too
+	listed   map[string]listedEntry     // those with a row, by their ids
+	judgedBy *passroute.Table           // that the entries were last judged by
 
 	onRestart func(former enginechoice.Incarnation)
 	restarted []enginechoice.Incarnation // that onRestart has not heard of
@@ -44,10 +47,11 @@
 func NewEngines(node string, documents passthrough.Documents, routes *Routes, logger *zap.Logger) *Engines {
 	return &Engines{
 		documents: documents, routes: routes, logger: logger,
-		health: func() Health { return Health{} },
-		set:    enginechoice.NewSet(node),
-		rows:   make(map[string]passthrough.Row),
-		byID:   make(map[string]passthrough.EngineEntry),
+		refusals: NewRefusals(nil, logger),
+		health:   func() Health { return Health{} },
+		set:      enginechoice.NewSet(node),
+		rows:     make(map[string]passthrough.Row),
+		listed:   make(map[string]listedEntry),
 
 		onRestart: func(enginechoice.Incarnation) {},
 	}
@@ -56,10 +60,14 @@
 // JudgeBy has the list ask how well the store is followed; called before Run.
 func (e *Engines) JudgeBy(health func() Health) { e.health = health }
 
+// CountBy has refused entries counted; called before Run.
+func (e *Engines) CountBy(refusals *Refusals) { e.refusals = refusals }
+
 // Use runs a function on the set under its lock.
 func (e *Engines) Use(do func(set *enginechoice.Set, now time.Time)) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
+	e.judgeAnew()
 	do(e.set, time.Now())
 }
 
@@ -74,7 +82,7 @@
 		listed[row.Key] = true
 		e.apply(row)
 	}
-	for id := range e.byID {
+	for id := range e.listed {
 		if !listed[id] && e.rows[id].Version <= version {
 			e.remove(id, version)
 		}
@@ -99,13 +107,10 @@
 		e.remove(row.Key, row.Version)
 		return
 	}
+	e.judgeAnew()
 	e.rows[row.Key] = row
 	entry, err := e.documents.Engine(row.Key, row.Value)
-	if err != nil {
-		events.EngineUnreadable.Log(e.logger, zap.String("engine", row.Key), zap.Error(err))
-		return
-	}
-	e.take(entry, row.Version)
+	e.judge(row.Key, listedEntry{entry: entry, unread: err, version: row.Version})
 }
 
 func (e *Engines) take(entry passthrough.EngineEntry, version int64) {
@@ -125,15 +130,14 @@
 	if entry.BornMs == 0 { // it says nothing of a start: it speaks of the newest
 		known.Born = former.Born
 	}
-	e.byID[entry.ID] = entry
 	e.noteNews(e.set.Upsert(known, state, now), known, state, former, version)
 }
 
 func (e *Engines) remove(id string, version int64) {
-	if _, known := e.byID[id]; !known {
+	if _, known := e.listed[id]; !known {
 		return
 	}
-	delete(e.byID, id)
+	delete(e.listed, id)
 	e.rows[id] = passthrough.Row{Key: id, Version: version, Gone: true}
 	now := time.Now()
 	health := e.health()
@@ -147,6 +151,7 @@
 func (e *Engines) Run(ctx context.Context) error {
 	for wait.For(ctx, expireEvery) {
 		e.expire(time.Now())
+		e.tellRestarts() // of entries that newer routes have named
 	}
 	return nil
 }
--- a/internal/passthrough/catalog/restarts_test.go
+++ b/internal/passthrough/catalog/restarts_test.go
@@ -12,10 +12,10 @@
 	"ringstream.example/ringstream/internal/passthrough"
 )
 
-// plainDocuments reads entries that are written as they are kept.
-type plainDocuments struct{ passthrough.Documents }
+// writtenDocuments reads entries that are written as they are kept.
+type writtenDocuments struct{ passthrough.Documents }
 
-func (plainDocuments) Engine(_ string, document []byte) (entry passthrough.EngineEntry, err error) {
+func (writtenDocuments) Engine(_ string, document []byte) (entry passthrough.EngineEntry, err error) {
 	err = json.Unmarshal(document, &entry)
 	return entry, err
 }
@@ -90,7 +90,7 @@
 		},
 	} {
 		t.Run(test.name, func(t *testing.T) {
-			engines := NewEngines("n1", plainDocuments{}, &Routes{}, zap.NewNop())
+			engines := NewEngines("n1", writtenDocuments{}, &Routes{}, zap.NewNop())
 			var restarts []enginechoice.Incarnation
 			engines.OnRestart(func(former enginechoice.Incarnation) {
 				engines.Use(func(*enginechoice.Set, time.Time) {}) // no lock is held
--- a/internal/passthrough/slots/acquire.go
+++ b/internal/passthrough/slots/acquire.go
@@ -339,7 +339,7 @@
 	var listed enginechoice.Listed
 	found := false
 	s.Engines.Use(func(set *enginechoice.Set, _ time.Time) { listed, found = set.Find(engine) })
-	if !found || !listed.State.Serves() || query.Exclude[engine] {
+	if !found || !listed.State.Usable() || query.Exclude[engine] {
 		events.GrantDeclined.Log(s.Logger, zap.Uint64("ask", given.grant.ID), zap.Stringer("engine", engine), zap.String("dispatcher", given.from), zap.Bool("known", found), zap.Stringer("state", listed.State))
 		return Decision{}, false
 	}
