--- a/internal/core/enginechoice/enginechoice_test.go
+++ b/internal/core/enginechoice/enginechoice_test.go
@@ -171,7 +171,7 @@
 
 func TestWithheldEngineTakesNoWorkAndKeepsWhatWasLearned(t *testing.T) {
 	set := newSet(2)
-	work := startAll(set, "e0", 2, 0)
+	work := startAll(set, named("e0"), 2, 0)
 	set.Remember(named("e0"), []Part{{ID: "a", Tokens: 50}}, start)
 	if !set.Withhold(named("e0"), start) || set.Withhold(named("e0"), start) || set.Withhold(named("unknown"), start) {
 		t.Error("a change of the belief is told wrongly")
@@ -214,11 +214,11 @@
 	}
 }
 
-func startAll(set *Set, engine string, online, batch int) []*Work {
+func startAll(set *Set, engine Incarnation, online, batch int) []*Work {
 	var all []*Work
 	for i := range online + batch {
 		work := &Work{Batch: i >= online}
-		set.Start(named(engine), work)
+		set.Start(engine, work)
 		all = append(all, work)
 	}
 	return all
@@ -240,7 +240,7 @@
 		{name: "over the share of the memory", memory: 9000},
 	} {
 		set := newSet(1)
-		startAll(set, "e0", c.online, c.batch)
+		startAll(set, named("e0"), c.online, c.batch)
 		query.MemoryTokens = c.memory
 		if _, found := set.Pick(query, start); found != c.room {
 			t.Errorf("%s: room %t", c.name, found)
@@ -250,7 +250,7 @@
 
 func TestCrowdedEnginesAreYielded(t *testing.T) {
 	set := newSet(1)
-	startAll(set, "e0", 2, 6)
+	startAll(set, named("e0"), 2, 6)
 	crowds := set.Crowded(start) // 8 requests at 4 slots
 	if len(crowds) != 1 || crowds[0].Yield != 4 {
 		t.Errorf("got %+v", crowds)
@@ -263,7 +263,7 @@
 		t.Errorf("after the pause: %+v", crowds)
 	}
 	onlyBatch := newSet(1)
-	startAll(onlyBatch, "e0", 0, 6)
+	startAll(onlyBatch, named("e0"), 0, 6)
 	if crowds := onlyBatch.Crowded(later); len(crowds) != 0 {
 		t.Errorf("batch gives way to batch: %+v", crowds)
 	}
@@ -303,9 +303,9 @@
 // TestBatchRoomOfAPool counts over all engines of a pool that take work.
 func TestBatchRoomOfAPool(t *testing.T) {
 	set := newSet(5) // 20 slots
-	startAll(set, "e0", 4, 0)
-	startAll(set, "e1", 1, 2)
-	startAll(set, "e2", 9, 0) // more than its slots
+	startAll(set, named("e0"), 4, 0)
+	startAll(set, named("e1"), 1, 2)
+	startAll(set, named("e2"), 9, 0) // more than its slots
 	set.Remove(named("e3"), false, start)
 	if got := set.BatchRoom("p", 75, start); got != 1 { // 12 of 16, less 4, 3 and 4
 		t.Errorf("room for %d", got)
@@ -362,8 +362,8 @@
 // batch requests.
 func TestFullEngineWithBatchWorkMakesRoom(t *testing.T) {
 	set := newSet(2) // 4 slots each
-	startAll(set, "e0", 4, 0)
-	work := startAll(set, "e1", 3, 1)
+	startAll(set, named("e0"), 4, 0)
+	work := startAll(set, named("e1"), 3, 1)
 	choice, _ := set.Pick(Query{Pool: "p"}, start)
 	if choice.Entry.ID != "e1" || !choice.MakeRoom || !choice.HasSlot() {
 		t.Errorf("got %s, make room %t", choice.Entry.ID, choice.MakeRoom)
@@ -375,9 +375,9 @@
 	if choice, _ := set.Pick(Query{Pool: "p"}, start); choice.MakeRoom {
 		t.Error("batch work gives way where a slot is free")
 	}
-	startAll(set, "e1", 1, 0)
+	startAll(set, named("e1"), 1, 0)
 	set.Finish(named("e1"), work[3], Abandoned, start)
-	startAll(set, "e1", 1, 0)
+	startAll(set, named("e1"), 1, 0)
 	if choice, _ := set.Pick(Query{Pool: "p"}, start); choice.MakeRoom || choice.HasSlot() || choice.InFlight != 4 {
 		t.Errorf("nothing is left to give way: %+v", choice)
 	}
--- a/internal/core/enginechoice/incarnation_test.go
+++ b/internal/core/enginechoice/incarnation_test.go
@@ -203,3 +203,18 @@
 		t.Errorf("named %v and %v", first, named("e0"))
 	}
 }
+
+// TestNothingWaitsAtAnEndedIncarnation has a request queue at a full engine that starts
+// again: its silence means no queue any more.
+func TestNothingWaitsAtAnEndedIncarnation(t *testing.T) {
+	set := newSetOf(first)
+	startAll(set, first, 5, 0)
+	choice, _ := set.Pick(Query{Pool: "p"}, start)
+	if choice.HasSlot() || !set.Queues(choice, start) {
+		t.Fatalf("a request at a full engine waits: %+v", choice)
+	}
+	restart(t, set)
+	if set.Queues(choice, start) {
+		t.Error("a request is held to wait at the former incarnation")
+	}
+}
--- a/internal/core/enginechoice/pick.go
+++ b/internal/core/enginechoice/pick.go
@@ -278,6 +278,16 @@
 	return list
 }
 
+// Queues says whether a request that was sent by a choice may wait for a slot in silence.
+// At an incarnation that has ended nothing waits any more.
+func (s *Set) Queues(choice Choice, now time.Time) bool {
+	engine := choice.Entry.Incarnation()
+	if known := s.engines[engine]; known != nil && known.state == Ended {
+		return false
+	}
+	return !choice.HasSlot() || s.Full(engine, now)
+}
+
 // Full says whether an engine is believed to have no free slot, so that a
 // request there may wait in silence.
 func (s *Set) Full(engine Incarnation, now time.Time) bool {
--- a/internal/explain/explain_test.go
+++ b/internal/explain/explain_test.go
@@ -79,3 +79,28 @@
 		t.Error("a line over the limit was passed over in silence")
 	}
 }
+
+// TestStoryNamesIncarnations has a request's engine start again under its id, which another
+// request's engine does too, after the story.
+func TestStoryNamesIncarnations(t *testing.T) {
+	lines, err := Read(strings.NewReader(`
+{"ts":"2026-01-01T00:00:01.0Z","msg":"engine chosen","node":"n1","request":"r1","engine":"e1@1000","attempt":1,"event":8103}
+{"ts":"2026-01-01T00:00:01.1Z","msg":"attempt ended","node":"n1","request":"r1","engine":"e1@1000","outcome":"failed","event":8104}
+{"ts":"2026-01-01T00:00:01.2Z","msg":"engine started again under its id","node":"n1","engine":"e1@2000","former":"e1@1000","event":8026}
+{"ts":"2026-01-01T00:00:01.3Z","msg":"engine chosen","node":"n1","request":"r1","engine":"e1@2000","attempt":2,"event":8103}
+{"ts":"2026-01-01T00:00:01.4Z","msg":"request ended","node":"n1","request":"r1","outcome":"completed","event":8102}
+{"ts":"2026-01-01T00:00:01.5Z","msg":"engine started again under its id","node":"n1","engine":"e2@2000","former":"e2@1000","event":8026}
+`))
+	if err != nil {
+		t.Fatal(err)
+	}
+	text := Text(Story(lines, "r1", time.Second))
+	for _, part := range []string{"attempt=1 engine=e1@1000", "engine=e1@2000 former=e1@1000", "attempt=2 engine=e1@2000"} {
+		if !strings.Contains(text, part) {
+			t.Errorf("%q is missing in\n%s", part, text)
+		}
+	}
+	if strings.Contains(text, "e2@2000") {
+		t.Errorf("a restart after its end is told in\n%s", text)
+	}
+}
--- a/internal/passthrough/relay/attempt.go
+++ b/internal/passthrough/relay/attempt.go
@@ -149,10 +149,9 @@
 
 // waitsItsTurn says whether an engine is believed to be full, so that its
 // silence means a queue; leaving it would only queue elsewhere.
-func (e *exchange) waitsItsTurn(choice enginechoice.Choice) bool {
-	full := !choice.HasSlot()
-	e.engines.Use(func(set *enginechoice.Set, now time.Time) { full = full || set.Full(choice.Entry.Incarnation(), now) })
-	return full
+func (e *exchange) waitsItsTurn(choice enginechoice.Choice) (waits bool) {
+	e.engines.Use(func(set *enginechoice.Set, now time.Time) { waits = set.Queues(choice, now) })
+	return waits
 }
 
 // handOn gives the engine's answer to the client.
