--- a/internal/passthrough/catalog/engines.go
+++ b/internal/passthrough/catalog/engines.go
@@ -38,6 +38,8 @@
 	rows     map[string]passthrough.Row // the newest of each engine, removed ones too
 	listed   map[string]listedEntry     // those with a row, by their ids
 	judgedBy *passroute.Table           // that the entries were last judged by
+	// listedAt is the version of the last listing: what it lacked was gone by then.
+	listedAt int64
 
 	onRestart func(former enginechoice.Incarnation)
 	restarted []enginechoice.Incarnation // that onRestart has not heard of
@@ -87,6 +89,7 @@
 			e.remove(id, version)
 		}
 	}
+	e.listedAt = max(e.listedAt, version)
 }
 
 // Change implements Sink.
@@ -95,6 +98,9 @@
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	for _, row := range rows {
+		if _, found := e.rows[row.Key]; !found && row.Version < e.listedAt {
+			continue // from a peer that lags behind the listing
+		}
 		e.apply(row)
 	}
 }
@@ -134,11 +140,11 @@
 }
 
 func (e *Engines) remove(id string, version int64) {
+	e.rows[id] = passthrough.Row{Key: id, Version: version, Gone: true}
 	if _, known := e.listed[id]; !known {
 		return
 	}
 	delete(e.listed, id)
-	e.rows[id] = passthrough.Row{Key: id, Version: version, Gone: true}
 	now := time.Now()
 	health := e.health()
 	sick := !health.LastBad.IsZero() && now.Sub(health.LastBad) < sickBefore
@@ -158,7 +164,7 @@
 
 func (e *Engines) expire(now time.Time) {
 	health := e.health()
-	if now.Sub(health.LastBad) < relistTime || now.Sub(health.LastGood) > relistTime {
+	if now.Sub(health.LastBad) < relistTime || now.Sub(health.AsOf) > relistTime {
 		return // the list still says little
 	}
 	e.mu.Lock()
