--- a/internal/core/enginechoice/enginechoice.go
+++ b/internal/core/enginechoice/enginechoice.go
@@ -120,15 +120,15 @@
 
 // add takes an engine of which nothing is known.
 func (s *Set) add(entry Entry, state State, now time.Time) {
-	engineID := entry.Incarnation()
-	added := &engine{entry: entry, hash: engineID.Hash(), state: state, since: now, resident: make(map[string]residentPart)}
-	s.engines[engineID] = added
+	incarnation := entry.Incarnation()
+	added := &engine{entry: entry, hash: incarnation.Hash(), state: state, since: now, resident: make(map[string]residentPart)}
+	s.engines[incarnation] = added
 	pool := s.pools[entry.Pool]
 	if pool == nil {
 		pool = make(map[Incarnation]*engine)
 		s.pools[entry.Pool] = pool
 	}
-	pool[engineID] = added
+	pool[incarnation] = added
 	s.changes++
 }
 
--- a/internal/passthrough/slots/acquire.go
+++ b/internal/passthrough/slots/acquire.go
@@ -101,7 +101,7 @@
 			return decision, nil
 		}
 		if told.granted != nil && told.engine == (enginechoice.Incarnation{}) {
-			wait.For(ctx, unknownEnginePause) // ended by ctx it is the next wait that says so
+			wait.For(ctx, unknownEnginePause) // where ctx has ended, the next wait says so
 			continue
 		}
 		query = excluding(query, told)
