--- a/internal/passthrough/catalog/entries.go
+++ b/internal/passthrough/catalog/entries.go
@@ -30,11 +30,12 @@
 		e.take(next.entry, next.version)
 		return
 	}
-	e.set.Withhold(id, time.Now())
+	newest, _ := e.set.Newest(id)
+	e.set.Withhold(newest, time.Now())
 	told := known && former.refused != nil && former.version == next.version &&
 		passthrough.DocumentReasonOf(former.refused) == passthrough.DocumentReasonOf(next.refused)
 	if !told {
-		e.refusals.note(engineDocument, events.EngineWithheld, next.refused, zap.String("engine", id), zap.Int64("store_version", next.version))
+		e.refusals.note(engineDocument, events.EngineWithheld, next.refused, zap.Stringer("engine", newest), zap.Int64("store_version", next.version))
 	}
 }
 
