--- a/internal/core/enginechoice/state.go
+++ b/internal/core/enginechoice/state.go
@@ -13,6 +13,9 @@
 	// Withheld engines have an entry that names no engine to use: they take no new
 	// work until it does, and are not expected to end.
 	Withheld
+	// Ended engines have started again under their id without a word before: what ran
+	// there is over.
+	Ended
 )
 
 // Usable says whether an engine in the state takes new work.
@@ -27,6 +30,8 @@
 		return "unlisted"
 	case Withheld:
 		return "withheld"
+	case Ended:
+		return "ended"
 	default:
 		return "ready"
 	}
--- a/internal/passthrough/catalog/entries_test.go
+++ b/internal/passthrough/catalog/entries_test.go
@@ -91,13 +91,13 @@
 		if serving := set.Serving(pool); serving != len(want) {
 			l.t.Errorf("%s: %d engines of %s serve, want %v", when, serving, pool, want)
 		}
-		exclude := make(map[string]bool)
+		exclude := make(map[enginechoice.Incarnation]bool)
 		for range want {
 			choice, _ := set.Pick(enginechoice.Query{Pool: pool, Exclude: exclude}, now)
-			exclude[choice.Entry.ID] = true
+			exclude[choice.Entry.Incarnation()] = true
 		}
 		for _, id := range want {
-			if !exclude[id] {
+			if !exclude[enginechoice.Incarnation{ID: id}] {
 				l.t.Errorf("%s: picked of %s are %v, want %v", when, pool, exclude, want)
 			}
 		}
@@ -148,12 +148,12 @@
 	l.put("e0", "chat ready")
 	l.put("e1", "chat ready")
 	work := &enginechoice.Work{}
-	l.engines.Use(func(set *enginechoice.Set, _ time.Time) { set.Start("e0", work) })
+	l.engines.Use(func(set *enginechoice.Set, _ time.Time) { set.Start(enginechoice.Incarnation{ID: "e0"}, work) })
 	l.expect("at first", "chat", "e0", "e1")
 	l.put("e0", "unreadable")
 	l.expect("unreadable", "chat", "e1")
 	l.engines.Use(func(set *enginechoice.Set, _ time.Time) {
-		if set.Own()["e0"].Online != 1 {
+		if set.Own()[enginechoice.Incarnation{ID: "e0"}].Online != 1 {
 			t.Error("what ran there is no longer counted")
 		}
 	})
