soak: what was read once stays, at every node in touch

Cause: no judge asked whether a position of a job's results that was read anywhere is still given by the other nodes; and a fault that lasted longer than the 4 s for which a node must have been left alone was noted at its begin and end only, so that a node whose link was still harmed could count as left alone. Change: a judge takes each read's moment of sending and the moment at which the first read of that position was answered; a node in touch that is asked later than 1 s after that must give a result. A fault strikes until it is over; those of the store are told from those of engines, which take no node out of touch. Conclusion: the other judges look at the same moments: for a link or door harmed for 4 to 5 s they accused a node that was out of touch in the last second, which TestFaultThatLastsStrikesUntilItIsOver shows.

--- a/internal/bench/soak/judge.go
+++ b/internal/bench/soak/judge.go
@@ -42,6 +42,8 @@
 	ended   time.Time
 	// listed holds the results as they were first read, by position.
 	listed map[int]platformtest.Result
+	// firstReads holds when and where each position was first read.
+	firstReads map[int]firstRead
 }
 
 // judge keeps what callers saw, and compares it with what engines ran.
@@ -56,6 +58,7 @@
 	statuses   map[string]int
 	early      map[string]string // requests cut early at a planned stop
 	deadly     deadlyRecords
+	stays      StaysReport
 }
 
 func newJudge(events int) *judge {
@@ -124,6 +127,7 @@
 	j.mu.Lock()
 	defer j.mu.Unlock()
 	job.listed = make(map[int]platformtest.Result)
+	job.firstReads = make(map[int]firstRead)
 	job.handed = time.Now()
 	j.jobs = append(j.jobs, job)
 }
--- a/internal/bench/soak/process.go
+++ b/internal/bench/soak/process.go
@@ -52,6 +52,7 @@
 	life      int       // rises with each start
 	started   time.Time // of this life
 	disturbed time.Time // when a fault last struck it, or its links
+	lasting   int       // faults of its links that are not over
 	stopping  time.Time // when SIGTERM was last sent
 }
 
@@ -214,25 +215,30 @@
 	}
 }
 
-// disturb notes a fault that strikes the node or its links.
-func (n *nodeProcess) disturb() {
+// beginFault notes a fault of the node's links that lasts until endFault.
+func (n *nodeProcess) beginFault() { n.disturb(1) }
+
+func (n *nodeProcess) endFault() { n.disturb(-1) }
+
+func (n *nodeProcess) disturb(lasting int) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	n.disturbed = time.Now()
+	n.lasting += lasting
 }
 
 // condition is what the judge needs to know of a node at a moment.
 type condition struct {
 	life      int
 	state     nodeState
-	disturbed time.Time
+	disturbed time.Time // now, while a fault of its links lasts
 	stopping  time.Time
 }
 
 func (n *nodeProcess) condition() condition {
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	return condition{life: n.life, state: n.state, disturbed: n.disturbed, stopping: n.stopping}
+	return condition{life: n.life, state: n.state, disturbed: orNow(n.disturbed, n.lasting), stopping: n.stopping}
 }
 
 // runningWithin is how long a process may take to answer at all.
--- a/internal/bench/soak/soak.go
+++ b/internal/bench/soak/soak.go
@@ -62,6 +62,7 @@
 	Lives      int            `json:"process_lives"`
 	Recovery   time.Duration  `json:"recovery_ns"` // until all nodes were ready after the last fault
 	Deadly     DeadlyReport   `json:"deadly"`
+	Stays      StaysReport    `json:"read_again"`
 	Violations []Violation    `json:"violations"`
 }
 
@@ -85,13 +86,18 @@
 	calm sync.RWMutex
 	// replacing counts the engines that are to be replaced.
 	replacing sync.WaitGroup
+	// jumps counts the reads that are still to be made of what has just been read.
+	jumps sync.WaitGroup
 
-	mu       sync.Mutex // guards the rest
-	version  int
-	written  time.Time // when version was
-	struck   time.Time // when a fault last struck what all nodes share
-	counts   map[string]int
-	engineNo int
+	mu           sync.Mutex // guards the rest
+	version      int
+	written      time.Time // when version was
+	struck       time.Time // when a fault last struck what all nodes share
+	lasting      int       // faults of what all nodes share that are not over
+	storeStruck  time.Time // when one last struck the store
+	storeLasting int       // those of the store that are not over
+	counts       map[string]int
+	engineNo     int
 }
 
 // engineLink is an engine behind a link.
@@ -201,19 +207,6 @@
 	return s.version, s.written
 }
 
-func (s *soak) lastFault() time.Time {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	return s.struck
-}
-
-// strike notes a fault of what all nodes share.
-func (s *soak) strike() {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.struck = time.Now()
-}
-
 func (s *soak) awaitReady(ctx context.Context, limit time.Duration) bool {
 	until := time.Now().Add(limit)
 	for time.Now().Before(until) {
@@ -270,6 +263,9 @@
 	stop()
 	callers.Wait()
 	s.finish(ctx)
+	s.jumps.Wait()
+	s.sweep(ctx)
+	s.jumps.Wait()
 	var runs []engineRun
 	for _, engine := range s.engineList() {
 		for _, run := range engine.Runs() {
@@ -297,7 +293,7 @@
 	until := time.Now().Add(finishTime)
 	for number := 0; s.judge.undone() > 0 && time.Now().Before(until) && wait.For(ctx, readPause/4); number++ {
 		if job := s.judge.pick(number); job != nil {
-			s.readJob(ctx, job, s.nodes[number%len(s.nodes)], 0)
+			s.readJob(ctx, job, s.nodes[number%len(s.nodes)], 0, 0)
 		}
 	}
 }
@@ -309,7 +305,7 @@
 	report := Report{
 		Seed: s.options.Seed, Faults: make(map[string]int), Requests: len(j.requests), Statuses: j.statuses, Jobs: len(j.jobs),
 		Runs: s.counts["engine_runs"], Recovery: time.Duration(s.counts["recovery_ms"]) * time.Millisecond, Violations: j.violations,
-		Deadly: j.deadly.report,
+		Deadly: j.deadly.report, Stays: j.stays,
 	}
 	for name, count := range s.counts {
 		if name != "engine_runs" && name != "recovery_ms" {
--- a/internal/bench/soak/strike.go
+++ b/internal/bench/soak/strike.go
@@ -171,26 +171,26 @@
 
 func (s *soak) harmNodeLink(ctx context.Context, random *rand.Rand) {
 	node := s.anyNode(random)
-	harmLink(ctx, node.link, random, node.disturb)
+	harmLink(ctx, node.link, random, node.beginFault, node.endFault)
 }
 
 func (s *soak) harmStoreLink(ctx context.Context, random *rand.Rand) {
 	node := s.anyNode(random)
-	harmLink(ctx, node.store, random, node.disturb)
+	harmLink(ctx, node.store, random, node.beginFault, node.endFault)
 }
 
 func (s *soak) harmEngineLink(ctx context.Context, random *rand.Rand) {
 	engines := s.engineList()
-	harmLink(ctx, engines[random.IntN(len(engines))].link, random, s.strike)
+	harmLink(ctx, engines[random.IntN(len(engines))].link, random, s.beginFault, s.endFault)
 }
 
-func harmLink(ctx context.Context, link *proxy, random *rand.Rand, disturb func()) {
+func harmLink(ctx context.Context, link *proxy, random *rand.Rand, begin, end func()) {
 	kinds := []linkFault{linkDelayed, linkReset, linkCutOut, linkCutIn, linkSilenced}
-	disturb()
+	begin()
 	link.set(kinds[random.IntN(len(kinds))])
 	wait.For(ctx, between(random, 200*time.Millisecond, 4*time.Second))
 	link.set(linkWell)
-	disturb()
+	end()
 }
 
 var doorFaults = []platformtest.Fault{
@@ -199,11 +199,11 @@
 
 func (s *soak) harmDoor(ctx context.Context, random *rand.Rand) {
 	node := s.anyNode(random)
-	node.disturb()
+	node.beginFault()
 	node.door.Set(doorFaults[random.IntN(len(doorFaults))], random.IntN(2) == 0)
 	wait.For(ctx, between(random, 300*time.Millisecond, 5*time.Second))
 	node.door.Set(platformtest.Well, false)
-	node.disturb()
+	node.endFault()
 }
 
 func (s *soak) harmStore(ctx context.Context, random *rand.Rand) {
@@ -220,15 +220,16 @@
 
 // lateEffect has transactions go unanswered, and land seconds later.
 func (s *soak) lateEffect(ctx context.Context, random *rand.Rand) {
+	s.beginStoreFault()
 	s.atAllDoors(ctx, between(random, 100*time.Millisecond, 600*time.Millisecond), func(door *platformtest.Door) { door.Set(platformtest.LateEffect, true) },
 		func(door *platformtest.Door) { door.Set(platformtest.Well, false) })
 	wait.For(ctx, between(random, 100*time.Millisecond, 4*time.Second))
 	s.store.Land()
-	s.strike()
+	s.endStoreFault()
 }
 
 func (s *soak) atAllDoors(ctx context.Context, length time.Duration, begin, end func(*platformtest.Door)) {
-	s.strike()
+	s.beginStoreFault()
 	for _, node := range s.nodes {
 		begin(node.door)
 	}
@@ -236,12 +237,13 @@
 	for _, node := range s.nodes {
 		end(node.door)
 	}
-	s.strike()
+	s.endStoreFault()
 }
 
 func (s *soak) dropHistory(context.Context, *rand.Rand) {
-	s.strike()
+	s.beginStoreFault()
 	s.store.DropHistory()
+	s.endStoreFault()
 }
 
 func (s *soak) misbehave(_ context.Context, random *rand.Rand) {
--- a/internal/bench/soak/workload.go
+++ b/internal/bench/soak/workload.go
@@ -149,27 +149,36 @@
 func (s *soak) read(ctx context.Context, random *rand.Rand) {
 	for wait.For(ctx, readPause) {
 		if job := s.judge.pick(random.IntN(1 << 30)); job != nil {
-			s.readJob(ctx, job, s.nodes[random.IntN(len(s.nodes))], random.IntN(jobItems+1)*random.IntN(2))
+			s.readJob(ctx, job, s.nodes[random.IntN(len(s.nodes))], random.IntN(jobItems+1)*random.IntN(2), 0)
 		}
 	}
 }
 
-func (s *soak) readJob(ctx context.Context, job *jobRecord, node *nodeProcess, from int) {
-	reply := platformtest.Send(ctx, platformtest.Read(node.link.address(), job.id, from))
-	if reply.Err != nil {
-		return
+// readJob reads a job at a node from a position on, and has what it gives for the first time
+// read at other nodes. The node may hold the answer until there is a result.
+func (s *soak) readJob(ctx context.Context, job *jobRecord, node *nodeProcess, from int, hold time.Duration) {
+	before := node.condition()
+	sent := time.Now()
+	call := platformtest.Read(node.link.address(), job.id, from)
+	call.Wait = hold
+	reply := platformtest.Send(ctx, call)
+	read := resultRead{node: node.name, from: from, sent: sent, answered: time.Now(), inTouch: s.inTouchThroughout(node, before, sent)}
+	var results platformtest.Results
+	if reply.Err == nil {
+		read.status = reply.Status
 	}
-	switch reply.Status {
+	switch read.status {
 	case http.StatusOK:
-		var results platformtest.Results
 		if err := json.Unmarshal([]byte(reply.Body), &results); err != nil {
 			s.judge.violate("whole_answer", job.id, fmt.Sprintf("results are no document: %v", err))
 			return
 		}
+		read.given = len(results.Results)
 		s.judge.read(job, from, results)
 	case http.StatusNotFound, http.StatusGone:
 		s.judge.violate("taken_jobs_are_found", job.id, fmt.Sprintf("%s answered %d", node.name, reply.Status))
 	}
+	s.jump(ctx, job, node, s.judge.readAgain(job, read))
 }
 
 // probe asks a node for the route that the newest version added: once it has
