soak: up to 100 nodes, 128 engines and 256 callers

Cause: the bound of 40 nodes kept the soak below the size of the fleets that show most denials, of 71 nodes. Change: the bounds are raised; one more caller that hands jobs in and two more that read for each 20 nodes, with draws after those of the others.

--- a/internal/bench/soak/soak.go
+++ b/internal/bench/soak/soak.go
@@ -33,13 +33,20 @@
 	Said func(string)
 }
 
+// Bounds of the sizes: what a machine of 16 GB and a few hundred processes bears.
+const (
+	mostNodes   = 100
+	mostEngines = 128
+	mostCallers = 256
+)
+
 // Validate checks the sizes.
 func (o Options) Validate() error {
 	var problems []error
 	for _, bound := range []struct {
 		name               string
 		value, least, most int
-	}{{"nodes", o.Nodes, 1, 40}, {"engines", o.Engines, 1, 64}, {"callers", o.Callers, 1, 128}} {
+	}{{"nodes", o.Nodes, 1, mostNodes}, {"engines", o.Engines, 1, mostEngines}, {"callers", o.Callers, 1, mostCallers}} {
 		if bound.value < bound.least || bound.value > bound.most {
 			problems = append(problems, fmt.Errorf("%s: %d given, allowed is %d to %d", bound.name, bound.value, bound.least, bound.most))
 		}
@@ -127,6 +134,10 @@
 
 const startTime = 20 * time.Second
 
+// nodesPerJobCaller is how many nodes have one more caller that hands jobs in, and two more
+// that read, beside the first ones.
+const nodesPerJobCaller = 20
+
 func (s *soak) build() error {
 	s.writeVersion()
 	for range s.options.Engines {
@@ -254,6 +265,11 @@
 	for _, node := range s.nodes {
 		begin(func(ctx context.Context, _ *rand.Rand) { s.probe(ctx, node) })
 	}
+	for range s.options.Nodes / nodesPerJobCaller {
+		begin(s.handIn)
+		begin(s.read)
+		begin(s.read)
+	}
 	var series sync.WaitGroup
 	series.Go(func() { s.strikeInSeries(ctx) })
 	s.strikeAtRandom(ctx)
