soak: answers that come late, stalls in series, and a feed that tells nothing

Cause: the soak's faults fail or hold up calls, or hold answers back whole; none has a node's knowledge grow old behind answers that come in order, and the feed was never silent. The links read on while bytes are held up.

--- a/internal/bench/soak/proxy.go
+++ b/internal/bench/soak/proxy.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net"
+	"slices"
 	"sync"
 	"time"
 )
@@ -17,9 +18,10 @@
 	linkCutOut             // nothing reaches the server; it is held up
 	linkCutIn              // nothing reaches the caller; it is held up
 	linkSilenced           // neither
+	linkHeld               // what the server says comes late, in order
 )
 
-var linkNames = [...]string{"well", "delayed", "reset", "cut_out", "cut_in", "silenced"}
+var linkNames = [...]string{"well", "delayed", "reset", "cut_out", "cut_in", "silenced", "held"}
 
 func (f linkFault) String() string { return linkNames[f] }
 
@@ -32,6 +34,7 @@
 
 	mu      sync.Mutex // guards the rest
 	fault   linkFault
+	held    time.Duration // how late linkHeld has a piece come
 	changed chan struct{} // closed at the next change of fault
 	open    map[net.Conn]bool
 }
@@ -54,10 +57,15 @@
 }
 
 // set changes the fault; linkReset ends the open connections.
-func (p *proxy) set(fault linkFault) {
+func (p *proxy) set(fault linkFault) { p.change(fault, 0) }
+
+// hold has what the server says come late, until the fault changes.
+func (p *proxy) hold(late time.Duration) { p.change(linkHeld, late) }
+
+func (p *proxy) change(fault linkFault, held time.Duration) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.fault = fault
+	p.fault, p.held = fault, held
 	close(p.changed)
 	p.changed = make(chan struct{})
 	if fault != linkReset {
@@ -75,10 +83,10 @@
 	_ = connection.Close()
 }
 
-func (p *proxy) state() (linkFault, <-chan struct{}) {
+func (p *proxy) state() (linkFault, time.Duration, <-chan struct{}) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	return p.fault, p.changed
+	return p.fault, p.held, p.changed
 }
 
 func (p *proxy) accept() {
@@ -92,7 +100,7 @@
 }
 
 func (p *proxy) join(caller net.Conn) {
-	if fault, _ := p.state(); fault == linkReset {
+	if fault, _, _ := p.state(); fault == linkReset {
 		reset(caller)
 		return
 	}
@@ -123,25 +131,55 @@
 	}
 }
 
-const pieceBytes = 16 << 10
+const (
+	pieceBytes = 16 << 10
+	// piecesAhead bounds what is read while the bytes before it are held up.
+	piecesAhead = 64
+)
+
+// piece is what one read gave.
+type piece struct {
+	bytes []byte
+	read  time.Time
+	err   error // set on the last one
+}
 
 // carry takes bytes one way, and the end with them; a reset crosses as one.
 func (p *proxy) carry(to, from net.Conn, cut linkFault) {
-	piece := make([]byte, pieceBytes)
-	for {
-		count, err := from.Read(piece)
-		if !p.wait(cut) {
+	pieces := make(chan piece, piecesAhead)
+	done := make(chan struct{})
+	defer close(done)
+	go readPieces(from, pieces, done)
+	for next := range pieces {
+		if !p.wait(cut, next.read) {
 			reset(to)
 			return
 		}
-		if count > 0 {
-			if _, failed := to.Write(piece[:count]); failed != nil {
+		if len(next.bytes) > 0 {
+			if _, failed := to.Write(next.bytes); failed != nil {
 				reset(from)
 				return
 			}
 		}
+		if next.err != nil {
+			endWrite(to, next.err)
+			return
+		}
+	}
+}
+
+// readPieces reads to the end, also while what was read before is held up.
+func readPieces(from net.Conn, pieces chan<- piece, done <-chan struct{}) {
+	defer close(pieces)
+	buffer := make([]byte, pieceBytes)
+	for {
+		count, err := from.Read(buffer)
+		select {
+		case pieces <- piece{bytes: slices.Clone(buffer[:count]), read: time.Now(), err: err}:
+		case <-done:
+			return
+		}
 		if err != nil {
-			endWrite(to, err)
 			return
 		}
 	}
@@ -156,9 +194,9 @@
 }
 
 // wait holds bytes up as the fault says; false when the link was reset.
-func (p *proxy) wait(cut linkFault) bool {
+func (p *proxy) wait(cut linkFault, read time.Time) bool {
 	for {
-		fault, changed := p.state()
+		fault, held, changed := p.state()
 		switch fault {
 		case linkReset:
 			return false
@@ -167,8 +205,24 @@
 			return true
 		case cut, linkSilenced:
 			<-changed
+		case linkHeld:
+			if cut != linkCutIn || awaitChange(changed, held-time.Since(read)) {
+				return true
+			}
 		default:
 			return true
 		}
 	}
 }
+
+// awaitChange waits for a change of the fault; true when the time was up before one.
+func awaitChange(changed <-chan struct{}, limit time.Duration) bool {
+	timer := time.NewTimer(limit)
+	defer timer.Stop()
+	select {
+	case <-changed:
+		return false
+	case <-timer.C:
+		return true
+	}
+}
--- a/internal/bench/soak/proxy_test.go
+++ b/internal/bench/soak/proxy_test.go
@@ -5,6 +5,7 @@
 	"io"
 	"net"
 	"testing"
+	"time"
 )
 
 // echoServer sends each line back.
@@ -99,3 +100,38 @@
 	defer third.Close()
 	say(t, third, bufio.NewReader(third), "anew\n")
 }
+
+// TestHeldAnswersComeLateAndInOrder has the server's words held, while those to it go through.
+func TestHeldAnswersComeLateAndInOrder(t *testing.T) {
+	link, connection, lines := dialThrough(t)
+	say(t, connection, lines, "before\n")
+	const late = 100 * time.Millisecond
+	link.hold(late)
+	begun := time.Now()
+	say(t, connection, lines, "first\n")
+	if elapsed := time.Since(begun); elapsed < late {
+		t.Errorf("an answer came after %v", elapsed)
+	}
+	link.hold(time.Hour)
+	heard := make(chan string)
+	go func() {
+		for range 2 {
+			line, _ := lines.ReadString('\n') // the end is seen by what is missing
+			heard <- line
+		}
+	}()
+	for _, line := range []string{"second\n", "third\n"} {
+		if _, err := io.WriteString(connection, line); err != nil {
+			t.Fatal(err)
+		}
+	}
+	select {
+	case line := <-heard:
+		t.Fatalf("%q came while it was held", line)
+	case <-time.After(late):
+	}
+	link.set(linkWell)
+	if first, second := <-heard, <-heard; first != "second\n" || second != "third\n" {
+		t.Errorf("got %q, %q", first, second)
+	}
+}
--- a/internal/bench/soak/series.go
+++ b/internal/bench/soak/series.go
@@ -31,9 +31,14 @@
 
 // strikeInSeries strikes until the time is up, and returns when all is over.
 func (s *soak) strikeInSeries(ctx context.Context) {
+	s.strikeBeside(ctx, seriesStream, seriesKinds(), 300*time.Millisecond, 2*time.Second)
+}
+
+// strikeBeside strikes beside the single faults, with a pause after each strike's begin.
+func (s *soak) strikeBeside(ctx context.Context, stream uint64, kinds []fault, leastPause, mostPause time.Duration) {
 	var lasting sync.WaitGroup
 	room := make(chan struct{}, atOnce)
-	s.draw(ctx, seriesStream, seriesKinds(), func(random, own *rand.Rand, kind fault) {
+	s.draw(ctx, stream, kinds, func(random, own *rand.Rand, kind fault) {
 		room <- struct{}{}
 		lasting.Go(func() {
 			defer func() { <-room }()
@@ -42,7 +47,7 @@
 			s.note(kind.name)
 			kind.strike(s, ctx, own)
 		})
-		wait.For(ctx, between(random, 300*time.Millisecond, 2*time.Second))
+		wait.For(ctx, between(random, leastPause, mostPause))
 	})
 	lasting.Wait()
 }
--- a/internal/bench/soak/soak.go
+++ b/internal/bench/soak/soak.go
@@ -91,6 +91,8 @@
 
 	// calm is held by a fault that must be alone, and for reading by those of a series.
 	calm sync.RWMutex
+	// silence is held by a fault that has the store's feed tell nothing.
+	silence sync.Mutex
 	// replacing counts the engines that are to be replaced.
 	replacing sync.WaitGroup
 	// jumps counts the reads that are still to be made of what has just been read.
@@ -272,6 +274,7 @@
 	}
 	var series sync.WaitGroup
 	series.Go(func() { s.strikeInSeries(ctx) })
+	series.Go(func() { s.strikeWithStalls(ctx) })
 	s.strikeAtRandom(ctx)
 	series.Wait()
 	s.replacing.Wait()
