soak: each process has addresses of its own

Two addresses that were found free were the same, as the first was not listened at yet. Change: an address that was given is not given again. Conclusion: the soak's own, not a node's.

--- a/internal/bench/soak/process.go
+++ b/internal/bench/soak/process.go
@@ -64,12 +64,25 @@
 	return fmt.Sprintf("127.7.%d.%d", 1+number/hosts%hosts, 1+number%hosts)
 }
 
-func freeAddress() (string, error) {
-	listener, err := (&net.ListenConfig{}).Listen(context.Background(), "tcp", net.JoinHostPort(ownHost(), "0"))
-	if err != nil {
-		return "", err
+// addresses gives addresses that are free, each once: the system may name one again that was
+// given to a process which does not listen there yet.
+type addresses struct{ given map[string]bool }
+
+func (a *addresses) free() (string, error) {
+	for {
+		listener, err := (&net.ListenConfig{}).Listen(context.Background(), "tcp", net.JoinHostPort(ownHost(), "0"))
+		if err != nil {
+			return "", err
+		}
+		address := listener.Addr().String()
+		if err := listener.Close(); err != nil {
+			return "", err
+		}
+		if !a.given[address] {
+			a.given[address] = true
+			return address, nil
+		}
 	}
-	return listener.Addr().String(), listener.Close()
 }
 
 const settingsText = `node:
@@ -89,18 +102,18 @@
 `
 
 // newNode writes a node's settings; start starts it.
-func newNode(options Options, number int, store *platformtest.Store, seed string, found *judge) (*nodeProcess, error) {
+func (s *soak) newNode(number int, seed string) (*nodeProcess, error) {
 	node := &nodeProcess{
-		name: fmt.Sprintf("n%d", number), zone: fmt.Sprintf("z%d", number%2), binary: options.Binary,
-		folder: options.Folder, judge: found, state: nodeDead,
+		name: fmt.Sprintf("n%d", number), zone: fmt.Sprintf("z%d", number%2), binary: s.options.Binary,
+		folder: s.options.Folder, judge: s.judge, state: nodeDead,
 	}
 	for _, address := range []*string{&node.front, &node.ready, &node.peer} {
 		var err error
-		if *address, err = freeAddress(); err != nil {
+		if *address, err = s.addresses.free(); err != nil {
 			return nil, err
 		}
 	}
-	node.door = store.Open()
+	node.door = s.store.Open()
 	var err error
 	if node.link, err = newProxy(node.front); err != nil {
 		return nil, err
--- a/internal/bench/soak/soak.go
+++ b/internal/bench/soak/soak.go
@@ -89,6 +89,8 @@
 	judge   *judge
 	ids     numbers
 
+	addresses addresses // used by build alone
+
 	// calm is held by a fault that must be alone, and for reading by those of a series.
 	calm sync.RWMutex
 	// silence is held by a fault that has the store's feed tell nothing.
@@ -121,7 +123,10 @@
 	if err := options.Validate(); err != nil {
 		return Report{}, err
 	}
-	s := &soak{options: options, store: platformtest.NewStore(), judge: newJudge(events), counts: make(map[string]int)}
+	s := &soak{
+		options: options, store: platformtest.NewStore(), judge: newJudge(events),
+		addresses: addresses{given: make(map[string]bool)}, counts: make(map[string]int),
+	}
 	defer s.close()
 	if err := s.build(); err != nil {
 		return Report{}, err
@@ -149,7 +154,7 @@
 	}
 	seed := ""
 	for number := range s.options.Nodes {
-		node, err := newNode(s.options, number, s.store, seed, s.judge)
+		node, err := s.newNode(number, seed)
 		if err != nil {
 			return err
 		}
