soak: keys that come and go, and a limit that is pressed

Cause: nothing in the soak had tenants, so that no run asked whether a withdrawn key still runs requests or a tenant's sum stays within its limit while nodes are killed, stopped and cut off. Change: the soak's configurations have two tenants and a route that needs a key; the other routes are open. One tenant's keys are rotated; the other's requests are sent at several times its rate. Judges: nothing runs under a wrong key, nor under a withdrawn one later than 2 s after at a node in touch and 5.25 s after at any; a held key is known; engines see the tenant's name and no key; in no 5 s more than 141 requests of the limited tenant are sent and run.

--- a/internal/bench/soak/judge.go
+++ b/internal/bench/soak/judge.go
@@ -59,10 +59,15 @@
 	early      map[string]string // requests cut early at a planned stop
 	deadly     deadlyRecords
 	stays      StaysReport
+	keyed      []keyedRequest
+	tenants    TenantsReport
 }
 
 func newJudge(events int) *judge {
-	return &judge{started: time.Now(), events: events, statuses: make(map[string]int), early: make(map[string]string), deadly: newDeadlyRecords()}
+	return &judge{
+		started: time.Now(), events: events, statuses: make(map[string]int), early: make(map[string]string), deadly: newDeadlyRecords(),
+		tenants: TenantsReport{Statuses: make(map[string]int), Pressed: make(map[string]int)},
+	}
 }
 
 // mostViolations bounds what is kept of a soak that is broken through.
@@ -91,6 +96,11 @@
 	defer j.mu.Unlock()
 	j.requests = append(j.requests, record)
 	j.statuses[statusName(record.reply)]++
+	j.judgeAnswer(record)
+}
+
+// judgeAnswer judges an answer by itself; the caller holds mu.
+func (j *judge) judgeAnswer(record requestRecord) {
 	reply := record.reply
 	switch {
 	case reply.Err != nil:
@@ -98,6 +108,7 @@
 		j.violateLocked("innocent_requests_are_not_blocked", record.id, fmt.Sprintf("%s: %.120q", record.route, reply.Body))
 	case reply.Status == http.StatusOK && reply.Body != platformtest.Stream(record.id, j.events):
 		j.violateLocked("whole_answer", record.id, fmt.Sprintf("%s: a success with another body: %.120q", record.route, reply.Body))
+	case record.route == platformtest.RouteKeyed: // its status depends on the key
 	case reply.Status >= http.StatusBadRequest && reply.Status < http.StatusInternalServerError && !isPromise(reply.Status):
 		j.violateLocked("proper_requests_are_served", record.id, fmt.Sprintf("%s: status %d: %.120q", record.route, reply.Status, reply.Body))
 	}
--- a/internal/bench/soak/process.go
+++ b/internal/bench/soak/process.go
@@ -99,6 +99,13 @@
   peer_address: %q
   store_address: %q
   seeds: [%q]
+  keys:
+    strict: true
+    confirm_within: %v
+  limits:
+    window: %v
+    overrun: %v
+    slack_requests: %v
 `
 
 // newNode writes a node's settings; start starts it.
@@ -125,7 +132,8 @@
 		seed = node.peer
 	}
 	node.settings = filepath.Join(node.folder, node.name+".yaml")
-	text := fmt.Sprintf(settingsText, node.name, node.zone, node.front, node.ready, node.peer, node.store.address(), seed)
+	text := fmt.Sprintf(settingsText, node.name, node.zone, node.front, node.ready, node.peer, node.store.address(), seed,
+		confirmWithin, limitWindow, limitOverrun, limitSlack)
 	return node, os.WriteFile(node.settings, []byte(text), 0o600)
 }
 
--- a/internal/bench/soak/soak.go
+++ b/internal/bench/soak/soak.go
@@ -70,6 +70,7 @@
 	Recovery   time.Duration  `json:"recovery_ns"` // until all nodes were ready after the last fault
 	Deadly     DeadlyReport   `json:"deadly"`
 	Stays      StaysReport    `json:"read_again"`
+	Tenants    TenantsReport  `json:"tenants"`
 	Violations []Violation    `json:"violations"`
 }
 
@@ -88,6 +89,7 @@
 	nodes   []*nodeProcess
 	judge   *judge
 	ids     numbers
+	keys    *keyring
 
 	addresses addresses // used by build alone
 
@@ -124,7 +126,7 @@
 		return Report{}, err
 	}
 	s := &soak{
-		options: options, store: platformtest.NewStore(), judge: newJudge(events),
+		options: options, store: platformtest.NewStore(), judge: newJudge(events), keys: newKeyring(),
 		addresses: addresses{given: make(map[string]bool)}, counts: make(map[string]int),
 	}
 	defer s.close()
@@ -145,6 +147,9 @@
 // that read, beside the first ones.
 const nodesPerJobCaller = 20
 
+// callersPerKeyed is how many callers have one more beside them that sends requests under keys.
+const callersPerKeyed = 5
+
 func (s *soak) build() error {
 	s.writeVersion()
 	for range s.options.Engines {
@@ -215,8 +220,9 @@
 	for version := max(s.version-keptProbes+1, 1); version <= s.version; version++ {
 		probes = append(probes, version)
 	}
-	s.store.Configure(s.version, probes)
+	s.store.Configure(s.version, probes, s.keys.tenants())
 	s.written = time.Now()
+	s.keys.written(s.written)
 }
 
 func (s *soak) newest() (version int, written time.Time) {
@@ -277,9 +283,13 @@
 		begin(s.read)
 		begin(s.read)
 	}
+	for range s.options.Callers/callersPerKeyed + 1 {
+		begin(s.callWithKeys)
+	}
 	var series sync.WaitGroup
 	series.Go(func() { s.strikeInSeries(ctx) })
 	series.Go(func() { s.strikeWithStalls(ctx) })
+	series.Go(func() { s.strikeTenants(ctx) })
 	s.strikeAtRandom(ctx)
 	series.Wait()
 	s.replacing.Wait()
@@ -299,7 +309,7 @@
 		}
 	}
 	s.counts["engine_runs"] = len(runs)
-	s.judge.conclude(s.judge.concludeDeadly(runs))
+	s.judge.conclude(s.judge.concludeKeyed(s.judge.concludeDeadly(runs), s.keys))
 }
 
 // recover has all nodes ready in time once no fault strikes.
@@ -329,7 +339,7 @@
 	report := Report{
 		Seed: s.options.Seed, Faults: make(map[string]int), Requests: len(j.requests), Statuses: j.statuses, Jobs: len(j.jobs),
 		Runs: s.counts["engine_runs"], Recovery: time.Duration(s.counts["recovery_ms"]) * time.Millisecond, Violations: j.violations,
-		Deadly: j.deadly.report, Stays: j.stays,
+		Deadly: j.deadly.report, Stays: j.stays, Tenants: j.tenants,
 	}
 	for name, count := range s.counts {
 		if name != "engine_runs" && name != "recovery_ms" {
