--- a/internal/bench/soak/stays_test.go
+++ b/internal/bench/soak/stays_test.go
@@ -5,6 +5,8 @@
 	"slices"
 	"testing"
 	"time"
+
+	"ringstream.example/ringstream/platform/platformtest"
 )
 
 // TestJudgeAsksThatWhatWasReadStays has position 1 of a job read at one node, and then a
@@ -121,3 +123,22 @@
 		})
 	}
 }
+
+// Ten jobs of 1,034 counted as lost, though their logs told that all of their items were
+// listed: they were the last ones, and were read by turns with all that were done.
+func TestJobsThatAreNotDoneAreNamed(t *testing.T) {
+	judge := newJudge(testEvents)
+	open := &jobRecord{id: "j-open", items: []string{"i-1"}, taken: true}
+	done := &jobRecord{id: "j-done", items: []string{"i-2"}, taken: true}
+	ended := &jobRecord{id: "j-ended", items: []string{"i-3"}, taken: true, ended: time.Now()}
+	refused := &jobRecord{id: "j-refused", items: []string{"i-4"}, refused: true}
+	old := &jobRecord{id: "j-old", items: []string{"i-5"}, taken: true}
+	for _, job := range []*jobRecord{open, done, ended, refused, old} {
+		judge.add(job)
+	}
+	old.handed = time.Now().Add(-jobsKept)
+	judge.read(done, 0, platformtest.Results{Total: 1, Results: []platformtest.Result{succeeded(judge, "i-2")}})
+	if undone := judge.undone(); len(undone) != 1 || undone[0] != open {
+		t.Errorf("%d jobs are not done", len(undone))
+	}
+}
