soak: how late nodes in touch refuse what ends engines

Cause: the report's slowest refusal, 4.1 s, counted those of nodes whose link was held up, so that it told nothing of the nodes. Change: the slowest of nodes in touch throughout stands beside it.

--- a/internal/bench/soak/deadly.go
+++ b/internal/bench/soak/deadly.go
@@ -40,17 +40,20 @@
 	// inTouch: neither the node nor what all share was struck for the time of agreement
 	// before the request was sent.
 	inTouch bool
+	// leftAlone: it was in touch throughout, as of a resultRead.
+	leftAlone bool
 }
 
 // DeadlyReport is what came of requests that end engines.
 type DeadlyReport struct {
 	Bodies       int           `json:"bodies"`
 	Sent         int           `json:"sent"`
-	Blocked      int           `json:"blocked"`    // refused, without a run
-	SlowestBlock time.Duration `json:"slowest_ns"` // of those refusals
-	Runs         int           `json:"runs"`       // each ended an engine, or met one that had just ended
-	MostRuns     int           `json:"most_runs"`  // of one body
-	MostLateRuns int           `json:"most_late"`  // of one body, later than the bound
+	Blocked      int           `json:"blocked"`             // refused, without a run
+	SlowestBlock time.Duration `json:"slowest_ns"`          // of those refusals
+	SlowestAlone time.Duration `json:"slowest_in_touch_ns"` // of those by nodes in touch throughout
+	Runs         int           `json:"runs"`                // each ended an engine, or met one that had just ended
+	MostRuns     int           `json:"most_runs"`           // of one body
+	MostLateRuns int           `json:"most_late"`           // of one body, later than the bound
 }
 
 func newDeadlyRecords() deadlyRecords { return deadlyRecords{replies: make(map[string]deadlyReply)} }
@@ -89,12 +92,15 @@
 		node := s.nodes[random.IntN(len(s.nodes))]
 		id := s.ids.next("d")
 		calls.Go(func() {
+			before := node.condition()
 			begun := time.Now()
 			inTouch := s.inTouch(node, begun)
 			reply := platformtest.Send(context.WithoutCancel(ctx), platformtest.Call{
 				Node: node.link.address(), Method: http.MethodPost, Path: "/" + route + "/x", ID: id, Body: body, Deadline: onlineDeadline,
 			})
-			s.judge.answeredDeadly(id, deadlyReply{Reply: reply, elapsed: time.Since(begun), inTouch: inTouch})
+			elapsed := time.Since(begun)
+			leftAlone := s.inTouchThroughout(node, before, begun)
+			s.judge.answeredDeadly(id, deadlyReply{Reply: reply, elapsed: elapsed, inTouch: inTouch, leftAlone: leftAlone})
 		})
 		if !wait.For(ctx, between(random, 5*time.Millisecond, 600*time.Millisecond)) {
 			break
@@ -163,6 +169,9 @@
 		if reply.Err == nil && strings.Contains(reply.Body, blockedCode) && !ran[id] {
 			report.Blocked++
 			report.SlowestBlock = max(report.SlowestBlock, reply.elapsed)
+			if reply.leftAlone {
+				report.SlowestAlone = max(report.SlowestAlone, reply.elapsed)
+			}
 		}
 	}
 	for body, bodyRuns := range byBody {
