soak: nodes are asked at the same time whether they are ready

Each of the nodes had said that it was ready by 4 s after the first question; the soak asked 71 nodes one after the other, each up to a second, and wanted all of one round ready. Change: eight are asked at a time; a round still wants all of them ready.

--- a/internal/bench/soak/soak.go
+++ b/internal/bench/soak/soak.go
@@ -14,6 +14,7 @@
 	"fmt"
 	"math/rand/v2"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"ringstream.example/ringstream/internal/wait"
@@ -234,13 +235,13 @@
 func (s *soak) awaitReady(ctx context.Context, limit time.Duration) bool {
 	until := time.Now().Add(limit)
 	for time.Now().Before(until) {
-		ready := 0
-		for _, node := range s.nodes {
-			if node.isReady() {
-				ready++
+		var ready atomic.Int32
+		atATime(asksAtATime, len(s.nodes), func(number int) {
+			if s.nodes[number].isReady() {
+				ready.Add(1)
 			}
-		}
-		if ready == len(s.nodes) {
+		})
+		if int(ready.Load()) == len(s.nodes) {
 			return true
 		}
 		if !wait.For(ctx, readPause) {
@@ -330,14 +331,14 @@
 		if len(undone) == 0 {
 			return
 		}
-		atATime(readersAtEnd, len(undone), func(number int) {
+		atATime(asksAtATime, len(undone), func(number int) {
 			s.readJob(ctx, undone[number], s.nodes[(round+number)%len(s.nodes)], 0, 0)
 		})
 	}
 }
 
-// readersAtEnd is how many reads are under way at the same time when no caller is left.
-const readersAtEnd = 8
+// asksAtATime is how many questions to nodes are under way at the same time, beside those of callers.
+const asksAtATime = 8
 
 // atATime does numbered work, so much of it at the same time, and returns when all is done.
 func atATime(most, count int, work func(number int)) {
--- a/internal/bench/soak/stays.go
+++ b/internal/bench/soak/stays.go
@@ -159,7 +159,7 @@
 	known := s.judge.known()
 	nodes := random.Perm(len(s.nodes))
 	nodes = nodes[:min(sweepNodes, len(nodes))]
-	atATime(readersAtEnd, len(known)*len(nodes), func(number int) {
+	atATime(asksAtATime, len(known)*len(nodes), func(number int) {
 		// Each job is read at some nodes, and all nodes by some jobs.
 		job, turn := number/len(nodes), number%len(nodes)
 		node := s.nodes[(nodes[turn]+job)%len(s.nodes)]
