--- a/internal/bench/soak/judge.go
+++ b/internal/bench/soak/judge.go
@@ -53,6 +53,7 @@
 
 	mu         sync.Mutex // guards the rest
 	violations []Violation
+	broken     map[string]int // violations by promise, also those that are not kept
 	requests   []requestRecord
 	jobs       []*jobRecord
 	statuses   map[string]int
@@ -65,13 +66,13 @@
 
 func newJudge(events int) *judge {
 	return &judge{
-		started: time.Now(), events: events, statuses: make(map[string]int), early: make(map[string]string), deadly: newDeadlyRecords(),
+		started: time.Now(), events: events, broken: make(map[string]int), statuses: make(map[string]int), early: make(map[string]string), deadly: newDeadlyRecords(),
 		tenants: TenantsReport{Statuses: make(map[string]int), Pressed: make(map[string]int)},
 	}
 }
 
-// mostViolations bounds what is kept of a soak that is broken through.
-const mostViolations = 200
+// mostViolations bounds what is kept of one promise in a soak that is broken through.
+const mostViolations = 50
 
 func (j *judge) violate(promise, subject, detail string) {
 	j.mu.Lock()
@@ -80,7 +81,8 @@
 }
 
 func (j *judge) violateLocked(promise, subject, detail string) {
-	if len(j.violations) < mostViolations {
+	j.broken[promise]++
+	if j.broken[promise] <= mostViolations {
 		j.violations = append(j.violations, Violation{Promise: promise, Subject: subject, Detail: detail, After: time.Since(j.started)})
 	}
 }
--- a/internal/bench/soak/judge_test.go
+++ b/internal/bench/soak/judge_test.go
@@ -137,3 +137,18 @@
 		})
 	}
 }
+
+// One promise that was seen broken 199 times left no room for three of four others.
+func TestEachPromiseSeenBrokenIsKept(t *testing.T) {
+	judge := newJudge(testEvents)
+	for range 5 * mostViolations {
+		judge.violate("often", "n1", "")
+	}
+	judge.violate("once", "n1", "")
+	if last := judge.violations[len(judge.violations)-1]; last.Promise != "once" || len(judge.violations) != mostViolations+1 {
+		t.Errorf("%d kept, the last one is %+v", len(judge.violations), last)
+	}
+	if judge.broken["often"] != 5*mostViolations || judge.broken["once"] != 1 {
+		t.Errorf("counted %v", judge.broken)
+	}
+}
--- a/internal/bench/soak/soak.go
+++ b/internal/bench/soak/soak.go
@@ -72,7 +72,8 @@
 	Deadly     DeadlyReport   `json:"deadly"`
 	Stays      StaysReport    `json:"read_again"`
 	Tenants    TenantsReport  `json:"tenants"`
-	Violations []Violation    `json:"violations"`
+	Broken     map[string]int `json:"broken"`     // violations by promise
+	Violations []Violation    `json:"violations"` // the first ones of each promise
 }
 
 // events is the length of each engine's answer, and pace its pause before each
@@ -360,7 +361,7 @@
 	defer j.mu.Unlock()
 	report := Report{
 		Seed: s.options.Seed, Faults: make(map[string]int), Requests: len(j.requests), Statuses: j.statuses, Jobs: len(j.jobs),
-		Runs: s.counts["engine_runs"], Recovery: time.Duration(s.counts["recovery_ms"]) * time.Millisecond, Violations: j.violations,
+		Runs: s.counts["engine_runs"], Recovery: time.Duration(s.counts["recovery_ms"]) * time.Millisecond, Broken: j.broken, Violations: j.violations,
 		Deadly: j.deadly.report, Stays: j.stays, Tenants: j.tenants,
 	}
 	for name, count := range s.counts {
