--- a/internal/bench/soak/judge.go
+++ b/internal/bench/soak/judge.go
@@ -42,6 +42,8 @@
 	ended   time.Time
 	// listed holds the results as they were first read, by position.
 	listed map[int]platformtest.Result
+	// firstReads holds when and where each position was first read.
+	firstReads map[int]firstRead
 }
 
 // judge keeps what callers saw, and compares it with what engines ran.
@@ -51,19 +53,26 @@
 
 	mu         sync.Mutex // guards the rest
 	violations []Violation
+	broken     map[string]int // violations by promise, also those that are not kept
 	requests   []requestRecord
 	jobs       []*jobRecord
 	statuses   map[string]int
 	early      map[string]string // requests cut early at a planned stop
 	deadly     deadlyRecords
+	stays      StaysReport
+	keyed      []keyedRequest
+	tenants    TenantsReport
 }
 
 func newJudge(events int) *judge {
-	return &judge{started: time.Now(), events: events, statuses: make(map[string]int), early: make(map[string]string), deadly: newDeadlyRecords()}
+	return &judge{
+		started: time.Now(), events: events, broken: make(map[string]int), statuses: make(map[string]int), early: make(map[string]string), deadly: newDeadlyRecords(),
+		tenants: TenantsReport{Statuses: make(map[string]int), Pressed: make(map[string]int)},
+	}
 }
 
-// mostViolations bounds what is kept of a soak that is broken through.
-const mostViolations = 200
+// mostViolations bounds what is kept of one promise in a soak that is broken through.
+const mostViolations = 50
 
 func (j *judge) violate(promise, subject, detail string) {
 	j.mu.Lock()
@@ -72,7 +81,8 @@
 }
 
 func (j *judge) violateLocked(promise, subject, detail string) {
-	if len(j.violations) < mostViolations {
+	j.broken[promise]++
+	if j.broken[promise] <= mostViolations {
 		j.violations = append(j.violations, Violation{Promise: promise, Subject: subject, Detail: detail, After: time.Since(j.started)})
 	}
 }
@@ -88,6 +98,11 @@
 	defer j.mu.Unlock()
 	j.requests = append(j.requests, record)
 	j.statuses[statusName(record.reply)]++
+	j.judgeAnswer(record)
+}
+
+// judgeAnswer judges an answer by itself; the caller holds mu.
+func (j *judge) judgeAnswer(record requestRecord) {
 	reply := record.reply
 	switch {
 	case reply.Err != nil:
@@ -95,6 +110,7 @@
 		j.violateLocked("innocent_requests_are_not_blocked", record.id, fmt.Sprintf("%s: %.120q", record.route, reply.Body))
 	case reply.Status == http.StatusOK && reply.Body != platformtest.Stream(record.id, j.events):
 		j.violateLocked("whole_answer", record.id, fmt.Sprintf("%s: a success with another body: %.120q", record.route, reply.Body))
+	case record.route == platformtest.RouteKeyed: // its status depends on the key
 	case reply.Status >= http.StatusBadRequest && reply.Status < http.StatusInternalServerError && !isPromise(reply.Status):
 		j.violateLocked("proper_requests_are_served", record.id, fmt.Sprintf("%s: status %d: %.120q", record.route, reply.Status, reply.Body))
 	}
@@ -124,6 +140,7 @@
 	j.mu.Lock()
 	defer j.mu.Unlock()
 	job.listed = make(map[int]platformtest.Result)
+	job.firstReads = make(map[int]firstRead)
 	job.handed = time.Now()
 	j.jobs = append(j.jobs, job)
 }
@@ -237,17 +254,17 @@
 	}
 }
 
-// undone counts the taken jobs that are not done.
-func (j *judge) undone() int {
+// undone gives the taken jobs that are not done and must be readable.
+func (j *judge) undone() []*jobRecord {
 	j.mu.Lock()
 	defer j.mu.Unlock()
-	count := 0
+	var list []*jobRecord
 	for _, job := range j.jobs {
-		if job.taken && job.ended.IsZero() && len(job.listed) < len(job.items) {
-			count++
+		if job.taken && job.ended.IsZero() && len(job.listed) < len(job.items) && time.Since(job.handed) < jobsKept {
+			list = append(list, job)
 		}
 	}
-	return count
+	return list
 }
 
 // jobsKept is how long after it was handed in a job must be readable, less a
--- a/internal/bench/soak/process.go
+++ b/internal/bench/soak/process.go
@@ -52,6 +52,7 @@
 	life      int       // rises with each start
 	started   time.Time // of this life
 	disturbed time.Time // when a fault last struck it, or its links
+	lasting   int       // faults of its links that are not over
 	stopping  time.Time // when SIGTERM was last sent
 }
 
@@ -63,12 +64,25 @@
 	return fmt.Sprintf("127.7.%d.%d", 1+number/hosts%hosts, 1+number%hosts)
 }
 
-func freeAddress() (string, error) {
-	listener, err := (&net.ListenConfig{}).Listen(context.Background(), "tcp", net.JoinHostPort(ownHost(), "0"))
-	if err != nil {
-		return "", err
+// addresses gives addresses that are free, each once: the system may name one again that was
+// given to a process which does not listen there yet.
+type addresses struct{ given map[string]bool }
+
+func (a *addresses) free() (string, error) {
+	for {
+		listener, err := (&net.ListenConfig{}).Listen(context.Background(), "tcp", net.JoinHostPort(ownHost(), "0"))
+		if err != nil {
+			return "", err
+		}
+		address := listener.Addr().String()
+		if err := listener.Close(); err != nil {
+			return "", err
+		}
+		if !a.given[address] {
+			a.given[address] = true
+			return address, nil
+		}
 	}
-	return listener.Addr().String(), listener.Close()
 }
 
 const settingsText = `node:
@@ -85,21 +99,28 @@
   peer_address: %q
   store_address: %q
   seeds: [%q]
+  keys:
+    strict: true
+    confirm_within: %v
+  limits:
+    window: %v
+    overrun: %v
+    slack_requests: %v
 `
 
 // newNode writes a node's settings; start starts it.
-func newNode(options Options, number int, store *platformtest.Store, seed string, found *judge) (*nodeProcess, error) {
+func (s *soak) newNode(number int, seed string) (*nodeProcess, error) {
 	node := &nodeProcess{
-		name: fmt.Sprintf("n%d", number), zone: fmt.Sprintf("z%d", number%2), binary: options.Binary,
-		folder: options.Folder, judge: found, state: nodeDead,
+		name: fmt.Sprintf("n%d", number), zone: fmt.Sprintf("z%d", number%2), binary: s.options.Binary,
+		folder: s.options.Folder, judge: s.judge, state: nodeDead,
 	}
 	for _, address := range []*string{&node.front, &node.ready, &node.peer} {
 		var err error
-		if *address, err = freeAddress(); err != nil {
+		if *address, err = s.addresses.free(); err != nil {
 			return nil, err
 		}
 	}
-	node.door = store.Open()
+	node.door = s.store.Open()
 	var err error
 	if node.link, err = newProxy(node.front); err != nil {
 		return nil, err
@@ -111,7 +132,8 @@
 		seed = node.peer
 	}
 	node.settings = filepath.Join(node.folder, node.name+".yaml")
-	text := fmt.Sprintf(settingsText, node.name, node.zone, node.front, node.ready, node.peer, node.store.address(), seed)
+	text := fmt.Sprintf(settingsText, node.name, node.zone, node.front, node.ready, node.peer, node.store.address(), seed,
+		confirmWithin, limitWindow, limitOverrun, limitSlack)
 	return node, os.WriteFile(node.settings, []byte(text), 0o600)
 }
 
@@ -214,25 +236,30 @@
 	}
 }
 
-// disturb notes a fault that strikes the node or its links.
-func (n *nodeProcess) disturb() {
+// beginFault notes a fault of the node's links that lasts until endFault.
+func (n *nodeProcess) beginFault() { n.disturb(1) }
+
+func (n *nodeProcess) endFault() { n.disturb(-1) }
+
+func (n *nodeProcess) disturb(lasting int) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	n.disturbed = time.Now()
+	n.lasting += lasting
 }
 
 // condition is what the judge needs to know of a node at a moment.
 type condition struct {
 	life      int
 	state     nodeState
-	disturbed time.Time
+	disturbed time.Time // now, while a fault of its links lasts
 	stopping  time.Time
 }
 
 func (n *nodeProcess) condition() condition {
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	return condition{life: n.life, state: n.state, disturbed: n.disturbed, stopping: n.stopping}
+	return condition{life: n.life, state: n.state, disturbed: orNow(n.disturbed, n.lasting), stopping: n.stopping}
 }
 
 // runningWithin is how long a process may take to answer at all.
--- a/internal/bench/soak/series.go
+++ b/internal/bench/soak/series.go
@@ -31,9 +31,14 @@
 
 // strikeInSeries strikes until the time is up, and returns when all is over.
 func (s *soak) strikeInSeries(ctx context.Context) {
+	s.strikeBeside(ctx, seriesStream, seriesKinds(), 300*time.Millisecond, 2*time.Second)
+}
+
+// strikeBeside strikes beside the single faults, with a pause after each strike's begin.
+func (s *soak) strikeBeside(ctx context.Context, stream uint64, kinds []fault, leastPause, mostPause time.Duration) {
 	var lasting sync.WaitGroup
 	room := make(chan struct{}, atOnce)
-	s.draw(ctx, seriesStream, seriesKinds(), func(random, own *rand.Rand, kind fault) {
+	s.draw(ctx, stream, kinds, func(random, own *rand.Rand, kind fault) {
 		room <- struct{}{}
 		lasting.Go(func() {
 			defer func() { <-room }()
@@ -42,7 +47,7 @@
 			s.note(kind.name)
 			kind.strike(s, ctx, own)
 		})
-		wait.For(ctx, between(random, 300*time.Millisecond, 2*time.Second))
+		wait.For(ctx, between(random, leastPause, mostPause))
 	})
 	lasting.Wait()
 }
@@ -77,12 +82,15 @@
 	}
 }
 
+// mostStops bounds the nodes that a series stops: a longer one would outlive the soak's time.
+const mostStops = 12
+
 // stopInSeries stops some nodes as planned, each while the one before still ends, with a
 // change of the configuration in between; a stop may be asked for twice.
 func (s *soak) stopInSeries(ctx context.Context, random *rand.Rand) {
 	var stops sync.WaitGroup
 	first := random.IntN(len(s.nodes))
-	for number := range 1 + random.IntN(max(len(s.nodes)/2, 1)) {
+	for number := range 1 + random.IntN(min(max(len(s.nodes)/2, 1), mostStops)) {
 		node := s.nodes[(first+number)%len(s.nodes)]
 		twice := random.IntN(2) == 0
 		stops.Go(func() {
--- a/internal/bench/soak/soak.go
+++ b/internal/bench/soak/soak.go
@@ -14,6 +14,7 @@
 	"fmt"
 	"math/rand/v2"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"ringstream.example/ringstream/internal/wait"
@@ -33,13 +34,20 @@
 	Said func(string)
 }
 
+// Bounds of the sizes: what a machine of 16 GB and a few hundred processes bears.
+const (
+	mostNodes   = 100
+	mostEngines = 128
+	mostCallers = 256
+)
+
 // Validate checks the sizes.
 func (o Options) Validate() error {
 	var problems []error
 	for _, bound := range []struct {
 		name               string
 		value, least, most int
-	}{{"nodes", o.Nodes, 1, 40}, {"engines", o.Engines, 1, 64}, {"callers", o.Callers, 1, 128}} {
+	}{{"nodes", o.Nodes, 1, mostNodes}, {"engines", o.Engines, 1, mostEngines}, {"callers", o.Callers, 1, mostCallers}} {
 		if bound.value < bound.least || bound.value > bound.most {
 			problems = append(problems, fmt.Errorf("%s: %d given, allowed is %d to %d", bound.name, bound.value, bound.least, bound.most))
 		}
@@ -62,7 +70,10 @@
 	Lives      int            `json:"process_lives"`
 	Recovery   time.Duration  `json:"recovery_ns"` // until all nodes were ready after the last fault
 	Deadly     DeadlyReport   `json:"deadly"`
-	Violations []Violation    `json:"violations"`
+	Stays      StaysReport    `json:"read_again"`
+	Tenants    TenantsReport  `json:"tenants"`
+	Broken     map[string]int `json:"broken"`     // violations by promise
+	Violations []Violation    `json:"violations"` // the first ones of each promise
 }
 
 // events is the length of each engine's answer, and pace its pause before each
@@ -80,18 +91,28 @@
 	nodes   []*nodeProcess
 	judge   *judge
 	ids     numbers
+	keys    *keyring
+
+	addresses addresses // used by build alone
 
 	// calm is held by a fault that must be alone, and for reading by those of a series.
 	calm sync.RWMutex
+	// silence is held by a fault that has the store's feed tell nothing.
+	silence sync.Mutex
 	// replacing counts the engines that are to be replaced.
 	replacing sync.WaitGroup
+	// jumps counts the reads that are still to be made of what has just been read.
+	jumps sync.WaitGroup
 
-	mu       sync.Mutex // guards the rest
-	version  int
-	written  time.Time // when version was
-	struck   time.Time // when a fault last struck what all nodes share
-	counts   map[string]int
-	engineNo int
+	mu           sync.Mutex // guards the rest
+	version      int
+	written      time.Time // when version was
+	struck       time.Time // when a fault last struck what all nodes share
+	lasting      int       // faults of what all nodes share that are not over
+	storeStruck  time.Time // when one last struck the store
+	storeLasting int       // those of the store that are not over
+	counts       map[string]int
+	engineNo     int
 }
 
 // engineLink is an engine behind a link.
@@ -106,7 +127,10 @@
 	if err := options.Validate(); err != nil {
 		return Report{}, err
 	}
-	s := &soak{options: options, store: platformtest.NewStore(), judge: newJudge(events), counts: make(map[string]int)}
+	s := &soak{
+		options: options, store: platformtest.NewStore(), judge: newJudge(events), keys: newKeyring(),
+		addresses: addresses{given: make(map[string]bool)}, counts: make(map[string]int),
+	}
 	defer s.close()
 	if err := s.build(); err != nil {
 		return Report{}, err
@@ -121,6 +145,13 @@
 
 const startTime = 20 * time.Second
 
+// nodesPerJobCaller is how many nodes have one more caller that hands jobs in, and two more
+// that read, beside the first ones.
+const nodesPerJobCaller = 20
+
+// callersPerKeyed is how many callers have one more beside them that sends requests under keys.
+const callersPerKeyed = 5
+
 func (s *soak) build() error {
 	s.writeVersion()
 	for range s.options.Engines {
@@ -130,7 +161,7 @@
 	}
 	seed := ""
 	for number := range s.options.Nodes {
-		node, err := newNode(s.options, number, s.store, seed, s.judge)
+		node, err := s.newNode(number, seed)
 		if err != nil {
 			return err
 		}
@@ -191,8 +222,9 @@
 	for version := max(s.version-keptProbes+1, 1); version <= s.version; version++ {
 		probes = append(probes, version)
 	}
-	s.store.Configure(s.version, probes)
+	s.store.Configure(s.version, probes, s.keys.tenants())
 	s.written = time.Now()
+	s.keys.written(s.written)
 }
 
 func (s *soak) newest() (version int, written time.Time) {
@@ -201,29 +233,16 @@
 	return s.version, s.written
 }
 
-func (s *soak) lastFault() time.Time {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	return s.struck
-}
-
-// strike notes a fault of what all nodes share.
-func (s *soak) strike() {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.struck = time.Now()
-}
-
 func (s *soak) awaitReady(ctx context.Context, limit time.Duration) bool {
 	until := time.Now().Add(limit)
 	for time.Now().Before(until) {
-		ready := 0
-		for _, node := range s.nodes {
-			if node.isReady() {
-				ready++
+		var ready atomic.Int32
+		atATime(asksAtATime, len(s.nodes), func(number int) {
+			if s.nodes[number].isReady() {
+				ready.Add(1)
 			}
-		}
-		if ready == len(s.nodes) {
+		})
+		if int(ready.Load()) == len(s.nodes) {
 			return true
 		}
 		if !wait.For(ctx, readPause) {
@@ -261,8 +280,18 @@
 	for _, node := range s.nodes {
 		begin(func(ctx context.Context, _ *rand.Rand) { s.probe(ctx, node) })
 	}
+	for range s.options.Nodes / nodesPerJobCaller {
+		begin(s.handIn)
+		begin(s.read)
+		begin(s.read)
+	}
+	for range s.options.Callers/callersPerKeyed + 1 {
+		begin(s.callWithKeys)
+	}
 	var series sync.WaitGroup
 	series.Go(func() { s.strikeInSeries(ctx) })
+	series.Go(func() { s.strikeWithStalls(ctx) })
+	series.Go(func() { s.strikeTenants(ctx) })
 	s.strikeAtRandom(ctx)
 	series.Wait()
 	s.replacing.Wait()
@@ -270,6 +299,9 @@
 	stop()
 	callers.Wait()
 	s.finish(ctx)
+	s.jumps.Wait()
+	s.sweep(ctx)
+	s.jumps.Wait()
 	var runs []engineRun
 	for _, engine := range s.engineList() {
 		for _, run := range engine.Runs() {
@@ -279,7 +311,7 @@
 		}
 	}
 	s.counts["engine_runs"] = len(runs)
-	s.judge.conclude(s.judge.concludeDeadly(runs))
+	s.judge.conclude(s.judge.concludeKeyed(s.judge.concludeDeadly(runs), s.keys))
 }
 
 // recover has all nodes ready in time once no fault strikes.
@@ -292,14 +324,35 @@
 	wait.For(ctx, settled)
 }
 
-// finish reads jobs until all are done, or the time is up.
+// finish reads the jobs that are not done until all are, or the time is up.
 func (s *soak) finish(ctx context.Context) {
 	until := time.Now().Add(finishTime)
-	for number := 0; s.judge.undone() > 0 && time.Now().Before(until) && wait.For(ctx, readPause/4); number++ {
-		if job := s.judge.pick(number); job != nil {
-			s.readJob(ctx, job, s.nodes[number%len(s.nodes)], 0)
+	for round := 0; time.Now().Before(until) && wait.For(ctx, readPause); round++ {
+		undone := s.judge.undone()
+		if len(undone) == 0 {
+			return
 		}
+		atATime(asksAtATime, len(undone), func(number int) {
+			s.readJob(ctx, undone[number], s.nodes[(round+number)%len(s.nodes)], 0, 0)
+		})
+	}
+}
+
+// asksAtATime is how many questions to nodes are under way at the same time, beside those of callers.
+const asksAtATime = 8
+
+// atATime does numbered work, so much of it at the same time, and returns when all is done.
+func atATime(most, count int, work func(number int)) {
+	var working sync.WaitGroup
+	room := make(chan struct{}, most)
+	for number := range count {
+		room <- struct{}{}
+		working.Go(func() {
+			defer func() { <-room }()
+			work(number)
+		})
 	}
+	working.Wait()
 }
 
 func (s *soak) report() Report {
@@ -308,8 +361,8 @@
 	defer j.mu.Unlock()
 	report := Report{
 		Seed: s.options.Seed, Faults: make(map[string]int), Requests: len(j.requests), Statuses: j.statuses, Jobs: len(j.jobs),
-		Runs: s.counts["engine_runs"], Recovery: time.Duration(s.counts["recovery_ms"]) * time.Millisecond, Violations: j.violations,
-		Deadly: j.deadly.report,
+		Runs: s.counts["engine_runs"], Recovery: time.Duration(s.counts["recovery_ms"]) * time.Millisecond, Broken: j.broken, Violations: j.violations,
+		Deadly: j.deadly.report, Stays: j.stays, Tenants: j.tenants,
 	}
 	for name, count := range s.counts {
 		if name != "engine_runs" && name != "recovery_ms" {
