passthrough: a silent feed is found by own signs, all tables are listed anew, and each table is audited

A sign of life each second put the look at what is overdue off, so that a silent feed was never found by it; a node's silence was counted on while the feed told nothing; routes and engines had nothing that showed a silent feed; a change that no call of the node had shown stayed unknown. Change: the oldest version that is waited for counts; a call that waits for what is overdue is broken off; an alarm of the table of jobs has all three listed anew, 1 to 4 s apart; each 10 s one part of each table is listed and compared; every row that a transaction writes or shows is expected; silence counts up to the last sign told; a copy is not confirmed while something is overdue; a denial rests on a call begun after the reader's wait; a job that the copy lacks is asked for within 1.2 s.

--- a/internal/core/storeclock/storeclock.go
+++ b/internal/core/storeclock/storeclock.go
@@ -1,5 +1,5 @@
 // Package storeclock says when, on this node's clock, an answer of the store was made: never
-// later than it truly was. It needs no synchronized clocks, only that both run alike: an
+// later than it truly was, as long as both clocks run alike. It needs no synchronized clocks, only that both run alike: an
 // answer that names the store's time T was made after its call was sent, so the store's time
 // T was not before that moment here. The call that took least time gives the tightest bound.
 // It does no I/O and reads no clock.
@@ -26,6 +26,9 @@
 
 // Observe takes an answer that names the store's time, by the moment its call was sent.
 func (c *Clock) Observe(sent time.Time, storeAt time.Duration) {
+	if sent.Sub(c.begun) > 2*window {
+		c.origin = time.Time{} // what was seen that long ago has drifted too far
+	}
 	if c.begun.IsZero() || sent.Sub(c.begun) > window {
 		c.previous, c.origin, c.begun = c.origin, time.Time{}, sent
 	}
--- a/internal/passthrough/batch/nodes.go
+++ b/internal/passthrough/batch/nodes.go
@@ -66,12 +66,11 @@
 		return false // strings and numbers always can be written
 	}
 	row := passthrough.Row{Table: tableJobs, Part: partNodes, Key: s.Self, Value: value}
-	result, err := s.commit(ctx, passthrough.Transaction{Put: []passthrough.Row{row}})
+	_, err = s.commit(ctx, passthrough.Transaction{Put: []passthrough.Row{row}})
 	if err == nil {
 		s.mu.Lock()
 		s.signTaken = time.Now()
 		s.mu.Unlock()
-		s.follower.Expect(partNodes, s.Self, result.Version)
 	}
 	if err == nil || ctx.Err() != nil {
 		return true
@@ -95,7 +94,8 @@
 // lookAtNodes judges the nodes. A node is dead when its machine has started a
 // new life, or when no sign of life came for DeadAfter while the store was
 // heard, took this node's own signs all that time and told them back: a store that takes
-// no writes silences everybody, and so does one whose feed tells nothing.
+// no writes silences everybody, and so does one whose feed tells nothing: a node's silence
+// counts up to the last sign that was told, of whatever node.
 func (s *Service) lookAtNodes(now time.Time) fleet {
 	health := s.follower.Health()
 	heartbeat, deadAfter := s.heartbeat(), s.deadAfter()
@@ -114,8 +114,9 @@
 	seen := fleet{live: map[string]bool{s.Self: true}, able: []identity.NodeID{identity.NodeID(s.Self)}, dead: make(map[string]string)}
 	own := s.view.nodes[s.Self]
 	trusted = trusted && own != nil && now.Sub(own.heard) < heartbeat+deadAfter/2
+	told := s.view.newestSign()
 	for id, node := range s.view.nodes {
-		silent := now.Sub(node.heard)
+		silent := told.Sub(node.heard)
 		switch {
 		case id == s.Self:
 		case node.sign.Started < newest[node.sign.Name]:
--- a/internal/passthrough/batch/pace_test.go
+++ b/internal/passthrough/batch/pace_test.go
@@ -69,6 +69,27 @@
 	}
 }
 
+// A feed that told nothing made live nodes look dead: a sign of another that was told up to a heartbeat
+// before this node's own last one was DeadAfter old while the own one still counted (3 of 6
+// phases, 1.7 to 2.1 s after the feed had fallen silent). Silence is counted up to the last sign told.
+func TestSilenceOfAFeedIsNobodysSilence(t *testing.T) {
+	service := newTestService(&takingStore{})
+	service.started = time.Now().Add(-time.Hour)
+	service.follower = listedFollower(t)
+	now := time.Now()
+	service.signTaken = now
+	for silent := time.Duration(0); silent < 3*service.config.Heartbeat; silent += service.config.Heartbeat / 10 {
+		for before := time.Duration(0); before <= service.config.Heartbeat; before += service.config.Heartbeat / 10 {
+			own := now.Add(-silent)
+			service.view.nodes[service.Self] = &nodeView{sign: nodeSign{Name: service.Name}, heard: own}
+			service.view.nodes["n2/life"] = &nodeView{sign: nodeSign{Name: "n2"}, heard: own.Add(-before)}
+			if seen := service.lookAtNodes(now); !seen.live["n2/life"] {
+				t.Errorf("silent for %v, the other's sign %v before: taken for dead", silent, before)
+			}
+		}
+	}
+}
+
 // emptyStore has no rows and no changes.
 type emptyStore struct{ passthrough.Rows }
 
--- a/internal/passthrough/batch/read.go
+++ b/internal/passthrough/batch/read.go
@@ -18,7 +18,8 @@
 
 // Bounds of calls about jobs.
 const (
-	readTime      = 2 * time.Second
+	// readTime is a call's beside the time that it may wait; clients leave 1.5 s after that.
+	readTime      = 1400 * time.Millisecond
 	longestWait   = time.Second
 	resultBytes   = 900_000 // of texts in one answer
 	resultsMost   = 400     // texts in one answer
@@ -67,15 +68,8 @@
 	if known, found = s.view.job(id); found {
 		return known, true, nil
 	}
-	for attempt := 0; ; attempt++ {
-		record, version, found, err := s.readRecord(ctx, id)
-		if err == nil {
-			return entry{record: record, version: version}, found, nil
-		}
-		if !wait.For(ctx, retryPause(attempt)) {
-			return entry{}, false, err
-		}
-	}
+	confirmed := s.confirmations.confirm(ctx, id, time.Now())
+	return confirmed.entry, confirmed.found, confirmed.err
 }
 
 // findFor gives a call's job as its caller may see it: another tenant's is not
@@ -106,7 +100,7 @@
 	}
 	known = s.awaitResult(ctx, known, call.From, received.Add(hold))
 	if call.From >= known.record.Listed && known.record.Active() {
-		confirmed := s.confirmations.confirm(ctx, call.Job, received)
+		confirmed := s.confirmations.confirm(ctx, call.Job, time.Now())
 		answered.evidence, answered.asked = fromStore, confirmed.asked
 		if confirmed.err != nil || !confirmed.found {
 			return s.refuseCall(to, confirmed.found, confirmed.err)
--- a/internal/passthrough/batch/service.go
+++ b/internal/passthrough/batch/service.go
@@ -120,6 +120,9 @@
 	return at.Add(-by)
 }
 
+// OnPassedOver has a function hear that the feed of jobs has passed something over; called before Run.
+func (s *Service) OnPassedOver(hear func()) { s.follower.OnPassedOver(hear) }
+
 // Health says how well the table of jobs is followed.
 func (s *Service) Health() catalog.Health { return s.follower.Health() }
 
--- a/internal/passthrough/batch/view.go
+++ b/internal/passthrough/batch/view.go
@@ -170,6 +170,17 @@
 	}
 }
 
+// newestSign gives when a sign of life was last told; the caller holds mu.
+func (v *view) newestSign() time.Time {
+	var newest time.Time
+	for _, node := range v.nodes {
+		if node.heard.After(newest) {
+			newest = node.heard
+		}
+	}
+	return newest
+}
+
 // job gives what is known of a job.
 func (v *view) job(id string) (entry, bool) {
 	v.mu.Lock()
--- a/internal/passthrough/batch/write.go
+++ b/internal/passthrough/batch/write.go
@@ -52,7 +52,6 @@
 		switch {
 		case err == nil && result.Applied:
 			s.learnOwn(record, expected)
-			s.follower.Expect(shard, record.ID, result.Version)
 			return written{applied: true, version: result.Version}, nil
 		case err == nil:
 			return s.settle(result, record), nil
@@ -94,6 +93,7 @@
 	result, err := s.store.Commit(call, transaction)
 	if err == nil {
 		s.pace.observe(time.Since(started))
+		s.expect(transaction, result)
 	}
 	s.metrics.store.WithLabelValues("commit", outcomeOf(err)).Observe(time.Since(started).Seconds())
 	if errors.Is(err, passthrough.ErrMalformed) {
@@ -104,6 +104,22 @@
 	return result, err
 }
 
+// expect has the feed tell what a transaction has written, or has shown where it did not apply.
+func (s *Service) expect(transaction passthrough.Transaction, result passthrough.CommitResult) {
+	rows := result.Current
+	if result.Applied {
+		rows = transaction.Put
+	}
+	for _, row := range rows {
+		if result.Applied {
+			row.Version = result.Version
+		}
+		if row.Table == tableJobs && row.Version > 0 {
+			s.follower.Expect(row.Part, row.Key, row.Version)
+		}
+	}
+}
+
 func outcomeOf(err error) string {
 	switch {
 	case err == nil:
@@ -147,10 +163,14 @@
 func (s *Service) readRecord(ctx context.Context, id string) (record passjob.Record, version int64, found bool, err error) {
 	call, cancel := context.WithTimeout(ctx, callTime)
 	defer cancel()
+	sent, suspensions := time.Now(), s.watch.Count()
 	snapshot, err := s.store.List(call, tableJobs, s.config.shard(id), id, id+"\x00", 1)
 	if err != nil {
 		return passjob.Record{}, 0, false, err
 	}
+	if s.StoreTime != nil && s.watch.Count() == suspensions {
+		s.StoreTime.MadeAt(sent, snapshot.StoreAt)
+	}
 	for i := range snapshot.Rows {
 		snapshot.Rows[i].Table, snapshot.Rows[i].Part = tableJobs, s.config.shard(id)
 	}
--- /dev/null
+++ b/internal/passthrough/catalog/evidence.go
@@ -0,0 +1,177 @@
+package catalog
+
+import (
+	"context"
+	"time"
+
+	"go.uber.org/zap"
+
+	"ringstream.example/ringstream/internal/events"
+	"ringstream.example/ringstream/internal/passthrough"
+)
+
+// How often a table is listed anew since its feed passed something over: a feed that only lags
+// must not have all nodes list all the time, 870 calls a second in a fleet of 71 without a pause.
+const (
+	relistPauseMin  = time.Second
+	relistPauseMost = 4 * time.Second
+	relistCalm      = 30 * time.Second // without such a listing the pause begins anew
+)
+
+// alarm is what a follower keeps of feeds that pass changes over; guarded by Follower.mu.
+type alarm struct {
+	count int
+	row   int // in a row, without a calm between
+	last  time.Time
+	// relist: the table is to be listed anew, by word of this follower or another.
+	relist bool
+	armed  bool               // a look at what is overdue is to come
+	cancel context.CancelFunc // of the call that waits for changes; nil: none does
+	broken bool               // that call was broken off by a look
+}
+
+// raise notes an alarm, unless the table was listed for one just before.
+func (a *alarm) raise(now time.Time) bool {
+	if now.Sub(a.last) > relistCalm {
+		a.row = 0
+	}
+	if pause := min(relistPauseMin<<min(a.row, 8), relistPauseMost); a.row > 0 && now.Sub(a.last) < pause {
+		return false
+	}
+	a.count++
+	a.row++
+	a.last = now
+	return true
+}
+
+// Expect tells the follower of a row that a call beside the feed has shown in the store. If the feed
+// doesn't tell it within Patience, the table is listed anew: a feed that passes changes over
+// is found by the calls that are made anyway, at the least by the node's own sign of life.
+func (f *Follower) Expect(part, key string, version int64) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.told.expect(rowPlace{part, key}, version, time.Now())
+	if len(f.told.expected) > 0 && !f.alarm.armed {
+		f.alarm.armed = true
+		time.AfterFunc(f.config.Patience, f.lookForOverdue)
+	}
+}
+
+// lookForOverdue breaks a waiting call off whose answer should have come: the store had what the
+// call waits for before that was sent, or told it now.
+func (f *Follower) lookForOverdue() {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.alarm.armed = false
+	if _, _, overdue := f.told.passedOver(time.Now(), f.config.Patience); overdue {
+		f.breakOff()
+	}
+}
+
+// breakOff ends the call that waits for changes; the caller holds mu.
+func (f *Follower) breakOff() {
+	if f.alarm.cancel != nil {
+		f.alarm.broken = true
+		f.alarm.cancel()
+	}
+}
+
+// Relist has the table listed anew.
+func (f *Follower) Relist() {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.alarm.relist = true
+	f.breakOff()
+}
+
+// OnPassedOver has a function hear that the feed has passed something over, so that other tables
+// of the same store are listed anew as well; called before Run.
+func (f *Follower) OnPassedOver(hear func()) { f.passedOverHeard = hear }
+
+// ask asks for changes after a version. While something is overdue the store is not let wait: an
+// answer at once shows whether its feed tells it.
+func (f *Follower) ask(ctx context.Context, version int64) (snapshot passthrough.Snapshot, err error) {
+	call, cancel := context.WithTimeout(ctx, f.config.Wait+f.config.Slack)
+	defer cancel()
+	f.mu.Lock()
+	hold := f.config.Wait
+	if _, _, overdue := f.told.passedOver(time.Now(), f.config.Patience); overdue || f.alarm.relist {
+		hold = 0
+	} else {
+		f.alarm.cancel = cancel
+	}
+	f.mu.Unlock()
+	snapshot, err = f.rows.Feed(call, f.table, version, hold)
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.alarm.cancel = nil
+	if err == nil {
+		f.alarm.broken = false
+	}
+	return snapshot, err
+}
+
+// brokenOff says whether the last call was ended by a look at what is overdue, once.
+func (f *Follower) brokenOff() bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	broken := f.alarm.broken
+	f.alarm.broken = false
+	return broken
+}
+
+// passedOver says whether the table is to be listed anew, since an answer whose call was sent at a
+// moment lacked what it had to tell, or by another's word.
+func (f *Follower) passedOver(sent time.Time) bool {
+	f.mu.Lock()
+	if f.alarm.relist {
+		f.alarm.relist = false
+		f.mu.Unlock()
+		return true
+	}
+	place, missing, found := f.told.passedOver(sent, f.config.Patience)
+	if !found || !f.alarm.raise(time.Now()) {
+		f.mu.Unlock()
+		return false
+	}
+	followedTo := f.told.followedTo
+	f.mu.Unlock()
+	f.tellPassedOver(place, missing.version, followedTo, time.Since(missing.since))
+	return true
+}
+
+func (f *Follower) tellPassedOver(place rowPlace, version, followedTo int64, knownFor time.Duration) {
+	events.FeedPassedOver.Log(f.logger, zap.String("table", f.table), zap.String("row", place.part+"/"+place.key),
+		zap.Int64("row_version", version), zap.Int64("followed_to", followedTo), zap.Duration("known_for", knownFor))
+	f.passedOverHeard()
+}
+
+// audit lists one part of the table, each in its turn, and compares it with what was told. It finds
+// what no other call of this node has shown. It says whether the table is to be listed anew.
+func (f *Follower) audit(ctx context.Context) bool {
+	parts, err := f.parts(ctx)
+	if err != nil || len(parts) == 0 {
+		return false // the next call for changes tells of a store that is lost
+	}
+	part := parts[f.audits%len(parts)]
+	f.audits++
+	rows, version, err := f.listPart(ctx, part)
+	if err != nil {
+		return false // as above
+	}
+	f.mu.Lock()
+	lacked, ahead := f.told.audit(part, rows, version, time.Now())
+	if len(lacked)+len(ahead) == 0 && len(parts) == 1 {
+		f.told.followedTo = max(f.told.followedTo, version) // all that was written up to then is known
+	}
+	followedTo := f.told.followedTo
+	found := len(lacked) > 0 && f.alarm.raise(time.Now())
+	f.mu.Unlock()
+	if len(ahead) > 0 {
+		f.sink.Change(ahead)
+	}
+	if found {
+		f.tellPassedOver(rowPlace{lacked[0].Part, lacked[0].Key}, lacked[0].Version, followedTo, 0)
+	}
+	return found
+}
--- a/internal/passthrough/catalog/follower.go
+++ b/internal/passthrough/catalog/follower.go
@@ -22,19 +22,21 @@
 type FollowConfig struct {
 	// Patience is how long the feed may lag behind what other calls have shown.
 	Patience time.Duration
-	Wait     time.Duration // longest that the store holds a feed call
-	Slack    time.Duration // how much longer an answer may take
-	Pace     time.Duration // least time between two feed calls
-	PaceMost time.Duration // the same in a large fleet, whatever SlowBy says
-	RetryMin time.Duration // pause after a failed call, doubled up to RetryMax
-	RetryMax time.Duration
+	// AuditEvery is how often one part of the table is listed beside the feed; 0: never.
+	AuditEvery time.Duration
+	Wait       time.Duration // longest that the store holds a feed call
+	Slack      time.Duration // how much longer an answer may take
+	Pace       time.Duration // least time between two feed calls
+	PaceMost   time.Duration // the same in a large fleet, whatever SlowBy says
+	RetryMin   time.Duration // pause after a failed call, doubled up to RetryMax
+	RetryMax   time.Duration
 }
 
 // DefaultFollowConfig suits a store that answers within some milliseconds.
 func DefaultFollowConfig() FollowConfig {
 	return FollowConfig{
-		Patience: 400 * time.Millisecond,
-		Wait:     time.Second, Slack: 900 * time.Millisecond, Pace: 100 * time.Millisecond, PaceMost: 700 * time.Millisecond,
+		Patience: 400 * time.Millisecond, AuditEvery: 10 * time.Second,
+		Wait: time.Second, Slack: 900 * time.Millisecond, Pace: 100 * time.Millisecond, PaceMost: 700 * time.Millisecond,
 		RetryMin: 50 * time.Millisecond, RetryMax: 500 * time.Millisecond,
 	}
 }
@@ -67,15 +69,19 @@
 	asOf        time.Time
 	lastBad     time.Time
 	disconnects int
+	alarm       alarm
 
-	passedOverCount int
+	// What follows is Run's alone.
+	passedOverHeard func()
+	audits          int
+	audited         time.Time
 }
 
 // NewFollower makes a follower of a table's listed parts.
 func NewFollower(config FollowConfig, rows passthrough.Rows, table string, parts []string, sink Sink, logger *zap.Logger) *Follower {
 	fixed := func(context.Context) ([]string, error) { return parts, nil }
 	pace := func() time.Duration { return config.Pace }
-	return &Follower{config: config, rows: rows, table: table, parts: fixed, sink: sink, clock: func(time.Duration, time.Time) {}, pace: pace, hurry: make(chan struct{}, 1), logger: logger, told: newToldRows(), time: NewStoreTime()}
+	return &Follower{config: config, rows: rows, table: table, parts: fixed, sink: sink, clock: func(time.Duration, time.Time) {}, pace: pace, hurry: make(chan struct{}, 1), logger: logger, told: newToldRows(), time: NewStoreTime(), passedOverHeard: func() {}}
 }
 
 // OnStoreClock has a function hear the store's clock, and the moment before which it certainly did not
@@ -120,16 +126,7 @@
 func (f *Follower) Health() Health {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	return Health{Listed: f.listed, AsOf: f.asOf, LastBad: f.lastBad, PassedOver: f.passedOverCount}
-}
-
-// Expect tells the follower of a row that a call beside the feed has shown in the store. If the feed
-// doesn't tell it, the table is listed anew: a feed that passes changes over is found by the calls
-// that are made anyway, within Patience and one call for changes.
-func (f *Follower) Expect(part, key string, version int64) {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	f.told.expect(rowPlace{part, key}, version, time.Now())
+	return Health{Listed: f.listed, AsOf: f.asOf, LastBad: f.lastBad, PassedOver: f.alarm.count}
 }
 
 // Run follows until ctx ends.
@@ -215,14 +212,14 @@
 func (f *Follower) feed(ctx context.Context, version int64) {
 	for attempt := 0; ctx.Err() == nil; {
 		sent, suspensions := time.Now(), f.watch.Count()
-		call, cancel := context.WithTimeout(ctx, f.config.Wait+f.config.Slack)
-		snapshot, err := f.rows.Feed(call, f.table, version, f.config.Wait)
-		cancel()
-		if errors.Is(err, passthrough.ErrHistoryGone) {
+		snapshot, err := f.ask(ctx, version)
+		switch {
+		case errors.Is(err, passthrough.ErrHistoryGone):
 			events.HistoryGone.Log(f.logger, zap.String("table", f.table), zap.Int64("store_version", version))
 			return
-		}
-		if err != nil {
+		case err != nil && f.brokenOff():
+			continue
+		case err != nil:
 			f.failed(ctx, err)
 			wait.For(ctx, f.pause(attempt))
 			attempt++
@@ -231,14 +228,28 @@
 		attempt = 0
 		asOf := f.hearClock(sent, suspensions, snapshot.StoreAt)
 		version = f.takeChanges(snapshot.Rows)
-		f.succeeded(asOf)
-		if f.passedOver(sent) {
+		if f.passedOver(sent) || f.auditInTurn(ctx) {
 			return
 		}
+		f.succeeded(asOf)
 		f.rest(ctx, f.pace()-time.Since(sent))
 	}
 }
 
+// auditInTurn audits the table each AuditEvery, beginning at a moment of its own.
+func (f *Follower) auditInTurn(ctx context.Context) bool {
+	if f.config.AuditEvery <= 0 || time.Since(f.audited) < f.config.AuditEvery {
+		return false
+	}
+	first := f.audited.IsZero()
+	f.audited = time.Now()
+	if first {
+		f.audited = f.audited.Add(-rand.N(f.config.AuditEvery))
+		return false
+	}
+	return f.audit(ctx)
+}
+
 // confirmed gives a moment that an answer confirms, asked for after so many suspensions. One that
 // a suspension lies between may be as old as that was long, and confirms nothing.
 func (f *Follower) confirmed(moment time.Time, suspensions uint64) time.Time {
@@ -272,19 +283,6 @@
 	return f.told.followedTo
 }
 
-// passedOver says whether an answer whose call was sent at a moment lacked what it had to tell.
-func (f *Follower) passedOver(sent time.Time) bool {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	place, missing, found := f.told.passedOver(sent, f.config.Patience)
-	if found {
-		f.passedOverCount++
-		events.FeedPassedOver.Log(f.logger, zap.String("table", f.table), zap.String("row", place.part+"/"+place.key),
-			zap.Int64("row_version", missing.version), zap.Int64("followed_to", f.told.followedTo), zap.Duration("known_for", time.Since(missing.since)))
-	}
-	return found
-}
-
 // Hurry has the next call for changes come at once, for who waits for what a
 // call of its own has shown to be there.
 func (f *Follower) Hurry() {
--- a/internal/passthrough/catalog/told.go
+++ b/internal/passthrough/catalog/told.go
@@ -9,12 +9,17 @@
 // rowPlace is where a row lies in its table.
 type rowPlace struct{ part, key string }
 
-// expectation is a row that the store is known to have, by a call beside the feed.
-type expectation struct {
+// shown is a version of a row that a call beside the feed has shown in the store.
+type shown struct {
 	version int64
-	since   time.Time // when the call that showed it was answered
+	since   time.Time // when the call was answered
 }
 
+// expectation is what the feed has still to tell of a row. A row that is written again before
+// the feed tells it keeps the oldest version: else a sign of life each second would put off for
+// ever that a silent feed is noticed.
+type expectation struct{ oldest, newest shown }
+
 // mostExpected bounds the rows that are waited for; further ones are not looked at.
 const mostExpected = 4096
 
@@ -36,17 +41,22 @@
 // not that nothing has changed.
 func (t *toldRows) change(rows []passthrough.Row) {
 	for _, row := range rows {
-		place := rowPlace{row.Part, row.Key}
 		t.followedTo = max(t.followedTo, row.Version)
-		t.satisfy(place, row.Version)
-		if row.Gone {
-			delete(t.versions, place)
-			continue
-		}
-		t.versions[place] = row.Version
+		t.note(row)
 	}
 }
 
+// note takes the newest version of a row, by whatever way.
+func (t *toldRows) note(row passthrough.Row) {
+	place := rowPlace{row.Part, row.Key}
+	t.satisfy(place, row.Version)
+	if row.Gone {
+		delete(t.versions, place)
+		return
+	}
+	t.versions[place] = max(t.versions[place], row.Version)
+}
+
 // replace notes a whole listing as of a version, and gives the rows that the feed had
 // passed over: written at or before the version that it was followed to, and not told.
 func (t *toldRows) replace(rows []passthrough.Row, version int64) (lacked []passthrough.Row) {
@@ -54,42 +64,78 @@
 	for _, row := range rows {
 		place := rowPlace{row.Part, row.Key}
 		listed[place] = row.Version
+		t.satisfy(place, row.Version)
 		if row.Version <= t.followedTo && t.versions[place] < row.Version {
 			lacked = append(lacked, row)
 		}
 	}
 	t.versions = listed
 	t.followedTo = version
-	clear(t.expected)
+	for place := range t.expected {
+		t.satisfy(place, version)
+	}
 	return lacked
 }
 
+// audit compares a listing of one part, as of a version, with what was told. It gives the rows that
+// the feed has passed over, and those that it has yet to tell, which are expected from now
+// on, as are removals.
+func (t *toldRows) audit(part string, rows []passthrough.Row, version int64, now time.Time) (lacked, ahead []passthrough.Row) {
+	listed := make(map[rowPlace]bool, len(rows))
+	for _, row := range rows {
+		place := rowPlace{row.Part, row.Key}
+		listed[place] = true
+		switch {
+		case t.versions[place] >= row.Version:
+		case row.Version <= t.followedTo:
+			lacked = append(lacked, row)
+		default:
+			ahead = append(ahead, row)
+			t.expect(place, row.Version, now)
+		}
+	}
+	for place, told := range t.versions {
+		if place.part == part && !listed[place] && told <= version {
+			t.expect(place, told+1, now)
+		}
+	}
+	return lacked, ahead
+}
+
+// satisfy notes that a row was told at a version.
 func (t *toldRows) satisfy(place rowPlace, version int64) {
-	if expected, waits := t.expected[place]; waits && version >= expected.version {
+	waits, found := t.expected[place]
+	switch {
+	case !found || version < waits.oldest.version:
+	case version >= waits.newest.version:
 		delete(t.expected, place)
+	default:
+		t.expected[place] = expectation{oldest: waits.newest, newest: waits.newest}
 	}
 }
 
 // expect notes a row that the store has had at a version since some moment.
 func (t *toldRows) expect(place rowPlace, version int64, since time.Time) {
-	if t.versions[place] >= version || len(t.expected) >= mostExpected {
-		return
-	}
-	if known, waits := t.expected[place]; waits && known.version >= version {
-		return
+	next := shown{version: version, since: since}
+	waits, found := t.expected[place]
+	switch {
+	case t.versions[place] >= version || found && waits.newest.version >= version:
+	case found:
+		t.expected[place] = expectation{oldest: waits.oldest, newest: next}
+	case len(t.expected) < mostExpected:
+		t.expected[place] = expectation{oldest: next, newest: next}
 	}
-	t.expected[place] = expectation{version: version, since: since}
 }
 
 // passedOver gives a row that should have been told by an answer whose call was sent at a
 // moment, with patience for a feed that lags behind the store's other answers.
-func (t *toldRows) passedOver(sent time.Time, patience time.Duration) (place rowPlace, missing expectation, found bool) {
-	for place, missing = range t.expected {
-		if sent.Sub(missing.since) > patience {
-			return place, missing, true
+func (t *toldRows) passedOver(sent time.Time, patience time.Duration) (place rowPlace, missing shown, found bool) {
+	for place, waits := range t.expected {
+		if sent.Sub(waits.oldest.since) >= patience {
+			return place, waits.oldest, true
 		}
 	}
-	return rowPlace{}, expectation{}, false
+	return rowPlace{}, shown{}, false
 }
 
 func firstKey(rows []passthrough.Row) string {
--- a/internal/passthrough/edge/edge.go
+++ b/internal/passthrough/edge/edge.go
@@ -123,6 +123,7 @@
 		Self: node.self, Name: identity.Name, Zone: identity.Zone, Peer: config.PeerAddress, Capacity: config.Capacity, Ready: node.knows, Follow: follow, StoreTime: node.storeTime, Registerer: node.registry,
 	})
 	node.guard.KeepBy(node.batch)
+	node.relistTogether()
 	node.engineFollower.SlowBy(node.batch.Crowding)
 	node.routesFollower.SlowBy(node.batch.Crowding)
 	forward := relay.New(platform.Headers, node.engines, node.slots, node.pool, node.guard, node.logger, relay.NewMetrics(node.registry))
@@ -145,6 +146,15 @@
 	return node
 }
 
+// relistTogether has all tables listed anew once a feed has passed something over: only the table of
+// jobs is written by this node, and so finds a store whose feeds tell nothing.
+func (n *Node) relistTogether() {
+	n.batch.OnPassedOver(func() {
+		n.routesFollower.Relist()
+		n.engineFollower.Relist()
+	})
+}
+
 // Run serves until ctx ends, and then stops as planned.
 func (n *Node) Run(ctx context.Context) error {
 	events.PassStarting.Log(n.logger, zap.String("incarnation", n.self), zap.String("zone", n.identity.Zone), zap.String("version", version.Version))
