--- a/internal/passthrough/batch/owned.go
+++ b/internal/passthrough/batch/owned.go
@@ -8,6 +8,7 @@
 
 	"go.uber.org/zap"
 
+	"ringstream.example/ringstream/internal/core/enginechoice"
 	"ringstream.example/ringstream/internal/core/passjob"
 	"ringstream.example/ringstream/internal/events"
 	"ringstream.example/ringstream/internal/passthrough"
@@ -18,13 +19,13 @@
 // itemWork is the owner's work on one item; guarded by Service.mu.
 type itemWork struct {
 	running   bool
-	ask       uint64             // that waits for a slot; 0: none
-	engine    string             // that runs it, or ran it last
-	slot      *slots.Slot        // of the run
-	yield     context.CancelFunc // stops the run, to make room
-	yieldedAt time.Time          // when its last run was stopped to make room
-	notBefore time.Time          // of the next run
-	unrun     int                // engines that turned it away in a row
+	ask       uint64                   // that waits for a slot; 0: none
+	engine    enginechoice.Incarnation // that runs it, or ran it last
+	slot      *slots.Slot              // of the run
+	yield     context.CancelFunc       // stops the run, to make room
+	yieldedAt time.Time                // when its last run was stopped to make room
+	notBefore time.Time                // of the next run
+	unrun     int                      // engines that turned it away in a row
 	text      progress
 	saved     int  // events of the text that the store has
 	held      bool // its content is blocked, and that was logged
@@ -41,6 +42,7 @@
 	tenant  string // empty: it is of none
 	epoch   int64
 	itemIDs []string
+	since   time.Time       // when this node took it
 	ctx     context.Context // ends with the ownership
 	cancel  context.CancelFunc
 	// runs ends with the ownership, or earlier when the job is handed over.
@@ -58,7 +60,7 @@
 // newOwnedJob makes the ownership of a job as its row tells it.
 func newOwnedJob(record passjob.Record, version int64, items []passthrough.Item) *ownedJob {
 	job := &ownedJob{
-		id: record.ID, host: record.Host, tenant: record.Tenant, epoch: record.Epoch, itemIDs: make([]string, len(record.Items)),
+		id: record.ID, host: record.Host, tenant: record.Tenant, epoch: record.Epoch, itemIDs: make([]string, len(record.Items)), since: time.Now(),
 		record: record, version: version, items: items, work: make([]itemWork, len(record.Items)),
 	}
 	for index, item := range record.Items {
@@ -117,7 +119,7 @@
 	for attempt := 0; ; attempt++ {
 		body, err := s.readBody(ctx, record)
 		if err == nil {
-			return s.Format.Items(body)
+			return s.itemsIn(body, record)
 		}
 		if errors.Is(err, passthrough.ErrNotFound) && attempt >= objectMisses {
 			return nil, err
@@ -128,6 +130,23 @@
 	}
 }
 
+// itemsIn reads a job's body, which has to hold the items that its record names.
+func (s *Service) itemsIn(body []byte, record passjob.Record) ([]passthrough.Item, error) {
+	items, err := s.Format.Items(body)
+	if err != nil {
+		return nil, err
+	}
+	if len(items) != len(record.Items) {
+		return nil, fmt.Errorf("the body of job %s holds %d items, its record %d", record.ID, len(items), len(record.Items))
+	}
+	for index, item := range items {
+		if item.ID != record.Items[index].ID {
+			return nil, fmt.Errorf("the body of job %s has %q where its record has %q", record.ID, item.ID, record.Items[index].ID)
+		}
+	}
+	return items, nil
+}
+
 // objectMisses is how often an object may be missing before that is believed.
 const objectMisses = 5
 
--- a/internal/passthrough/batch/read.go
+++ b/internal/passthrough/batch/read.go
@@ -87,6 +87,7 @@
 
 func (s *Service) refuseCall(to http.ResponseWriter, found bool, err error) int {
 	if err == nil && !found {
+		s.metrics.denials.WithLabelValues(deniedJob).Inc()
 		relay.WriteRefusal(to, http.StatusNotFound, relay.Refusal{Code: "no_such_job", Message: "there is no such job", Run: relay.RunNot})
 		return http.StatusNotFound
 	}
@@ -111,6 +112,9 @@
 			return s.refuseCall(to, confirmed.found, confirmed.err)
 		}
 		known = confirmed.entry
+		if call.From >= known.record.Listed {
+			s.metrics.denials.WithLabelValues(deniedResult).Inc()
+		}
 	}
 	answered.listed = known.record.Listed
 	from := max(call.From, 0)
@@ -294,7 +298,7 @@
 		}
 		current, row, found := currentRecord(result.current, call.Job)
 		if !found {
-			return s.refuseCall(to, false, nil)
+			return s.refuseCall(to, false, unreadableRecord(result.current, call.Job))
 		}
 		s.learn(row)
 		known = entry{record: current, version: row.Version}
--- a/internal/passthrough/batch/schedule.go
+++ b/internal/passthrough/batch/schedule.go
@@ -8,11 +8,13 @@
 
 	"go.uber.org/zap"
 
+	"ringstream.example/ringstream/internal/core/enginechoice"
 	"ringstream.example/ringstream/internal/core/ordering"
 	"ringstream.example/ringstream/internal/core/passjob"
 	"ringstream.example/ringstream/internal/core/passroute"
 	"ringstream.example/ringstream/internal/core/tenant"
 	"ringstream.example/ringstream/internal/events"
+	"ringstream.example/ringstream/internal/passthrough/catalog"
 	"ringstream.example/ringstream/internal/passthrough/relay"
 	"ringstream.example/ringstream/internal/passthrough/slots"
 )
@@ -32,7 +34,7 @@
 	due   time.Duration
 	late  bool // it cannot be done when it is due, by what is known of such items
 	// former is the engine that ran it and may still keep its prompt.
-	former string
+	former enginechoice.Incarnation
 }
 
 // schedule starts items while engines have room for batch work.
@@ -68,11 +70,11 @@
 // askForSlots has the items that are due first wait for slots, those that will
 // be late after all others.
 func (s *Service) askForSlots() {
-	table, learned := s.Routes.Table()
-	if table == nil {
+	known := s.Routes.Known()
+	if known.Table == nil {
 		return
 	}
-	tenants := table.Tenants().Directory
+	tenants := known.Table.Tenants().Directory
 	waiting := s.candidates(tenants)
 	storeNow, _ := s.now()
 	now := time.Now()
@@ -81,19 +83,26 @@
 		if len(asks) == mostAsks {
 			break
 		}
-		route, found := table.Lookup(next.job.host, next.job.items[next.index].Path)
-		if !found {
-			s.finish(next.job, next.index, passjob.DeadLetter, "the route is gone")
+		route, found := s.routeOf(known, next)
+		if !found || s.hold(next) {
 			continue
 		}
-		if s.hold(next) {
-			continue
-		}
-		asks = append(asks, s.askFor(next, route, now.Add(next.due-storeNow), runRoutes{route: route, version: table.Version(), learned: learned}))
+		asks = append(asks, s.askFor(next, route, now.Add(next.due-storeNow), runRoutes{route: route, version: known.Table.Version(), learned: known.Learned}))
 	}
 	s.Slots.WantBatch(asks)
 }
 
+// routeOf gives an item's route. An item without one is given up, but only when the routes
+// were the newest at a time at which this node had the job: the node that accepted it may
+// have known newer ones.
+func (s *Service) routeOf(known catalog.Known, next candidate) (*passroute.Route, bool) {
+	route, found := known.Table.Lookup(next.job.host, next.job.items[next.index].Path)
+	if !found && known.AsOf.After(next.job.since) {
+		s.finish(next.job, next.index, passjob.DeadLetter, "the route is gone")
+	}
+	return route, found
+}
+
 // hold says whether an item must not run, since engines end under its content. It stays
 // open until its job's expiry, or until it is let through again.
 func (s *Service) hold(next candidate) bool {
@@ -197,12 +206,12 @@
 		return false
 	}
 	ctx, stop := context.WithCancel(next.job.runs)
-	work.running, work.ask, work.slot, work.engine, work.yield = true, 0, decision.Slot, decision.Choice.Entry.ID, stop
+	work.running, work.ask, work.slot, work.engine, work.yield = true, 0, decision.Slot, decision.Choice.Entry.Incarnation(), stop
 	lastEvent := work.text.lastEvent
 	s.running.Add(1)
 	s.mu.Unlock()
 	events.ItemStarted.Log(s.Logger, zap.String("job", next.job.id), zap.String("request", item.ID), zap.Int64("epoch", next.job.epoch),
-		zap.String("engine", decision.Choice.Entry.ID), zap.Int("in_flight", decision.Choice.InFlight), zap.String("last_event", lastEvent),
+		zap.Stringer("engine", decision.Choice.Entry.Incarnation()), zap.Int("in_flight", decision.Choice.InFlight), zap.String("last_event", lastEvent),
 		zap.Stringer("chosen_by", decision.Source), zap.String("dispatcher", decision.From), zap.Duration("waited", decision.Waited),
 		zap.Int64("routes_version", routes.version), zap.Duration("routes_age", time.Since(routes.learned)))
 	go s.runItem(ctx, stop, itemRun{job: next.job, index: next.index, item: item, digest: next.job.digestOf(item), route: routes.route, decision: decision})
--- a/internal/passthrough/engineconn/conn_test.go
+++ b/internal/passthrough/engineconn/conn_test.go
@@ -10,6 +10,8 @@
 	"testing"
 	"testing/synctest"
 	"time"
+
+	"ringstream.example/ringstream/internal/core/enginechoice"
 )
 
 // TestWriterThatIsSlowToReportLosesNoConnection has the answer come before the
@@ -49,7 +51,7 @@
 	server := httptest.NewServer(http.HandlerFunc(func(to http.ResponseWriter, _ *http.Request) { to.WriteHeader(http.StatusOK) }))
 	defer server.Close()
 	pool := New(DefaultConfig())
-	key := Key{Engine: "e", Address: strings.TrimPrefix(server.URL, "http://")}
+	key := Key{Engine: enginechoice.Incarnation{ID: "e"}, Address: strings.TrimPrefix(server.URL, "http://")}
 	use := func() bool {
 		exchange, err := pool.Do(context.Background(), key, Request{Method: http.MethodGet, Target: "/", Header: make(http.Header), Own: func(http.Header) bool { return true }})
 		if err != nil {
@@ -69,3 +71,17 @@
 		t.Error("a connection past its time was used")
 	}
 }
+
+// TestTimesToKeepAConnectionThatAreNone: a time that overflowed a duration closed each
+// connection after one request.
+func TestTimesToKeepAConnectionThatAreNone(t *testing.T) {
+	for text, want := range map[string]time.Duration{
+		"timeout=5": 5*time.Second - keepMargin, "Timeout=5, max=100": 5*time.Second - keepMargin, "max=3, timeout=0": -keepMargin,
+		"": keepDefault, "timeout": keepDefault, "timeout=x": keepDefault, "timeout=2.5": keepDefault, "timeout=-4": keepDefault,
+		"timeout=9223372037": keepDefault, "timeout=99999999999999999999": keepDefault,
+	} {
+		if got := keepAlive(http.Header{"Keep-Alive": {text}}); got != want {
+			t.Errorf("%q: %s, want %s", text, got, want)
+		}
+	}
+}
