--- a/internal/passthrough/slots/slots_test.go
+++ b/internal/passthrough/slots/slots_test.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -24,6 +25,8 @@
 	mu    sync.Mutex
 	nodes map[string]*testNode
 	cut   map[string]bool // nodes that hear and say nothing
+	// unlisted: the nodes have yet to list the table that tells them of each other.
+	unlisted atomic.Bool
 }
 
 type testNode struct {
