slots: no part of a limit before the nodes are known

Cause: a node that has listed routes and engines takes clients and is a dispatcher. It knows the other nodes only from the table of jobs, which it may list seconds later where the store refuses calls. Until then it took itself for the only node, and so the whole limit of each tenant for its own; so did each of its fellows. Change: a node that has not listed the table of jobs says that it doesn't know how many nodes there are. As a dispatcher it lets no part of a limit through, and alone it has no part either. Requests without a limit don't come to this code. The test of a node alone compares an error where it compared a bool; its bounds are as before. Conclusion: mended for nodes that start in a fleet that has run. Nodes of a new deployment that list an empty table still take themselves for the only one. Not played with real processes.

--- a/internal/core/grant/dispatcher.go
+++ b/internal/core/grant/dispatcher.go
@@ -89,7 +89,7 @@
 	replies map[string]*Reply
 	ready   readiness
 	limits  *quota.Place // nil: no tenant has a limit that is kept here
-	live    int          // nodes of the fleet, as far as is known
+	live    int          // nodes of the fleet; 0: not known
 	// suspects are the works whose content engines have ended under.
 	suspects map[*work]bool
 }
@@ -138,7 +138,8 @@
 	d.limits.SetLimits(limits)
 }
 
-// SetLive takes the number of nodes that are alive.
+// SetLive takes the number of nodes that are alive. 0 says that it is not known: until it
+// is, no part of a limit is let through here.
 func (d *Dispatcher) SetLive(nodes int) { d.live = nodes }
 
 // advanceLimits brings the limits to a time.
@@ -146,7 +147,11 @@
 	if d.limits == nil {
 		return
 	}
-	d.limits.Advance(now, float64(d.Attached(now))/float64(max(d.live, 1)))
+	share := 0.0
+	if d.live > 0 {
+		share = float64(d.Attached(now)) / float64(d.live)
+	}
+	d.limits.Advance(now, share)
 }
 
 // Attached counts the nodes whose part of the limits is kept here.
--- a/internal/passthrough/edge/edge.go
+++ b/internal/passthrough/edge/edge.go
@@ -113,7 +113,7 @@
 	node.slots = slots.New(config.Limits, slots.Dependencies{
 		Engines: node.engines, Logger: node.logger, Metrics: slots.NewMetrics(node.registry),
 		Self: node.peerName(), Name: identity.Name, Life: node.self, Zone: identity.Zone,
-		Candidates: node.candidates, Seeds: node.seeds, Ready: node.knows, Connected: node.pool.Connected,
+		Candidates: node.candidates, Seeds: node.seeds, Ready: node.knows, MembersKnown: node.knowsMembers, Connected: node.pool.Connected,
 		Stop: func(ask uint64) { node.batch.Stop(ask) },
 	})
 	node.routes.OnChange(node.slots.TakeTable)
@@ -255,7 +255,10 @@
 // caughtUp says whether the node has listed all that it follows. Before that it
 // asks the store alone: when all nodes start at once the store throttles all
 // of them, and listings by way of peers would only add to it.
-func (n *Node) caughtUp() bool { return n.knows() && n.batch.Health().Listed }
+func (n *Node) caughtUp() bool { return n.knows() && n.knowsMembers() }
+
+// knowsMembers says whether the node has listed the table that tells of the other nodes.
+func (n *Node) knowsMembers() bool { return n.batch.Health().Listed }
 
 // serveReady answers the platform's question.
 func (n *Node) serveReady(ctx context.Context) error {
--- a/internal/passthrough/slots/acquire.go
+++ b/internal/passthrough/slots/acquire.go
@@ -86,7 +86,7 @@
 		} else if counted {
 			request.Tenant, ask.Tenant = "", 0
 		}
-		told, err := s.wait(ctx, request, lane, ask)
+		told, err := s.waitForMembers(ctx, request, lane, ask)
 		if err != nil {
 			return Decision{}, err
 		}
@@ -127,7 +127,7 @@
 		return !limited, nil
 	}
 	ask.ID, ask.AdmitOnly = s.NewID(), true
-	_, err := s.wait(ctx, request, home, ask)
+	_, err := s.waitForMembers(ctx, request, home, ask)
 	return err == nil, err
 }
 
@@ -172,11 +172,8 @@
 		select {
 		case told := <-waiting.told:
 			result := answered{verdict: told, id: id, lane: waiting.lane, suspect: ask.Suspect}
-			if told.overLimit != nil {
-				return answered{}, told.overLimit
-			}
-			if told.alone && ask.Tenant != 0 && !s.admittedAlone(ask.Tenant) {
-				return answered{}, ErrLimitNotKnown
+			if err := s.limitError(told, ask.Tenant); err != nil {
+				return answered{}, err
 			}
 			if told.granted != nil {
 				result.engine = s.engineBy(told.granted.grant.Engine)
--- a/internal/passthrough/slots/members_test.go
+++ b/internal/passthrough/slots/members_test.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"ringstream.example/ringstream/internal/core/enginechoice"
+	"ringstream.example/ringstream/internal/core/grant"
 	"ringstream.example/ringstream/internal/core/passroute"
 	"ringstream.example/ringstream/internal/core/tenant"
 )
@@ -84,3 +85,56 @@
 		}
 	})
 }
+
+// TestRequestOfALimitedTenantWaitsUntilTheMembersAreKnown has the nodes learn of each other
+// while requests wait: one gets its slot then, and one whose patience ends before is told that
+// the limit is not known. Requests without a limit wait for none of it.
+func TestRequestOfALimitedTenantWaitsUntilTheMembersAreKnown(t *testing.T) {
+	bubble(t, func(t *testing.T, ctx context.Context) {
+		const listedAfter, patience = 400 * time.Millisecond, 2 * time.Second
+		f := newFleet(ctx, 3, 2)
+		f.unlisted.Store(true)
+		f.limitTo("one", tenant.Limit{PerSecond: 10, Burst: 10})
+		time.AfterFunc(listedAfter, func() { f.unlisted.Store(false) })
+		node := f.nodes["n1"]
+		for _, unlimited := range []string{"", "other"} {
+			if got, err := node.Acquire(ctx, ofTenant(unlimited, patience)); err != nil || got.Waited > 10*time.Millisecond {
+				t.Errorf("tenant %q: got %+v, %v", unlimited, got, err)
+			}
+		}
+		if _, err := node.Acquire(ctx, ofTenant("one", listedAfter/2)); !errors.Is(err, ErrLimitNotKnown) {
+			t.Errorf("got %v", err)
+		}
+		got, err := node.Acquire(ctx, ofTenant("one", patience))
+		if err != nil || got.Waited > listedAfter+lookEvery {
+			t.Errorf("got %+v, %v", got, err)
+		}
+	})
+}
+
+// TestNodeAloneThatKnowsNoMemberHasNoPartOfALimit asks a node that reaches no dispatcher before
+// it has listed the nodes, when what flows into its buckets would let a request through.
+func TestNodeAloneThatKnowsNoMemberHasNoPartOfALimit(t *testing.T) {
+	bubble(t, func(t *testing.T, ctx context.Context) {
+		f := newFleet(ctx, 1, 1)
+		f.unlisted.Store(true)
+		f.limitTo("one", tenant.Limit{PerSecond: 100, Burst: 100})
+		node := f.nodes["n0"]
+		ask := func() error {
+			time.Sleep(time.Second)
+			_ = node.admittedAlone(grant.TenantHash("one")) // brings the buckets to this time
+			time.Sleep(50 * time.Millisecond)
+			return node.admittedAlone(grant.TenantHash("one"))
+		}
+		if err := ask(); !errors.Is(err, errMembersNotKnown) {
+			t.Errorf("got %v", err)
+		}
+		if err := node.admittedAlone(grant.TenantHash("other")); err != nil {
+			t.Errorf("a tenant without a limit: %v", err)
+		}
+		f.unlisted.Store(false)
+		if err := ask(); err != nil {
+			t.Errorf("with the nodes known: %v", err)
+		}
+	})
+}
--- a/internal/passthrough/slots/slots.go
+++ b/internal/passthrough/slots/slots.go
@@ -40,6 +40,9 @@
 	Seeds func() []string
 	// Ready says whether this node knows the engines.
 	Ready func() bool
+	// MembersKnown says whether Candidates are those of the whole fleet. A node that has
+	// just started knows only itself: it must not take a limit for its own.
+	MembersKnown func() bool
 	// Connected gives the engines to which an idle connection is kept.
 	Connected func() map[enginechoice.Incarnation]bool
 	// Stop ends one of this node's batch runs, by the id of its ask.
@@ -98,7 +101,7 @@
 	seen        uint64                              // Changes of the engines that pools and engines are of
 	lookedAt    time.Time
 	limits      limits
-	live        int          // nodes that are alive, this one among them
+	live        int          // nodes that are alive, this one among them; 0: not known
 	lone        *quota.Place // this node's part of the limits, for when it reaches no dispatcher
 	nextAt      time.Time    // when the loop wakes by itself
 }
@@ -112,7 +115,7 @@
 // New makes a service; Run does its periodic work.
 func New(config LimitsConfig, dependencies Dependencies) *Service {
 	return &Service{
-		config: config, lone: quota.NewLonePlace(config.margin(), time.Now()), live: 1,
+		config: config, lone: quota.NewLonePlace(config.margin(), time.Now()),
 		Dependencies: dependencies, life: grant.LifeHash(dependencies.Life), wake: make(chan struct{}, 1),
 		requesters: make(map[grant.Lane]*requester), dispatchers: make(map[grant.Lane]*dispatcher),
 		waits: make(map[uint64]*waiter), batch: make(map[uint64]BatchAsk), batchLanes: make(map[uint64]grant.Lane),
@@ -282,7 +285,7 @@
 		return
 	}
 	s.lookedAt = now
-	s.live = max(len(candidates), 1)
+	s.live = s.liveNodes(candidates)
 	for lane, known := range s.requesters {
 		before := known.Current()
 		known.SetRanking(s.ranking(lane, candidates), now)
--- a/internal/passthrough/slots/slots_test.go
+++ b/internal/passthrough/slots/slots_test.go
@@ -73,7 +73,7 @@
 		node.Service = New(DefaultLimitsConfig(), Dependencies{
 			Engines: list, Logger: zap.NewNop(), Metrics: NewMetrics(nil), Self: name, Name: name, Life: name, Zone: "z1",
 			Candidates: func() []grant.Candidate { return nil }, Seeds: func() []string { return []string{"n0"} },
-			Ready: func() bool { return true }, Connected: func() map[enginechoice.Incarnation]bool { return nil },
+			Ready: func() bool { return true }, MembersKnown: func() bool { return !f.unlisted.Load() }, Connected: func() map[enginechoice.Incarnation]bool { return nil },
 			Stop: func(ask uint64) { node.stopped <- ask },
 		})
 		node.UseTransport(node)
@@ -327,7 +327,7 @@
 		admitted := make([]int, tenants)
 		for range requests {
 			for i, definition := range definitions {
-				if service.admittedAlone(grant.TenantHash(definition.Name)) {
+				if service.admittedAlone(grant.TenantHash(definition.Name)) == nil {
 					admitted[i]++
 				}
 			}
--- a/internal/passthrough/slots/tenants.go
+++ b/internal/passthrough/slots/tenants.go
@@ -55,7 +55,8 @@
 	// ErrNoEngine: no engine may take the request now.
 	ErrNoEngine = errors.New("slots: no engine takes the request")
 	// ErrLimitNotKnown: no node that counts the tenant's requests answers, and this
-	// node's own part of the limit is used up.
+	// node's own part of the limit is used up; or the node that counts them does not know
+	// yet how many nodes share the limit.
 	ErrLimitNotKnown = errors.New("slots: the use of the tenant's limit is not known")
 )
 
@@ -138,10 +139,32 @@
 	return len(s.limits.byTenant) > 0 && lane.Pool == s.limits.pool && lane.Parts == s.limitLane(0).Parts
 }
 
-// admittedAlone decides for a request whose tenant's count no other node keeps.
-func (s *Service) admittedAlone(tenant uint64) bool {
+// limitError says why a verdict does not let a tenant's request through; nil: it does.
+func (s *Service) limitError(told verdict, tenant uint64) error {
+	switch {
+	case told.overLimit != nil && told.overLimit.Verdict.Share == 0:
+		return errMembersNotKnown
+	case told.overLimit != nil:
+		return told.overLimit
+	case told.alone && tenant != 0:
+		return s.admittedAlone(tenant)
+	default:
+		return nil
+	}
+}
+
+// admittedAlone decides for a request whose tenant's count no other node keeps; nil: it
+// may run.
+func (s *Service) admittedAlone(tenant uint64) error {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	_, limited := s.limits.byTenant[tenant]
+	if limited && s.live == 0 {
+		return errMembersNotKnown
+	}
 	s.lone.Advance(time.Now(), 1/float64(max(s.live, 1)))
-	return s.lone.DrawAlone(tenant, rand.Float64())
+	if !s.lone.DrawAlone(tenant, rand.Float64()) {
+		return ErrLimitNotKnown
+	}
+	return nil
 }
