catalog: a copy that is known to lack something is as of nothing new

Cause: between two listings for what is overdue an answer without rows still confirmed the copy. Change: it does not; such listings come 1 to 2 s apart.

--- a/internal/passthrough/catalog/evidence.go
+++ b/internal/passthrough/catalog/evidence.go
@@ -14,15 +14,15 @@
 // must not have all nodes list all the time, 870 calls a second in a fleet of 71 without a pause.
 const (
 	relistPauseMin  = time.Second
-	relistPauseMost = 4 * time.Second
+	relistPauseMost = 2 * time.Second
 	relistCalm      = 30 * time.Second // without such a listing the pause begins anew
 )
 
 // alarm is what a follower keeps of feeds that pass changes over; guarded by Follower.mu.
 type alarm struct {
-	count int
-	row   int // in a row, without a calm between
-	last  time.Time
+	count       int
+	consecutive int // without a calm between
+	last        time.Time
 	// relist: the table is to be listed anew, by word of this follower or another.
 	relist bool
 	armed  bool               // a look at what is overdue is to come
@@ -33,13 +33,13 @@
 // raise notes an alarm, unless the table was listed for one just before.
 func (a *alarm) raise(now time.Time) bool {
 	if now.Sub(a.last) > relistCalm {
-		a.row = 0
+		a.consecutive = 0
 	}
-	if pause := min(relistPauseMin<<min(a.row, 8), relistPauseMost); a.row > 0 && now.Sub(a.last) < pause {
+	if pause := min(relistPauseMin*time.Duration(a.consecutive), relistPauseMost); now.Sub(a.last) < pause {
 		return false
 	}
 	a.count++
-	a.row++
+	a.consecutive++
 	a.last = now
 	return true
 }
@@ -103,7 +103,7 @@
 	defer cancel()
 	f.mu.Lock()
 	hold := f.config.Wait
-	if _, _, overdue := f.told.passedOver(time.Now(), f.config.Patience); overdue || f.alarm.relist {
+	if _, _, late := f.told.passedOver(time.Now(), f.config.Patience); late || f.alarm.relist {
 		hold = 0
 	} else {
 		f.alarm.cancel = cancel
@@ -128,24 +128,36 @@
 	return broken
 }
 
-// passedOver says whether the table is to be listed anew, since an answer whose call was sent at a
-// moment lacked what it had to tell, or by another's word.
-func (f *Follower) passedOver(sent time.Time) bool {
+// finding is what an answer of the feed shows of the feed itself.
+type finding uint8
+
+const (
+	inOrder finding = iota // it lacks nothing that is known otherwise
+	overdue                // it lacks something, and the table was listed for such a lack just before
+	relist                 // the table is to be listed anew
+)
+
+// judge says what an answer shows whose call was sent at a moment.
+func (f *Follower) judge(sent time.Time) finding {
 	f.mu.Lock()
 	if f.alarm.relist {
 		f.alarm.relist = false
 		f.mu.Unlock()
-		return true
+		return relist
 	}
 	place, missing, found := f.told.passedOver(sent, f.config.Patience)
-	if !found || !f.alarm.raise(time.Now()) {
-		f.mu.Unlock()
-		return false
-	}
+	raised := found && f.alarm.raise(time.Now())
 	followedTo := f.told.followedTo
 	f.mu.Unlock()
-	f.tellPassedOver(place, missing.version, followedTo, time.Since(missing.since))
-	return true
+	switch {
+	case raised:
+		f.tellPassedOver(place, missing.version, followedTo, time.Since(missing.since))
+		return relist
+	case found:
+		return overdue
+	default:
+		return inOrder
+	}
 }
 
 func (f *Follower) tellPassedOver(place rowPlace, version, followedTo int64, knownFor time.Duration) {
--- a/internal/passthrough/catalog/follower.go
+++ b/internal/passthrough/catalog/follower.go
@@ -228,9 +228,13 @@
 		attempt = 0
 		asOf := f.hearClock(sent, suspensions, snapshot.StoreAt)
 		version = f.takeChanges(snapshot.Rows)
-		if f.passedOver(sent) || f.auditInTurn(ctx) {
+		found := f.judge(sent)
+		if found == relist || f.auditInTurn(ctx) {
 			return
 		}
+		if found == overdue {
+			asOf = time.Time{} // the copy is known to lack something
+		}
 		f.succeeded(asOf)
 		f.rest(ctx, f.pace()-time.Since(sent))
 	}
