--- a/cmd/ringstream/quarantine.go
+++ b/cmd/ringstream/quarantine.go
@@ -127,6 +127,16 @@
 	}
 }
 
+// openFor opens the store, and finds the content that an operator names there.
+func (f *quarantineFlags) openFor(ctx context.Context, named string) (batch.Quarantine, quarantine.Digest, error) {
+	kept, err := f.open()
+	if err != nil {
+		return kept, quarantine.Digest{}, err
+	}
+	content, err := find(ctx, kept, named)
+	return kept, content, err
+}
+
 func newQuarantineBlock(flags *quarantineFlags) *cobra.Command {
 	var lasting time.Duration
 	command := &cobra.Command{
@@ -135,11 +145,7 @@
 		Example: "  ringstream quarantine block 9f0c... --store 10.0.0.2:7400 --for 2h --reason 'ticket 17'",
 		Args:    arguments("CONTENT"),
 		RunE: func(command *cobra.Command, given []string) error {
-			kept, err := flags.open()
-			if err != nil {
-				return err
-			}
-			content, err := find(command.Context(), kept, given[0])
+			kept, content, err := flags.openFor(command.Context(), given[0])
 			if err != nil {
 				return err
 			}
@@ -161,11 +167,7 @@
 		Short: "End a content's block; engines that end under it from then on count anew",
 		Args:  arguments("CONTENT"),
 		RunE: func(command *cobra.Command, given []string) error {
-			kept, err := flags.open()
-			if err != nil {
-				return err
-			}
-			content, err := find(command.Context(), kept, given[0])
+			kept, content, err := flags.openFor(command.Context(), given[0])
 			if err != nil {
 				return err
 			}
--- a/internal/bench/soak/series.go
+++ b/internal/bench/soak/series.go
@@ -59,11 +59,19 @@
 	node := s.anyNode(random)
 	node.control.Lock()
 	defer node.control.Unlock()
+	pauseRepeatedly(ctx, node, random, 20*time.Millisecond, 10*time.Millisecond, 300*time.Millisecond)
+}
+
+// mostPause is the longest single pause of a series.
+const mostPause = 900 * time.Millisecond
+
+// pauseRepeatedly stops a process and lets it go on, over and over; the caller holds its control.
+func pauseRepeatedly(ctx context.Context, node *nodeProcess, random *rand.Rand, leastPause, leastRun, mostRun time.Duration) {
 	for range 2 + random.IntN(seriesMost) {
 		node.signal(syscall.SIGSTOP, nodePaused)
-		wait.For(ctx, between(random, 20*time.Millisecond, 900*time.Millisecond))
+		wait.For(ctx, between(random, leastPause, mostPause))
 		node.signal(syscall.SIGCONT, nodeRunning)
-		wait.For(ctx, between(random, 10*time.Millisecond, 300*time.Millisecond))
+		wait.For(ctx, between(random, leastRun, mostRun))
 	}
 }
 
--- a/internal/bench/soak/stalls.go
+++ b/internal/bench/soak/stalls.go
@@ -4,7 +4,6 @@
 	"context"
 	"math/rand/v2"
 	"sync"
-	"syscall"
 	"time"
 
 	"ringstream.example/ringstream/internal/wait"
@@ -54,12 +53,7 @@
 func stallNode(ctx context.Context, node *nodeProcess, random *rand.Rand) {
 	node.control.Lock()
 	defer node.control.Unlock()
-	for range 2 + random.IntN(seriesMost) {
-		node.signal(syscall.SIGSTOP, nodePaused)
-		wait.For(ctx, between(random, 50*time.Millisecond, 900*time.Millisecond))
-		node.signal(syscall.SIGCONT, nodeRunning)
-		wait.For(ctx, between(random, 20*time.Millisecond, 400*time.Millisecond))
-	}
+	pauseRepeatedly(ctx, node, random, 50*time.Millisecond, 20*time.Millisecond, 400*time.Millisecond)
 }
 
 // silenceFeed has the store's feed tell nothing while changes are made, and then go on, in
