--- a/Makefile
+++ b/Makefile
@@ -33,7 +33,8 @@
 	  go test -count=1 ./$$package -rapid.seed=0 -rapid.checks=1000 || exit 1; \
 	done
 
-lint: tools ## formatter, linters, import rules
+lint: tools ## formatter, linters, import rules, the deploy file's production build
+	scripts/production.sh
 	$(BIN)/golangci-lint-$(GOLANGCI_VERSION) run ./...
 
 fuzz: ## each fuzz target for 20 s
--- a/cmd/ringstream-bench/soak.go
+++ b/cmd/ringstream-bench/soak.go
@@ -39,6 +39,7 @@
 	}
 	flags := command.Flags()
 	flags.StringVar(&options.Binary, "binary", "bin/ringstream", "the ringstream program")
+	flags.StringVar(&options.Former, "former", "", "an older build that the nodes begin with, and are rolled from")
 	flags.StringVar(&options.Folder, "out", "out/soak", "folder for settings, logs and reports, by seed")
 	flags.Uint64Var(&options.Seed, "seed", 0, "seed of faults and calls; 0: a fresh one")
 	flags.StringVar(&seedsFile, "seeds", "", "run the seeds that a file lists, the first word of a line each")
--- a/internal/bench/report/report.go
+++ b/internal/bench/report/report.go
@@ -68,7 +68,7 @@
 
 // Control is the cost of a node without load. Processor time and memory are of
 // the whole process, stand-ins included, and so upper bounds; the bytes are those
-// that a node sends to others. The hollow nodes give the cost at scale.
+// that a node sends to others.
 type Control struct {
 	CorePercent    float64 `json:"core_percent"`
 	RSSMegabytes   float64 `json:"rss_mb"`
--- a/internal/bench/soak/judge.go
+++ b/internal/bench/soak/judge.go
@@ -62,6 +62,9 @@
 	stays      StaysReport
 	keyed      []keyedRequest
 	tenants    TenantsReport
+	restarts   []restart
+	// restartsReport is made at the end.
+	restartsReport RestartsReport
 }
 
 func newJudge(events int) *judge {
--- a/internal/bench/soak/process.go
+++ b/internal/bench/soak/process.go
@@ -1,6 +1,7 @@
 package soak
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"fmt"
@@ -31,7 +32,6 @@
 type nodeProcess struct {
 	name     string
 	zone     string
-	binary   string
 	folder   string
 	front    string // where the process listens for callers
 	ready    string
@@ -44,6 +44,7 @@
 
 	// control is held by the fault that signals the process.
 	control sync.Mutex
+	binary  string // of the next life; guarded by control once the node has started
 
 	mu        sync.Mutex // guards the rest
 	command   *exec.Cmd
@@ -111,7 +112,7 @@
 // newNode writes a node's settings; start starts it.
 func (s *soak) newNode(number int, seed string) (*nodeProcess, error) {
 	node := &nodeProcess{
-		name: fmt.Sprintf("n%d", number), zone: fmt.Sprintf("z%d", number%2), binary: s.options.Binary,
+		name: fmt.Sprintf("n%d", number), zone: fmt.Sprintf("z%d", number%2), binary: cmp.Or(s.options.Former, s.options.Binary),
 		folder: s.options.Folder, judge: s.judge, state: nodeDead,
 	}
 	for _, address := range []*string{&node.front, &node.ready, &node.peer} {
@@ -145,7 +146,7 @@
 
 // start starts the process anew; its log goes on in the same file.
 func (n *nodeProcess) start() error {
-	log, err := os.OpenFile(filepath.Join(n.folder, n.name+".log"), os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
+	log, err := os.OpenFile(n.logFile(), os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
 	if err != nil {
 		return err
 	}
@@ -297,3 +298,6 @@
 	_ = answer.Body.Close()
 	return answer.StatusCode
 }
+
+// logFile is where all lives of the process write their log.
+func (n *nodeProcess) logFile() string { return filepath.Join(n.folder, n.name+".log") }
--- a/internal/bench/soak/soak.go
+++ b/internal/bench/soak/soak.go
@@ -24,6 +24,7 @@
 // Options says what is run.
 type Options struct {
 	Binary  string        // of ringstream
+	Former  string        // an older build that the nodes begin with, and are rolled from; empty: none
 	Folder  string        // for settings and logs; it exists
 	Seed    uint64        // of faults and calls
 	For     time.Duration // how long faults strike
@@ -72,6 +73,7 @@
 	Deadly     DeadlyReport   `json:"deadly"`
 	Stays      StaysReport    `json:"read_again"`
 	Tenants    TenantsReport  `json:"tenants"`
+	Restarts   RestartsReport `json:"engine_restarts"`
 	Broken     map[string]int `json:"broken"`     // violations by promise
 	Violations []Violation    `json:"violations"` // the first ones of each promise
 }
@@ -119,6 +121,7 @@
 type engineLink struct {
 	*platformtest.Engine
 	link  *proxy
+	zone  string
 	taken bool // a fault ends it; guarded by soak.mu
 }
 
@@ -139,6 +142,9 @@
 		return Report{}, errors.New("not all nodes became ready at the start; see their logs")
 	}
 	s.load(ctx)
+	if err := s.judge.concludeRestarts(s.logs()); err != nil {
+		return Report{}, err
+	}
 	report := s.report()
 	return report, ctx.Err()
 }
@@ -191,15 +197,16 @@
 	s.engineNo++
 	engine := platformtest.NewEngine(fmt.Sprintf("e%d", s.engineNo), events)
 	engine.Pace(pace)
+	engine.Born = time.Now().UnixMilli()
 	link, err := newProxy(engine.Address())
 	if err != nil {
 		return err
 	}
 	engine.Front = link.address()
-	linked := &engineLink{Engine: engine, link: link}
+	linked := &engineLink{Engine: engine, link: link, zone: fmt.Sprintf("z%d", s.engineNo%2)}
 	engine.EndUnder(deadlyBody, func() { s.engineEnded(linked) })
 	s.engines = append(s.engines, linked)
-	s.store.List(engine, fmt.Sprintf("z%d", s.engineNo%2), "ready")
+	s.store.List(engine, linked.zone, "ready")
 	return nil
 }
 
@@ -292,6 +299,8 @@
 	series.Go(func() { s.strikeInSeries(ctx) })
 	series.Go(func() { s.strikeWithStalls(ctx) })
 	series.Go(func() { s.strikeTenants(ctx) })
+	series.Go(func() { s.strikeWithRestarts(ctx) })
+	series.Go(func() { s.rollBuilds(ctx) })
 	s.strikeAtRandom(ctx)
 	series.Wait()
 	s.replacing.Wait()
@@ -362,7 +371,7 @@
 	report := Report{
 		Seed: s.options.Seed, Faults: make(map[string]int), Requests: len(j.requests), Statuses: j.statuses, Jobs: len(j.jobs),
 		Runs: s.counts["engine_runs"], Recovery: time.Duration(s.counts["recovery_ms"]) * time.Millisecond, Broken: j.broken, Violations: j.violations,
-		Deadly: j.deadly.report, Stays: j.stays, Tenants: j.tenants,
+		Deadly: j.deadly.report, Stays: j.stays, Tenants: j.tenants, Restarts: j.restartsReport,
 	}
 	for name, count := range s.counts {
 		if name != "engine_runs" && name != "recovery_ms" {
@@ -379,3 +388,12 @@
 	}
 	return report
 }
+
+// logs gives the files of the nodes' logs.
+func (s *soak) logs() []string {
+	var names []string
+	for _, node := range s.nodes {
+		names = append(names, node.logFile())
+	}
+	return names
+}
