jobs: a cancel is told to all nodes, also when the job runs here

Cause: a node that came back after 15 s did not know yet that its shard had gone to another; both worked on one job. The cancel came to the new holder, which stopped its own work and told nobody. Change: the word of a cancellation is flooded always.

--- a/internal/jobs/messages.go
+++ b/internal/jobs/messages.go
@@ -63,13 +63,13 @@
 	}
 }
 
-// tellCancelled stops the job wherever it runs. The word is flooded, since the
-// holder may not be the node that this one thinks of; if it is lost, the holder
-// learns of it at its next commit or poll.
+// tellCancelled stops the job wherever it runs. The word is flooded, also when
+// the job runs here: a former holder that does not know that its lease has
+// lapsed runs it too, and worked on for up to 5.9 s (fault cells, virtual
+// time). If the word is lost, a holder learns of it at its next commit or poll.
 func (m *Manager) tellCancelled(id identity.JobID) {
-	if !m.runner.Cancelled(id) {
-		m.bus.Flood(jobCancelled{Job: id})
-	}
+	m.runner.Cancelled(id)
+	m.bus.Flood(jobCancelled{Job: id})
 }
 
 // expectedFinish asks the job's holder for its forecast; zero when there is none.
--- a/internal/jobs/runner/runner.go
+++ b/internal/jobs/runner/runner.go
@@ -260,19 +260,15 @@
 }
 
 // Cancelled tells that a job's cancellation was committed: its items stop now.
-// It says whether the job was running here.
-func (r *Runner) Cancelled(id identity.JobID) bool {
+func (r *Runner) Cancelled(id identity.JobID) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	if _, reading := r.loading[id]; reading {
 		r.loading[id] = true
 	}
-	j := r.jobs[id]
-	if j == nil {
-		return false
+	if j := r.jobs[id]; j != nil {
+		r.remove(j, true)
 	}
-	r.remove(j, true)
-	return true
 }
 
 // wakeLocked tells those who wait that more may be runnable. r.mu is held.
