catalog: a moment at the store brings no audit

Cause: who follows another node's copy audits nothing, so that its last audit was long ago when its source was lost; each such node then listed a page of every table from the store at once. Change: the turn of audits begins anew with each way to the store, half of the pause or more after it.

--- a/internal/passthrough/catalog/follower.go
+++ b/internal/passthrough/catalog/follower.go
@@ -261,7 +261,7 @@
 			f.doubtRelay()
 			return
 		}
-		if !answered.relayed && f.auditInTurn(ctx) {
+		if f.auditInTurn(ctx, answered.relayed) {
 			return
 		}
 		if found == overdue {
@@ -307,15 +307,22 @@
 	return f.told.followedTo
 }
 
-// auditInTurn audits the table each AuditEvery, beginning at a moment of its own.
-func (f *Follower) auditInTurn(ctx context.Context) bool {
+// auditInTurn audits the table each AuditEvery while the store itself is followed, for the first
+// time after half of that or more, at a moment of its own; true: something was passed over. Who follows
+// a relay audits nothing, and begins anew when it follows the store: of ten ways to the store for a second each, nine brought an audit
+// otherwise, a page of the table by every node that its relay had left.
+func (f *Follower) auditInTurn(ctx context.Context, relayed bool) bool {
+	if relayed {
+		f.audited = time.Time{}
+		return false
+	}
 	if f.config.AuditEvery <= 0 || time.Since(f.audited) < f.config.AuditEvery {
 		return false
 	}
 	first := f.audited.IsZero()
 	f.audited = time.Now()
 	if first {
-		f.audited = f.audited.Add(-rand.N(f.config.AuditEvery))
+		f.audited = f.audited.Add(-rand.N(f.config.AuditEvery / 2))
 		return false
 	}
 	return f.audit(ctx)
