soak: the wait of a new incarnation ends with the choice of it

Cause: the wait was taken from the first request that the new process ran, which may come by the former entry, since both listen at one address; the median was 0 in each report. Change: by the nodes' logs, from the entry to the first choice of the new incarnation at any node.

--- a/internal/bench/soak/judge.go
+++ b/internal/bench/soak/judge.go
@@ -63,6 +63,8 @@
 	keyed      []keyedRequest
 	tenants    TenantsReport
 	restarts   []restart
+	// firstChosen is when a node first chose an incarnation, by its name in the logs.
+	firstChosen map[string]time.Time
 	// restartsReport is made at the end.
 	restartsReport RestartsReport
 }
@@ -70,7 +72,8 @@
 func newJudge(events int) *judge {
 	return &judge{
 		started: time.Now(), events: events, broken: make(map[string]int), statuses: make(map[string]int), early: make(map[string]string), deadly: newDeadlyRecords(),
-		tenants: TenantsReport{Statuses: make(map[string]int), Pressed: make(map[string]int)},
+		tenants:     TenantsReport{Statuses: make(map[string]int), Pressed: make(map[string]int)},
+		firstChosen: make(map[string]time.Time),
 	}
 }
 
--- a/internal/bench/soak/restarts.go
+++ b/internal/bench/soak/restarts.go
@@ -63,8 +63,8 @@
 // RestartsReport is what came of engines that started again under their ids.
 type RestartsReport struct {
 	Restarts int `json:"restarts"`
-	// Used counts the new incarnations that ran a request, and MedianWait is the time from the entry
-	// that told of one to the first of its requests.
+	// Used counts the new incarnations that a node chose, and MedianWait is the time from the entry
+	// that told of one to the first choice of it.
 	Used       int           `json:"used"`
 	MedianWait time.Duration `json:"median_wait_ns"`
 	// Chosen counts choices of engines, and Former those of an incarnation that the node knew to be over.
@@ -74,14 +74,14 @@
 
 // restart is one that the store has told of.
 type restart struct {
-	engine *engineLink
-	listed time.Time
+	incarnation string // as the nodes' logs name it
+	listed      time.Time
 }
 
 func (j *judge) restarted(engine *engineLink, listed time.Time) {
 	j.mu.Lock()
 	defer j.mu.Unlock()
-	j.restarts = append(j.restarts, restart{engine: engine, listed: listed})
+	j.restarts = append(j.restarts, restart{incarnation: nameOfIncarnation(engine.ID, engine.Born), listed: listed})
 }
 
 // concludeRestarts judges by the nodes' logs, which are files of those names.
@@ -89,22 +89,27 @@
 	j.mu.Lock()
 	defer j.mu.Unlock()
 	j.restartsReport = RestartsReport{Restarts: len(j.restarts)}
+	for _, name := range logs {
+		if err := j.judgeChoicesIn(name); err != nil {
+			return err
+		}
+	}
+	j.sumWaits()
+	return nil
+}
+
+// sumWaits reports how soon new incarnations were chosen, once all logs are read; the caller holds mu.
+func (j *judge) sumWaits() {
 	var waits []time.Duration
 	for _, known := range j.restarts {
-		if runs := known.engine.Runs(); len(runs) > 0 {
-			waits = append(waits, max(runs[0].Began.Sub(known.listed), 0))
+		if chosen, found := j.firstChosen[known.incarnation]; found {
+			waits = append(waits, max(chosen.Sub(known.listed), 0))
 		}
 	}
 	slices.Sort(waits)
 	if j.restartsReport.Used = len(waits); len(waits) > 0 {
 		j.restartsReport.MedianWait = waits[len(waits)/2]
 	}
-	for _, name := range logs {
-		if err := j.judgeChoicesIn(name); err != nil {
-			return err
-		}
-	}
-	return nil
 }
 
 // judgeChoicesIn reads one node's log; the caller holds mu.
@@ -168,6 +173,9 @@
 		}
 	case logevents.EngineChosen.Number:
 		j.restartsReport.Chosen++
+		if first, found := j.firstChosen[line.Engine]; !found || line.At.Before(first) {
+			j.firstChosen[line.Engine] = line.At
+		}
 		if known := taken[id]; born < known.born && line.At.Sub(known.at) > choiceSlack {
 			j.restartsReport.Former++
 			j.violateLocked("former_incarnations_get_nothing", line.Request, fmt.Sprintf("%s: %s, %v after the entry of %d", line.Node, line.Engine, line.At.Sub(known.at), known.born))
@@ -175,6 +183,9 @@
 	}
 }
 
+// nameOfIncarnation names an engine as incarnationIn reads it.
+func nameOfIncarnation(id string, born int64) string { return fmt.Sprintf("%s@%d", id, born) }
+
 // incarnationIn reads an engine as the log names it: its id, and its start behind an @.
 func incarnationIn(engine string) (id string, born int64) {
 	id, start, _ := strings.Cut(engine, "@")
--- a/internal/bench/soak/restarts_test.go
+++ b/internal/bench/soak/restarts_test.go
@@ -41,3 +41,26 @@
 		})
 	}
 }
+
+// The wait was taken from the first request that the new process ran, which may come by the former
+// one's entry since both listen at one address: a median of 0 in each report.
+func TestWaitsOfNewIncarnationsEndWithTheirChoice(t *testing.T) {
+	const chosen = 8103
+	judge := newJudge(testEvents)
+	listed := time.Date(2026, 1, 1, 0, 0, 1, 0, time.UTC)
+	for _, engine := range []string{"e1@20", "e2@20", "e3@20"} {
+		judge.restarts = append(judge.restarts, restart{incarnation: engine, listed: listed})
+	}
+	log := []string{
+		lineOf(chosen, 0, "e1@10"),
+		lineOf(chosen, 1300*time.Millisecond, "e1@20"), lineOf(chosen, 1200*time.Millisecond, "e1@20"),
+		lineOf(chosen, 1100*time.Millisecond, "e2@20"),
+	}
+	if err := judge.judgeChoices(strings.NewReader(strings.Join(log, "\n") + "\n")); err != nil {
+		t.Fatal(err)
+	}
+	judge.sumWaits()
+	if report := judge.restartsReport; report.Used != 2 || report.MedianWait != 200*time.Millisecond {
+		t.Errorf("got %+v", report)
+	}
+}
