grant: interfaces for overload control, order, engine speeds; messages with what they need

Cause: the parts of docs/design/hard-load.md decide at the dispatcher, which sorts its queue and bounds nothing in one function, and whose messages are fixed by what builds before read. Change: grant.Policies (OverloadControl, QueueOrder, EngineSpeeds), whose nil values do what the code before did; fields of Ask, Refusal, FirstToken, Load, State and Grant that the parts use; LimitUse. peer/sharing keeps the form of builds before in released/grant and sends a State in both forms until the other node is heard in the current one. pass_through.scheduling, all off.

--- a/internal/core/enginechoice/room.go
+++ b/internal/core/enginechoice/room.go
@@ -54,3 +54,17 @@
 	reserved := max(int(s.peaks[pool].value+0.5)-s.online(pool), 0)
 	return max(slots*percent/100-used-reserved, 0)
 }
+
+// Usage returns the slots of the engines of a pool that take work, and the requests in
+// flight there.
+func (s *Set) Usage(pool string, now time.Time) (slots, online, batch int) {
+	for _, known := range s.pools[pool] {
+		if !known.usable() || now.Before(known.unhealthyUntil) {
+			continue
+		}
+		slots += max(known.entry.Slots, 1)
+		online += known.own.Online
+		batch += known.own.Batch
+	}
+	return slots, online, batch
+}
--- a/internal/core/grant/dispatcher.go
+++ b/internal/core/grant/dispatcher.go
@@ -52,16 +52,15 @@
 	lastSentAt time.Time // when its grant, or its stop, was last sent
 	confirmed  bool      // the node has reported it in flight
 	tenant     uint64    // tenant whose limit has counted it; 0 if none
+	owner      uint64    // Ask.Owner; 0 if unknown
 	preempted  bool      // its node is sent a stop; it is no longer counted at the engine
 	suspect    Suspect
 }
 
 // queuedAsk is a request in the dispatcher's queue.
 type queuedAsk struct {
-	node     string
-	ask      Ask
-	since    time.Time
-	deadline time.Time
+	Waiting
+	ask Ask
 	// reserved reports that the tenant's limit has admitted the request and counts it
 	// when it is granted.
 	reserved bool
@@ -81,6 +80,7 @@
 // Dispatcher grants the slots of one lane.
 type Dispatcher struct {
 	config       DispatcherConfig
+	policies     Policies
 	lane         Lane
 	engines      *enginechoice.Set
 	engineByHash map[uint64]enginechoice.Incarnation // keyed by EngineHash
@@ -102,12 +102,16 @@
 // of the node that runs it.
 func NewDispatcher(config DispatcherConfig, lane Lane, self string, now time.Time) *Dispatcher {
 	return &Dispatcher{
-		config: config, lane: lane, engines: enginechoice.NewSet(self), engineByHash: make(map[uint64]enginechoice.Incarnation),
+		config: config, policies: Policies{}.withDefaults(), lane: lane, engines: enginechoice.NewSet(self), engineByHash: make(map[uint64]enginechoice.Incarnation),
 		startedAt: now, nodes: make(map[string]*nodeState), replies: make(map[string]*Reply),
 		suspects: make(map[*inFlightRequest]bool),
 	}
 }
 
+// UsePolicies sets the dispatcher's policies. It must be called before the first State is
+// applied.
+func (d *Dispatcher) UsePolicies(policies Policies) { d.policies = policies.withDefaults() }
+
 // SetEngines replaces the lane's engines. Engines that are not listed are removed, and
 // entries of other pools or lanes are ignored.
 func (d *Dispatcher) SetEngines(entries []enginechoice.Listed, now time.Time) {
@@ -243,12 +247,7 @@
 		known.connected[d.engineByHash[engine]] = true
 	}
 	d.updateInFlight(from, known, state, now)
-	for _, load := range state.Loads {
-		d.engines.RecordReport(d.engineByHash[load.Engine], load.Running, load.Waiting, now)
-	}
-	for _, first := range state.Firsts {
-		d.firstTokens.observe(first)
-	}
+	d.observe(state, now)
 	d.updateQueue(from, known, state, now)
 	d.grantOnline(now)
 	reply := d.reply(from)
@@ -258,6 +257,22 @@
 	}
 }
 
+// observe records what a State tells of the engines.
+func (d *Dispatcher) observe(state State, now time.Time) {
+	for _, load := range state.Loads {
+		engine := d.engineByHash[load.Engine]
+		d.engines.RecordReport(engine, load.Running, load.Waiting, now)
+		d.policies.Speeds.ObserveLoad(engine, load, now)
+	}
+	for _, first := range state.Firsts {
+		d.firstTokens.observe(first)
+		d.policies.Speeds.ObserveFirstToken(d.engineByHash[first.Engine], first, now)
+	}
+	for _, pace := range state.Paces {
+		d.policies.Speeds.ObservePace(d.engineByHash[pace.Engine], pace, now)
+	}
+}
+
 // updateInFlight updates a node's in-flight requests from its State.
 func (d *Dispatcher) updateInFlight(from string, known *nodeState, state State, now time.Time) {
 	ended := make(map[uint64]Ended, len(state.Ended))
@@ -338,6 +353,10 @@
 	delete(known.inFlight, request.id)
 	delete(d.suspects, request)
 	d.retryBatch = true
+	if !request.work.Batch {
+		d.policies.Overload.Finished(now)
+		d.policies.Order.Finished(request.owner, now.Sub(request.since), now)
+	}
 }
 
 // Tick does the periodic work: it removes nodes that have timed out, withdraws unconfirmed
--- a/internal/core/grant/grant.go
+++ b/internal/core/grant/grant.go
@@ -94,6 +94,17 @@
 	// RoomPercent bounds all requests in the lane at which a batch request may still be
 	// added, as a percentage of the lane's slots.
 	BatchPercent, RoomPercent int
+	// Owner is the TenantHash of the request's tenant, in whose share of the lane it runs;
+	// 0 if it belongs to no tenant.
+	Owner uint64
+	// Content is a hash of the request's content, by which a request that returns after a
+	// refusal is recognized; 0 if unknown.
+	Content uint64
+	// EndsIn is the time left at sending until the client or the route gives the request
+	// up; 0 if unknown.
+	EndsIn time.Duration
+	// MayHaveRun reports that an engine ran the request or may have. It is never refused.
+	MayHaveRun bool
 }
 
 // Suspect describes a request's content as a suspected cause of engine crashes.
@@ -135,6 +146,16 @@
 type Load struct {
 	Engine           uint64 // EngineHash
 	Running, Waiting int
+	// WorkPercent is how long the engine says that work takes there at present, as a
+	// percentage of the usual; 0 if it does not say.
+	WorkPercent int
+}
+
+// Pace is the pace at which a request's events arrived.
+type Pace struct {
+	Engine  uint64 // EngineHash
+	Events  int    // events after the first
+	Elapsed time.Duration
 }
 
 // State is a node's complete report for a lane. It replaces the node's previous report.
@@ -152,6 +173,8 @@
 	// Connected holds the EngineHash of the engines to which the node keeps an idle
 	// connection.
 	Connected []uint64
+	// Paces holds the paces of the requests that have run since the previous message.
+	Paces []Pace
 	// Attached reports that the node uses this dispatcher, even while it has no requests
 	// in the lane. The dispatcher's part of each tenant limit is the fraction of nodes
 	// that are attached to it (quota.RateCounter).
@@ -168,12 +191,35 @@
 	// Preempts reports that a batch run at the engine is being stopped for this request.
 	Preempts bool
 	Waited   time.Duration // time in the dispatcher's queue
+	// Slowness is the time that work takes at the engine, relative to what it takes at an
+	// engine of the usual speed; 0 if unknown.
+	Slowness float64
 }
 
-// Refusal reports that a tenant's limit does not admit a request.
+// RefusalReason tells why a request is refused.
+type RefusalReason uint8
+
+// The reasons of a refusal.
+const (
+	RefusedByLimit    RefusalReason = iota // the tenant's limit does not admit it
+	RefusedByOverload                      // the lane cannot serve it in its time
+)
+
+// Refusal reports that a request does not get a slot.
 type Refusal struct {
-	ID      uint64 // Ask.ID
-	Verdict quota.Verdict
+	ID      uint64        // Ask.ID
+	Verdict quota.Verdict // of the tenant's limit
+	Reason  RefusalReason
+	// Overload holds the inputs of the decision if Reason is RefusedByOverload.
+	Overload OverloadRefusal
+}
+
+// OverloadRefusal is the decision to refuse a request for lack of slots.
+type OverloadRefusal struct {
+	RetryAfter time.Duration // when the request is expected to find a slot
+	Queued     int           // requests before it
+	PerSecond  float64       // requests that the lane completes per second
+	Expected   time.Duration // when it would have been granted a slot; 0: not within its time
 }
 
 // Reply is a dispatcher's answer to a State.
@@ -188,6 +234,20 @@
 	Queued int
 }
 
+// LimitUse is what a lane's dispatcher has counted against the tenants' limits. It tells
+// it to the nodes that may be the dispatcher after it.
+type LimitUse struct {
+	Life     uint64 // LifeHash of the dispatcher's node
+	Sequence uint64 // increases with every LimitUse of the dispatcher
+	Tenants  []TenantUse
+}
+
+// TenantUse is the use of one tenant's limit.
+type TenantUse struct {
+	Tenant uint64  // TenantHash
+	Left   float64 // requests that the tenant could still start, over all nodes
+}
+
 // declinedResult is the result of an unused grant. It does not affect the engine's
 // health.
 const declinedResult = enginechoice.Abandoned
--- a/internal/core/grant/limits_test.go
+++ b/internal/core/grant/limits_test.go
@@ -87,7 +87,7 @@
 	n.asked++
 	node.nextID++
 	node.tenant[node.nextID], node.askedAt[node.nextID] = true, n.now
-	node.requester.Wait(Ask{ID: node.nextID, Tenant: tenantA}, n.now.Add(300*time.Millisecond), n.now)
+	node.requester.Wait(Ask{ID: node.nextID, Tenant: tenantA}, Deadlines{Objective: n.now.Add(300 * time.Millisecond)}, n.now)
 }
 
 // load runs the network for a span of time while the tenant's requests arrive at random
--- a/internal/core/grant/network_test.go
+++ b/internal/core/grant/network_test.go
@@ -196,7 +196,7 @@
 	node.nextID++
 	id := node.nextID
 	node.batch[id], node.askedAt[id] = batch, n.now
-	node.requester.Wait(Ask{ID: id, Batch: batch, BatchPercent: 100, RoomPercent: 100}, n.now.Add(300*time.Millisecond), n.now)
+	node.requester.Wait(Ask{ID: id, Batch: batch, BatchPercent: 100, RoomPercent: 100}, Deadlines{Objective: n.now.Add(300 * time.Millisecond)}, n.now)
 	return id
 }
 
--- a/internal/core/grant/poll.go
+++ b/internal/core/grant/poll.go
@@ -157,7 +157,10 @@
 	}
 	for _, id := range slices.Sorted(maps.Keys(r.asks)) {
 		pending := r.asks[id]
-		pending.ask.DueIn = pending.deadline.Sub(now)
+		pending.ask.DueIn = pending.deadlines.Objective.Sub(now)
+		if !pending.deadlines.End.IsZero() {
+			pending.ask.EndsIn = max(pending.deadlines.End.Sub(now), time.Nanosecond)
+		}
 		if pending.firstSequence == 0 {
 			pending.firstSequence = r.sequence
 		}
--- a/internal/core/grant/queue.go
+++ b/internal/core/grant/queue.go
@@ -24,7 +24,7 @@
 		if entry == nil {
 			continue
 		}
-		entry.ask, entry.deadline = ask, now.Add(ask.DueIn)
+		d.updateEntry(entry, ask, now)
 		d.retryBatch = d.retryBatch || ask.Batch
 	}
 	for id, entry := range known.queued {
@@ -35,10 +35,31 @@
 	}
 }
 
+// updateEntry updates a queued request from the node's newest Ask.
+func (d *Dispatcher) updateEntry(entry *queuedAsk, ask Ask, now time.Time) {
+	entry.ask = ask
+	entry.Deadline = now.Add(ask.DueIn)
+	if ask.EndsIn > 0 {
+		entry.End = now.Add(ask.EndsIn)
+	}
+	entry.Place = ask.Place && (ask.MayHaveRun || d.policies.Overload.PlacesWhenFull())
+	entry.MayHaveRun = ask.MayHaveRun
+}
+
+// newEntry returns the entry of a request that joins the queue.
+func newEntry(from string, ask Ask, now time.Time) *queuedAsk {
+	entry := &queuedAsk{ask: ask, Waiting: Waiting{
+		Node: from, ID: ask.ID, TenantRank: ask.TenantRank, Rank: ask.Rank, Owner: ask.Owner, Content: ask.Content,
+		PromptTokens: ask.promptTokens(), MemoryTokens: ask.MemoryTokens, Since: now,
+	}}
+	entry.entry = entry
+	return entry
+}
+
 // admit adds a new request to the queue if its tenant's limit admits it. It returns nil
 // if the request does not wait: it was refused, or it wanted only admission.
 func (d *Dispatcher) admit(from string, known *nodeState, ask Ask, now time.Time) *queuedAsk {
-	entry := &queuedAsk{node: from, ask: ask, since: now}
+	entry := newEntry(from, ask, now)
 	if ask.Tenant != 0 && d.limits != nil {
 		verdict := d.limits.Reserve(ask.Tenant)
 		if !verdict.Admitted {
@@ -69,47 +90,81 @@
 
 // isQueued reports whether an entry still waits.
 func (d *Dispatcher) isQueued(entry *queuedAsk) bool {
-	known := d.nodes[entry.node]
+	known := d.nodes[entry.Node]
 	return known != nil && known.queued[entry.ask.ID] == entry
 }
 
-// meetsDeadline reports whether an entry can be expected to have its first token by its
-// deadline if it is granted a slot now.
-func (d *Dispatcher) meetsDeadline(entry *queuedAsk, now time.Time) bool {
-	return !now.Add(d.firstTokens.expected(entry.ask.promptTokens())).After(entry.deadline)
-}
-
-// grantOnline grants queued online requests: those that ask for placement first, then
-// those that can still meet their deadline, then by the rank of the tenant, the rank of
-// the route, and the earliest deadline.
+// grantOnline grants queued online requests in the order of the policies, and refuses those
+// that the overload control does not let wait.
 func (d *Dispatcher) grantOnline(now time.Time) {
-	d.online = slices.DeleteFunc(d.online, func(entry *queuedAsk) bool { return !d.isQueued(entry) })
-	slices.SortStableFunc(d.online, func(a, b *queuedAsk) int {
-		return cmp.Or(
-			ordering.FalseFirst(b.ask.Place, a.ask.Place), ordering.FalseFirst(!d.meetsDeadline(a, now), !d.meetsDeadline(b, now)),
-			cmp.Compare(a.ask.TenantRank, b.ask.TenantRank), cmp.Compare(a.ask.Rank, b.ask.Rank), a.deadline.Compare(b.deadline),
-		)
-	})
+	d.dropDequeued()
+	if len(d.online) == 0 {
+		return
+	}
+	queue := d.arrange(now)
 	full := false
-	for _, entry := range d.online {
-		if entry.ask.Queued && !entry.ask.Place && now.Sub(d.busySince) < d.config.RequeuedStartDelay {
+	for _, waiting := range queue {
+		entry := waiting.entry
+		if entry.ask.Queued && !entry.Place && now.Sub(d.busySince) < d.config.RequeuedStartDelay {
 			continue
 		}
-		if full && !entry.ask.Place && len(entry.ask.Exclude) == 0 {
+		if full && !entry.Place && len(entry.ask.Exclude) == 0 {
 			continue
 		}
 		granted := d.tryGrant(entry, now)
 		full = full || (!granted && entry.ask.Suspect.Content == 0)
 	}
+	d.dropDequeued()
+	d.refuseOverload(now)
+}
+
+// dropDequeued removes the requests that no longer wait.
+func (d *Dispatcher) dropDequeued() {
 	d.online = slices.DeleteFunc(d.online, func(entry *queuedAsk) bool { return !d.isQueued(entry) })
 }
 
+// arrange returns the queue in the order in which slots are granted.
+func (d *Dispatcher) arrange(now time.Time) []*Waiting {
+	queue := make([]*Waiting, 0, len(d.online))
+	for _, entry := range d.online {
+		entry.FirstToken = d.firstTokens.expected(entry.PromptTokens)
+		entry.InTime = !now.Add(entry.FirstToken).After(entry.Deadline)
+		queue = append(queue, &entry.Waiting)
+	}
+	d.policies.Order.Arrange(queue, now)
+	return queue
+}
+
+// refuseOverload refuses the requests that the overload control does not let wait.
+func (d *Dispatcher) refuseOverload(now time.Time) {
+	if len(d.online) == 0 {
+		return
+	}
+	for _, decision := range d.policies.Overload.Review(d.arrange(now), d.load(now), now) {
+		entry := decision.Request.entry
+		if entry.MayHaveRun || !d.isQueued(entry) {
+			continue
+		}
+		d.releaseReservation(entry)
+		delete(d.nodes[entry.Node].queued, entry.ask.ID)
+		reply := d.reply(entry.Node)
+		reply.Refused = append(reply.Refused, Refusal{ID: entry.ask.ID, Reason: RefusedByOverload, Overload: decision.Refusal})
+	}
+	d.dropDequeued()
+}
+
+// load returns the load of the lane.
+func (d *Dispatcher) load(now time.Time) LaneLoad {
+	slots, online, batch := d.engines.Usage(d.lane.Pool, now)
+	return LaneLoad{Slots: slots, Online: online, Batch: batch}
+}
+
 // tryGrant grants an entry the best engine. It reports whether an engine could be
 // granted; an online request needs a free slot unless it asks for placement.
 func (d *Dispatcher) tryGrant(entry *queuedAsk, now time.Time) bool {
-	known := d.nodes[entry.node]
+	known := d.nodes[entry.Node]
 	choice, found := d.pick(entry, d.query(entry, known), now)
-	if !found || (!entry.ask.Batch && !entry.ask.Place && !choice.HasSlot()) {
+	if !found || (!entry.ask.Batch && !entry.Place && !choice.HasSlot()) {
 		return false
 	}
 	if choice.Preempts {
@@ -126,14 +181,18 @@
 	work := &enginechoice.Work{Batch: entry.ask.Batch, PrefillTokens: choice.PrefillTokens, MemoryTokens: entry.ask.MemoryTokens}
 	d.engines.Start(choice.Entry.Incarnation(), work)
 	granted := &inFlightRequest{
-		node: entry.node, id: entry.ask.ID, engine: choice.Entry.Incarnation(), work: work, since: now,
+		node: entry.Node, id: entry.ask.ID, engine: choice.Entry.Incarnation(), work: work, since: now,
 		grant: Grant{
 			ID: entry.ask.ID, Engine: EngineHash(choice.Entry.Incarnation()), PrefillTokens: choice.PrefillTokens,
-			InFlight: choice.InFlight, Score: choice.Score, Preempts: choice.Preempts, Waited: now.Sub(entry.since),
+			InFlight: choice.InFlight, Score: choice.Score, Preempts: choice.Preempts, Waited: now.Sub(entry.Since),
 		},
-		suspect: entry.ask.Suspect,
+		suspect: entry.ask.Suspect, owner: entry.ask.Owner,
 	}
 	d.trackSuspect(granted)
+	if !entry.ask.Batch && !entry.ask.AdmitOnly {
+		d.policies.Overload.Granted(&entry.Waiting, now)
+		d.policies.Order.Granted(&entry.Waiting, now)
+	}
 	if entry.reserved && d.limits != nil {
 		d.limits.Begin(entry.ask.Tenant)
 	}
@@ -209,7 +268,7 @@
 	slices.SortFunc(queue, func(a, b *queuedAsk) int {
 		return cmp.Or(
 			ordering.FalseFirst(a.ask.Late, b.ask.Late), cmp.Compare(a.ask.TenantRank, b.ask.TenantRank), cmp.Compare(a.ask.Rank, b.ask.Rank),
-			a.deadline.Compare(b.deadline), cmp.Compare(a.ask.ID, b.ask.ID),
+			a.Deadline.Compare(b.Deadline), cmp.Compare(a.ask.ID, b.ask.ID),
 		)
 	})
 	if len(queue) == 0 {
--- a/internal/core/grant/readiness.go
+++ b/internal/core/grant/readiness.go
@@ -9,6 +9,10 @@
 type FirstToken struct {
 	PromptTokens int // length of the whole prompt, including cached parts
 	Elapsed      time.Duration
+	// Engine is the EngineHash of the engine; 0 if the sender does not tell.
+	Engine uint64
+	// PrefillTokens is the part of the prompt that the engine had to compute.
+	PrefillTokens int
 }
 
 // firstTokenEstimator estimates a high quantile of the time that requests of a lane take
--- a/internal/core/grant/requester.go
+++ b/internal/core/grant/requester.go
@@ -59,7 +59,7 @@
 // pendingAsk is a request that waits for its grant.
 type pendingAsk struct {
 	ask           Ask
-	deadline      time.Time
+	deadlines     Deadlines
 	since         time.Time // when the current dispatcher was first asked for it
 	acknowledged  bool      // a dispatcher has replied to a State with it
 	firstSequence uint64    // sequence of the first State to the current dispatcher that had it; 0 if none
@@ -192,16 +192,21 @@
 // Idle reports whether the node has nothing in the lane.
 func (r *Requester) Idle() bool { return len(r.asks)+len(r.held)+len(r.ended) == 0 }
 
-// Wait adds or updates a waiting request. The deadline is that of its latency objective
-// or of the batch item.
-func (r *Requester) Wait(ask Ask, deadline, now time.Time) {
+// Deadlines are the times that bound the wait of a request.
+type Deadlines struct {
+	Objective time.Time // of its latency objective, or of the batch item
+	End       time.Time // when the client or the route gives it up; zero if unknown
+}
+
+// Wait adds or updates a waiting request.
+func (r *Requester) Wait(ask Ask, deadlines Deadlines, now time.Time) {
 	pending := r.asks[ask.ID]
 	if pending == nil {
 		pending = &pendingAsk{since: now}
 		r.asks[ask.ID] = pending
 	}
 	ask.Queued = pending.ask.Queued
-	pending.ask, pending.deadline = ask, deadline
+	pending.ask, pending.deadlines = ask, deadlines
 	if ask.Batch {
 		r.scheduleSend(now)
 	} else {
@@ -234,7 +239,9 @@
 	if held := r.held[id]; held != nil && !held.Started {
 		held.Started = true
 		if !held.Batch && len(r.firsts) < maxFirstTokens {
-			r.firsts = append(r.firsts, FirstToken{PromptTokens: held.promptTokens, Elapsed: now.Sub(held.since) + r.roundTrip/2})
+			r.firsts = append(r.firsts, FirstToken{
+				PromptTokens: held.promptTokens, Elapsed: now.Sub(held.since) + r.roundTrip/2, Engine: held.Engine, PrefillTokens: held.PrefillTokens,
+			})
 		}
 		if held.PrefillTokens >= longPromptTokens {
 			r.scheduleSend(now)
--- a/internal/core/grant/suspect.go
+++ b/internal/core/grant/suspect.go
@@ -40,7 +40,7 @@
 	maps.Copy(isolated.Exclude, avoid)
 	choice, found := d.engines.Pick(isolated, now)
 	startsNow := found && (entry.ask.Batch || choice.HasSlot())
-	if startsNow || (suspect.Crashes >= isolationCrashes && !entry.ask.Place) {
+	if startsNow || (suspect.Crashes >= isolationCrashes && !entry.Place) {
 		return choice, startsNow
 	}
 	return d.engines.Pick(query, now)
--- a/internal/core/grant/suspension_test.go
+++ b/internal/core/grant/suspension_test.go
@@ -39,7 +39,7 @@
 	now := time.Unix(1000, 0)
 	r := NewRequester(DefaultRequesterConfig(), 1, "z")
 	r.SetRanking([]string{"d"}, now)
-	r.Wait(Ask{ID: 5}, now.Add(time.Second), now)
+	r.Wait(Ask{ID: 5}, Deadlines{Objective: now.Add(time.Second)}, now)
 	actions, _ := r.Poll(now, nil)
 	if len(actions.Sends) != 1 {
 		t.Fatalf("got messages %+v, want one", actions.Sends)
--- a/internal/passthrough/edge/config.go
+++ b/internal/passthrough/edge/config.go
@@ -16,21 +16,22 @@
 
 // Config is the pass_through section of the settings.
 type Config struct {
-	Address      string             `koanf:"address" usage:"IP:port for clients of pass-through routes; empty: none are served"`
-	ReadyAddress string             `koanf:"ready_address" usage:"IP:port that answers whether the node takes clients"`
-	ReadyPath    string             `koanf:"ready_path" usage:"path of that answer"`
-	MetricsPath  string             `koanf:"metrics_path" usage:"path of the metrics, at metrics_address"`
-	MetricsAt    string             `koanf:"metrics_address" usage:"IP:port that serves metrics; empty: none"`
-	StoreAddress string             `koanf:"store_address" usage:"IP:port of the platform's store"`
-	PeerAddress  string             `koanf:"peer_address" usage:"IP:port for what nodes tell each other; empty: they tell nothing"`
-	Seeds        []string           `koanf:"seeds" usage:"IP:port of nodes that may be asked for others"`
-	Capacity     float64            `koanf:"capacity" usage:"what the machine can do, as a share of a processor core: dispatchers are chosen among the larger machines"`
-	Readers      int                `koanf:"readers_per_zone" usage:"nodes of a zone that serve the store's tables to the others there"`
-	LeaveTime    time.Duration      `koanf:"leave_time" usage:"at a planned stop: how long new connections are still taken after readiness ended"`
-	StopTime     time.Duration      `koanf:"stop_time" usage:"at a planned stop: the latest end, counted from its start"`
-	Keys         ingress.KeysConfig `koanf:"keys"`
-	Limits       slots.LimitsConfig `koanf:"limits"`
-	Batch        batch.Config       `koanf:"batch"`
+	Address      string                 `koanf:"address" usage:"IP:port for clients of pass-through routes; empty: none are served"`
+	ReadyAddress string                 `koanf:"ready_address" usage:"IP:port that answers whether the node takes clients"`
+	ReadyPath    string                 `koanf:"ready_path" usage:"path of that answer"`
+	MetricsPath  string                 `koanf:"metrics_path" usage:"path of the metrics, at metrics_address"`
+	MetricsAt    string                 `koanf:"metrics_address" usage:"IP:port that serves metrics; empty: none"`
+	StoreAddress string                 `koanf:"store_address" usage:"IP:port of the platform's store"`
+	PeerAddress  string                 `koanf:"peer_address" usage:"IP:port for what nodes tell each other; empty: they tell nothing"`
+	Seeds        []string               `koanf:"seeds" usage:"IP:port of nodes that may be asked for others"`
+	Capacity     float64                `koanf:"capacity" usage:"what the machine can do, as a share of a processor core: dispatchers are chosen among the larger machines"`
+	Readers      int                    `koanf:"readers_per_zone" usage:"nodes of a zone that serve the store's tables to the others there"`
+	LeaveTime    time.Duration          `koanf:"leave_time" usage:"at a planned stop: how long new connections are still taken after readiness ended"`
+	StopTime     time.Duration          `koanf:"stop_time" usage:"at a planned stop: the latest end, counted from its start"`
+	Keys         ingress.KeysConfig     `koanf:"keys"`
+	Limits       slots.LimitsConfig     `koanf:"limits"`
+	Scheduling   slots.SchedulingConfig `koanf:"scheduling"`
+	Batch        batch.Config           `koanf:"batch"`
 }
 
 // DefaultConfig returns settings that serve no pass-through routes.
@@ -38,7 +39,7 @@
 	return Config{
 		Capacity: 1, Readers: replicas.DefaultConfig().Slots, ReadyPath: "/readyz", MetricsPath: "/metrics",
 		LeaveTime: 2600 * time.Millisecond, StopTime: 7300 * time.Millisecond,
-		Keys: ingress.DefaultKeysConfig(), Limits: slots.DefaultLimitsConfig(), Batch: batch.DefaultConfig(),
+		Keys: ingress.DefaultKeysConfig(), Limits: slots.DefaultLimitsConfig(), Scheduling: slots.DefaultSchedulingConfig(), Batch: batch.DefaultConfig(),
 	}
 }
 
--- a/internal/passthrough/edge/edge.go
+++ b/internal/passthrough/edge/edge.go
@@ -116,7 +116,7 @@
 	node.guard = guard.New(quarantine.DefaultConfig(), guard.Dependencies{
 		Engines: node.engines, Pool: node.pool, Logger: node.logger, Metrics: guard.NewMetrics(node.registry), Self: node.incarnation, Peers: node.peerAddresses, Seeds: node.seeds,
 	})
-	node.slots = slots.New(config.Limits, slots.Dependencies{
+	node.slots = slots.New(slots.Config{Limits: config.Limits, Scheduling: config.Scheduling}, slots.Dependencies{
 		Engines: node.engines, Logger: node.logger, Metrics: slots.NewMetrics(node.registry),
 		Self: node.peerName(), Name: identity.Name, Incarnation: node.incarnation, Zone: identity.Zone,
 		Candidates: node.candidates, LiveNodes: node.LiveNodes, Seeds: node.seeds, Ready: node.hasRoutesAndEngines, MembersKnown: node.hasNodeList, Connected: node.pool.Connected,
--- a/internal/passthrough/relay/outcome.go
+++ b/internal/passthrough/relay/outcome.go
@@ -51,6 +51,8 @@
 	attemptsUsed reason = "attempts_used"
 	// limitNotKnown means that no node that counts the tenant's requests answers.
 	limitNotKnown reason = "limit_not_known"
+	// overloaded means that the engines cannot serve the request in its time.
+	overloaded reason = "overloaded"
 )
 
 // Refusal is the body of an error response that the gateway generates itself.
@@ -115,6 +117,21 @@
 	return NotRun
 }
 
+// refuseOverloaded answers 503 when the engines cannot serve the request in its time, and sets
+// Retry-After to the time at which they are expected to.
+func (e *exchange) refuseOverloaded(cause *slots.OverloadedError) Outcome {
+	if e.headSent || e.mayHaveRun {
+		return e.giveUp(attemptsUsed)
+	}
+	refusal := cause.Refusal
+	events.RequestRefused.Log(e.logger, zap.String("request", e.call.Demand.RequestID), zap.String("reason", string(overloaded)), zap.Duration("retry_after", refusal.RetryAfter),
+		zap.Int("queued", refusal.Queued), zap.Float64("per_second", refusal.PerSecond), zap.Duration("expected", refusal.Expected), zap.String("dispatcher", cause.Dispatcher))
+	e.status = http.StatusServiceUnavailable
+	e.headers.SetRetryAfter(e.to.Header(), refusal.RetryAfter)
+	WriteRefusal(e.to, e.status, Refusal{Code: string(overloaded), Message: "the engines cannot serve the request in its time; no engine ran it", Run: RunNot})
+	return NotRun
+}
+
 // refuseBlocked answers 502 because engines crashed while they ran the request's content, or
 // because an operator has blocked it. Retry-After tells when the request may be sent again. The
 // response does not claim that no engine ran the request.
--- a/internal/passthrough/relay/relay.go
+++ b/internal/passthrough/relay/relay.go
@@ -160,6 +160,9 @@
 		if overLimit := (*slots.OverLimitError)(nil); errors.As(err, &overLimit) {
 			return e.refuseOverLimit(overLimit)
 		}
+		if overloaded := (*slots.OverloadedError)(nil); errors.As(err, &overloaded) {
+			return e.refuseOverloaded(overloaded)
+		}
 		if errors.Is(err, slots.ErrLimitNotKnown) {
 			return e.giveUp(limitNotKnown)
 		}
@@ -237,7 +240,10 @@
 func (e *exchange) acquireSlot(deadlineCtx context.Context, slotDeadline time.Time) (slots.Decision, error) {
 	query := Query(e.call.Pool, e.call.Demand)
 	query.Exclude = e.excluded
-	request := slots.Request{ID: e.call.Demand.RequestID, Query: query, Rank: e.call.Route.Priority, PlacementDeadline: slotDeadline, Suspect: e.guard.Suspect(e.content)}
+	request := slots.Request{
+		ID: e.call.Demand.RequestID, Query: query, Rank: e.call.Route.Priority, PlacementDeadline: slotDeadline, EndsAt: e.clock.currentDeadline(),
+		Owner: e.call.TenantName(), Content: e.content.Hash(), MayHaveRun: e.mayHaveRun, Suspect: e.guard.Suspect(e.content),
+	}
 	if e.call.Route.Objective > 0 {
 		request.FirstTokenDeadline = e.call.Received.Add(e.call.Route.Objective)
 	}
--- a/internal/passthrough/slots/acquire.go
+++ b/internal/passthrough/slots/acquire.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"time"
 
 	"go.uber.org/zap"
@@ -26,7 +27,28 @@
 	// PlacementDeadline is when the request stops waiting for a free slot. From then on it is placed at an
 	// engine regardless of the engine's queue.
 	PlacementDeadline time.Time
-	Suspect           grant.Suspect
+	// EndsAt is when the client or the route gives the request up; zero: unknown.
+	EndsAt time.Time
+	// Owner is the name of the request's tenant, in whose share of the engines it runs; empty if
+	// it belongs to no tenant.
+	Owner string
+	// Content is a hash of the request's content, by which a dispatcher recognizes a request that
+	// returns; 0 if unknown.
+	Content uint64
+	// MayHaveRun reports that an engine ran the request or may have.
+	MayHaveRun bool
+	Suspect    grant.Suspect
+}
+
+// OverloadedError reports that the engines cannot serve a request in its time.
+type OverloadedError struct {
+	Refusal    grant.OverloadRefusal
+	Dispatcher string // address of the dispatcher that refused it
+}
+
+// Error implements error.
+func (e *OverloadedError) Error() string {
+	return fmt.Sprintf("slots: %d requests are before it and the engines complete %.0f a second; it can come back after %v", e.Refusal.Queued, e.Refusal.PerSecond, e.Refusal.RetryAfter)
 }
 
 // Source identifies which node chose an engine.
@@ -58,6 +80,7 @@
 	granted      *receivedGrant
 	noDispatcher bool
 	overLimit    *OverLimitError
+	overloaded   *OverloadedError
 }
 
 // waiter is an online request that waits for a verdict.
@@ -69,8 +92,8 @@
 // NewID returns a new ask id.
 func (s *Service) NewID() uint64 { return s.lastAskID.Add(1) }
 
-// Acquire waits for a slot. It returns ErrNoEngine, ErrLimitNotKnown, an OverLimitError, or the
-// error of ctx if ctx ends first.
+// Acquire waits for a slot. It returns ErrNoEngine, ErrLimitNotKnown, an OverLimitError, an
+// OverloadedError, or the error of ctx if ctx ends first.
 func (s *Service) Acquire(ctx context.Context, request Request) (Decision, error) {
 	started := time.Now()
 	query := request.Query
@@ -136,6 +159,13 @@
 func (s *Service) newRequestAsk(request Request, query enginechoice.Query) grant.Ask {
 	ask := s.askFromQuery(s.NewID(), query)
 	ask.TenantRank, ask.Rank, ask.Suspect = request.TenantRank, request.Rank, request.Suspect
+	ask.MayHaveRun = request.MayHaveRun
+	if s.config.Scheduling.RefuseOverload {
+		ask.Content = request.Content
+	}
+	if s.config.Scheduling.FairShares && request.Owner != "" {
+		ask.Owner = grant.TenantHash(request.Owner)
+	}
 	if request.Tenant != "" {
 		ask.Tenant = grant.TenantHash(request.Tenant)
 	}
@@ -172,13 +202,16 @@
 	s.waiters[id] = pending
 	s.mu.Unlock()
 	defer s.removeWaiter(id)
-	s.submitAsk(pending.lane, ask, request.firstTokenDeadline())
+	s.submitAsk(pending.lane, ask, request.deadlines())
 	place := time.NewTimer(max(time.Until(request.PlacementDeadline), 0))
 	defer place.Stop()
 	for {
 		select {
 		case answer := <-pending.verdicts:
 			result := askVerdict{verdict: answer, id: id, lane: pending.lane, suspect: ask.Suspect}
+			if answer.overloaded != nil {
+				return askVerdict{}, answer.overloaded
+			}
 			if err := s.limitError(answer, ask.Tenant); err != nil {
 				return askVerdict{}, err
 			}
@@ -188,7 +221,7 @@
 			return result, nil
 		case <-place.C:
 			ask.Place = true
-			s.submitAsk(pending.lane, ask, request.firstTokenDeadline())
+			s.submitAsk(pending.lane, ask, request.deadlines())
 		case <-ctx.Done():
 			s.cancelAsk(pending, id)
 			return askVerdict{}, ctx.Err()
@@ -196,6 +229,11 @@
 	}
 }
 
+// deadlines returns the deadlines that are reported with the ask.
+func (r Request) deadlines() grant.Deadlines {
+	return grant.Deadlines{Objective: r.firstTokenDeadline(), End: r.EndsAt}
+}
+
 // firstTokenDeadline returns the deadline of the first token. For a request without an objective
 // this is PlacementDeadline.
 func (r Request) firstTokenDeadline() time.Time {
@@ -243,7 +281,7 @@
 }
 
 // submitAsk adds an ask to the lane's requester and sends it.
-func (s *Service) submitAsk(lane grant.Lane, ask grant.Ask, due time.Time) {
+func (s *Service) submitAsk(lane grant.Lane, ask grant.Ask, due grant.Deadlines) {
 	now := time.Now()
 	var candidates []grant.Candidate
 	s.mu.Lock()
--- a/internal/passthrough/slots/batch.go
+++ b/internal/passthrough/slots/batch.go
@@ -70,7 +70,7 @@
 	}
 	s.batchRequests[request.ID], s.batchLanes[request.ID] = request, lane
 	s.mu.Unlock()
-	s.submitAsk(lane, ask, request.Due)
+	s.submitAsk(lane, ask, grant.Deadlines{Objective: request.Due})
 }
 
 // startBatchItem starts the batch item that a grant is for. It returns false if the item no
--- a/internal/passthrough/slots/leaving_test.go
+++ b/internal/passthrough/slots/leaving_test.go
@@ -25,7 +25,7 @@
 			f.nodes[staying].setCandidates("n1", "n3")
 		}
 		f.setLimit("one", limit)
-		margin := f.nodes["n0"].config.margin()
+		margin := f.nodes["n0"].config.Limits.margin()
 		allowed := duration.Seconds()*limit.PerSecond + limit.Burst
 		allowed += allowed*margin.Part + margin.Requests
 		if granted := f.runLoad(ctx, t, "one", duration); float64(granted) > allowed {
--- a/internal/passthrough/slots/messages.go
+++ b/internal/passthrough/slots/messages.go
@@ -124,6 +124,11 @@
 	return nil
 }
 
+// HandleLimitUse handles what the dispatcher of a lane has counted against the tenants' limits.
+func (s *Service) HandleLimitUse(_ string, lane grant.Lane, _ grant.LimitUse) error {
+	return checkLane(lane)
+}
+
 func (s *Service) handleReply(from string, lane grant.Lane, reply grant.Reply, now time.Time, out *outbox) {
 	requester := s.requesters[lane]
 	if requester == nil {
@@ -157,7 +162,7 @@
 		s.deliverGrant(given)
 	}
 	for _, given := range out.refusals {
-		s.deliverVerdict(given.refusal.ID, verdict{overLimit: &OverLimitError{Verdict: given.refusal.Verdict, Dispatcher: given.from}})
+		s.deliverVerdict(given.refusal.ID, refusalVerdict(given))
 	}
 	for _, id := range out.noDispatcher {
 		s.deliverVerdict(id, verdict{noDispatcher: true})
@@ -167,6 +172,14 @@
 	}
 }
 
+// refusalVerdict returns the verdict of a request that a dispatcher refuses.
+func refusalVerdict(received receivedRefusal) verdict {
+	if received.refusal.Reason == grant.RefusedByOverload {
+		return verdict{overloaded: &OverloadedError{Refusal: received.refusal.Overload, Dispatcher: received.from}}
+	}
+	return verdict{overLimit: &OverLimitError{Verdict: received.refusal.Verdict, Dispatcher: received.from}}
+}
+
 // scheduleWake makes the loop wake at the given time at the latest. The caller holds mu.
 func (s *Service) scheduleWake(at time.Time) {
 	if !s.nextWake.IsZero() && !at.Before(s.nextWake) {
--- a/internal/passthrough/slots/slots.go
+++ b/internal/passthrough/slots/slots.go
@@ -25,6 +25,7 @@
 type Transport interface {
 	SendState(to string, lane grant.Lane, state grant.State)
 	SendReply(to string, lane grant.Lane, reply grant.Reply)
+	SendLimitUse(to string, lane grant.Lane, use grant.LimitUse)
 }
 
 // Dependencies are the components that the service uses.
@@ -90,7 +91,7 @@
 type Service struct {
 	Dependencies
 	lifeHash  uint64
-	config    LimitsConfig
+	config    Config
 	transport Transport // nil: this node runs alone
 	watch     *suspension.Watch
 	wake      chan struct{}
@@ -112,9 +113,9 @@
 }
 
 // New returns a service. Run does its periodic work.
-func New(config LimitsConfig, dependencies Dependencies) *Service {
+func New(config Config, dependencies Dependencies) *Service {
 	return &Service{
-		config: config, localQuota: quota.NewIsolatedRateCounter(config.margin(), time.Now()),
+		config: config, localQuota: quota.NewIsolatedRateCounter(config.Limits.margin(), time.Now()),
 		Dependencies: dependencies, lifeHash: grant.LifeHash(dependencies.Incarnation), wake: make(chan struct{}, 1),
 		requesters: make(map[grant.Lane]*laneRequester), dispatchers: make(map[grant.Lane]*laneDispatcher),
 		waiters: make(map[uint64]*waiter), batchRequests: make(map[uint64]BatchRequest), batchLanes: make(map[uint64]grant.Lane),
@@ -357,8 +358,9 @@
 	dispatcher := s.dispatchers[lane]
 	if dispatcher == nil && len(s.dispatchers) < maxDispatcherLanes {
 		dispatcher = &laneDispatcher{Dispatcher: grant.NewDispatcher(grant.DefaultDispatcherConfig(), lane, s.Name, now)}
+		dispatcher.UsePolicies(s.config.Scheduling.policies())
 		dispatcher.SetEngines(s.engines.enginesInPool(lane.Pool), now)
-		dispatcher.SetLimits(s.config.margin(), s.limitsForLane(lane), now)
+		dispatcher.SetLimits(s.config.Limits.margin(), s.limitsForLane(lane), now)
 		dispatcher.SetLive(s.liveNodeCount)
 		s.dispatchers[lane] = dispatcher
 	}
--- a/internal/passthrough/slots/slots_test.go
+++ b/internal/passthrough/slots/slots_test.go
@@ -61,6 +61,10 @@
 	n.send(to, func(receiver *testNode) error { return receiver.HandleReply(n.name, lane, reply) })
 }
 
+func (n *testNode) SendLimitUse(to string, lane grant.Lane, use grant.LimitUse) {
+	n.send(to, func(receiver *testNode) error { return receiver.HandleLimitUse(n.name, lane, use) })
+}
+
 // newFleet starts the given numbers of nodes and of engines with two slots each. All nodes ask
 // the first one as their dispatcher.
 func newFleet(ctx context.Context, nodes, engines int) *fleet {
@@ -74,7 +78,7 @@
 				set.Upsert(enginechoice.Entry{ID: fmt.Sprint("e", engine), Pool: "p", Slots: 2}, enginechoice.Ready, now)
 			}
 		})
-		node.Service = New(DefaultLimitsConfig(), Dependencies{
+		node.Service = New(Config{Limits: DefaultLimitsConfig()}, Dependencies{
 			Engines: list, Logger: zap.NewNop(), Metrics: NewMetrics(nil), Self: name, Name: name, Incarnation: name, Zone: "z1",
 			Candidates: node.currentCandidates, Seeds: func() []string { return []string{"n0"} },
 			LiveNodes: func() int { return nodes },
@@ -286,7 +290,7 @@
 }
 
 func TestMessagesWithInvalidLanesAreRefused(t *testing.T) {
-	service := New(DefaultLimitsConfig(), Dependencies{Ready: func() bool { return true }})
+	service := New(Config{Limits: DefaultLimitsConfig()}, Dependencies{Ready: func() bool { return true }})
 	for _, lane := range []grant.Lane{{Pool: "p"}, {Pool: "p", Parts: 3}, {Pool: "p", Parts: 2, Part: 2}} {
 		if err := service.HandleState("n1", lane, grant.State{}); err == nil {
 			t.Errorf("lane %+v was accepted", lane)
@@ -337,7 +341,7 @@
 func TestIsolatedNodeKeepsToItsShareOfALimit(t *testing.T) {
 	runInBubble(t, func(t *testing.T, _ context.Context) {
 		const tenants, nodes, requests, pause = 100, 10, 200, 50 * time.Millisecond
-		service := New(LimitsConfig{Window: 5 * time.Second}, Dependencies{})
+		service := New(Config{Limits: LimitsConfig{Window: 5 * time.Second}}, Dependencies{})
 		service.liveNodeCount = nodes
 		var definitions []tenant.Definition
 		for i := range tenants {
--- a/internal/passthrough/slots/tenants.go
+++ b/internal/passthrough/slots/tenants.go
@@ -87,7 +87,7 @@
 	s.limits = limitsFromTable(table)
 	s.localQuota.SetLimits(s.limits.byTenant)
 	for lane, dispatcher := range s.dispatchers {
-		dispatcher.SetLimits(s.config.margin(), s.limitsForLane(lane), now)
+		dispatcher.SetLimits(s.config.Limits.margin(), s.limitsForLane(lane), now)
 	}
 	s.scheduleWake(now)
 }
--- a/internal/peer/sharing/codec.go
+++ b/internal/peer/sharing/codec.go
@@ -37,8 +37,8 @@
 
 // newCodec creates a codec whose encoder and decoder have already exchanged the types. Gob numbers
 // types in the order of their first use, and the numbers are part of a datagram. A node therefore
-// creates its codecs before any other use of gob and always in the same order, with that of
-// message first, because older builds have that one only.
+// creates its codecs before any other use of gob and always in the same order: the one of
+// released.Message first, then the one of liveness.Message, as earlier builds do.
 func newCodec[T any]() *codec[T] {
 	c := &codec[T]{}
 	c.encoder = gob.NewEncoder(&c.writeBuffer)
--- a/internal/peer/sharing/datagrams.go
+++ b/internal/peer/sharing/datagrams.go
@@ -12,28 +12,44 @@
 	"ringstream.example/ringstream/internal/core/liveness"
 	"ringstream.example/ringstream/internal/core/quarantine"
 	"ringstream.example/ringstream/internal/events"
+	released "ringstream.example/ringstream/internal/peer/sharing/released/grant"
 )
 
 // maxDatagramBytes is the size of the largest datagram. Larger ones are not sent.
 const maxDatagramBytes = 32 << 10
 
-// SendState sends this node's state in a lane to a node.
+// SendState sends this node's state in a lane to a node. A node that has not been heard in the
+// current form gets it in both forms. It drops the form that it does not know, or else the second
+// one, because the sequence is the same.
 func (s *Share) SendState(to string, lane grant.Lane, state grant.State) {
-	s.send(message{Lane: lane, State: &state}, to)
+	s.sendDatagram(s.messageCodec.Write(message{Lane: lane, State: &state}), to)
+	if !s.upgraded.contains(to, time.Now()) {
+		s.sendReleased(released.Message{Lane: lane, State: released.FromState(state)}, to)
+	}
 }
 
 // SendReply sends this node's reply, as the dispatcher of a lane, to a node.
 func (s *Share) SendReply(to string, lane grant.Lane, reply grant.Reply) {
-	s.send(message{Lane: lane, Reply: &reply}, to)
+	if s.upgraded.contains(to, time.Now()) {
+		s.sendDatagram(s.messageCodec.Write(message{Lane: lane, Reply: &reply}), to)
+		return
+	}
+	s.sendReleased(released.Message{Lane: lane, Reply: released.FromReply(reply)}, to)
+}
+
+// SendLimitUse sends a node what this node, as the dispatcher of a lane, has counted. Earlier builds
+// drop it.
+func (s *Share) SendLimitUse(to string, lane grant.Lane, use grant.LimitUse) {
+	s.sendDatagram(s.messageCodec.Write(message{Lane: lane, LimitUse: &use}), to)
 }
 
 // SendCrashes sends a node the reports of engines that crashed on certain contents.
 func (s *Share) SendCrashes(to string, crashes []quarantine.Crash) {
-	s.send(message{Crashes: crashes}, to)
+	s.sendReleased(released.Message{Crashes: crashes}, to)
 }
 
 // AskCrashes requests a node's crash reports, which it sends with SendCrashes.
-func (s *Share) AskCrashes(to string) { s.send(message{AskCrashes: true}, to) }
+func (s *Share) AskCrashes(to string) { s.sendReleased(released.Message{AskCrashes: true}, to) }
 
 // SendLiveness sends a liveness message to a node. The datagram has a type of its own, so that
 // builds that do not know it can still read the others.
@@ -41,8 +57,10 @@
 	s.sendDatagram(s.livenessCodec.Write(msg), to)
 }
 
-// send sends a message about slots or crashes.
-func (s *Share) send(msg message, to string) { s.sendDatagram(s.messageCodec.Write(msg), to) }
+// sendReleased sends a message in the form that earlier builds read.
+func (s *Share) sendReleased(msg released.Message, to string) {
+	s.sendDatagram(s.releasedCodec.Write(msg), to)
+}
 
 // sendDatagram sends a datagram. A datagram that cannot be sent is treated as lost in the network:
 // the receiver's next message, or the lack of one, leads to recovery.
@@ -82,11 +100,29 @@
 		s.watchers.HandleLiveness(from, livenessMsg)
 		return nil
 	}
-	msg, err := s.messageCodec.Read(datagram)
+	if msg, err := s.messageCodec.Read(datagram); err == nil {
+		s.upgraded.heard(from, time.Now())
+		return s.handleMessage(from, msg)
+	}
+	earlier, err := s.releasedCodec.Read(datagram)
 	if err != nil {
 		return err
 	}
-	return s.handleMessage(from, msg)
+	return s.handleMessage(from, currentMessage(earlier))
+}
+
+// currentMessage returns the message that a released one stands for.
+func currentMessage(earlier released.Message) message {
+	msg := message{Lane: earlier.Lane, Crashes: earlier.Crashes, AskCrashes: earlier.AskCrashes}
+	if earlier.State != nil {
+		state := earlier.State.Current()
+		msg.State = &state
+	}
+	if earlier.Reply != nil {
+		reply := earlier.Reply.Current()
+		msg.Reply = &reply
+	}
+	return msg
 }
 
 // errUnknownMessage is returned for a message of a kind that this program does not know.
@@ -103,10 +139,12 @@
 			s.SendCrashes(from, crashes)
 		}
 		return nil
-	case msg.State != nil && msg.Reply == nil:
+	case msg.State != nil && msg.Reply == nil && msg.LimitUse == nil:
 		return s.slots.HandleState(from, msg.Lane, *msg.State)
-	case msg.Reply != nil && msg.State == nil:
+	case msg.Reply != nil && msg.State == nil && msg.LimitUse == nil:
 		return s.slots.HandleReply(from, msg.Lane, *msg.Reply)
+	case msg.LimitUse != nil && msg.State == nil && msg.Reply == nil:
+		return s.slots.HandleLimitUse(from, msg.Lane, *msg.LimitUse)
 	default:
 		return errUnknownMessage
 	}
--- a/internal/peer/sharing/sharing.go
+++ b/internal/peer/sharing/sharing.go
@@ -25,6 +25,7 @@
 	"ringstream.example/ringstream/internal/core/quarantine"
 	"ringstream.example/ringstream/internal/events"
 	"ringstream.example/ringstream/internal/passthrough"
+	released "ringstream.example/ringstream/internal/peer/sharing/released/grant"
 	"ringstream.example/ringstream/internal/wait"
 )
 
@@ -86,6 +87,7 @@
 type Slots interface {
 	HandleState(from string, lane grant.Lane, state grant.State) error
 	HandleReply(from string, lane grant.Lane, reply grant.Reply) error
+	HandleLimitUse(from string, lane grant.Lane, use grant.LimitUse) error
 }
 
 // Crashes receives the reports of other nodes about engines that crashed on certain contents.
@@ -125,8 +127,10 @@
 	crashes           Crashes
 	watchers          Watchers
 	logger            *zap.Logger
-	messageCodec      *codec[message]
+	releasedCodec     *codec[released.Message]
 	livenessCodec     *codec[liveness.Message]
+	messageCodec      *codec[message]
+	upgraded          upgradedPeers
 	tables            Tables // nil if this node does not answer from its copies
 	followConnections connectionPool
 	largeAnswers      largeAnswerLimiter // limits answers with many rows
@@ -140,11 +144,15 @@
 
 // New creates the share of a node, for one run of its process.
 func New(config Config, local Local, slots Slots, crashes Crashes, watchers Watchers, logger *zap.Logger) *Share {
-	messages := newCodec[message]()
-	return &Share{
+	share := &Share{
 		config: config, local: local, slots: slots, crashes: crashes, watchers: watchers, logger: logger,
-		messageCodec: messages, livenessCodec: newCodec[liveness.Message](),
+		upgraded: upgradedPeers{lastHeard: make(map[string]time.Time)},
 	}
+	// The order is that in which earlier builds created theirs, see newCodec.
+	share.releasedCodec = newCodec[released.Message]()
+	share.livenessCodec = newCodec[liveness.Message]()
+	share.messageCodec = newCodec[message]()
+	return share
 }
 
 // Run sends and serves messages and requests until ctx ends.
--- a/internal/peer/sharing/sharing_test.go
+++ b/internal/peer/sharing/sharing_test.go
@@ -62,6 +62,11 @@
 	return nil
 }
 
+func (l *fakeNode) HandleLimitUse(_ string, lane grant.Lane, use grant.LimitUse) error {
+	l.received <- message{Lane: lane, LimitUse: &use}
+	return nil
+}
+
 func (l *fakeNode) AddPeerCrashes(_ string, crashes []quarantine.Crash) {
 	l.received <- message{Crashes: crashes}
 }
