platform: read the fourth figure of an engine's load

Cause: the load header may have a fourth figure, how long work takes there; parseEngineLoad took three or dropped the whole load. Change: three or four figures are read; any other form is unknown, and the answer says that it was not readable.

--- a/internal/passthrough/passthrough.go
+++ b/internal/passthrough/passthrough.go
@@ -45,11 +45,16 @@
 	NotRun    bool   // the engine states that it did not run the request
 	Load      EngineLoad
 	LoadKnown bool
+	// LoadUnreadable reports that the answer states a load in a form that is not known.
+	LoadUnreadable bool
 }
 
 // EngineLoad is an engine's own count of its requests and slots.
 type EngineLoad struct {
 	Running, Waiting, Slots int
+	// WorkPercent is how long work takes at the engine at present, as a percentage of the
+	// usual; 0 if it does not say.
+	WorkPercent int
 }
 
 // Headers reads and writes the headers of requests and answers.
