enginechoice: weigh the slowness of engines

Cause: the scores take all engines for equally fast. Change: Pick compares the best engine of the usual speed with the best slow one; slowness counts only beside a free slot of the usual speed. Measured: go test ./internal/core/enginechoice; TestPickWithoutSpeeds compares with the lowest score.

--- a/internal/core/enginechoice/enginechoice.go
+++ b/internal/core/enginechoice/enginechoice.go
@@ -75,6 +75,7 @@
 	preemptedAt         time.Time               // when batch requests were last preempted
 	resident            map[string]residentPart // prompt parts that were sent there last, by ID
 	residentTokens      int                     // total of resident
+	speed               Speed
 }
 
 // noObservations is the empty value shared by unused engines. It must not be modified.
--- a/internal/core/enginechoice/pick.go
+++ b/internal/core/enginechoice/pick.go
@@ -29,6 +29,9 @@
 	PreviousEngine Incarnation
 	// Connected holds the engines to which the node keeps an idle connection.
 	Connected map[Incarnation]bool
+	// MaxSlowness is the largest slowness of an engine at which the request is expected to
+	// start in its time; 0 if any will do.
+	MaxSlowness float64
 }
 
 // PromptTokens returns the length of the whole prompt.
@@ -50,6 +53,9 @@
 	// Preempts reports that the engine is full and that a batch request there must be
 	// preempted before this request is sent.
 	Preempts bool
+	// Slowness is the time that work takes at the engine, relative to the usual time; 1 if it
+	// is the usual.
+	Slowness float64
 }
 
 // HasSlot reports whether the engine is expected to start the request at once.
@@ -57,8 +63,8 @@
 	return c.Preempts || c.Entry.Slots <= 0 || c.InFlight < c.Entry.Slots
 }
 
-// Terms of the score, in milliseconds. The engines differ little in speed, and only the
-// order of the scores matters.
+// Terms of the score, in milliseconds, at an engine of the usual speed. Only the order of the
+// scores matters.
 const (
 	prefillTokensPerMs = 50.0
 	msPerRunning       = 0.6   // each running request slows down the others
@@ -89,9 +95,7 @@
 // accept the request.
 func (s *Set) Pick(query Query, now time.Time) (Choice, bool) {
 	preferred := s.preferred(query, now)
-	var best Choice
-	var bestRank uint64 // breaks ties, differently on each node
-	found := false
+	var best bestEngines
 	for id, known := range s.pools[query.Pool] {
 		if query.Exclude[id] || !known.usable() {
 			continue
@@ -109,14 +113,12 @@
 		if !query.Connected[id] {
 			score += msConnect
 		}
-		rank := affinity(s.node, known.hash)
-		if !found || score < best.Score || (score == best.Score && rank > bestRank) {
-			bestRank = rank
-			best = Choice{Entry: known.entry, Score: score, PrefillTokens: prefill, InFlight: inFlight, State: known.state, Preempts: preempts}
-			found = true
-		}
+		best.add(&candidate{
+			engine: known, score: score, slowness: known.slownessFor(query), prefill: prefill, inFlight: inFlight, preempts: preempts,
+			rank: affinity(s.node, known.hash),
+		})
 	}
-	return best, found
+	return best.choice(query)
 }
 
 // CanPick reports whether Pick would find an engine for the request. It stops at the first
