grant, enginespeed: learn the speeds of engines

Cause: engines that take four times as long get as many requests as others. Change: enginespeed compares first tokens, paces, silences and the engine's own figure with the usual and with the lane's other engines; four observations that agree over 200 ms make an engine slow, two good ones forgive it, one request a second probes it. A request that would be late at a slow engine waits while it can be in time.

--- /dev/null
+++ b/internal/core/enginespeed/enginespeed.go
@@ -0,0 +1,200 @@
+// Package enginespeed learns how long work takes at each engine of a lane, relative to the
+// lane's other engines. It answers engines that work several times slower for some seconds
+// while slots at engines of the usual speed are free.
+//
+// An observation is the time that a request took to its first token, the pace of its events,
+// a request that has waited unusually long for its first token, or the engine's own figure. Each
+// is compared with what work of that size takes at an engine that full, and then with the
+// median over the lane's engines, so that a lane whose engines all become slower has no slow
+// engine. Health checks are no observations.
+//
+// The package does no I/O, and the time is an argument. A Tracker is not safe for concurrent
+// use.
+package enginespeed
+
+import (
+	"math"
+	"slices"
+	"time"
+
+	"ringstream.example/ringstream/internal/core/enginechoice"
+	"ringstream.example/ringstream/internal/core/grant"
+)
+
+const (
+	// slowFrom is the ratio to the usual time from which an observation is slow. Smaller
+	// differences cost a request less than a wait for another engine.
+	slowFrom = 1.75
+	// agreeing is the number of observations that must be slow, one after the other, before
+	// an engine is taken for slow. A request that stalls is one of them.
+	agreeing = 4
+	// agreeingFor is the time that these observations must span at least. Observations of the
+	// same moment may have one cause, such as a long prompt.
+	agreeingFor = 200 * time.Millisecond
+	// maxObservations bounds the observations that are kept. So many agree whatever time they
+	// span.
+	maxObservations = 16
+	// forgiving is the number of observations that must not be slow, one after the other,
+	// before an engine is used as usual again.
+	forgiving = 2
+	// observationAge is how long an observation counts.
+	observationAge = 4 * time.Second
+	// probeAfter is how long a slow engine has given no observation when one request may use
+	// it as if it were not slow.
+	probeAfter = time.Second
+	// recoveryGrants is the number of requests that may use an engine after its first
+	// observation that is not slow, so that a lane's requests do not all go there at once.
+	recoveryGrants = 2
+	// forgetAfter is how long a slow engine has given no observation when it counts as usual.
+	forgetAfter = 30 * time.Second
+	// maxSlowness bounds what a single stalled request can make of an engine.
+	maxSlowness = 16
+)
+
+// observation is the time that some work took, relative to the usual time.
+type observation struct {
+	key   string // observations of the same work replace each other; empty: none
+	node  string // which node observed it; empty: the engine itself
+	at    time.Time
+	ratio float64 // natural logarithm of the ratio to the usual time
+}
+
+// engine is what a Tracker knows about one engine.
+type engine struct {
+	recent    []observation // the last observations, oldest first; at most maxObservations
+	fresh     bool          // recent has changed since the last review
+	slowSince time.Time     // zero: the engine has the usual speed
+	slowness  float64       // while it is slow
+	grants    int           // requests that may use it as if it were not slow
+	probedAt  time.Time     // when one of them was granted
+}
+
+func (e *engine) isSlow() bool { return !e.slowSince.IsZero() }
+
+// newest returns the last observation.
+func (e *engine) newest() observation { return e.recent[len(e.recent)-1] }
+
+// Tracker learns the speeds of the engines of one lane. It implements grant.EngineSpeeds.
+type Tracker struct {
+	usual   usual
+	engines map[enginechoice.Incarnation]*engine
+	// reference is the median over the engines of the ratio of their newest observation.
+	reference float64
+	// severalNodes reports that more than one node observes the lane's engines.
+	severalNodes bool
+}
+
+var _ grant.EngineSpeeds = (*Tracker)(nil)
+
+// New returns a tracker that takes all engines for equally fast.
+func New() *Tracker {
+	return &Tracker{engines: make(map[enginechoice.Incarnation]*engine)}
+}
+
+// ObserveFirstToken implements grant.EngineSpeeds. A request at an engine without a free slot
+// may have waited there, so its time tells nothing.
+func (t *Tracker) ObserveFirstToken(id enginechoice.Incarnation, first grant.FirstToken, at grant.Observed) {
+	if at.Fullness > 1 {
+		return
+	}
+	classes := &t.usual.firstTokens[sizeClass(first.PrefillTokens)]
+	t.observe(id, classes, logSeconds(first.Elapsed.Seconds()), at, "")
+}
+
+// ObservePace implements grant.EngineSpeeds. The paces that one node reports of an engine
+// replace each other, since they may be of one request.
+func (t *Tracker) ObservePace(id enginechoice.Incarnation, pace grant.Pace, at grant.Observed) {
+	if pace.Events > 0 {
+		t.observe(id, &t.usual.paces, logSeconds(pace.Elapsed.Seconds()/float64(pace.Events)), at, "pace/"+at.Node)
+	}
+}
+
+// ObserveLoad implements grant.EngineSpeeds. The engine's own figure counts as one observation.
+func (t *Tracker) ObserveLoad(id enginechoice.Incarnation, load grant.Load, at grant.Observed) {
+	if load.WorkPercent > 0 {
+		t.add(id, observation{at: at.At, ratio: math.Log(float64(load.WorkPercent) / usualPercent)})
+	}
+}
+
+// usualPercent is the figure of an engine where work takes as long as usual.
+const usualPercent = 100
+
+// ObserveSilence implements grant.EngineSpeeds. The time so far is a lower bound of the time to
+// the first token; it counts once it is slow.
+func (t *Tracker) ObserveSilence(id enginechoice.Incarnation, request string, first grant.FirstToken, at grant.Observed) {
+	if at.Fullness > 1 {
+		return
+	}
+	usually, known := medianFor(&t.usual.firstTokens[sizeClass(first.PrefillTokens)], fullnessClass(at.Fullness))
+	ratio := logSeconds(first.Elapsed.Seconds()) - usually
+	if known && t.slow(ratio) {
+		t.add(id, observation{key: "silence/" + request, node: at.Node, at: at.At, ratio: ratio})
+	}
+}
+
+// observe records the logarithm of a duration. It updates the usual time, unless the engine is
+// slow or seems so.
+func (t *Tracker) observe(id enginechoice.Incarnation, classes *[fullnessClasses]median, value float64, at grant.Observed, key string) {
+	class := fullnessClass(at.Fullness)
+	usually, known := medianFor(classes, class)
+	if known {
+		t.add(id, observation{key: key, node: at.Node, at: at.At, ratio: value - usually})
+	}
+	if found := t.engines[id]; found == nil || !t.seemsSlow(found) {
+		classes[class].observe(value)
+	}
+}
+
+// seemsSlow reports whether an engine is slow, or half of the observations that would make it
+// so are there.
+func (t *Tracker) seemsSlow(e *engine) bool {
+	if e.isSlow() || len(e.recent) < agreeing/2 {
+		return e.isSlow()
+	}
+	for _, seen := range e.recent[len(e.recent)-agreeing/2:] {
+		if !t.slow(seen.ratio) {
+			return false
+		}
+	}
+	return true
+}
+
+// slow reports whether the ratio of an observation is slow.
+func (t *Tracker) slow(ratio float64) bool { return ratio-t.reference >= math.Log(slowFrom) }
+
+// add adds an observation of an engine.
+func (t *Tracker) add(id enginechoice.Incarnation, seen observation) {
+	known := t.engines[id]
+	if known == nil {
+		known = &engine{recent: make([]observation, 0, maxObservations)}
+		t.engines[id] = known
+	}
+	known.fresh = true
+	if seen.key != "" {
+		known.recent = slices.DeleteFunc(known.recent, func(other observation) bool { return other.key == seen.key })
+	}
+	if len(known.recent) == maxObservations {
+		known.recent = slices.Delete(known.recent, 0, 1)
+	}
+	known.recent = append(known.recent, seen)
+}
+
+// Granted implements grant.EngineSpeeds.
+func (t *Tracker) Granted(id enginechoice.Incarnation, now time.Time) {
+	if known := t.engines[id]; known != nil && known.grants > 0 {
+		known.grants--
+		known.probedAt = now
+	}
+}
+
+// Remove implements grant.EngineSpeeds.
+func (t *Tracker) Remove(id enginechoice.Incarnation) { delete(t.engines, id) }
+
+// Speed implements grant.EngineSpeeds.
+func (t *Tracker) Speed(id enginechoice.Incarnation) enginechoice.Speed {
+	known := t.engines[id]
+	if known == nil || !known.isSlow() {
+		return enginechoice.Speed{}
+	}
+	return enginechoice.Speed{Slowness: known.slowness, Grants: known.grants}
+}
--- a/internal/core/grant/dispatcher.go
+++ b/internal/core/grant/dispatcher.go
@@ -96,6 +96,9 @@
 	// suspects holds the in-flight requests whose content is suspected of crashing
 	// engines.
 	suspects map[*inFlightRequest]bool
+	// slow holds the engines that are slower than usual.
+	slow         map[enginechoice.Incarnation]bool
+	speedChanges []SpeedChange // since the last SpeedChanges
 }
 
 // NewDispatcher returns a dispatcher of a lane that has no engines yet. Self is the name
@@ -104,7 +107,7 @@
 	return &Dispatcher{
 		config: config, policies: Policies{}.withDefaults(), lane: lane, engines: enginechoice.NewSet(self), engineByHash: make(map[uint64]enginechoice.Incarnation),
 		startedAt: now, nodes: make(map[string]*nodeState), replies: make(map[string]*Reply),
-		suspects: make(map[*inFlightRequest]bool),
+		suspects: make(map[*inFlightRequest]bool), slow: make(map[enginechoice.Incarnation]bool),
 	}
 }
 
@@ -161,6 +164,8 @@
 	engine, listed := d.engineByHash[hash]
 	if listed {
 		d.engines.Remove(engine, false, now)
+		d.policies.Speeds.Remove(engine)
+		delete(d.slow, engine)
 		delete(d.engineByHash, hash)
 	}
 	return listed
@@ -247,7 +252,7 @@
 		known.connected[d.engineByHash[engine]] = true
 	}
 	d.updateInFlight(from, known, state, now)
-	d.observe(state, now)
+	d.observe(from, state, now)
 	d.updateQueue(from, known, state, now)
 	d.grantOnline(now)
 	reply := d.reply(from)
@@ -257,22 +262,6 @@
 	}
 }
 
-// observe records what a State tells of the engines.
-func (d *Dispatcher) observe(state State, now time.Time) {
-	for _, load := range state.Loads {
-		engine := d.engineByHash[load.Engine]
-		d.engines.RecordReport(engine, load.Running, load.Waiting, now)
-		d.policies.Speeds.ObserveLoad(engine, load, now)
-	}
-	for _, first := range state.Firsts {
-		d.firstTokens.observe(first)
-		d.policies.Speeds.ObserveFirstToken(d.engineByHash[first.Engine], first, now)
-	}
-	for _, pace := range state.Paces {
-		d.policies.Speeds.ObservePace(d.engineByHash[pace.Engine], pace, now)
-	}
-}
-
 // updateInFlight updates a node's in-flight requests from its State.
 func (d *Dispatcher) updateInFlight(from string, known *nodeState, state State, now time.Time) {
 	ended := make(map[uint64]Ended, len(state.Ended))
@@ -321,7 +310,9 @@
 	}
 	if held.Started {
 		d.engines.FirstToken(request.engine, request.work)
+		return
 	}
+	d.observeSilence(request, now)
 }
 
 // addReported counts a request that another dispatcher granted, or for which the node
@@ -375,6 +366,7 @@
 			}
 		}
 	}
+	d.reviewSpeeds(now)
 	d.engines.UpdateOnlinePeaks(now)
 	for _, overcommit := range d.engines.Overcommitted(now) {
 		for range overcommit.Preempt {
--- a/internal/core/grant/policies.go
+++ b/internal/core/grant/policies.go
@@ -80,12 +80,37 @@
 
 // EngineSpeeds learns how fast the engines of a lane work.
 type EngineSpeeds interface {
-	ObserveFirstToken(engine enginechoice.Incarnation, first FirstToken, now time.Time)
-	ObservePace(engine enginechoice.Incarnation, pace Pace, now time.Time)
-	ObserveLoad(engine enginechoice.Incarnation, load Load, now time.Time)
-	// Slowness returns the time that work takes at an engine, relative to what it takes at
-	// an engine of the usual speed.
-	Slowness(engine enginechoice.Incarnation, now time.Time) float64
+	ObserveFirstToken(engine enginechoice.Incarnation, first FirstToken, at Observed)
+	ObservePace(engine enginechoice.Incarnation, pace Pace, at Observed)
+	ObserveLoad(engine enginechoice.Incarnation, load Load, at Observed)
+	// ObserveSilence records that a request has had no first token for first.Elapsed. The
+	// request is named by its node's address and its ID.
+	ObserveSilence(engine enginechoice.Incarnation, request string, first FirstToken, at Observed)
+	// Granted records that a request was granted an engine.
+	Granted(engine enginechoice.Incarnation, now time.Time)
+	// Remove drops what is known about an engine that is no longer listed.
+	Remove(engine enginechoice.Incarnation)
+	// Review decides which engines are slow. It returns those for which that has changed.
+	Review(now time.Time) []SpeedChange
+	// Speed returns the speed of an engine as of the last Review.
+	Speed(engine enginechoice.Incarnation) enginechoice.Speed
+}
+
+// Observed is the circumstances of an observation of an engine.
+type Observed struct {
+	Node     string  // which node observed it
+	Fullness float64 // requests at the engine as a share of its slots
+	At       time.Time
+}
+
+// SpeedChange reports that an engine is taken for slow, or no longer is, and the observations
+// that led to it.
+type SpeedChange struct {
+	Engine         enginechoice.Incarnation
+	Slowness       float64 // 1 if the engine is no longer slow
+	Observations   int
+	Newest, Oldest time.Duration // ages of the observations
+	SlowFor        time.Duration // how long the engine was slow
 }
 
 // withDefaults replaces the policies that are nil.
@@ -142,13 +167,25 @@
 type equalSpeeds struct{}
 
 // ObserveFirstToken implements EngineSpeeds.
-func (equalSpeeds) ObserveFirstToken(enginechoice.Incarnation, FirstToken, time.Time) {}
+func (equalSpeeds) ObserveFirstToken(enginechoice.Incarnation, FirstToken, Observed) {}
 
 // ObservePace implements EngineSpeeds.
-func (equalSpeeds) ObservePace(enginechoice.Incarnation, Pace, time.Time) {}
+func (equalSpeeds) ObservePace(enginechoice.Incarnation, Pace, Observed) {}
 
 // ObserveLoad implements EngineSpeeds.
-func (equalSpeeds) ObserveLoad(enginechoice.Incarnation, Load, time.Time) {}
+func (equalSpeeds) ObserveLoad(enginechoice.Incarnation, Load, Observed) {}
+
+// ObserveSilence implements EngineSpeeds.
+func (equalSpeeds) ObserveSilence(enginechoice.Incarnation, string, FirstToken, Observed) {}
+
+// Granted implements EngineSpeeds.
+func (equalSpeeds) Granted(enginechoice.Incarnation, time.Time) {}
+
+// Remove implements EngineSpeeds.
+func (equalSpeeds) Remove(enginechoice.Incarnation) {}
+
+// Review implements EngineSpeeds.
+func (equalSpeeds) Review(time.Time) []SpeedChange { return nil }
 
-// Slowness implements EngineSpeeds.
-func (equalSpeeds) Slowness(enginechoice.Incarnation, time.Time) float64 { return 1 }
+// Speed implements EngineSpeeds.
+func (equalSpeeds) Speed(enginechoice.Incarnation) enginechoice.Speed { return enginechoice.Speed{} }
--- a/internal/core/grant/poll.go
+++ b/internal/core/grant/poll.go
@@ -175,6 +175,10 @@
 	}
 	clear(r.loads)
 	state.Firsts, r.firsts = r.firsts, nil
+	for _, engine := range slices.Sorted(maps.Keys(r.paces)) {
+		state.Paces = append(state.Paces, r.paces[engine])
+	}
+	clear(r.paces)
 	return state
 }
 
--- a/internal/core/grant/queue.go
+++ b/internal/core/grant/queue.go
@@ -102,7 +102,7 @@
 		return
 	}
 	queue := d.arrange(now)
-	full := false
+	full, tooSlow := false, 0
 	for _, waiting := range queue {
 		entry := waiting.entry
 		if entry.ask.Queued && !entry.Place && now.Sub(d.busySince) < d.config.RequeuedStartDelay {
@@ -111,8 +111,11 @@
 		if full && !entry.Place && len(entry.ask.Exclude) == 0 {
 			continue
 		}
-		granted := d.tryGrant(entry, now)
-		full = full || (!granted && entry.ask.Suspect.Content == 0)
+		result := d.tryGrant(entry, now)
+		if result == onlyTooSlow {
+			tooSlow++
+		}
+		full = full || tooSlow >= maxTooSlow || (result == notGranted && entry.ask.Suspect.Content == 0)
 	}
 	d.dropDequeued()
 	d.refuseOverload(now)
@@ -159,20 +162,38 @@
 	return LaneLoad{Slots: slots, Online: online, Batch: batch}
 }
 
-// tryGrant grants an entry the best engine. It reports whether an engine could be
-// granted; an online request needs a free slot unless it asks for placement.
-func (d *Dispatcher) tryGrant(entry *queuedAsk, now time.Time) bool {
+// grantResult is the result of an attempt to grant a request an engine.
+type grantResult uint8
+
+const (
+	notGranted  grantResult = iota // no engine has room for it
+	onlyTooSlow                    // only engines at which it would be late have room for it
+	isGranted
+)
+
+// tryGrant grants an entry the best engine. An online request needs a free slot, at an engine
+// at which it can be in time if it can be at all, unless it asks for placement.
+func (d *Dispatcher) tryGrant(entry *queuedAsk, now time.Time) grantResult {
 	known := d.nodes[entry.Node]
-	choice, found := d.pick(entry, d.query(entry, known), now)
+	query := d.query(entry, known)
+	query.MaxSlowness = maxSlowness(entry, now)
+	choice, found := d.pick(entry, query, now)
 	if !found || (!entry.ask.Batch && !entry.Place && !choice.HasSlot()) {
-		return false
+		return notGranted
+	}
+	if tooSlow(entry, query, choice) {
+		return onlyTooSlow
 	}
 	if choice.Preempts {
 		d.preemptNewestBatch(choice.Entry.Incarnation(), now)
 	}
 	d.engines.RecordPrompt(choice.Entry.Incarnation(), entry.ask.Shared, now)
 	d.commitGrant(known, entry, choice, now)
-	return true
+	d.policies.Speeds.Granted(choice.Entry.Incarnation(), now)
+	if d.slow[choice.Entry.Incarnation()] {
+		d.engines.SetSpeed(choice.Entry.Incarnation(), d.policies.Speeds.Speed(choice.Entry.Incarnation()))
+	}
+	return isGranted
 }
 
 // commitGrant grants an entry the chosen engine and counts the request there. The Choice
@@ -184,7 +205,7 @@
 		node: entry.Node, id: entry.ask.ID, engine: choice.Entry.Incarnation(), work: work, since: now,
 		grant: Grant{
 			ID: entry.ask.ID, Engine: EngineHash(choice.Entry.Incarnation()), PrefillTokens: choice.PrefillTokens,
-			InFlight: choice.InFlight, Score: choice.Score, Preempts: choice.Preempts, Waited: now.Sub(entry.Since),
+			InFlight: choice.InFlight, Score: choice.Score, Preempts: choice.Preempts, Waited: now.Sub(entry.Since), Slowness: choice.Slowness,
 		},
 		suspect: entry.ask.Suspect, owner: entry.ask.Owner,
 	}
@@ -276,7 +297,7 @@
 	}
 	capacity := d.engines.BatchCapacity(d.lane.Pool, queue[0].ask.RoomPercent, now)
 	for _, entry := range queue[:min(capacity, len(queue))] {
-		if !d.tryGrant(entry, now) && entry.ask.Suspect.Content == 0 {
+		if d.tryGrant(entry, now) != isGranted && entry.ask.Suspect.Content == 0 {
 			return // keep the free capacity for the requests at the front
 		}
 	}
--- a/internal/core/grant/requester.go
+++ b/internal/core/grant/requester.go
@@ -56,6 +56,9 @@
 // maxFirstTokens bounds the first tokens that one message reports.
 const maxFirstTokens = 16
 
+// maxPaces bounds the engines whose paces one message reports.
+const maxPaces = 32
+
 // pendingAsk is a request that waits for its grant.
 type pendingAsk struct {
 	ask           Ask
@@ -108,6 +111,7 @@
 	ended  []endedReport
 	loads  map[uint64]Load
 	firsts []FirstToken
+	paces  map[uint64]Pace // by engine; the sum of those not sent
 
 	sequence   uint64
 	unanswered []sentState // sent to current without a reply so far
@@ -129,6 +133,7 @@
 	return &Requester{
 		config: config, life: life, zone: zone, backoffs: make(map[string]backoff),
 		asks: make(map[uint64]*pendingAsk), held: make(map[uint64]*heldRequest), loads: make(map[uint64]Load),
+		paces: make(map[uint64]Pace),
 	}
 }
 
@@ -262,6 +267,15 @@
 // RecordReport records an engine's own count of its requests, to be sent with the next State.
 func (r *Requester) RecordReport(load Load) { r.loads[load.Engine] = load }
 
+// RecordPace records the pace of a request's events, to be sent with the next State.
+func (r *Requester) RecordPace(pace Pace) {
+	known, found := r.paces[pace.Engine]
+	if !found && len(r.paces) == maxPaces {
+		return
+	}
+	r.paces[pace.Engine] = Pace{Engine: pace.Engine, Events: known.Events + pace.Events, Elapsed: known.Elapsed + pace.Elapsed}
+}
+
 // scheduleSend schedules a message within SendDelay of a time.
 func (r *Requester) scheduleSend(now time.Time) {
 	if at := now.Add(r.config.SendDelay); r.nextSendAt.IsZero() || at.Before(r.nextSendAt) {
