slots: report paces of events, use the speeds of engines

Cause: nothing filled Paces and WorkPercent, and nothing told an operator of slow engines. Measured: go test ./internal/passthrough/slots ./internal/passthrough/relay ./internal/passthrough/batch.

--- a/internal/events/passthrough.go
+++ b/internal/events/passthrough.go
@@ -47,6 +47,10 @@
 	CrashesKept    = Define(Event{Number: 8146, Name: "crashes kept in the store", Level: zapcore.InfoLevel, Fields: []string{"content", "crashes", "error"}})
 	ItemHeld       = Define(Event{Number: 8147, Name: "item held, its content is blocked", Level: zapcore.InfoLevel, Fields: []string{"job", "request", "content", "crashes", "evidence", "for"}})
 
+	EngineSlow           = Define(Event{Number: 8160, Name: "engine is slow", Level: zapcore.InfoLevel, Fields: []string{"pool", "part", "engine", "slowness", "observations", "newest", "oldest"}, Action: "Work takes slowness times as long at this engine as at the others of its lane, by its last observations, the newest and oldest of these ages. It gets work only where that is better than waiting. See docs/operations/routing.md."})
+	EngineUsualSpeed     = Define(Event{Number: 8161, Name: "engine has the usual speed again", Level: zapcore.InfoLevel, Fields: []string{"pool", "part", "engine", "slow_for", "observations", "newest", "oldest"}})
+	EngineLoadUnreadable = Define(Event{Number: 8162, Name: "load of an engine not readable", Level: zapcore.InfoLevel, Fields: []string{"engine"}, Action: "The header with the engine's load has neither three nor four figures; it is ignored. Logged once for each engine."})
+
 	PeerUnanswered          = Define(Event{Number: 8030, Name: "peer did not answer", Level: zapcore.DebugLevel, Fields: []string{"peer", "error"}})
 	PeerDocumentsApplied    = Define(Event{Number: 8031, Name: "documents taken from a peer", Level: zapcore.InfoLevel, Fields: []string{"peer", "routes_version", "rows", "age"}})
 	StoreConnectionLost     = Define(Event{Number: 8033, Name: "own way to the store lost", Level: zapcore.WarnLevel, Fields: []string{"failures", "error"}, Action: "The node has peers make its calls to the store while they reach it. One node alone with this line points at its machine or at the store's view of it; all of them, at the store."})
--- a/internal/passthrough/batch/run.go
+++ b/internal/passthrough/batch/run.go
@@ -218,9 +218,7 @@
 func (s *Service) readItem(r itemRun, answer *engineconn.Exchange) (runOutcome, error) {
 	response := answer.Response
 	headers := s.Headers.Answer(response.StatusCode, response.Header)
-	if headers.LoadKnown {
-		r.decision.Slot.RecordReport(headers.Load.Running, headers.Load.Waiting)
-	}
+	r.decision.Slot.RecordLoad(headers)
 	answer.SetReadDeadline(time.Now().Add(eventTimeout))
 	switch {
 	case headers.NotRun:
@@ -253,11 +251,16 @@
 	splitter := relay.NewSplitter(r.job.work[r.index].text.lastEvent)
 	s.mu.Unlock()
 	buffer := make([]byte, 16<<10)
+	var waited time.Duration // for the events to come
 	for {
 		response.SetReadDeadline(time.Now().Add(eventTimeout))
+		waitedFrom, before := time.Now(), splitter.Count()
 		count, err := response.Read(buffer)
+		waited += time.Since(waitedFrom)
 		whole, tooLong := splitter.Add(buffer[:count])
 		if len(whole) > 0 {
+			r.decision.Slot.RecordEvents(splitter.Count()-before, waited)
+			waited = 0
 			s.keepEvents(r, whole)
 		}
 		switch {
--- a/internal/passthrough/relay/attempt.go
+++ b/internal/passthrough/relay/attempt.go
@@ -160,9 +160,7 @@
 	}
 	response := answer.Response
 	metadata := e.headers.Answer(response.StatusCode, response.Header)
-	if metadata.LoadKnown {
-		decision.Slot.RecordReport(metadata.Load.Running, metadata.Load.Waiting)
-	}
+	decision.Slot.RecordLoad(metadata)
 	if metadata.NotRun {
 		return e.discardRefusal(answer, decision.Choice)
 	}
@@ -216,12 +214,17 @@
 	e.stream.Restart()
 	flusher := http.NewResponseController(e.to)
 	buffer := make([]byte, 16<<10)
+	var waited time.Duration // for the events to come
 	for {
 		answer.SetReadDeadline(e.readDeadline())
+		waitedFrom, before := time.Now(), e.stream.Count()
 		count, err := answer.Read(buffer)
+		waited += time.Since(waitedFrom)
 		whole, tooLong := e.stream.Add(buffer[:count])
 		if len(whole) > 0 {
 			e.recordFirstEvent(slot)
+			slot.RecordEvents(e.stream.Count()-before, waited)
+			waited = 0
 			e.sendHead(answer.Response)
 			if _, failed := e.to.Write(whole); failed != nil {
 				return ClientGone, failed
--- a/internal/passthrough/slots/acquire.go
+++ b/internal/passthrough/slots/acquire.go
@@ -391,7 +391,7 @@
 	}
 	decision := Decision{Source: ByDispatcher, From: received.from, Choice: enginechoice.Choice{
 		Entry: listed.Entry, State: listed.State, Score: received.grant.Score, PrefillTokens: received.grant.PrefillTokens,
-		InFlight: received.grant.InFlight, Preempts: received.grant.Preempts,
+		InFlight: received.grant.InFlight, Preempts: received.grant.Preempts, Slowness: received.grant.Slowness,
 	}}
 	if received.from == s.Self {
 		decision.Source = ByLocalDispatcher
--- a/internal/passthrough/slots/messages.go
+++ b/internal/passthrough/slots/messages.go
@@ -19,6 +19,7 @@
 	noDispatcher      []uint64 // online asks that no dispatcher has answered; this node chooses the engine
 	stops             []uint64 // ask ids of this node's batch runs to stop
 	dispatcherChanges []dispatcherChange
+	speedChanges      []speedChange
 }
 
 type outgoingState struct {
@@ -152,6 +153,9 @@
 		events.DispatcherChanged.Log(s.Logger, zap.String("pool", change.lane.Pool), zap.Uint32("part", change.lane.Part), zap.Uint32("parts", change.lane.Parts),
 			zap.String("from", change.from), zap.String("to", change.to))
 	}
+	for _, change := range out.speedChanges {
+		s.logSpeedChange(change)
+	}
 	for _, message := range out.states {
 		s.transport.SendState(message.to, message.lane, message.state)
 	}
--- a/internal/passthrough/slots/slot.go
+++ b/internal/passthrough/slots/slot.go
@@ -15,6 +15,7 @@
 	engine  enginechoice.Incarnation
 	shared  []enginechoice.Part
 	counted *enginechoice.Work
+	pace    paceWindow
 }
 
 // beginSlot counts a request at an engine, both locally and at the lane's dispatcher.
@@ -53,17 +54,6 @@
 	s.service.updateRequester(s.lane, func(requester *laneRequester, now time.Time) { requester.Started(s.id, now) })
 }
 
-// RecordReport records the engine's own counts of running and waiting requests, taken from the
-// response headers.
-func (s *Slot) RecordReport(running, waiting int) {
-	s.service.Engines.Use(func(set *enginechoice.Set, now time.Time) { set.RecordReport(s.engine, running, waiting, now) })
-	s.service.mu.Lock()
-	defer s.service.mu.Unlock()
-	if requester := s.service.requesters[s.lane]; requester != nil {
-		requester.RecordReport(grant.Load{Engine: grant.EngineHash(s.engine), Running: running, Waiting: waiting})
-	}
-}
-
 // End releases the slot. Refused says that the engine's address refused the connection. Further
 // calls of End have no effect.
 func (s *Slot) End(result enginechoice.Result, refused bool) {
@@ -73,6 +63,7 @@
 			set.ConnectionRefused(s.engine, now)
 		}
 	})
+	s.reportPace()
 	ended := grant.Ended{ID: s.id, Engine: grant.EngineHash(s.engine), Result: result, Refused: refused}
 	s.service.updateRequester(s.lane, func(requester *laneRequester, now time.Time) { requester.End(ended, now) })
 }
--- a/internal/passthrough/slots/slots.go
+++ b/internal/passthrough/slots/slots.go
@@ -107,9 +107,10 @@
 	refreshedAt      time.Time
 	rankedCandidates []grant.Candidate // the candidates of the current dispatcher rankings
 	limits           limits
-	liveNodeCount    int                // live nodes, including this one; 0: unknown
-	localQuota       *quota.RateCounter // this node's share of the limits, used while it reaches no dispatcher
-	nextWake         time.Time          // when the loop wakes next
+	liveNodeCount    int                               // live nodes, including this one; 0: unknown
+	unreadableLoads  map[enginechoice.Incarnation]bool // engines whose unreadable load was logged
+	localQuota       *quota.RateCounter                // this node's share of the limits, used while it reaches no dispatcher
+	nextWake         time.Time                         // when the loop wakes next
 }
 
 // New returns a service. Run does its periodic work.
@@ -119,7 +120,7 @@
 		Dependencies: dependencies, lifeHash: grant.LifeHash(dependencies.Incarnation), wake: make(chan struct{}, 1),
 		requesters: make(map[grant.Lane]*laneRequester), dispatchers: make(map[grant.Lane]*laneDispatcher),
 		waiters: make(map[uint64]*waiter), batchRequests: make(map[uint64]BatchRequest), batchLanes: make(map[uint64]grant.Lane),
-		engines: newEngineView(),
+		engines: newEngineView(), unreadableLoads: make(map[enginechoice.Incarnation]bool),
 	}
 }
 
@@ -188,6 +189,9 @@
 		if now.Sub(dispatcher.lastTick) >= tickInterval {
 			dispatcher.lastTick = now
 			dispatcher.Tick(now)
+			for _, change := range dispatcher.SpeedChanges() {
+				out.speedChanges = append(out.speedChanges, speedChange{lane: lane, change: change})
+			}
 			s.collectReplies(lane, dispatcher, now, out)
 		}
 	}
@@ -281,6 +285,7 @@
 	for _, known := range s.dispatchers {
 		known.SetLive(s.liveNodeCount)
 	}
+	s.updateSpeedMetrics()
 	s.attachToLimitLanes(candidates, now)
 }
 
--- /dev/null
+++ b/internal/passthrough/slots/speeds.go
@@ -0,0 +1,123 @@
+package slots
+
+import (
+	"time"
+
+	"go.uber.org/zap"
+
+	"ringstream.example/ringstream/internal/core/enginechoice"
+	"ringstream.example/ringstream/internal/core/grant"
+	"ringstream.example/ringstream/internal/events"
+	"ringstream.example/ringstream/internal/passthrough"
+)
+
+// paceInterval is how long the events of a request are counted before their pace is reported.
+// The node's next message to the dispatcher may be that much later.
+const paceInterval = grant.RefreshInterval / 2
+
+// paceWindow counts the events of a request since its pace was last reported.
+type paceWindow struct {
+	started bool // the first event has arrived
+	events  int
+	waited  time.Duration // for these events
+}
+
+// RecordEvents records the arrival of events of the request, and how long the engine was waited
+// for before them. It must not be called concurrently with itself or End.
+func (s *Slot) RecordEvents(count int, waited time.Duration) {
+	if !s.service.config.Scheduling.EngineSpeeds {
+		return
+	}
+	if !s.pace.started {
+		s.pace.started = true
+		return
+	}
+	s.pace.events += count
+	s.pace.waited += waited
+	if s.pace.waited >= paceInterval {
+		s.reportPace()
+	}
+}
+
+// reportPace tells the lane's dispatcher the pace of the events that were counted.
+func (s *Slot) reportPace() {
+	if s.pace.events == 0 {
+		return
+	}
+	pace := grant.Pace{Engine: grant.EngineHash(s.engine), Events: s.pace.events, Elapsed: s.pace.waited}
+	s.pace.events, s.pace.waited = 0, 0
+	s.service.mu.Lock()
+	defer s.service.mu.Unlock()
+	if requester := s.service.requesters[s.lane]; requester != nil {
+		requester.RecordPace(pace)
+	}
+}
+
+// RecordLoad records the load that an engine states in the headers of its answer.
+func (s *Slot) RecordLoad(answer passthrough.EngineAnswer) {
+	if answer.LoadUnreadable {
+		s.service.logUnreadableLoad(s.engine)
+	}
+	if !answer.LoadKnown {
+		return
+	}
+	load := answer.Load
+	s.service.Engines.Use(func(set *enginechoice.Set, now time.Time) {
+		set.RecordReport(s.engine, load.Running, load.Waiting, now)
+	})
+	s.service.mu.Lock()
+	defer s.service.mu.Unlock()
+	if requester := s.service.requesters[s.lane]; requester != nil {
+		requester.RecordReport(grant.Load{Engine: grant.EngineHash(s.engine), Running: load.Running, Waiting: load.Waiting, WorkPercent: load.WorkPercent})
+	}
+}
+
+// maxUnreadableLoads bounds the engines whose unreadable load is remembered as logged.
+const maxUnreadableLoads = 1024
+
+// logUnreadableLoad logs, once for each engine, that its load cannot be read.
+func (s *Service) logUnreadableLoad(engine enginechoice.Incarnation) {
+	s.mu.Lock()
+	logged := s.unreadableLoads[engine] || len(s.unreadableLoads) >= maxUnreadableLoads
+	if !logged {
+		s.unreadableLoads[engine] = true
+	}
+	s.mu.Unlock()
+	if !logged {
+		events.EngineLoadUnreadable.Log(s.Logger, zap.Stringer("engine", engine))
+	}
+}
+
+// speedChange is an engine of a lane that is taken for slow, or no longer is.
+type speedChange struct {
+	lane   grant.Lane
+	change grant.SpeedChange
+}
+
+// logSpeedChange logs that an engine is taken for slow, or no longer is.
+func (s *Service) logSpeedChange(known speedChange) {
+	fields := []zap.Field{
+		zap.String("pool", known.lane.Pool), zap.Uint32("part", known.lane.Part), zap.Stringer("engine", known.change.Engine),
+		zap.Int("observations", known.change.Observations), zap.Duration("newest", known.change.Newest), zap.Duration("oldest", known.change.Oldest),
+	}
+	if known.change.Slowness > 1 {
+		events.EngineSlow.Log(s.Logger, append(fields, zap.Float64("slowness", known.change.Slowness))...)
+		return
+	}
+	events.EngineUsualSpeed.Log(s.Logger, append(fields, zap.Duration("slow_for", known.change.SlowFor))...)
+}
+
+// updateSpeedMetrics counts the slow engines of the lanes for which this node is the dispatcher.
+// The caller holds mu.
+func (s *Service) updateSpeedMetrics() {
+	if !s.config.Scheduling.EngineSpeeds {
+		return
+	}
+	var all []float64
+	for _, dispatcher := range s.dispatchers {
+		for _, slowness := range dispatcher.Slowness() {
+			all = append(all, slowness)
+		}
+	}
+	s.Metrics.setSlowness(all)
+}
