--- a/internal/core/enginespeed/enginespeed.go
+++ b/internal/core/enginespeed/enginespeed.go
@@ -28,17 +28,24 @@
 	// agreeing is the number of observations that must be slow, one after the other, before
 	// an engine is taken for slow. A request that stalls is one of them.
 	agreeing = 4
+	// agreeingOfOne is the same if all of them are of one node, and so may be of one request.
+	agreeingOfOne = 8
 	// agreeingFor is the time that these observations must span at least. Observations of the
 	// same moment may have one cause, such as a long prompt.
-	agreeingFor = 200 * time.Millisecond
-	// maxObservations bounds the observations that are kept. So many agree whatever time they
-	// span.
+	agreeingFor = 300 * time.Millisecond
+	// maxObservations bounds the observations of one kind that are kept. So many agree
+	// whatever time they span.
 	maxObservations = 16
 	// forgiving is the number of observations that must not be slow, one after the other,
 	// before an engine is used as usual again.
 	forgiving = 2
 	// observationAge is how long an observation counts.
 	observationAge = 4 * time.Second
+	// referenceAge is how long an observation counts for the median over the engines, while
+	// enough engines have newer ones. Engines without work would hold it back otherwise.
+	referenceAge = time.Second
+	// minReferences is the number of engines with such observations that is enough.
+	minReferences = 3
 	// probeAfter is how long a slow engine has given no observation when one request may use
 	// it as if it were not slow.
 	probeAfter = time.Second
@@ -47,40 +54,70 @@
 	recoveryGrants = 2
 	// forgetAfter is how long a slow engine has given no observation when it counts as usual.
 	forgetAfter = 30 * time.Second
-	// maxSlowness bounds what a single stalled request can make of an engine.
+	// maxSlowness bounds what a few stalled requests can make of an engine.
 	maxSlowness = 16
 )
 
+// kind is a kind of observations. Each is compared only with those of the same kind: the time
+// to a first token includes delays that do not depend on the engine's speed, so its ratio is
+// smaller than that of a pace.
+type kind int
+
+const (
+	ofFirstTokens kind = iota
+	ofPaces
+	ofLoads
+	kinds
+)
+
 // observation is the time that some work took, relative to the usual time.
 type observation struct {
 	key   string // observations of the same work replace each other; empty: none
-	node  string // which node observed it; empty: the engine itself
+	node  string // which node observed it
 	at    time.Time
 	ratio float64 // natural logarithm of the ratio to the usual time
+	// reference is the median over the engines when it was made.
+	reference float64
+}
+
+// evidence is what the observations of one kind tell about an engine.
+type evidence struct {
+	recent   []observation // the last ones, oldest first; at most maxObservations
+	fresh    bool          // recent has changed since the last review
+	slowness float64       // 0: the usual speed
 }
 
+// newest returns the last observation.
+func (e *evidence) newest() observation { return e.recent[len(e.recent)-1] }
+
 // engine is what a Tracker knows about one engine.
 type engine struct {
-	recent    []observation // the last observations, oldest first; at most maxObservations
-	fresh     bool          // recent has changed since the last review
-	slowSince time.Time     // zero: the engine has the usual speed
-	slowness  float64       // while it is slow
-	grants    int           // requests that may use it as if it were not slow
-	probedAt  time.Time     // when one of them was granted
+	evidence  [kinds]evidence
+	slowSince time.Time // zero: the engine has the usual speed
+	grants    int       // requests that may use it as if it were not slow
+	probedAt  time.Time // when one of them was granted
 }
 
-func (e *engine) isSlow() bool { return !e.slowSince.IsZero() }
+func (e *engine) isSlow() bool { return e.slowness() > 0 }
 
-// newest returns the last observation.
-func (e *engine) newest() observation { return e.recent[len(e.recent)-1] }
+// slowness returns the largest slowness that the observations of a kind tell; 0 if the engine
+// has the usual speed.
+func (e *engine) slowness() float64 {
+	slowness := 0.0
+	for i := range e.evidence {
+		slowness = max(slowness, e.evidence[i].slowness)
+	}
+	return slowness
+}
 
 // Tracker learns the speeds of the engines of one lane. It implements grant.EngineSpeeds.
 type Tracker struct {
 	usual   usual
 	engines map[enginechoice.Incarnation]*engine
-	// reference is the median over the engines of the ratio of their newest observation.
-	reference float64
-	// severalNodes reports that more than one node observes the lane's engines.
+	// reference is, for each kind, the median over the engines of the ratio of their newest
+	// observation.
+	reference [kinds]float64
+	// severalNodes reports that more than one node observes first tokens of the lane's engines.
 	severalNodes bool
 }
 
@@ -98,21 +135,20 @@
 		return
 	}
 	classes := &t.usual.firstTokens[sizeClass(first.PrefillTokens)]
-	t.observe(id, classes, logSeconds(first.Elapsed.Seconds()), at, "")
+	t.observe(id, ofFirstTokens, classes, logSeconds(first.Elapsed.Seconds()), at)
 }
 
-// ObservePace implements grant.EngineSpeeds. The paces that one node reports of an engine
-// replace each other, since they may be of one request.
+// ObservePace implements grant.EngineSpeeds.
 func (t *Tracker) ObservePace(id enginechoice.Incarnation, pace grant.Pace, at grant.Observed) {
 	if pace.Events > 0 {
-		t.observe(id, &t.usual.paces, logSeconds(pace.Elapsed.Seconds()/float64(pace.Events)), at, "pace/"+at.Node)
+		t.observe(id, ofPaces, &t.usual.paces, logSeconds(pace.Elapsed.Seconds()/float64(pace.Events)), at)
 	}
 }
 
 // ObserveLoad implements grant.EngineSpeeds. The engine's own figure counts as one observation.
 func (t *Tracker) ObserveLoad(id enginechoice.Incarnation, load grant.Load, at grant.Observed) {
 	if load.WorkPercent > 0 {
-		t.add(id, observation{at: at.At, ratio: math.Log(float64(load.WorkPercent) / usualPercent)})
+		t.add(id, ofLoads, observation{node: at.Node, at: at.At, ratio: math.Log(float64(load.WorkPercent) / usualPercent)})
 	}
 }
 
@@ -127,49 +163,54 @@
 	}
 	usually, known := medianFor(&t.usual.firstTokens[sizeClass(first.PrefillTokens)], fullnessClass(at.Fullness))
 	ratio := logSeconds(first.Elapsed.Seconds()) - usually
-	if known && t.slow(ratio) {
-		t.add(id, observation{key: "silence/" + request, node: at.Node, at: at.At, ratio: ratio})
+	seen := observation{key: request, node: at.Node, at: at.At, ratio: ratio, reference: t.reference[ofFirstTokens]}
+	if known && t.slow(ofFirstTokens, seen) {
+		t.add(id, ofFirstTokens, seen)
 	}
 }
 
 // observe records the logarithm of a duration. It updates the usual time, unless the engine is
 // slow or seems so.
-func (t *Tracker) observe(id enginechoice.Incarnation, classes *[fullnessClasses]median, value float64, at grant.Observed, key string) {
+func (t *Tracker) observe(id enginechoice.Incarnation, of kind, classes *[fullnessClasses]median, value float64, at grant.Observed) {
 	class := fullnessClass(at.Fullness)
 	usually, known := medianFor(classes, class)
 	if known {
-		t.add(id, observation{key: key, node: at.Node, at: at.At, ratio: value - usually})
+		t.add(id, of, observation{node: at.Node, at: at.At, ratio: value - usually})
 	}
-	if found := t.engines[id]; found == nil || !t.seemsSlow(found) {
+	if found := t.engines[id]; found == nil || !t.seemsSlow(found, of) {
 		classes[class].observe(value)
 	}
 }
 
-// seemsSlow reports whether an engine is slow, or half of the observations that would make it
-// so are there.
-func (t *Tracker) seemsSlow(e *engine) bool {
-	if e.isSlow() || len(e.recent) < agreeing/2 {
+// seemsSlow reports whether an engine is slow, or half of the observations of a kind that would
+// make it so are there.
+func (t *Tracker) seemsSlow(e *engine, of kind) bool {
+	recent := e.evidence[of].recent
+	if e.isSlow() || len(recent) < agreeing/2 {
 		return e.isSlow()
 	}
-	for _, seen := range e.recent[len(e.recent)-agreeing/2:] {
-		if !t.slow(seen.ratio) {
+	for _, seen := range recent[len(recent)-agreeing/2:] {
+		if !t.slow(of, seen) {
 			return false
 		}
 	}
 	return true
 }
 
-// slow reports whether the ratio of an observation is slow.
-func (t *Tracker) slow(ratio float64) bool { return ratio-t.reference >= math.Log(slowFrom) }
+// slow reports whether an observation is slow beside those of the other engines, both when it was
+// made and now: when all engines become slower, or faster again, some show it earlier than others.
+func (t *Tracker) slow(of kind, seen observation) bool {
+	return seen.ratio-max(seen.reference, t.reference[of]) >= math.Log(slowFrom)
+}
 
 // add adds an observation of an engine.
-func (t *Tracker) add(id enginechoice.Incarnation, seen observation) {
-	known := t.engines[id]
-	if known == nil {
-		known = &engine{recent: make([]observation, 0, maxObservations)}
-		t.engines[id] = known
+func (t *Tracker) add(id enginechoice.Incarnation, of kind, seen observation) {
+	if t.engines[id] == nil {
+		t.engines[id] = &engine{}
 	}
+	known := &t.engines[id].evidence[of]
 	known.fresh = true
+	seen.reference = t.reference[of]
 	if seen.key != "" {
 		known.recent = slices.DeleteFunc(known.recent, func(other observation) bool { return other.key == seen.key })
 	}
@@ -196,5 +237,5 @@
 	if known == nil || !known.isSlow() {
 		return enginechoice.Speed{}
 	}
-	return enginechoice.Speed{Slowness: known.slowness, Grants: known.grants}
+	return enginechoice.Speed{Slowness: known.slowness(), Grants: known.grants}
 }
--- a/internal/core/enginespeed/enginespeed_test.go
+++ b/internal/core/enginespeed/enginespeed_test.go
@@ -212,7 +212,7 @@
 		t.Fatalf("after four requests: %+v", changes)
 	}
 	tracker.ObserveSilence(ids[1], "n1/5", grant.FirstToken{PrefillTokens: 100, Elapsed: 25 * time.Millisecond}, grant.Observed{Node: "n1", At: now})
-	if tracker.engines[ids[1]].newest().key != "" {
+	if tracker.engines[ids[1]].evidence[ofFirstTokens].newest().key != "" {
 		t.Error("a request that has not waited long counts")
 	}
 }
@@ -223,14 +223,15 @@
 	for _, others := range []int{100, 400} {
 		tracker, ids := learned(5)
 		now := start.Add(time.Second)
-		for range agreeing {
+		for turn := range agreeing {
 			now = now.Add(agreeingStep)
 			for i, id := range ids {
 				percent := others
 				if i == 0 {
 					percent = 400
 				}
-				tracker.ObserveLoad(id, grant.Load{WorkPercent: percent}, grant.Observed{Node: "n1", At: now})
+				node := []string{"n1", "n2"}[turn%2]
+				tracker.ObserveLoad(id, grant.Load{WorkPercent: percent}, grant.Observed{Node: node, At: now})
 			}
 		}
 		changes := tracker.Review(now)
@@ -245,6 +246,9 @@
 func TestIdleSlowEngineIsProbed(t *testing.T) {
 	tracker, ids := learned(5)
 	now := start
+	for _, id := range ids[1:] {
+		tracker.ObserveLoad(id, grant.Load{WorkPercent: 100}, grant.Observed{At: now})
+	}
 	for range maxObservations {
 		tracker.ObserveLoad(ids[0], grant.Load{WorkPercent: 500}, grant.Observed{At: now})
 	}
@@ -270,54 +274,69 @@
 	}
 }
 
-// TestTrackerAgainstTheNaiveVersion compares a tracker with a recount of all observations, which
-// decides by their full history whether an engine is slow.
+// naiveTracker keeps all observations and counts them anew each time.
+type naiveTracker struct {
+	ratios, references [][]float64 // by engine: all observations, and the reference before each
+	slow               []bool
+	reference          float64
+}
+
+// TestTrackerAgainstTheNaiveVersion compares a tracker with the naive version.
 func TestTrackerAgainstTheNaiveVersion(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		engines := rapid.IntRange(1, 3).Draw(t, "engines")
 		tracker, ids := New(), make([]enginechoice.Incarnation, engines)
-		history, isSlow := make([][]float64, engines), make([]bool, engines)
+		naive := naiveTracker{ratios: make([][]float64, engines), references: make([][]float64, engines), slow: make([]bool, engines)}
 		for i := range ids {
 			ids[i] = enginechoice.Incarnation{ID: string(rune('a' + i))}
 		}
 		now := start
-		for range rapid.IntRange(1, int(observationAge/agreeingFor)*(agreeing-1)).Draw(t, "observations") {
+		for range rapid.IntRange(1, int(referenceAge/agreeingFor)*(agreeing-1)).Draw(t, "observations") {
 			now = now.Add(agreeingStep)
 			i := rapid.IntRange(0, engines-1).Draw(t, "engine")
 			percent := rapid.SampledFrom([]int{90, 100, 110, 300, 400}).Draw(t, "percent")
-			history[i] = append(history[i], math.Log(float64(percent)/usualPercent))
-			tracker.ObserveLoad(ids[i], grant.Load{WorkPercent: percent}, grant.Observed{At: now})
+			node := []string{"n1", "n2"}[len(naive.ratios[i])%2]
+			naive.observe(i, math.Log(float64(percent)/usualPercent))
+			tracker.ObserveLoad(ids[i], grant.Load{WorkPercent: percent}, grant.Observed{Node: node, At: now})
 			tracker.Review(now)
-			naiveReview(history, isSlow)
 			for j, id := range ids {
-				if slow := tracker.Speed(id).Slowness > 1; slow != isSlow[j] {
-					t.Fatalf("engine %d is slow: %t, want %t; observations %v", j, slow, isSlow[j], history)
+				if slow := tracker.Speed(id).Slowness > 1; slow != naive.slow[j] {
+					t.Fatalf("engine %d is slow: %t, want %t; observations %v", j, slow, naive.slow[j], naive.ratios)
 				}
 			}
 		}
 	})
 }
 
-// naiveReview updates which engines are slow from all observations.
-func naiveReview(history [][]float64, isSlow []bool) {
+func (n *naiveTracker) observe(engine int, ratio float64) {
+	n.ratios[engine] = append(n.ratios[engine], ratio)
+	n.references[engine] = append(n.references[engine], n.reference)
 	var newest []float64
-	for _, seen := range history {
+	for _, seen := range n.ratios {
 		if len(seen) > 0 {
 			newest = append(newest, seen[len(seen)-1])
 		}
 	}
 	slices.Sort(newest)
-	bound := newest[(len(newest)-1)/2] + math.Log(slowFrom)
-	for i, seen := range history {
-		last := func(count int, slow bool) bool {
-			return len(seen) >= count && !slices.ContainsFunc(seen[len(seen)-count:], func(ratio float64) bool { return (ratio >= bound) != slow })
-		}
-		if isSlow[i] {
-			isSlow[i] = !last(forgiving, false)
+	n.reference = newest[(len(newest)-1)/2]
+	for i := range n.slow {
+		if n.slow[i] {
+			n.slow[i] = !n.last(i, forgiving, false)
 		} else {
-			isSlow[i] = last(agreeing, true)
+			n.slow[i] = n.last(i, agreeing, true)
+		}
+	}
+}
+
+// last reports whether the last observations of an engine all are slow, or all are not.
+func (n *naiveTracker) last(engine, count int, slow bool) bool {
+	ratios, references := n.ratios[engine], n.references[engine]
+	for i := len(ratios) - 1; i >= 0 && i >= len(ratios)-count; i-- {
+		if (ratios[i] >= max(references[i], n.reference)+math.Log(slowFrom)) != slow {
+			return false
 		}
 	}
+	return len(ratios) >= count
 }
 
 // BenchmarkObserve measures one observation with the review that follows it, with as many
--- a/internal/core/enginespeed/review.go
+++ b/internal/core/enginespeed/review.go
@@ -1,6 +1,7 @@
 package enginespeed
 
 import (
+	"cmp"
 	"math"
 	"slices"
 	"time"
@@ -11,121 +12,175 @@
 
 // Review implements grant.EngineSpeeds.
 func (t *Tracker) Review(now time.Time) []grant.SpeedChange {
-	t.updateReference(now)
+	for of := range kinds {
+		t.updateReference(of, now)
+	}
 	var changes []grant.SpeedChange
 	for id, known := range t.engines {
-		if known.isSlow() {
-			changes = t.reviewSlow(changes, id, known, now)
-		} else if t.agreeSlow(known) {
-			known.slowSince, known.slowness, known.grants = now, t.slownessOf(known), 0
-			changes = append(changes, t.change(id, known, now))
+		if t.reviewEngine(known, now) {
+			changes = append(changes, changeOf(id, known, now))
 		}
-		known.fresh = false
-		if len(known.recent) == 0 && !known.isSlow() {
-			delete(t.engines, id)
+		if !known.isSlow() {
+			known.slowSince, known.grants = time.Time{}, 0
+			if known.observations() == 0 {
+				delete(t.engines, id)
+			}
 		}
 	}
+	slices.SortFunc(changes, func(a, b grant.SpeedChange) int { return cmp.Compare(a.Engine.ID, b.Engine.ID) })
 	return changes
 }
 
-// updateReference drops old observations and updates the median over the engines. Of an even
-// number of engines the faster half counts.
-func (t *Tracker) updateReference(now time.Time) {
-	newest := make([]float64, 0, len(t.engines))
-	node := ""
-	t.severalNodes = false
+// updateReference drops old observations of a kind and updates its median over the engines. Of
+// an even number of engines the faster half counts.
+func (t *Tracker) updateReference(of kind, now time.Time) {
+	newest, all := make([]float64, 0, len(t.engines)), make([]float64, 0, len(t.engines))
+	node, several := "", false
 	for _, known := range t.engines {
-		known.recent = slices.DeleteFunc(known.recent, func(seen observation) bool { return now.Sub(seen.at) > observationAge })
-		if len(known.recent) == 0 {
+		seen := &known.evidence[of]
+		seen.recent = slices.DeleteFunc(seen.recent, func(old observation) bool { return now.Sub(old.at) > observationAge })
+		if len(seen.recent) == 0 {
 			continue
 		}
-		newest = append(newest, known.newest().ratio)
-		if node == "" {
-			node = known.newest().node
-		} else if other := known.newest().node; other != "" && other != node {
-			t.severalNodes = true
+		latest := seen.newest()
+		all = append(all, latest.ratio)
+		if now.Sub(latest.at) <= referenceAge {
+			newest = append(newest, latest.ratio)
 		}
+		several = several || (node != "" && latest.node != node)
+		node = latest.node
+	}
+	if of == ofFirstTokens {
+		t.severalNodes = several
 	}
-	t.reference = 0
+	if len(newest) < minReferences {
+		newest = all
+	}
+	t.reference[of] = 0
 	if len(newest) > 0 {
 		slices.Sort(newest)
-		t.reference = newest[(len(newest)-1)/2]
+		t.reference[of] = newest[(len(newest)-1)/2]
 	}
 }
 
-// agreeSlow reports whether enough observations are slow, one after the other. Where several
-// nodes observe the lane's engines, one node alone does not suffice, since it may be slow itself.
-func (t *Tracker) agreeSlow(e *engine) bool {
-	latest := e.agreeing()
-	sameNode := len(latest) > 0 && latest[0].node != ""
-	for _, seen := range latest {
-		if !t.slow(seen.ratio) {
-			return false
+// reviewEngine decides whether an engine is slow. It reports whether that has changed.
+func (t *Tracker) reviewEngine(e *engine, now time.Time) bool {
+	before := e.slowness() > 0
+	good, fresh := false, false
+	for of := range kinds {
+		known := &e.evidence[of]
+		trailing := t.trailingGood(of, known)
+		switch {
+		case known.slowness == 0 && t.agreeSlow(of, known), known.slowness > 0 && known.fresh && trailing == 0:
+			known.slowness = t.slownessOf(of, known)
+		case known.slowness > 0 && trailing >= forgiving:
+			known.slowness = 0
 		}
-		sameNode = sameNode && seen.node == latest[0].node
+		good = good || (known.slowness > 0 && known.fresh && trailing > 0)
+		fresh = fresh || known.fresh
+		known.fresh = false
+	}
+	if e.slowness() == 0 {
+		return before
 	}
-	return len(latest) > 0 && (!sameNode || !t.severalNodes)
+	if !before {
+		e.slowSince, e.grants = now, 0
+		return true
+	}
+	return t.reviewSlow(e, good, fresh, now)
 }
 
-// agreeing returns the last observations that must agree; none if there are too few.
-func (e *engine) agreeing() []observation {
-	for first := len(e.recent) - agreeing; first >= 0; first-- {
-		if len(e.recent)-first == maxObservations || e.newest().at.Sub(e.recent[first].at) >= agreeingFor {
-			return e.recent[first:]
+// reviewSlow decides how many requests may use a slow engine as if it were not slow. Good and
+// fresh report that observations have come since the last review, and some that are not slow.
+// It reports whether the engine is no longer slow, as it has given no observation for long.
+func (t *Tracker) reviewSlow(e *engine, good, fresh bool, now time.Time) bool {
+	quiet := now.Sub(e.latest())
+	switch {
+	case quiet >= forgetAfter:
+		for of := range kinds {
+			e.evidence[of].slowness = 0
 		}
+		return true
+	case good:
+		e.grants = recoveryGrants
+	case fresh:
+		e.grants = 0
+	case quiet >= probeAfter:
+		e.grants = 1
 	}
-	return nil
+	return false
 }
 
-// reviewSlow updates an engine that is slow. It appends a change if the engine no longer is.
-func (t *Tracker) reviewSlow(changes []grant.SpeedChange, id enginechoice.Incarnation, e *engine, now time.Time) []grant.SpeedChange {
-	latest := e.probedAt
-	if len(e.recent) > 0 && e.newest().at.After(latest) {
-		latest = e.newest().at
+// latest returns when the engine last gave an observation or was probed.
+func (e *engine) latest() time.Time {
+	latest := e.slowSince
+	if e.probedAt.After(latest) {
+		latest = e.probedAt
+	}
+	for of := range kinds {
+		if known := &e.evidence[of]; len(known.recent) > 0 && known.newest().at.After(latest) {
+			latest = known.newest().at
+		}
 	}
-	if latest.Before(e.slowSince) {
-		latest = e.slowSince
+	return latest
+}
+
+// observations returns the number of observations of the engine that are kept.
+func (e *engine) observations() int {
+	count := 0
+	for of := range kinds {
+		count += len(e.evidence[of].recent)
 	}
-	good := t.trailingGood(e)
-	switch {
-	case good >= forgiving || now.Sub(latest) >= forgetAfter:
-		e.slowness = 0
-		changes = append(changes, t.change(id, e, now))
-		e.slowSince, e.grants = time.Time{}, 0
-	case e.fresh && good > 0:
-		e.grants = recoveryGrants
-	case e.fresh:
-		e.slowness, e.grants = t.slownessOf(e), 0
-	case now.Sub(latest) >= probeAfter:
-		e.grants = 1
+	return count
+}
+
+// agreeSlow reports whether enough observations are slow, one after the other. Those of one node
+// alone count less, since they may be of one request. Its first tokens do not suffice at all
+// where several nodes observe the lane, since the node may be slow itself.
+func (t *Tracker) agreeSlow(of kind, e *evidence) bool {
+	slow, sameNode := 0, true
+	for i := len(e.recent) - 1; i >= 0 && t.slow(of, e.recent[i]); i-- {
+		slow++
+		sameNode = sameNode && e.recent[i].node == e.newest().node
+		enough := slow >= agreeingOfOne && (of != ofFirstTokens || !t.severalNodes) || slow >= agreeing && !sameNode
+		longEnough := slow == maxObservations || e.newest().at.Sub(e.recent[i].at) >= agreeingFor
+		if enough && longEnough {
+			return true
+		}
 	}
-	return changes
+	return false
 }
 
 // trailingGood returns the number of the newest observations that are not slow.
-func (t *Tracker) trailingGood(e *engine) int {
+func (t *Tracker) trailingGood(of kind, e *evidence) int {
 	good := 0
-	for i := len(e.recent) - 1; i >= 0 && !t.slow(e.recent[i].ratio); i-- {
+	for i := len(e.recent) - 1; i >= 0 && !t.slow(of, e.recent[i]); i-- {
 		good++
 	}
 	return good
 }
 
-// slownessOf returns the slowness of an engine by its last observations.
-func (t *Tracker) slownessOf(e *engine) float64 {
+// slownessOf returns the slowness of an engine by its last observations of a kind.
+func (t *Tracker) slownessOf(of kind, e *evidence) float64 {
 	ratios := make([]float64, 0, agreeing)
 	for _, seen := range e.recent[max(len(e.recent)-agreeing, 0):] {
 		ratios = append(ratios, seen.ratio)
 	}
 	slices.Sort(ratios)
-	return min(max(math.Exp(ratios[(len(ratios)-1)/2]-t.reference), slowFrom), maxSlowness)
+	return min(max(math.Exp(ratios[(len(ratios)-1)/2]-t.reference[of]), slowFrom), maxSlowness)
 }
 
-// change returns what an operator is told of an engine whose speed has changed.
-func (t *Tracker) change(id enginechoice.Incarnation, e *engine, now time.Time) grant.SpeedChange {
-	change := grant.SpeedChange{Engine: id, Slowness: max(e.slowness, 1), Observations: len(e.recent), SlowFor: now.Sub(e.slowSince)}
-	if len(e.recent) > 0 {
-		change.Newest, change.Oldest = now.Sub(e.newest().at), now.Sub(e.recent[0].at)
+// changeOf returns what an operator is told of an engine whose speed has changed.
+func changeOf(id enginechoice.Incarnation, e *engine, now time.Time) grant.SpeedChange {
+	change := grant.SpeedChange{Engine: id, Slowness: max(e.slowness(), 1), Observations: e.observations(), SlowFor: now.Sub(e.slowSince)}
+	for of := range kinds {
+		if known := &e.evidence[of]; len(known.recent) > 0 {
+			newest, oldest := now.Sub(known.newest().at), now.Sub(known.recent[0].at)
+			if change.Oldest == 0 || newest < change.Newest {
+				change.Newest = newest
+			}
+			change.Oldest = max(change.Oldest, oldest)
+		}
 	}
 	return change
 }
--- a/internal/core/grant/requester.go
+++ b/internal/core/grant/requester.go
@@ -120,6 +120,7 @@
 	nextSendAt time.Time   // when to send the next message; zero if nothing has changed
 	roundTrip  time.Duration
 	attached   bool
+	queued     int // Reply.Queued of the newest reply
 	// suspendedSequence is the newest sequence from before the machine was suspended. The
 	// dispatcher has withdrawn the grants of replies to it.
 	suspendedSequence uint64
@@ -194,6 +195,10 @@
 // Attached reports whether the node stays attached while it has nothing in the lane.
 func (r *Requester) Attached() bool { return r.attached }
 
+// Queued returns the number of online requests of all nodes that waited for a slot when the
+// dispatcher last replied.
+func (r *Requester) Queued() int { return r.queued }
+
 // Idle reports whether the node has nothing in the lane.
 func (r *Requester) Idle() bool { return len(r.asks)+len(r.held)+len(r.ended) == 0 }
 
@@ -314,6 +319,7 @@
 	}
 	if from == r.current {
 		r.acknowledge(reply.Sequence, now)
+		r.queued = reply.Queued
 	}
 	for _, granted := range reply.Grants {
 		switch {
--- a/internal/passthrough/relay/attempt.go
+++ b/internal/passthrough/relay/attempt.go
@@ -52,6 +52,7 @@
 	e.currentAttempt.set(cancel)
 	defer e.currentAttempt.set(nil)
 	key := engineconn.Key{Engine: engine.Incarnation(), Address: engine.Address}
+	e.startPace(decision)
 	answer, err := e.pool.Do(ctx, key, e.request(decision.Choice, ctx, cancel))
 	outcome, status, interrupted := NotRun, 0, false
 	switch {
@@ -77,6 +78,7 @@
 		e.attempts++
 		e.mayHaveRun = true
 	}
+	e.recordPace(outcome)
 	e.releaseSlot(decision.Slot, outcome, err, deadlineCtx)
 	fields := []zap.Field{
 		zap.String("request", e.call.Demand.RequestID), zap.Stringer("engine", engine.Incarnation()), zap.Int("attempt", e.tries),
@@ -127,25 +129,6 @@
 	}
 }
 
-// Silence timeouts. A repeatable stream whose engine sends nothing for this long is resumed at
-// another engine while attempts are left. Other requests wait until their deadline.
-const (
-	minSilenceTimeout      = 700 * time.Millisecond
-	silenceObjectiveFactor = 4 // multiple of the first-event objective, before the first event
-	silencePauseFactor     = 3 // multiple of the pause objective, between events
-)
-
-// silenceTimeout returns how long an engine may send nothing. Zero means until the deadline.
-func (e *exchange) silenceTimeout() time.Duration {
-	if !e.call.Route.Repeatable() || e.attempts+1 >= e.call.Route.Attempts {
-		return 0
-	}
-	if e.stream.Count() == 0 {
-		return max(minSilenceTimeout, silenceObjectiveFactor*e.call.Route.Objective)
-	}
-	return max(minSilenceTimeout, silencePauseFactor*e.call.Route.PauseObjective)
-}
-
 // engineLikelyFull reports whether the engine is believed to have no free slot. Its silence then
 // means that the request is queued there, and another engine would queue it as well.
 func (e *exchange) engineLikelyFull(choice enginechoice.Choice) (full bool) {
@@ -223,7 +206,7 @@
 		whole, tooLong := e.stream.Add(buffer[:count])
 		if len(whole) > 0 {
 			e.recordFirstEvent(slot)
-			slot.RecordEvents(e.stream.Count()-before, waited)
+			e.recordEvents(e.stream.Count()-before, waited)
 			waited = 0
 			e.sendHead(answer.Response)
 			if _, failed := e.to.Write(whole); failed != nil {
@@ -244,6 +227,8 @@
 			return Failed, io.ErrUnexpectedEOF
 		case err != nil:
 			return Failed, err
+		case len(whole) > 0 && e.missesObjective():
+			return Failed, errSlowEngine
 		}
 	}
 }
@@ -285,7 +270,7 @@
 func (e *exchange) releaseSlot(slot *slots.Slot, outcome Outcome, err error, deadlineCtx context.Context) {
 	result := enginechoice.Succeeded
 	switch {
-	case outcome == ClientGone || (outcome == Failed && deadlineCtx.Err() != nil):
+	case outcome == ClientGone || errors.Is(err, errSlowEngine) || (outcome == Failed && deadlineCtx.Err() != nil):
 		result = enginechoice.Abandoned
 	case outcome == NotRun && err == nil:
 		result = enginechoice.Shed
--- /dev/null
+++ b/internal/passthrough/relay/move.go
@@ -0,0 +1,144 @@
+package relay
+
+import (
+	"errors"
+	"sync"
+	"time"
+
+	"ringstream.example/ringstream/internal/core/enginespeed"
+	"ringstream.example/ringstream/internal/passthrough/slots"
+)
+
+// errSlowEngine ends an attempt whose engine is too slow for the request's objectives.
+var errSlowEngine = errors.New("the engine is too slow for the pause objective or the deadline")
+
+// usualTimes holds what this node knows of the usual times of each route's requests. It is safe
+// for concurrent use.
+type usualTimes struct {
+	mu      sync.Mutex // guards byRoute
+	byRoute map[string]*enginespeed.UsualTimes
+}
+
+// maxUsualTimes bounds the routes whose usual times are kept.
+const maxUsualTimes = 256
+
+func newUsualTimes() *usualTimes {
+	return &usualTimes{byRoute: make(map[string]*enginespeed.UsualTimes)}
+}
+
+// of returns what is known of a route.
+func (u *usualTimes) of(route string) enginespeed.UsualTimes {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	if known := u.byRoute[route]; known != nil {
+		return *known
+	}
+	return enginespeed.UsualTimes{}
+}
+
+// update calls change for what is known of a route.
+func (u *usualTimes) update(route string, change func(*enginespeed.UsualTimes)) {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	known := u.byRoute[route]
+	if known == nil {
+		if len(u.byRoute) >= maxUsualTimes {
+			clear(u.byRoute) // the routes have changed many times
+		}
+		known = &enginespeed.UsualTimes{}
+		u.byRoute[route] = known
+	}
+	change(known)
+}
+
+// attemptPace is the pace of the attempt in flight.
+type attemptPace struct {
+	startedAt time.Time
+	usual     enginespeed.UsualTimes // of the route, when the attempt started
+	decision  slots.Decision
+	events    int           // events of this attempt after its first
+	waited    time.Duration // for these events
+	recent    time.Duration // smoothed time between two events
+	hasEvent  bool
+}
+
+// recentWeight is the weight of the newest event in the smoothed pace.
+const recentWeight = 0.4
+
+// startPace begins to measure an attempt.
+func (e *exchange) startPace(decision slots.Decision) {
+	e.pace = attemptPace{startedAt: time.Now(), decision: decision, usual: e.usual.of(e.call.Route.Name)}
+}
+
+// recordEvents records events of the attempt in flight, and how long the engine was waited for
+// before them.
+func (e *exchange) recordEvents(count int, waited time.Duration) {
+	e.pace.decision.Slot.RecordEvents(count, waited)
+	if e.pace.hasEvent && count > 0 {
+		e.pace.events += count
+		e.pace.waited += waited
+		pace := waited / time.Duration(count)
+		if e.pace.recent == 0 {
+			e.pace.recent = pace
+		}
+		e.pace.recent += time.Duration(recentWeight * float64(pace-e.pace.recent))
+	}
+	if e.pace.hasEvent {
+		return
+	}
+	e.pace.hasEvent = true
+	if e.atUsualSpeed() {
+		e.usual.update(e.call.Route.Name, func(usual *enginespeed.UsualTimes) { usual.ObserveFirstEvent(time.Since(e.pace.startedAt)) })
+	}
+}
+
+// recordPace records the pace of an attempt that has ended.
+func (e *exchange) recordPace(outcome Outcome) {
+	if e.pace.events == 0 || !e.atUsualSpeed() {
+		return
+	}
+	e.usual.update(e.call.Route.Name, func(usual *enginespeed.UsualTimes) {
+		usual.ObservePace(e.pace.events, e.pace.waited)
+		if outcome == Completed {
+			usual.ObserveEnd(e.stream.Count())
+		}
+	})
+}
+
+// atUsualSpeed reports whether the engine of the attempt has the usual speed and started the
+// request at once.
+func (e *exchange) atUsualSpeed() bool {
+	choice := e.pace.decision.Choice
+	return choice.Slowness <= 1 && choice.HasSlot()
+}
+
+// silenceTimeout returns how long the engine may send nothing; 0 means until the deadline.
+func (e *exchange) silenceTimeout() time.Duration { return e.movable().SilenceLimit() }
+
+// movable returns the attempt in flight as the decision to move it sees it. Without knowledge of
+// the engines' speeds it moves only after a few times its objective.
+func (e *exchange) movable() enginespeed.Attempt {
+	route := e.call.Route
+	attempt := enginespeed.Attempt{
+		MayMove: e.moreAttempts(), Started: e.stream.Count() > 0, Waited: e.pace.startedAt.Sub(e.call.Received),
+		Objective: route.Objective, PauseObjective: route.PauseObjective, Slowness: e.pace.decision.Choice.Slowness,
+	}
+	if attempt.MayMove && e.slots.LearnsSpeeds() {
+		attempt.FirstEvent, attempt.Pace = e.pace.usual.FirstEvent(), e.pace.usual.Pace()
+		attempt.FreeElsewhere = e.pace.decision.Choice.HasSlot() && !e.pace.decision.Slot.LaneHasQueue()
+	}
+	return attempt
+}
+
+// minPaceEvents is the number of events of an attempt from which its pace is trusted.
+const minPaceEvents = 3
+
+// missesObjective reports whether the stream should be moved to another engine after an event,
+// since it will miss its pause objective or its deadline at this one.
+func (e *exchange) missesObjective() bool {
+	if e.pace.events < minPaceEvents || !e.slots.LearnsSpeeds() {
+		return false
+	}
+	left := max(e.pace.usual.Events()-e.stream.Count(), 0)
+	return e.movable().MissesObjective(left, e.pace.recent, e.clock.remaining())
+}
--- a/internal/passthrough/relay/relay.go
+++ b/internal/passthrough/relay/relay.go
@@ -63,6 +63,7 @@
 	logger  *zap.Logger
 	metrics *Metrics
 	active  *activeCalls
+	usual   *usualTimes
 	watch   *suspension.Watch
 }
 
@@ -75,7 +76,7 @@
 
 // New returns a relay.
 func New(headers passthrough.Headers, engines *catalog.Engines, slots *slots.Service, pool *engineconn.Pool, guard *guard.Service, logger *zap.Logger, metrics *Metrics) *Relay {
-	return &Relay{headers: headers, engines: engines, slots: slots, pool: pool, guard: guard, logger: logger, metrics: metrics, active: newActiveCalls()}
+	return &Relay{headers: headers, engines: engines, slots: slots, pool: pool, guard: guard, logger: logger, metrics: metrics, active: newActiveCalls(), usual: newUsualTimes()}
 }
 
 // exchange is the state of one call across its attempts.
@@ -98,7 +99,8 @@
 	firstEvent   time.Duration
 	lastFailure  *bufferedResponse // the last error response of an engine
 	status       int               // sent to the client
-	headTimer    *silenceTimer     // ends an attempt whose engine sends no response head
+	pace         attemptPace
+	headTimer    *silenceTimer // ends an attempt whose engine sends no response head
 }
 
 // Serve answers a call. For a stream that cannot be finished it panics with http.ErrAbortHandler,
--- a/internal/passthrough/slots/speeds.go
+++ b/internal/passthrough/slots/speeds.go
@@ -121,3 +121,15 @@
 	}
 	s.Metrics.setSlowness(all)
 }
+
+// LearnsSpeeds reports whether engines are chosen by the speed that was observed.
+func (s *Service) LearnsSpeeds() bool { return s.config.Scheduling.EngineSpeeds }
+
+// LaneHasQueue reports whether online requests of the slot's lane waited for an engine when this
+// node last heard from the lane's dispatcher.
+func (s *Slot) LaneHasQueue() bool {
+	s.service.mu.Lock()
+	defer s.service.mu.Unlock()
+	requester := s.service.requesters[s.lane]
+	return requester != nil && requester.Queued() > 0
+}
