enginespeed, relay, batch: move streams and items from slow engines

Cause: a stream at an engine that becomes slow stays there until its deadline; a request went to the last free slot of a slow engine, where its pauses were too long; first tokens, most of whose time does not depend on the engine, forgave engines that their paces showed slow.

--- a/internal/core/enginechoice/pick.go
+++ b/internal/core/enginechoice/pick.go
@@ -32,6 +32,9 @@
 	// MaxSlowness is the largest slowness of an engine at which the request is expected to
 	// start in its time; 0 if any will do.
 	MaxSlowness float64
+	// MaxPace is the largest time between two events at which the request is in time; 0 if any
+	// will do.
+	MaxPace time.Duration
 }
 
 // PromptTokens returns the length of the whole prompt.
@@ -118,7 +121,7 @@
 			rank: affinity(s.node, known.hash),
 		})
 	}
-	return best.choice(query)
+	return best.choice()
 }
 
 // CanPick reports whether Pick would find an engine for the request. It stops at the first
--- a/internal/core/enginechoice/speed.go
+++ b/internal/core/enginechoice/speed.go
@@ -1,5 +1,7 @@
 package enginechoice
 
+import "time"
+
 // Speed is how fast an engine works, relative to the usual. The zero value is the usual speed.
 type Speed struct {
 	// Slowness is the time that work takes there relative to the usual time; 0 if it is the
@@ -8,6 +10,8 @@
 	// Grants is the number of requests that may use the engine as if it were not slow, which
 	// shows whether it still is.
 	Grants int
+	// Pace is the time between two events there; 0 if unknown.
+	Pace time.Duration
 }
 
 // SetSpeed sets how fast an engine works.
@@ -29,16 +33,15 @@
 // slownessFor returns the slowness of an engine for a request: 1 if it has the usual speed, or
 // if the request may show whether it still is slow.
 func (e *engine) slownessFor(query Query) float64 {
-	slowness := e.speed.Slowness
-	if slowness <= 1 || (e.speed.Grants > 0 && query.startsInTime(slowness)) {
+	if e.speed.Slowness <= 1 || (e.speed.Grants > 0 && query.InTimeAt(e.speed)) {
 		return 1
 	}
-	return slowness
+	return e.speed.Slowness
 }
 
-// startsInTime reports whether a request may start at an engine with the given slowness.
-func (q Query) startsInTime(slowness float64) bool {
-	return q.MaxSlowness == 0 || slowness <= q.MaxSlowness
+// InTimeAt reports whether a request is expected to be in time at an engine of a speed.
+func (q Query) InTimeAt(speed Speed) bool {
+	return (q.MaxSlowness == 0 || speed.Slowness <= q.MaxSlowness) && (q.MaxPace == 0 || speed.Pace <= q.MaxPace)
 }
 
 // msWork is the time from a request's first token to its end at an engine of the usual speed
@@ -70,9 +73,9 @@
 	}
 }
 
-// hasFreeSlot reports whether the engine has a slot that need not be freed first.
-func (c candidate) hasFreeSlot() bool {
-	return !c.preempts && (c.engine.entry.Slots <= 0 || c.inFlight < c.engine.entry.Slots)
+// hasSlot reports whether the engine has a free slot, or one that a batch request frees.
+func (c candidate) hasSlot() bool {
+	return c.preempts || c.engine.entry.Slots <= 0 || c.inFlight < c.engine.entry.Slots
 }
 
 // bestEngines holds the best candidate of the usual speed and the best slow one; the engine of
@@ -95,10 +98,9 @@
 	}
 }
 
-// choice returns the better one of the two candidates. Slowness counts against an engine only
-// beside a free slot of the usual speed: a slow engine is better than a queue, and its slowness
-// makes no batch request worth preempting, unless the request would be late at the slow engine.
-func (b *bestEngines) choice(query Query) (Choice, bool) {
+// choice returns the better one of the two candidates. Slowness counts against an engine beside a
+// slot of the usual speed that is free, or that a batch request frees, but not beside a queue.
+func (b *bestEngines) choice() (Choice, bool) {
 	switch {
 	case b.usual.engine == nil && b.slow.engine == nil:
 		return Choice{}, false
@@ -106,11 +108,9 @@
 		return b.usual.choice(), true
 	case b.usual.engine == nil:
 		return b.slow.choice(), true
-	case b.usual.preempts && !query.startsInTime(b.slow.slowness):
-		return b.usual.choice(), true
 	}
 	slow := b.slow.score
-	if b.usual.hasFreeSlot() {
+	if b.usual.hasSlot() {
 		slow = slowScore(slow, b.slow.slowness)
 	}
 	if slow < b.usual.score {
--- a/internal/core/enginespeed/enginespeed.go
+++ b/internal/core/enginespeed/enginespeed.go
@@ -78,6 +78,7 @@
 	ratio float64 // natural logarithm of the ratio to the usual time
 	// reference is the median over the engines when it was made.
 	reference float64
+	seconds   float64 // the observed time
 }
 
 // evidence is what the observations of one kind tell about an engine.
@@ -87,6 +88,19 @@
 	slowness float64       // 0: the usual speed
 }
 
+// pace returns the time between two events by the last paces; 0 if there are none.
+func (e *engine) pace() time.Duration {
+	recent := e.evidence[ofPaces].recent
+	if len(recent) == 0 {
+		return 0
+	}
+	seconds := 0.0
+	for _, seen := range recent[max(len(recent)-agreeing, 0):] {
+		seconds += seen.seconds
+	}
+	return time.Duration(seconds / float64(min(len(recent), agreeing)) * float64(time.Second))
+}
+
 // newest returns the last observation.
 func (e *evidence) newest() observation { return e.recent[len(e.recent)-1] }
 
@@ -175,7 +189,7 @@
 	class := fullnessClass(at.Fullness)
 	usually, known := medianFor(classes, class)
 	if known {
-		t.add(id, of, observation{node: at.Node, at: at.At, ratio: value - usually})
+		t.add(id, of, observation{node: at.Node, at: at.At, ratio: value - usually, seconds: math.Exp(value)})
 	}
 	if found := t.engines[id]; found == nil || !t.seemsSlow(found, of) {
 		classes[class].observe(value)
@@ -237,5 +251,5 @@
 	if known == nil || !known.isSlow() {
 		return enginechoice.Speed{}
 	}
-	return enginechoice.Speed{Slowness: known.slowness(), Grants: known.grants}
+	return enginechoice.Speed{Slowness: known.slowness(), Grants: known.grants, Pace: known.pace()}
 }
--- a/internal/core/grant/grant.go
+++ b/internal/core/grant/grant.go
@@ -105,6 +105,9 @@
 	EndsIn time.Duration
 	// MayHaveRun reports that an engine ran the request or may have. It is never refused.
 	MayHaveRun bool
+	// PauseObjective is the longest time between two events at which the request is in time;
+	// 0 if there is none.
+	PauseObjective time.Duration
 }
 
 // Suspect describes a request's content as a suspected cause of engine crashes.
--- a/internal/core/grant/queue.go
+++ b/internal/core/grant/queue.go
@@ -176,12 +176,12 @@
 func (d *Dispatcher) tryGrant(entry *queuedAsk, now time.Time) grantResult {
 	known := d.nodes[entry.Node]
 	query := d.query(entry, known)
-	query.MaxSlowness = maxSlowness(entry, now)
+	d.setTimes(&query, entry, now)
 	choice, found := d.pick(entry, query, now)
 	if !found || (!entry.ask.Batch && !entry.Place && !choice.HasSlot()) {
 		return notGranted
 	}
-	if tooSlow(entry, query, choice) {
+	if d.tooSlow(entry, query, choice) {
 		return onlyTooSlow
 	}
 	if choice.Preempts {
--- a/internal/core/grant/speeds.go
+++ b/internal/core/grant/speeds.go
@@ -83,22 +83,32 @@
 	return slowness
 }
 
-// maxSlowness returns the largest slowness of an engine at which a request is expected to start
-// in its time; 0 if any will do.
-func maxSlowness(entry *queuedAsk, now time.Time) float64 {
-	if entry.ask.Batch || entry.FirstToken <= 0 {
-		return 0
+// setTimes sets in an online request's query at which engines it is expected to be in time.
+func (d *Dispatcher) setTimes(query *enginechoice.Query, entry *queuedAsk, now time.Time) {
+	if entry.ask.Batch {
+		return
+	}
+	if entry.FirstToken > 0 {
+		query.MaxSlowness = max(entry.Deadline.Sub(now).Seconds()/entry.FirstToken.Seconds(), minMaxSlowness)
 	}
-	return max(entry.Deadline.Sub(now).Seconds()/entry.FirstToken.Seconds(), minMaxSlowness)
+	query.MaxPace = entry.ask.PauseObjective * maxPacePercent / 100
 }
 
-// minMaxSlowness is a limit that every slow engine exceeds. 0 would mean none.
-const minMaxSlowness = 0.01
+const (
+	// minMaxSlowness is a limit that every slow engine exceeds. 0 would mean none.
+	minMaxSlowness = 0.01
+	// maxPacePercent is the mean time between two events, as a percentage of the objective for
+	// the longest, up to which a request is expected to meet it.
+	maxPacePercent = 80
+)
 
-// tooSlow reports whether a request that can be in time should wait rather than start late at
-// a slow engine.
-func tooSlow(entry *queuedAsk, query enginechoice.Query, choice enginechoice.Choice) bool {
-	return choice.Slowness > 1 && query.MaxSlowness > 0 && choice.Slowness > query.MaxSlowness && entry.InTime && !entry.Place
+// tooSlow reports whether a request that can be in time should wait rather than be late at a
+// slow engine.
+func (d *Dispatcher) tooSlow(entry *queuedAsk, query enginechoice.Query, choice enginechoice.Choice) bool {
+	if choice.Slowness <= 1 || entry.ask.Batch || entry.Place || !entry.InTime {
+		return false
+	}
+	return !query.InTimeAt(d.policies.Speeds.Speed(choice.Entry.Incarnation()))
 }
 
 // maxTooSlow is the number of requests for which a slow engine may be too slow before the rest
--- a/internal/passthrough/batch/forecast.go
+++ b/internal/passthrough/batch/forecast.go
@@ -19,7 +19,7 @@
 type forecast struct {
 	mu              sync.Mutex
 	eventsPerItem   float64 // moving average
-	secondsPerEvent float64 // moving average, including the wait for the first event
+	secondsPerEvent float64 // moving average at the usual speed, including the wait for the first event
 	observedItems   int     // number of completed items observed
 }
 
@@ -34,14 +34,15 @@
 	f.eventsPerItem += forecastWeight * (float64(events) - f.eventsPerItem)
 }
 
-// observeRun records the duration of a run and the number of its events.
-func (f *forecast) observeRun(events int, elapsed time.Duration) {
+// observeRun records the duration of a run and the number of its events, at an engine where work
+// takes slowness times the usual time; 0 if that is unknown.
+func (f *forecast) observeRun(events int, elapsed time.Duration, slowness float64) {
 	if events < minForecastEvents {
 		return
 	}
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	gap := elapsed.Seconds() / float64(events)
+	gap := elapsed.Seconds() / float64(events) / max(slowness, 1)
 	if f.secondsPerEvent == 0 {
 		f.secondsPerEvent = gap
 	}
@@ -74,3 +75,20 @@
 	marginPercent = 125 // of the estimate
 	marginTime    = time.Second
 )
+
+// minSlowerPace is the multiple of the usual time per event from which an item is moved.
+const minSlowerPace = 2
+
+// shouldMove reports whether a running item should continue at another engine: it has so much
+// time left until its deadline, its engine takes so long for an event, and it will end in time
+// only at an engine of the usual speed.
+func (f *forecast) shouldMove(kept int, perEvent, left time.Duration) bool {
+	usual, elsewhere := f.remaining(kept), f.remainingWithMargin(kept)
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if usual == 0 || f.secondsPerEvent == 0 || perEvent.Seconds() < minSlowerPace*f.secondsPerEvent {
+		return false
+	}
+	here := time.Duration(usual.Seconds() * perEvent.Seconds() / f.secondsPerEvent * float64(time.Second))
+	return here > left && elsewhere <= left
+}
--- a/internal/passthrough/batch/preempt_test.go
+++ b/internal/passthrough/batch/preempt_test.go
@@ -26,7 +26,7 @@
 	service.setStoreClock(time.Hour, time.Now())
 	for range minForecastItems {
 		service.forecast.observeItem(100)
-		service.forecast.observeRun(100, 10*time.Second)
+		service.forecast.observeRun(100, 10*time.Second, 0)
 	}
 	return service
 }
@@ -83,9 +83,9 @@
 	}
 	for range minForecastItems {
 		known.observeItem(100)
-		known.observeRun(100, 10*time.Second)
+		known.observeRun(100, 10*time.Second, 0)
 	}
-	known.observeRun(minForecastEvents-1, time.Hour) // too short to be recorded
+	known.observeRun(minForecastEvents-1, time.Hour, 0) // too short to be recorded
 	for kept, want := range map[int]time.Duration{0: 10 * time.Second, 60: 4 * time.Second, 100: time.Second, 400: time.Second} {
 		if got := known.remaining(kept).Round(time.Millisecond); got != want {
 			t.Errorf("with %d events: %v, want %v", kept, got, want)
--- a/internal/passthrough/batch/run.go
+++ b/internal/passthrough/batch/run.go
@@ -103,7 +103,7 @@
 	s.mu.Lock()
 	kept := work.text.events
 	s.mu.Unlock()
-	s.forecast.observeRun(kept-before, time.Since(started))
+	s.forecast.observeRun(kept-before, time.Since(started), r.decision.Choice.Slowness)
 	if end == runCompleted {
 		s.Guard.RecordSuccess(r.item.ID, r.digest)
 		s.forecast.observeItem(kept)
@@ -171,6 +171,9 @@
 	case runStopped, runPreempted:
 		result = enginechoice.Abandoned
 	}
+	if errors.Is(err, errSlowEngine) {
+		result = enginechoice.Abandoned
+	}
 	refused := errors.Is(err, engineconn.ErrNotSent) && errors.Is(err, syscall.ECONNREFUSED)
 	r.decision.Slot.End(result, refused)
 }
@@ -252,6 +255,7 @@
 	s.mu.Unlock()
 	buffer := make([]byte, 16<<10)
 	var waited time.Duration // for the events to come
+	var pace runPace
 	for {
 		response.SetReadDeadline(time.Now().Add(eventTimeout))
 		waitedFrom, before := time.Now(), splitter.Count()
@@ -260,6 +264,7 @@
 		whole, tooLong := splitter.Add(buffer[:count])
 		if len(whole) > 0 {
 			r.decision.Slot.RecordEvents(splitter.Count()-before, waited)
+			pace.add(splitter.Count()-before, waited)
 			waited = 0
 			s.keepEvents(r, whole)
 		}
@@ -272,6 +277,8 @@
 			return runInterrupted, io.ErrUnexpectedEOF
 		case err != nil:
 			return runInterrupted, err
+		case len(whole) > 0 && s.runsTooSlowly(r, pace):
+			return runInterrupted, errSlowEngine
 		}
 	}
 }
--- a/internal/passthrough/relay/relay.go
+++ b/internal/passthrough/relay/relay.go
@@ -245,6 +245,7 @@
 	request := slots.Request{
 		ID: e.call.Demand.RequestID, Query: query, Rank: e.call.Route.Priority, PlacementDeadline: slotDeadline, EndsAt: e.clock.currentDeadline(),
 		Owner: e.call.TenantName(), Content: e.content.Hash(), MayHaveRun: e.mayHaveRun, Suspect: e.guard.Suspect(e.content),
+		PauseObjective: e.call.Route.PauseObjective,
 	}
 	if e.call.Route.Objective > 0 {
 		request.FirstTokenDeadline = e.call.Received.Add(e.call.Route.Objective)
--- a/internal/passthrough/slots/acquire.go
+++ b/internal/passthrough/slots/acquire.go
@@ -38,6 +38,8 @@
 	// MayHaveRun reports that an engine ran the request or may have.
 	MayHaveRun bool
 	Suspect    grant.Suspect
+	// PauseObjective is the route's objective for the longest time between two events; zero: none.
+	PauseObjective time.Duration
 }
 
 // OverloadedError reports that the engines cannot serve a request in its time.
@@ -163,6 +165,9 @@
 	if s.config.Scheduling.RefuseOverload {
 		ask.Content = request.Content
 	}
+	if s.LearnsSpeeds() {
+		ask.PauseObjective = request.PauseObjective
+	}
 	if s.config.Scheduling.FairShares && request.Owner != "" {
 		ask.Owner = grant.TenantHash(request.Owner)
 	}
--- a/internal/passthrough/slots/speeds.go
+++ b/internal/passthrough/slots/speeds.go
@@ -1,6 +1,7 @@
 package slots
 
 import (
+	"sync"
 	"time"
 
 	"go.uber.org/zap"
@@ -15,37 +16,52 @@
 // The node's next message to the dispatcher may be that much later.
 const paceInterval = grant.RefreshInterval / 2
 
-// paceWindow counts the events of a request since its pace was last reported.
+// paceWindow counts the events of a request since its pace was last reported. It is safe for
+// concurrent use.
 type paceWindow struct {
-	started bool // the first event has arrived
+	mu      sync.Mutex // guards the rest
+	started bool       // the first event has arrived
 	events  int
 	waited  time.Duration // for these events
 }
 
+// add counts events. It reports whether their pace is due to be reported.
+func (w *paceWindow) add(count int, waited time.Duration) bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if !w.started {
+		w.started = true
+		return false
+	}
+	w.events += count
+	w.waited += waited
+	return w.waited >= paceInterval
+}
+
+// take returns the events counted so far and starts a new count.
+func (w *paceWindow) take() (events int, waited time.Duration) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	events, waited = w.events, w.waited
+	w.events, w.waited = 0, 0
+	return events, waited
+}
+
 // RecordEvents records the arrival of events of the request, and how long the engine was waited
-// for before them. It must not be called concurrently with itself or End.
+// for before them.
 func (s *Slot) RecordEvents(count int, waited time.Duration) {
-	if !s.service.config.Scheduling.EngineSpeeds {
-		return
-	}
-	if !s.pace.started {
-		s.pace.started = true
-		return
-	}
-	s.pace.events += count
-	s.pace.waited += waited
-	if s.pace.waited >= paceInterval {
+	if s.service.LearnsSpeeds() && s.pace.add(count, waited) {
 		s.reportPace()
 	}
 }
 
 // reportPace tells the lane's dispatcher the pace of the events that were counted.
 func (s *Slot) reportPace() {
-	if s.pace.events == 0 {
+	events, waited := s.pace.take()
+	if events == 0 {
 		return
 	}
-	pace := grant.Pace{Engine: grant.EngineHash(s.engine), Events: s.pace.events, Elapsed: s.pace.waited}
-	s.pace.events, s.pace.waited = 0, 0
+	pace := grant.Pace{Engine: grant.EngineHash(s.engine), Events: events, Elapsed: waited}
 	s.service.mu.Lock()
 	defer s.service.mu.Unlock()
 	if requester := s.service.requesters[s.lane]; requester != nil {
@@ -110,7 +126,7 @@
 // updateSpeedMetrics counts the slow engines of the lanes for which this node is the dispatcher.
 // The caller holds mu.
 func (s *Service) updateSpeedMetrics() {
-	if !s.config.Scheduling.EngineSpeeds {
+	if !s.LearnsSpeeds() {
 		return
 	}
 	var all []float64
