--- a/internal/passthrough/slots/acquire.go
+++ b/internal/passthrough/slots/acquire.go
@@ -38,6 +38,8 @@
 	// MayHaveRun reports that an engine ran the request or may have.
 	MayHaveRun bool
 	Suspect    grant.Suspect
+	// PauseObjective is the route's objective for the longest time between two events; zero: none.
+	PauseObjective time.Duration
 }
 
 // OverloadedError reports that the engines cannot serve a request in its time.
@@ -163,6 +165,9 @@
 	if s.config.Scheduling.RefuseOverload {
 		ask.Content = request.Content
 	}
+	if s.LearnsSpeeds() {
+		ask.PauseObjective = request.PauseObjective
+	}
 	if s.config.Scheduling.FairShares && request.Owner != "" {
 		ask.Owner = grant.TenantHash(request.Owner)
 	}
@@ -391,7 +396,7 @@
 	}
 	decision := Decision{Source: ByDispatcher, From: received.from, Choice: enginechoice.Choice{
 		Entry: listed.Entry, State: listed.State, Score: received.grant.Score, PrefillTokens: received.grant.PrefillTokens,
-		InFlight: received.grant.InFlight, Preempts: received.grant.Preempts,
+		InFlight: received.grant.InFlight, Preempts: received.grant.Preempts, Slowness: received.grant.Slowness,
 	}}
 	if received.from == s.Self {
 		decision.Source = ByLocalDispatcher
