grant: hooks for overload control; passes over a full queue only when something changed

Cause: each State and Tick sorts and searches the whole queue twice, and a refusal has no memory: a request whose refusal is in transit is taken for a new one. Change: OverloadControl learns of arrivals, of how long slots are held and whether the lane is full; requests that came back when told go ahead of new ones of their rank; a refusal is remembered until its node has read it, sent again if lost, and its request gets no slot; a pass over the queue runs on a Tick or when a grant or refusal has become possible, and the queue keeps its order between passes. Nodes that do not tell EndsIn place requests as before.

--- a/internal/core/grant/dispatcher.go
+++ b/internal/core/grant/dispatcher.go
@@ -75,6 +75,7 @@
 	attached       bool
 	inFlight       map[uint64]*inFlightRequest
 	queued         map[uint64]*queuedAsk
+	refused        map[uint64]*sentRefusal
 }
 
 // Dispatcher grants the slots of one lane.
@@ -87,7 +88,13 @@
 	startedAt    time.Time
 	busySince    time.Time // when the lane last stopped being idle
 	nodes        map[string]*nodeState
-	online       []*queuedAsk // sorted only in grantOnline; few
+	online       []*queuedAsk // sorted only in grantOnline
+	full         bool         // whether a request found no slot in the last pass of grantOnline
+	reviewed     bool         // whether the last review by the overload control had a queue
+	bounded      bool         // whether an overload control bounds the queue
+	lastPassAt   time.Time    // of grantOnline
+	retryOnline  bool         // queued online requests may have become grantable
+	arrived      bool         // an online request has joined the queue since the last pass
 	retryBatch   bool         // queued batch requests may have become grantable
 	replies      map[string]*Reply
 	firstTokens  firstTokenEstimator
@@ -110,7 +117,10 @@
 
 // UsePolicies sets the dispatcher's policies. It must be called before the first State is
 // applied.
-func (d *Dispatcher) UsePolicies(policies Policies) { d.policies = policies.withDefaults() }
+func (d *Dispatcher) UsePolicies(policies Policies) {
+	d.bounded = policies.Overload != nil
+	d.policies = policies.withDefaults()
+}
 
 // SetEngines replaces the lane's engines. Engines that are not listed are removed, and
 // entries of other pools or lanes are ignored.
@@ -237,7 +247,7 @@
 		if len(d.nodes) == 0 {
 			d.busySince = now
 		}
-		known = &nodeState{life: state.Life, inFlight: make(map[uint64]*inFlightRequest), queued: make(map[uint64]*queuedAsk)}
+		known = &nodeState{life: state.Life, inFlight: make(map[uint64]*inFlightRequest), queued: make(map[uint64]*queuedAsk), refused: make(map[uint64]*sentRefusal)}
 		d.nodes[from] = known
 	}
 	known.sequence, known.lastStateAt, known.zone, known.attached = state.Sequence, now, state.Zone, state.Attached
@@ -249,7 +259,7 @@
 	d.updateInFlight(from, known, state, now)
 	d.observe(state, now)
 	d.updateQueue(from, known, state, now)
-	d.grantOnline(now)
+	d.grantChanged(now)
 	reply := d.reply(from)
 	reply.Life, reply.Sequence = state.Life, state.Sequence
 	if len(state.Held)+len(state.Waiting) == 0 && len(known.inFlight) == 0 && !state.Attached {
@@ -259,6 +269,7 @@
 
 // observe records what a State tells of the engines.
 func (d *Dispatcher) observe(state State, now time.Time) {
+	d.retryOnline = d.retryOnline || len(state.Loads) > 0 // the engines may have free slots
 	for _, load := range state.Loads {
 		engine := d.engineByHash[load.Engine]
 		d.engines.RecordReport(engine, load.Running, load.Waiting, now)
@@ -352,9 +363,11 @@
 	}
 	delete(known.inFlight, request.id)
 	delete(d.suspects, request)
-	d.retryBatch = true
+	d.retryBatch, d.retryOnline = true, true
 	if !request.work.Batch {
-		d.policies.Overload.Finished(now)
+		if request.engine != (enginechoice.Incarnation{}) {
+			d.policies.Overload.Finished(now.Sub(request.since), now)
+		}
 		d.policies.Order.Finished(request.owner, now.Sub(request.since), now)
 	}
 }
--- a/internal/core/grant/policies.go
+++ b/internal/core/grant/policies.go
@@ -38,6 +38,18 @@
 	InTime bool
 	// Place reports that it gets an engine at once, however full.
 	Place bool
+	// Moved reports that it was in the queue of another dispatcher before.
+	Moved bool
+	// Returned reports that it was refused, told when to come back, and came then. It goes
+	// ahead of the others of its rank and share. Set by OverloadControl.
+	Returned bool
+	// Again reports that it was refused before and has no place kept. Set by OverloadControl.
+	Again bool
+	// LateOnly reports that it waits for a slot that no request in time needs. Set by
+	// OverloadControl; InTime is false from then on.
+	LateOnly bool
+	// Admitted reports that the OverloadControl has let it wait.
+	Admitted bool
 
 	entry *queuedAsk
 }
@@ -46,17 +58,21 @@
 type LaneLoad struct {
 	Slots         int // slots of all engines that take work
 	Online, Batch int // requests in flight
+	// Full reports that a request found no slot that was free or held by a batch run.
+	Full bool
 }
 
 // OverloadControl decides which requests wait while the lane has no free slot.
 type OverloadControl interface {
+	// Arrived records that a request has joined the queue. It sets Waiting.Returned.
+	Arrived(request *Waiting, now time.Time)
 	// Review returns the requests to refuse. The queue is in the order in which slots are
 	// granted.
 	Review(queue []*Waiting, load LaneLoad, now time.Time) []OverloadDecision
 	// Granted records that a request has left the queue with a slot.
 	Granted(request *Waiting, now time.Time)
-	// Finished records that an online request of the lane has ended.
-	Finished(now time.Time)
+	// Finished records how long an online request of the lane has held its slot.
+	Finished(held time.Duration, now time.Time)
 	// PlacesWhenFull reports whether a request that asks for placement, and that no engine
 	// can have run, gets an engine however full.
 	PlacesWhenFull() bool
@@ -105,6 +121,9 @@
 // unboundedQueue refuses nothing.
 type unboundedQueue struct{}
 
+// Arrived implements OverloadControl.
+func (unboundedQueue) Arrived(*Waiting, time.Time) {}
+
 // Review implements OverloadControl.
 func (unboundedQueue) Review([]*Waiting, LaneLoad, time.Time) []OverloadDecision { return nil }
 
@@ -112,14 +131,14 @@
 func (unboundedQueue) Granted(*Waiting, time.Time) {}
 
 // Finished implements OverloadControl.
-func (unboundedQueue) Finished(time.Time) {}
+func (unboundedQueue) Finished(time.Duration, time.Time) {}
 
 // PlacesWhenFull implements OverloadControl.
 func (unboundedQueue) PlacesWhenFull() bool { return true }
 
 // deadlineOrder puts requests first that ask for placement, then those that can still meet
-// their deadline, then by the rank of the tenant, the rank of the route, and the earliest
-// deadline.
+// their deadline, then by the rank of the tenant and the rank of the route, then those that
+// came back when told, then by the earliest deadline.
 type deadlineOrder struct{}
 
 // Arrange implements QueueOrder.
@@ -127,7 +146,8 @@
 	slices.SortStableFunc(queue, func(a, b *Waiting) int {
 		return cmp.Or(
 			ordering.FalseFirst(b.Place, a.Place), ordering.FalseFirst(!a.InTime, !b.InTime),
-			cmp.Compare(a.TenantRank, b.TenantRank), cmp.Compare(a.Rank, b.Rank), a.Deadline.Compare(b.Deadline),
+			cmp.Compare(a.TenantRank, b.TenantRank), cmp.Compare(a.Rank, b.Rank),
+			ordering.FalseFirst(!a.Returned, !b.Returned), a.Deadline.Compare(b.Deadline),
 		)
 	})
 }
--- a/internal/core/grant/queue.go
+++ b/internal/core/grant/queue.go
@@ -17,6 +17,10 @@
 			continue // granted already; the reply is still in transit
 		}
 		asked[ask.ID] = true
+		if known.refused[ask.ID] != nil {
+			d.resendRefusal(from, known.refused[ask.ID], now)
+			continue
+		}
 		entry := known.queued[ask.ID]
 		if entry == nil {
 			entry = d.admit(from, known, ask, now)
@@ -33,6 +37,31 @@
 			delete(known.queued, id)
 		}
 	}
+	for id := range known.refused {
+		if !asked[id] {
+			delete(known.refused, id)
+		}
+	}
+}
+
+// sentRefusal is a refusal of a request that its node still reports as waiting.
+type sentRefusal struct {
+	refusal    Refusal
+	decidedAt  time.Time
+	lastSentAt time.Time
+}
+
+// resendRefusal sends a refusal again that may have been lost. The time to come back has
+// become shorter meanwhile.
+func (d *Dispatcher) resendRefusal(node string, sent *sentRefusal, now time.Time) {
+	if now.Sub(sent.lastSentAt) < d.config.ResendInterval {
+		return
+	}
+	sent.lastSentAt = now
+	refusal := sent.refusal
+	refusal.Overload.RetryAfter = max(refusal.Overload.RetryAfter-now.Sub(sent.decidedAt), 0)
+	reply := d.reply(node)
+	reply.Refused = append(reply.Refused, refusal)
 }
 
 // updateEntry updates a queued request from the node's newest Ask.
@@ -42,8 +71,11 @@
 	if ask.EndsIn > 0 {
 		entry.End = now.Add(ask.EndsIn)
 	}
-	entry.Place = ask.Place && (ask.MayHaveRun || d.policies.Overload.PlacesWhenFull())
-	entry.MayHaveRun = ask.MayHaveRun
+	// Builds before EndsIn do not tell whether the request may have run.
+	mayHaveRun := ask.MayHaveRun || ask.EndsIn == 0
+	place := ask.Place && (mayHaveRun || d.policies.Overload.PlacesWhenFull())
+	d.retryOnline = d.retryOnline || place != entry.Place
+	entry.Place, entry.MayHaveRun = place, ask.MayHaveRun
 }
 
 // newEntry returns the entry of a request that joins the queue.
@@ -51,6 +83,7 @@
 	entry := &queuedAsk{ask: ask, Waiting: Waiting{
 		Node: from, ID: ask.ID, TenantRank: ask.TenantRank, Rank: ask.Rank, Owner: ask.Owner, Content: ask.Content,
 		PromptTokens: ask.promptTokens(), MemoryTokens: ask.MemoryTokens, Since: now,
+		Moved: ask.Queued, MayHaveRun: ask.MayHaveRun,
 	}}
 	entry.entry = entry
 	return entry
@@ -76,6 +109,9 @@
 	known.queued[ask.ID] = entry
 	if !ask.Batch {
 		d.online = append(d.online, entry)
+		d.policies.Overload.Arrived(&entry.Waiting, now)
+		d.arrived = true
+		d.retryOnline = d.retryOnline || len(ask.Exclude) > 0 // others of the lane's engines may be full
 	}
 	return entry
 }
@@ -97,12 +133,14 @@
 // grantOnline grants queued online requests in the order of the policies, and refuses those
 // that the overload control does not let wait.
 func (d *Dispatcher) grantOnline(now time.Time) {
+	d.retryOnline, d.arrived, d.lastPassAt = false, false, now
 	d.dropDequeued()
-	if len(d.online) == 0 {
+	if len(d.online) == 0 && !d.reviewed {
+		d.full = false
 		return
 	}
 	queue := d.arrange(now)
-	full := false
+	full, allFull := false, false // allFull: for a request that may use every engine
 	for _, waiting := range queue {
 		entry := waiting.entry
 		if entry.ask.Queued && !entry.Place && now.Sub(d.busySince) < d.config.RequeuedStartDelay {
@@ -113,11 +151,28 @@
 		}
 		granted := d.tryGrant(entry, now)
 		full = full || (!granted && entry.ask.Suspect.Content == 0)
+		allFull = allFull || (!granted && entry.ask.Suspect.Content == 0 && len(entry.ask.Exclude) == 0)
 	}
+	d.full = allFull
+	d.refuseOverload(queue, now)
 	d.dropDequeued()
-	d.refuseOverload(now)
 }
 
+// grantChanged grants queued online requests if anything has changed that allows a grant or
+// a refusal. While the lane is full, a request that has just arrived can only be refused, and
+// waits for others to be looked at with it, until the next Tick at most. A pass takes as long
+// as the queue is, and a flood would cause one for each request.
+func (d *Dispatcher) grantChanged(now time.Time) {
+	refusable := d.arrived && d.bounded && now.Sub(d.lastPassAt) >= minRefusalInterval
+	if d.retryOnline || refusable || (d.arrived && !d.full) {
+		d.grantOnline(now)
+	}
+}
+
+// minRefusalInterval is the minimum time between two passes over the queue of a full lane that
+// only look for requests to refuse.
+const minRefusalInterval = 2 * time.Millisecond
+
 // dropDequeued removes the requests that no longer wait.
 func (d *Dispatcher) dropDequeued() {
 	d.online = slices.DeleteFunc(d.online, func(entry *queuedAsk) bool { return !d.isQueued(entry) })
@@ -128,35 +183,40 @@
 	queue := make([]*Waiting, 0, len(d.online))
 	for _, entry := range d.online {
 		entry.FirstToken = d.firstTokens.expected(entry.PromptTokens)
-		entry.InTime = !now.Add(entry.FirstToken).After(entry.Deadline)
+		entry.InTime = !entry.LateOnly && !now.Add(entry.FirstToken).After(entry.Deadline)
 		queue = append(queue, &entry.Waiting)
 	}
 	d.policies.Order.Arrange(queue, now)
+	for i, waiting := range queue {
+		d.online[i] = waiting.entry // the next sort finds them nearly in order
+	}
 	return queue
 }
 
-// refuseOverload refuses the requests that the overload control does not let wait.
-func (d *Dispatcher) refuseOverload(now time.Time) {
-	if len(d.online) == 0 {
-		return
-	}
-	for _, decision := range d.policies.Overload.Review(d.arrange(now), d.load(now), now) {
+// refuseOverload refuses the requests of an arranged queue that the overload control does not
+// let wait.
+func (d *Dispatcher) refuseOverload(queue []*Waiting, now time.Time) {
+	d.reviewed = len(queue) > 0
+	waiting := slices.DeleteFunc(queue, func(waiting *Waiting) bool { return !d.isQueued(waiting.entry) })
+	for _, decision := range d.policies.Overload.Review(waiting, d.load(now), now) {
 		entry := decision.Request.entry
 		if entry.MayHaveRun || !d.isQueued(entry) {
 			continue
 		}
 		d.releaseReservation(entry)
-		delete(d.nodes[entry.Node].queued, entry.ask.ID)
+		known := d.nodes[entry.Node]
+		delete(known.queued, entry.ask.ID)
+		refusal := Refusal{ID: entry.ask.ID, Reason: RefusedByOverload, Overload: decision.Refusal}
+		known.refused[entry.ask.ID] = &sentRefusal{refusal: refusal, decidedAt: now, lastSentAt: now}
 		reply := d.reply(entry.Node)
-		reply.Refused = append(reply.Refused, Refusal{ID: entry.ask.ID, Reason: RefusedByOverload, Overload: decision.Refusal})
+		reply.Refused = append(reply.Refused, refusal)
 	}
-	d.dropDequeued()
 }
 
 // load returns the load of the lane.
 func (d *Dispatcher) load(now time.Time) LaneLoad {
 	slots, online, batch := d.engines.Usage(d.lane.Pool, now)
-	return LaneLoad{Slots: slots, Online: online, Batch: batch}
+	return LaneLoad{Slots: slots, Online: online, Batch: batch, Full: d.full}
 }
 
 // tryGrant grants an entry the best engine. It reports whether an engine could be
