core/overload: wait, come back at a place that is kept, or be refused

Cause: the queue of a lane has no bound. In a flood most of the engines' work is late, nobody is told to come back, and all refused requests get the same Retry-After. Metrics by outcome.

--- /dev/null
+++ b/internal/core/overload/overload_test.go
@@ -0,0 +1,264 @@
+package overload
+
+import (
+	"math"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"ringstream.example/ringstream/internal/core/grant"
+	_ "ringstream.example/ringstream/internal/seedtest" // fixed seed for rapid
+)
+
+var start = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+
+const (
+	slots     = 100
+	heldFor   = time.Second
+	objective = 300 * time.Millisecond
+	patience  = 5 * time.Second
+)
+
+var fullLane = grant.LaneLoad{Slots: slots, Online: slots, Full: true}
+
+// newBusy returns a controller of a lane that completes slots requests a second, whose usual
+// arrivals are known.
+func newBusy(usualPerSecond int) (controller *Controller, now time.Time) {
+	controller, now = New(), start
+	for range slots {
+		controller.Finished(heldFor, now)
+	}
+	for range 10 * usualPerSecond {
+		now = now.Add(time.Second / time.Duration(usualPerSecond))
+		controller.Arrived(&grant.Waiting{}, now)
+	}
+	return controller, now
+}
+
+// newRequest returns a request that arrives now.
+func newRequest(content uint64, now time.Time) *grant.Waiting {
+	return &grant.Waiting{ID: content, Content: content, Since: now, Deadline: now.Add(objective), End: now.Add(patience), InTime: true}
+}
+
+// arrive has requests arrive at a controller and reviews them.
+func arrive(controller *Controller, count int, now time.Time) (queue []*grant.Waiting, refused []grant.OverloadDecision) {
+	for i := range count {
+		request := newRequest(uint64(i+1), now)
+		controller.Arrived(request, now)
+		queue = append(queue, request)
+	}
+	return queue, controller.Review(queue, fullLane, now)
+}
+
+// TestFloodIsToldToReturn has 200 requests arrive at once. Those that the lane serves in time
+// wait, the next ones have places at a distance of what the usual arrivals leave, and the
+// others come back in the last part of the time that they can use.
+func TestFloodIsToldToReturn(t *testing.T) {
+	controller, now := newBusy(40)
+	_, refused := arrive(controller, 200, now)
+	usable := patience/usablePart - transit
+	wantGap := seconds(1 / (slots/heldFor.Seconds() - controller.usualPerSecond()))
+	var last time.Duration
+	for _, decision := range refused {
+		refusal := decision.Refusal
+		if refusal.RetryAfter <= 0 || refusal.RetryAfter > usable {
+			t.Fatalf("request %d can come back after %v, want at most %v", decision.Request.ID, refusal.RetryAfter, usable)
+		}
+		if refusal.Expected == 0 {
+			continue
+		}
+		if gap := refusal.RetryAfter - last; last > 0 && (gap-wantGap).Abs() > time.Microsecond {
+			t.Errorf("places are %v apart, want %v", gap, wantGap)
+		}
+		last = refusal.RetryAfter
+	}
+	counts := controller.TakeCounts()
+	if waiting := 200 - len(refused); waiting < 15 || waiting > 30 {
+		t.Errorf("%d requests wait, want what 100 a second serve in 0.3 s, with a margin", waiting)
+	}
+	if all := int(usable / wantGap); counts.Booked > all || counts.Booked < all*3/4 || counts.Booked+counts.Refused != len(refused) {
+		t.Errorf("%d requests have places and %d have none, want the %d places within the %v that they can use, less those before the queue is served", counts.Booked, counts.Refused, all, usable)
+	}
+}
+
+// TestNothingIsRefusedOnNoKnowledge reviews requests at a lane that has just started, at one that is not
+// full, and requests of nodes that do not tell when they end, or that may have run.
+func TestNothingIsRefusedOnNoKnowledge(t *testing.T) {
+	if _, refused := arrive(New(), 500, start); len(refused) > 0 {
+		t.Errorf("%d requests were refused at a lane of unknown rate", len(refused))
+	}
+	for name, change := range map[string]func(*grant.Waiting){
+		"of unknown end":      func(request *grant.Waiting) { request.End = time.Time{} },
+		"that may have run":   func(request *grant.Waiting) { request.MayHaveRun = true },
+		"that gets an engine": func(request *grant.Waiting) { request.Place = true },
+	} {
+		controller, now := newBusy(40)
+		queue, _ := arrive(controller, 200, now)
+		for _, request := range queue {
+			change(request)
+		}
+		if refused := controller.Review(queue, fullLane, now.Add(time.Second)); len(refused) > 0 {
+			t.Errorf("%d requests %s were refused", len(refused), name)
+		}
+	}
+	controller, now := newBusy(40)
+	queue, _ := arrive(controller, 200, now)
+	if refused := controller.Review(queue, grant.LaneLoad{Slots: slots, Online: slots / 2}, now); len(refused) > 0 {
+		t.Errorf("%d requests were refused at a lane with free slots", len(refused))
+	}
+}
+
+// TestRequestsThatCannotStartAreRefused reviews requests whose time is over before a first
+// token.
+func TestRequestsThatCannotStartAreRefused(t *testing.T) {
+	controller, now := newBusy(40)
+	request := newRequest(1, now)
+	request.End, request.FirstToken = now.Add(30*time.Millisecond), 40*time.Millisecond
+	refused := controller.Review([]*grant.Waiting{request}, fullLane, now)
+	if len(refused) != 1 || refused[0].Refusal.RetryAfter > 10*time.Millisecond {
+		t.Errorf("got %+v, want a refusal with at most a third of the time left", refused)
+	}
+}
+
+// TestLaneWithoutEnginesSendsBack reviews requests at a lane that has lost all engines: nobody
+// is told a place that it may not have.
+func TestLaneWithoutEnginesSendsBack(t *testing.T) {
+	controller, now := newBusy(40)
+	request := newRequest(1, now)
+	controller.Arrived(request, now)
+	refused := controller.Review([]*grant.Waiting{request}, grant.LaneLoad{Online: slots, Full: true}, now)
+	if len(refused) != 1 || refused[0].Refusal.Expected != 0 || refused[0].Refusal.RetryAfter <= 0 {
+		t.Errorf("got %+v, want a refusal with a time to come back and no place", refused)
+	}
+}
+
+// TestReturningRequestFindsItsPlace has one request come back when told and one come early,
+// while new ones fill the queue.
+func TestReturningRequestFindsItsPlace(t *testing.T) {
+	controller, now := newBusy(40)
+	_, refused := arrive(controller, 60, now)
+	punctual, early := refused[0], refused[1]
+	now = now.Add(punctual.Refusal.RetryAfter)
+	back, tooEarly := newRequest(punctual.Request.Content, now), newRequest(early.Request.Content, now)
+	controller.Arrived(back, now)
+	controller.Arrived(tooEarly, now)
+	if !back.Returned || tooEarly.Returned {
+		t.Fatalf("punctual request returned: %v, early one: %v, want true and false", back.Returned, tooEarly.Returned)
+	}
+	queue := []*grant.Waiting{back}
+	for id := range uint64(60) {
+		queue = append(queue, newRequest(1000+id, now))
+	}
+	queue = append(queue, tooEarly)
+	for _, decision := range controller.Review(queue, fullLane, now) {
+		if decision.Request == back {
+			t.Errorf("a request that came back when told was sent away again")
+		}
+		if want := early.Refusal.RetryAfter - punctual.Refusal.RetryAfter; decision.Request == tooEarly && decision.Refusal.RetryAfter != want {
+			t.Errorf("the early request was told %v, want the %v left until its place", decision.Refusal.RetryAfter, want)
+		}
+	}
+}
+
+// TestRanksAboveGoFirst has requests of a higher rank arrive at nearly the lane's rate. A lower
+// rank is then let wait only for what they leave.
+func TestRanksAboveGoFirst(t *testing.T) {
+	controller, now := newBusy(90)
+	low := newRequest(1, now)
+	low.Rank = 1
+	high := newRequest(2, now)
+	if refused := controller.Review([]*grant.Waiting{high, low}, fullLane, now); len(refused) != 1 || refused[0].Request != low {
+		t.Errorf("got %+v, want a refusal of the lower rank", refused)
+	}
+}
+
+// TestReviewAgainstTheNaiveVersion compares one review with a naive one that serves the queue
+// one by one. Whoever waits in time must get a slot in time; whoever is sent away must not
+// have had one, and comes back within its usable time at a place of its own.
+func TestReviewAgainstTheNaiveVersion(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		controller, now := newBusy(rapid.IntRange(1, 2*slots).Draw(t, "usual"))
+		var queue []*grant.Waiting
+		for id := range uint64(rapid.IntRange(1, 150).Draw(t, "arrivals")) {
+			request := newRequest(id+1, now)
+			request.Deadline = now.Add(time.Duration(rapid.IntRange(-50, 500).Draw(t, "objective ms")) * time.Millisecond)
+			request.End = now.Add(time.Duration(rapid.IntRange(600, 6000).Draw(t, "patience ms")) * time.Millisecond)
+			request.InTime = request.Deadline.After(now)
+			controller.Arrived(request, now)
+			queue = append(queue, request)
+		}
+		refused := make(map[*grant.Waiting]grant.OverloadRefusal)
+		for _, decision := range controller.Review(queue, fullLane, now) {
+			refused[decision.Request] = decision.Refusal
+		}
+		before, places := 0, make(map[time.Duration]bool)
+		for _, request := range queue {
+			served := float64(before+1)+deviations*math.Sqrt(float64(before)) <= slots/heldFor.Seconds()*request.Deadline.Sub(now).Seconds()
+			refusal, isRefused := refused[request]
+			switch {
+			case isRefused && served && request.InTime && !booksBefore(refused, request.Deadline.Sub(now)):
+				t.Fatalf("request %d was refused with %d before it and %v left", request.ID, before, request.Deadline.Sub(now))
+			case isRefused && (refusal.RetryAfter < 0 || refusal.RetryAfter > request.End.Sub(now)/usablePart):
+				t.Fatalf("request %d was told %v with %v left", request.ID, refusal.RetryAfter, request.End.Sub(now))
+			case isRefused && refusal.Expected > 0 && places[refusal.Expected]:
+				t.Fatalf("two requests were told the place %v", refusal.Expected)
+			case !isRefused && request.InTime && !served:
+				t.Fatalf("request %d waits with %d before it and %v left", request.ID, before, request.Deadline.Sub(now))
+			}
+			places[refusal.Expected] = isRefused && refusal.Expected > 0
+			if !isRefused && request.InTime {
+				before++
+			}
+		}
+	})
+}
+
+// booksBefore reports whether any place was booked before a time.
+func booksBefore(refused map[*grant.Waiting]grant.OverloadRefusal, until time.Duration) bool {
+	for _, refusal := range refused {
+		if refusal.Expected > 0 && refusal.Expected <= until {
+			return true
+		}
+	}
+	return false
+}
+
+// TestToldMemoryIsBounded remembers more requests than it has room for.
+func TestToldMemoryIsBounded(t *testing.T) {
+	memory := newToldMemory()
+	for content := range uint64(3 * maxTold) {
+		memory.add(content, start)
+	}
+	if len(memory.until) > maxTold || len(memory.oldest) > maxTold {
+		t.Errorf("%d requests are remembered, want at most %d", len(memory.until), maxTold)
+	}
+	if memory.holds(1, start) || !memory.holds(3*maxTold-1, start) {
+		t.Errorf("the newest requests must be remembered, not the oldest")
+	}
+}
+
+// BenchmarkReview reviews a queue of a lane that completes 2,000 requests a second, which is
+// full and gets five times as many.
+func BenchmarkReview(b *testing.B) {
+	controller, now := New(), start
+	for range 2000 {
+		controller.Finished(heldFor, now)
+	}
+	load := grant.LaneLoad{Slots: 2000, Online: 2000, Full: true}
+	var queue []*grant.Waiting
+	for id := range uint64(500) {
+		queue = append(queue, newRequest(id+1, now))
+	}
+	next := uint64(1000)
+	for b.Loop() {
+		now = now.Add(100 * time.Microsecond)
+		next++
+		request := newRequest(next, now)
+		controller.Arrived(request, now)
+		refused := controller.Review(append(queue, request), load, now)
+		if len(refused) == 0 {
+			queue = append(queue[1:], request)
+		}
+	}
+}
--- /dev/null
+++ b/internal/core/overload/review.go
@@ -0,0 +1,214 @@
+package overload
+
+import (
+	"math"
+	"time"
+
+	"ringstream.example/ringstream/internal/core/grant"
+)
+
+const (
+	// deviations is the number of standard deviations within which 999 of 1,000 waits lie on
+	// one side, if requests end independently of each other. Callers should not be let wait
+	// in vain more often.
+	deviations = 3.1
+	// usablePart is the part of the time left, as a divisor, within which clients come back:
+	// they wait no longer than a third of it.
+	usablePart = 3
+	// transit is the time that a refusal takes to the client, whose wait begins there.
+	transit = 20 * time.Millisecond
+	// lateHorizon is the time within which a request must be expected to be served to be let
+	// wait for a late answer. It keeps slots in use between arrivals. Arrivals may rise at any
+	// time, and the requests that are held then wait in vain.
+	lateHorizon = 100 * time.Millisecond
+	// toldFor is how long after the time that it was told a request that comes back is
+	// recognized.
+	toldFor = time.Second
+)
+
+// review is one look at a queue. It counts the requests that wait in front of the next one.
+type review struct {
+	*Controller
+	now       time.Time
+	full      bool
+	known     bool    // whether perSecond is known
+	perSecond float64 // requests that the lane completes per second
+	inTime    int     // requests in time so far
+	late      int     // late requests so far
+	// higher caches higherPerSecond of the last rank.
+	higher     float64
+	higherRank rank
+	higherSet  bool
+}
+
+// newReview returns a review of a lane. Its rate follows from its slots and the time for which
+// a request holds one, so that it is right as soon as engines are lost. Where the lane is full
+// with fewer online requests than slots, other work that it does not know uses the rest.
+func (c *Controller) newReview(load grant.LaneLoad, now time.Time) *review {
+	slots := load.Slots
+	if load.Full {
+		slots = min(slots, load.Online)
+	}
+	known := c.held.value > 0 && c.held.values >= max(minFinished, load.Online)
+	perSecond := 0.0
+	if known {
+		perSecond = float64(slots) / c.held.value
+	}
+	return &review{Controller: c, now: now, full: load.Full, known: known, perSecond: perSecond}
+}
+
+// judge decides whether the next request of the queue is refused.
+func (r *review) judge(request *grant.Waiting) (grant.OverloadRefusal, bool) {
+	refusal, refuse := r.decide(request)
+	switch {
+	case refuse:
+	case request.InTime:
+		r.inTime++
+	default:
+		r.late++
+	}
+	return refusal, refuse
+}
+
+func (r *review) decide(request *grant.Waiting) (grant.OverloadRefusal, bool) {
+	if request.MayHaveRun || request.Place || request.End.IsZero() {
+		return grant.OverloadRefusal{}, false
+	}
+	if left := request.End.Sub(r.now); left <= request.FirstToken {
+		r.counts.Expired++
+		return r.refusal(left / usablePart), true
+	}
+	if !r.full || !r.known || (request.InTime && r.servedInTime(request)) {
+		return grant.OverloadRefusal{}, false
+	}
+	if !request.Again {
+		r.noteLate(r.now)
+	}
+	if request.Returned {
+		return grant.OverloadRefusal{}, false // it is not sent away again
+	}
+	if request.Admitted && request.InTime && !r.certainlyLate(request) {
+		return grant.OverloadRefusal{}, false
+	}
+	if at, booked := r.book(request); booked {
+		r.counts.Booked++
+		refusal := r.refusal(at.Sub(r.now))
+		refusal.Expected = refusal.RetryAfter
+		return refusal, true
+	}
+	if request.Admitted && request.InTime {
+		return grant.OverloadRefusal{}, false // it may still be lucky
+	}
+	if r.servedLate(request) {
+		request.LateOnly, request.InTime = true, false
+		return grant.OverloadRefusal{}, false
+	}
+	r.counts.Refused++
+	after := r.spread.next(r.earliestReturn(request), r.usable(request))
+	r.told.add(request.Content, r.now.Add(after+toldFor))
+	return r.refusal(after), true
+}
+
+func (r *review) refusal(after time.Duration) grant.OverloadRefusal {
+	return grant.OverloadRefusal{RetryAfter: max(after, 0), Queued: r.inTime + r.late, PerSecond: r.perSecond}
+}
+
+// slack returns how long a request can wait for its slot and be in time.
+func (r *review) slack(request *grant.Waiting) time.Duration {
+	return request.Deadline.Sub(r.now) - request.FirstToken
+}
+
+// before returns the requests that get slots before a request: those in front of it in the
+// queue, and those with a place within the request's slack.
+func (r *review) before(request *grant.Waiting) float64 {
+	return float64(r.inTime + r.places.DueBy(r.now.Add(r.slack(request))))
+}
+
+// left returns the rate at which slots become free that no request of a higher rank takes,
+// and for a request that comes back without a place, no new one.
+func (r *review) left(request *grant.Waiting) float64 {
+	own := rank{tenant: request.TenantRank, route: request.Rank}
+	if !r.higherSet || r.higherRank != own {
+		r.higher, r.higherRank, r.higherSet = r.higherPerSecond(request, r.now), own, true
+	}
+	if request.Again {
+		return r.perSecond - max(r.higher, r.recentPerSecond())
+	}
+	return r.perSecond - r.higher
+}
+
+// servedInTime reports whether a request in time is expected to get a slot within its slack,
+// with a probability of 0.999 if many requests are before it.
+func (r *review) servedInTime(request *grant.Waiting) bool {
+	before := r.before(request)
+	return before+1+deviations*math.Sqrt(before) <= r.left(request)*r.slack(request).Seconds()
+}
+
+// certainlyLate reports whether a request has a probability of less than 0.001 to get a slot
+// within its slack.
+func (r *review) certainlyLate(request *grant.Waiting) bool {
+	before := r.before(request)
+	return before+1-deviations*math.Sqrt(before) > r.left(request)*r.slack(request).Seconds()
+}
+
+// age returns how long the overload has lasted. It is expected to last as long again.
+func (r *review) age() time.Duration {
+	if r.since.IsZero() {
+		return 0
+	}
+	return r.now.Sub(r.since)
+}
+
+// drain returns how long the lane takes to serve the requests in time that wait.
+func (r *review) drain(request *grant.Waiting) time.Duration {
+	rate := r.left(request)
+	if rate <= 0 {
+		return r.usable(request)
+	}
+	waiting := float64(r.inTime)
+	return seconds((waiting + 1 + deviations*math.Sqrt(waiting)) / rate)
+}
+
+// usable returns the latest time at which a request can come back.
+func (r *review) usable(request *grant.Waiting) time.Duration {
+	return max(request.End.Sub(r.now)/usablePart-transit, 0)
+}
+
+// earliestReturn returns when the overload can be over: it may last as long again as it has
+// lasted, and the requests that wait go first.
+func (r *review) earliestReturn(request *grant.Waiting) time.Duration {
+	return max(r.age(), r.drain(request))
+}
+
+// book books a place for a request. New requests get the places that the usual arrivals
+// leave after the overload. A request that was let wait in vain, which is rare, gets the next
+// place. A request that comes back without one gets none, since its client may have used up
+// its attempts.
+func (r *review) book(request *grant.Waiting) (time.Time, bool) {
+	if request.Again {
+		return time.Time{}, false
+	}
+	earliest, rate := r.earliestReturn(request), r.perSecond-r.usualPerSecond()
+	if request.Admitted {
+		earliest, rate = r.drain(request), r.perSecond
+	}
+	if rate <= 0 {
+		return time.Time{}, false
+	}
+	return r.places.Book(request.Content, r.now.Add(earliest), r.now.Add(r.usable(request)), seconds(1/rate))
+}
+
+// servedLate reports whether a request is expected to be served late, by what the lane
+// completes beyond the requests that arrive. Requests that were let wait are not sent away
+// before their time is over.
+func (r *review) servedLate(request *grant.Waiting) bool {
+	if request.Admitted {
+		return r.perSecond > 0
+	}
+	before := float64(r.inTime + r.late + 1)
+	spare := r.perSecond - max(r.recentPerSecond(), r.usualPerSecond())
+	horizon := min(request.End.Sub(r.now)-request.FirstToken, lateHorizon)
+	return before <= spare*horizon.Seconds()
+}
+
+func seconds(value float64) time.Duration { return time.Duration(value * float64(time.Second)) }
--- a/internal/passthrough/slots/config.go
+++ b/internal/passthrough/slots/config.go
@@ -5,6 +5,7 @@
 
 	"ringstream.example/ringstream/internal/configcheck"
 	"ringstream.example/ringstream/internal/core/grant"
+	"ringstream.example/ringstream/internal/core/overload"
 )
 
 // Config holds the settings of the service.
@@ -32,5 +33,9 @@
 
 // policies returns the policies of a new dispatcher.
 func (c SchedulingConfig) policies() grant.Policies {
-	return grant.Policies{}
+	var policies grant.Policies
+	if c.RefuseOverload {
+		policies.Overload = overload.New()
+	}
+	return policies
 }
--- a/internal/passthrough/slots/slots.go
+++ b/internal/passthrough/slots/slots.go
@@ -16,6 +16,7 @@
 
 	"ringstream.example/ringstream/internal/core/enginechoice"
 	"ringstream.example/ringstream/internal/core/grant"
+	"ringstream.example/ringstream/internal/core/overload"
 	"ringstream.example/ringstream/internal/core/quota"
 	"ringstream.example/ringstream/internal/passthrough/catalog"
 	"ringstream.example/ringstream/internal/suspension"
@@ -80,6 +81,7 @@
 // laneDispatcher is the dispatcher of a lane for which this node is responsible.
 type laneDispatcher struct {
 	*grant.Dispatcher
+	overload *overload.Controller // nil: the queue has no bound
 	lastUsed time.Time
 	lastTick time.Time
 }
@@ -178,6 +180,7 @@
 
 // tickDispatchers does the dispatchers' periodic work. The caller holds mu.
 func (s *Service) tickDispatchers(now time.Time, out *outbox) {
+	ticked := false
 	for lane, dispatcher := range s.dispatchers {
 		if dispatcher.Idle() {
 			if now.Sub(dispatcher.lastUsed) > idleRetention {
@@ -186,11 +189,14 @@
 			continue
 		}
 		if now.Sub(dispatcher.lastTick) >= tickInterval {
-			dispatcher.lastTick = now
+			dispatcher.lastTick, ticked = now, true
 			dispatcher.Tick(now)
 			s.collectReplies(lane, dispatcher, now, out)
 		}
 	}
+	if ticked {
+		s.recordOverload()
+	}
 }
 
 // pollRequesters polls the requester of each lane and returns when to poll again. The caller
@@ -357,8 +363,10 @@
 func (s *Service) dispatcherFor(lane grant.Lane, now time.Time) *laneDispatcher {
 	dispatcher := s.dispatchers[lane]
 	if dispatcher == nil && len(s.dispatchers) < maxDispatcherLanes {
+		policies := s.config.Scheduling.policies()
 		dispatcher = &laneDispatcher{Dispatcher: grant.NewDispatcher(grant.DefaultDispatcherConfig(), lane, s.Name, now)}
-		dispatcher.UsePolicies(s.config.Scheduling.policies())
+		dispatcher.overload, _ = policies.Overload.(*overload.Controller)
+		dispatcher.UsePolicies(policies)
 		dispatcher.SetEngines(s.engines.enginesInPool(lane.Pool), now)
 		dispatcher.SetLimits(s.config.Limits.margin(), s.limitsForLane(lane), now)
 		dispatcher.SetLive(s.liveNodeCount)
