core/overload: nobody returns in the first part of the time that callers can use

Cause: a place within an overload takes the slot of a new request, which then has to return as well. Change: places and other returns lie in the last fifth of the time within which clients come back; the replay is the same on every run and counts answers in time at the first attempt.

--- a/internal/core/overload/overload_test.go
+++ b/internal/core/overload/overload_test.go
@@ -77,8 +77,8 @@
 	if waiting := 200 - len(refused); waiting < 15 || waiting > 30 {
 		t.Errorf("%d requests wait, want what 100 a second serve in 0.3 s, with a margin", waiting)
 	}
-	if all := int(usable / wantGap); counts.Booked > all || counts.Booked < all*3/4 || counts.Booked+counts.Refused != len(refused) {
-		t.Errorf("%d requests have places and %d have none, want the %d places within the %v that they can use, less those before the queue is served", counts.Booked, counts.Refused, all, usable)
+	if all := int((usable-usable*earliestPart/latestPart)/wantGap) + 1; counts.Booked != all || counts.Booked+counts.Refused != len(refused) {
+		t.Errorf("%d requests have places and %d have none, want the %d places in the last part of the %v that they can use", counts.Booked, counts.Refused, all, usable)
 	}
 }
 
--- a/internal/core/overload/replay_test.go
+++ b/internal/core/overload/replay_test.go
@@ -66,6 +66,7 @@
 // results counts how the requests ended.
 type results struct {
 	inTime, late      int // whole answers, by the time from the attempt to the first token
+	atOnce            int // in time at the first attempt
 	refused           int // for the last time
 	heldInVain        int // waited for longer than a quarter of the objective and got no engine
 	returned, toldOff int // came back when told; of these served or refused at once
@@ -197,8 +198,14 @@
 // exchange sends the node's State to the dispatcher and applies its reply.
 func (r *replay) exchange(at time.Duration) {
 	r.sequence++
-	state := grant.State{Life: 1, Sequence: r.sequence, Ended: r.ended, Firsts: r.firsts}
-	r.ended, r.firsts = nil, nil
+	state := grant.State{Life: 1, Sequence: r.sequence, Firsts: r.firsts}
+	r.firsts = nil
+	if len(r.ended) > 0 { // one at a time, since a dispatcher takes those of one State in any order
+		state.Ended, r.ended = r.ended[:1], r.ended[1:]
+	}
+	for _, ended := range r.ended {
+		state.Held = append(state.Held, grant.Held{ID: ended.ID, Engine: ended.Engine})
+	}
 	for _, id := range slices.Sorted(maps.Keys(r.running)) {
 		state.Held = append(state.Held, grant.Held{ID: id, Engine: r.running[id].engine})
 	}
@@ -259,6 +266,9 @@
 	switch {
 	case inTime:
 		r.results.inTime++
+		if request.attempts == 1 {
+			r.results.atOnce++
+		}
 	case served:
 		r.results.late++
 	case waited > objective/4:
--- a/internal/core/overload/review.go
+++ b/internal/core/overload/review.go
@@ -15,6 +15,9 @@
 	// usablePart is the part of the time left, as a divisor, within which clients come back:
 	// they wait no longer than a third of it.
 	usablePart = 3
+	// earliestPart of latestPart parts of the time within which a client comes back is when
+	// it may come back at the earliest.
+	earliestPart, latestPart = 4, 5
 	// transit is the time that a refusal takes to the client, whose wait begins there.
 	transit = 20 * time.Millisecond
 	// lateHorizon is the time within which a request must be expected to be served to be let
@@ -175,9 +178,11 @@
 }
 
 // earliestReturn returns when the overload can be over: it may last as long again as it has
-// lasted, and the requests that wait go first.
+// lasted, and the requests that wait go first. A return within an overload takes the slot of a
+// new request, which then has to return as well. As most overloads that matter last for longer than
+// callers can wait, nobody returns in the first part of that time.
 func (r *review) earliestReturn(request *grant.Waiting) time.Duration {
-	return max(r.age(), r.drain(request))
+	return max(r.age(), r.drain(request), r.usable(request)*earliestPart/latestPart)
 }
 
 // book books a place for a request. New requests get the places that the usual arrivals
