--- a/internal/core/grant/speeds.go
+++ b/internal/core/grant/speeds.go
@@ -10,6 +10,7 @@
 // observe records what a State tells of the engines. The first tokens of slow engines do not
 // count for the time that a request is expected to take.
 func (d *Dispatcher) observe(from string, state State, now time.Time) {
+	d.retryOnline = d.retryOnline || len(state.Loads) > 0 // the engines may have free slots
 	for _, load := range state.Loads {
 		engine := d.engineByHash[load.Engine]
 		d.engines.RecordReport(engine, load.Running, load.Waiting, now)
--- a/internal/passthrough/slots/config.go
+++ b/internal/passthrough/slots/config.go
@@ -6,6 +6,7 @@
 	"ringstream.example/ringstream/internal/configcheck"
 	"ringstream.example/ringstream/internal/core/enginespeed"
 	"ringstream.example/ringstream/internal/core/grant"
+	"ringstream.example/ringstream/internal/core/overload"
 )
 
 // Config holds the settings of the service.
@@ -37,5 +38,8 @@
 	if c.EngineSpeeds {
 		policies.Speeds = enginespeed.New()
 	}
+	if c.RefuseOverload {
+		policies.Overload = overload.New()
+	}
 	return policies
 }
--- a/internal/passthrough/slots/metrics.go
+++ b/internal/passthrough/slots/metrics.go
@@ -13,7 +13,8 @@
 	waited *prometheus.HistogramVec
 	slow   *prometheus.GaugeVec
 	// slowest is the slowness of the slowest engine.
-	slowest prometheus.Gauge
+	slowest  prometheus.Gauge
+	overload overloadMetrics
 }
 
 // grantBuckets range from 0.5 ms to 4 s, in seconds.
@@ -22,13 +23,14 @@
 // NewMetrics returns the metrics. It registers them unless registerer is nil.
 func NewMetrics(registerer prometheus.Registerer) *Metrics {
 	metrics := &Metrics{
-		grants:  prometheus.NewCounterVec(prometheus.CounterOpts{Name: "ringstream_slots_granted_total", Help: "Slots at engines, by who chose the engine, kind of work, and whether a slot was free, a batch run made room, or neither."}, []string{"source", "work", "kind"}),
-		waited:  prometheus.NewHistogramVec(prometheus.HistogramOpts{Name: "ringstream_slots_wait_seconds", Help: "Time from asking for a slot to having one.", Buckets: grantBuckets}, []string{"source", "kind"}),
-		slow:    prometheus.NewGaugeVec(prometheus.GaugeOpts{Name: "ringstream_slots_slow_engines", Help: "Engines, of the lanes that this node dispatches, at which work takes at least as many times the usual time as the label says."}, []string{"times"}),
-		slowest: prometheus.NewGauge(prometheus.GaugeOpts{Name: "ringstream_slots_slowest_engine_ratio", Help: "Time that work takes at the slowest engine of the lanes that this node dispatches, relative to the usual time; 1 if no engine is slow."}),
+		grants:   prometheus.NewCounterVec(prometheus.CounterOpts{Name: "ringstream_slots_granted_total", Help: "Slots at engines, by who chose the engine, kind of work, and whether a slot was free, a batch run made room, or neither."}, []string{"source", "work", "kind"}),
+		waited:   prometheus.NewHistogramVec(prometheus.HistogramOpts{Name: "ringstream_slots_wait_seconds", Help: "Time from asking for a slot to having one.", Buckets: grantBuckets}, []string{"source", "kind"}),
+		slow:     prometheus.NewGaugeVec(prometheus.GaugeOpts{Name: "ringstream_slots_slow_engines", Help: "Engines, of the lanes that this node dispatches, at which work takes at least as many times the usual time as the label says."}, []string{"times"}),
+		slowest:  prometheus.NewGauge(prometheus.GaugeOpts{Name: "ringstream_slots_slowest_engine_ratio", Help: "Time that work takes at the slowest engine of the lanes that this node dispatches, relative to the usual time; 1 if no engine is slow."}),
+		overload: newOverloadMetrics(),
 	}
 	if registerer != nil {
-		registerer.MustRegister(metrics.grants, metrics.waited, metrics.slow, metrics.slowest)
+		registerer.MustRegister(append(metrics.overload.collectors(), metrics.grants, metrics.waited, metrics.slow, metrics.slowest)...)
 	}
 	return metrics
 }
