fairqueue: the callers' fair queue by its name, with the accounts apart from the queue

Cause: core/admission is a start-time fair queue, which its name does not say, and its accounts can be used only through its bounded queue. Change: renamed to core/fairqueue. Tags holds the virtual time and the flows' accounts; Queue, the callers' bounded queue, uses them as before. Measured: nothing; the tests of the queue and of dispatch are unchanged but for the name.

--- a/internal/core/admission/queue.go
+++ b/internal/core/fairqueue/queue.go
@@ -1,16 +1,16 @@
-// Package admission orders online requests that wait for an engine. It is a
-// weighted fair queue by row, bounded in length; callers remove a request at its
-// deadline. Batch work never enters it.
+// Package fairqueue divides a scarce resource among flows, rows or tenants, by weight. Tags
+// keeps the account of the flows; Queue is a bounded queue in which the requests of rows wait
+// in the order of their tags.
 //
 // The discipline is start-time fair queueing. A request gets a start tag, the
-// larger of the virtual time and its row's last finish tag; its finish tag is
+// larger of the virtual time and its flow's last finish tag; its finish tag is
 // the start tag plus cost over weight. The lowest start tag is served first, and
-// the virtual time is the start tag of the request served last. For any two rows
+// the virtual time is the start tag of the request served last. For any two flows
 // that stay backlogged over an interval, the work served for each, divided by the
-// row's weight, differs by at most c1/w1 + c2/w2, where c is the row's largest
-// cost. No row falls behind by more than one request of its own and one of the
+// flow's weight, differs by at most c1/w1 + c2/w2, where c is the flow's largest
+// cost. No flow falls behind by more than one request of its own and one of the
 // other's.
-package admission
+package fairqueue
 
 import (
 	"container/heap"
@@ -26,23 +26,23 @@
 	Cost     float64 // above zero, in the same unit for the whole queue
 	Deadline time.Time
 
-	start, finish float64
-	sequence      uint64
-	position      int // in the heap; -1 after removal
+	start    float64
+	sequence uint64
+	position int // in the heap; -1 after removal
 }
 
-// Queue is a bounded weighted fair queue. Its zero value is not usable.
+// Queue is a bounded weighted fair queue of the rows' requests; callers remove a request at its
+// deadline. Its zero value is not usable.
 type Queue struct {
-	limit       int
-	virtualTime float64
-	sequence    uint64
-	finish      map[identity.RowID]float64
-	waiting     ticketHeap
+	limit    int
+	sequence uint64
+	tags     *Tags[identity.RowID]
+	waiting  ticketHeap
 }
 
 // NewQueue returns a queue that holds at most limit tickets.
 func NewQueue(limit int) *Queue {
-	return &Queue{limit: limit, finish: make(map[identity.RowID]float64)}
+	return &Queue{limit: limit, tags: NewTags[identity.RowID]()}
 }
 
 // Len returns the number of waiting tickets.
@@ -55,11 +55,9 @@
 	}
 	if len(q.waiting) == 0 {
 		// No row is backlogged, so earlier finish tags no longer count.
-		clear(q.finish)
+		q.tags.Forget()
 	}
-	ticket.start = max(q.virtualTime, q.finish[ticket.Row])
-	ticket.finish = ticket.start + ticket.Cost/float64(max(ticket.Weight, 1))
-	q.finish[ticket.Row] = ticket.finish
+	ticket.start = q.tags.Charge(ticket.Row, ticket.Cost/float64(max(ticket.Weight, 1)))
 	q.sequence++
 	ticket.sequence = q.sequence
 	heap.Push(&q.waiting, ticket)
@@ -76,7 +74,7 @@
 
 // Serve removes a waiting ticket as served and advances the virtual time.
 func (q *Queue) Serve(ticket *Ticket) {
-	q.virtualTime = max(q.virtualTime, ticket.start)
+	q.tags.Advance(ticket.start)
 	q.Remove(ticket)
 }
 
--- a/internal/core/admission/queue_test.go
+++ b/internal/core/fairqueue/queue_test.go
@@ -1,4 +1,4 @@
-package admission_test
+package fairqueue_test
 
 import (
 	"slices"
@@ -7,7 +7,7 @@
 
 	"pgregory.net/rapid"
 
-	"ringstream.example/ringstream/internal/core/admission"
+	"ringstream.example/ringstream/internal/core/fairqueue"
 	"ringstream.example/ringstream/internal/core/identity"
 	_ "ringstream.example/ringstream/internal/seedtest" // the same values at every run
 )
@@ -20,11 +20,11 @@
 }
 
 type referenceTicket struct {
-	ticket *admission.Ticket
+	ticket *fairqueue.Ticket
 	start  float64
 }
 
-func (n *referenceQueue) push(ticket *admission.Ticket) {
+func (n *referenceQueue) push(ticket *fairqueue.Ticket) {
 	if len(n.waiting) == 0 {
 		n.finish = map[identity.RowID]float64{}
 	}
@@ -43,18 +43,18 @@
 	return best
 }
 
-func (n *referenceQueue) remove(ticket *admission.Ticket) {
+func (n *referenceQueue) remove(ticket *fairqueue.Ticket) {
 	n.waiting = slices.DeleteFunc(n.waiting, func(other *referenceTicket) bool { return other.ticket == ticket })
 }
 
 func TestQueueAgreesWithReferenceModel(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
-		queue := admission.NewQueue(20)
+		queue := fairqueue.NewQueue(20)
 		reference := &referenceQueue{}
 		for range rapid.IntRange(1, 100).Draw(t, "steps") {
 			switch rapid.IntRange(0, 3).Draw(t, "step") {
 			case 0, 1:
-				ticket := &admission.Ticket{
+				ticket := &fairqueue.Ticket{
 					Row:    identity.RowID(strconv.Itoa(rapid.IntRange(0, 3).Draw(t, "row"))),
 					Weight: rapid.IntRange(1, 5).Draw(t, "weight"), Cost: float64(rapid.IntRange(1, 50).Draw(t, "cost")),
 				}
@@ -96,9 +96,9 @@
 	const maxCost = 50.0
 	rapid.Check(t, func(t *rapid.T) {
 		weights := [2]int{rapid.IntRange(1, 10).Draw(t, "w1"), rapid.IntRange(1, 10).Draw(t, "w2")}
-		queue := admission.NewQueue(1000)
+		queue := fairqueue.NewQueue(1000)
 		push := func(row int) {
-			queue.Push(&admission.Ticket{Row: identity.RowID(strconv.Itoa(row)), Weight: weights[row], Cost: float64(rapid.IntRange(1, maxCost).Draw(t, "cost"))})
+			queue.Push(&fairqueue.Ticket{Row: identity.RowID(strconv.Itoa(row)), Weight: weights[row], Cost: float64(rapid.IntRange(1, maxCost).Draw(t, "cost"))})
 		}
 		for range 3 {
 			push(0)
--- a/internal/dispatch/run.go
+++ b/internal/dispatch/run.go
@@ -7,7 +7,7 @@
 
 	"ringstream.example/ringstream/internal/apierror"
 	"ringstream.example/ringstream/internal/backend"
-	"ringstream.example/ringstream/internal/core/admission"
+	"ringstream.example/ringstream/internal/core/fairqueue"
 	"ringstream.example/ringstream/internal/core/identity"
 	"ringstream.example/ringstream/internal/core/outcome"
 	"ringstream.example/ringstream/internal/core/routing"
@@ -87,12 +87,12 @@
 
 // newTicket returns the run's ticket for the fair queue. Its cost is the work
 // requested of the engine, in prompt blocks plus output tokens.
-func (r *run) newTicket(wait time.Duration) *admission.Ticket {
+func (r *run) newTicket(wait time.Duration) *fairqueue.Ticket {
 	deadline := time.Now().Add(wait)
 	if !r.request.Deadline.IsZero() && r.request.Deadline.Before(deadline) {
 		deadline = r.request.Deadline
 	}
-	return &admission.Ticket{
+	return &fairqueue.Ticket{
 		Row: r.request.Row.ID, Weight: r.request.Row.Weight,
 		Cost:     float64(1 + len(r.request.Prompt)/backend.PrefixBlockBytes + r.request.MaxTokens),
 		Deadline: deadline,
--- a/internal/dispatch/service.go
+++ b/internal/dispatch/service.go
@@ -10,7 +10,7 @@
 	"go.uber.org/zap"
 
 	"ringstream.example/ringstream/internal/backend"
-	"ringstream.example/ringstream/internal/core/admission"
+	"ringstream.example/ringstream/internal/core/fairqueue"
 	"ringstream.example/ringstream/internal/core/headroom"
 	"ringstream.example/ringstream/internal/core/identity"
 	"ringstream.example/ringstream/internal/core/outcome"
@@ -85,8 +85,8 @@
 
 // queue holds the online requests that wait for engines of one queueKey.
 type queue struct {
-	order   *admission.Queue
-	waiters map[*admission.Ticket]*waiter
+	order   *fairqueue.Queue
+	waiters map[*fairqueue.Ticket]*waiter
 }
 
 // waiter is a request waiting for an engine.
@@ -232,7 +232,7 @@
 
 // awaitPlacement waits until a queued request is placed, its context ends or its
 // ticket expires.
-func (s *Service) awaitPlacement(ctx context.Context, waiting *queue, ticket *admission.Ticket, queued *waiter) (*fleet.Engine, outcome.Outcome) {
+func (s *Service) awaitPlacement(ctx context.Context, waiting *queue, ticket *fairqueue.Ticket, queued *waiter) (*fleet.Engine, outcome.Outcome) {
 	timer := time.NewTimer(time.Until(ticket.Deadline))
 	defer timer.Stop()
 	select {
@@ -268,7 +268,7 @@
 	key := queueKey{run.request.Row.Pool, run.request.Model, run.request.Adapter}
 	waiting, ok := s.queues[key]
 	if !ok {
-		waiting = &queue{order: admission.NewQueue(s.config.QueueLength), waiters: make(map[*admission.Ticket]*waiter)}
+		waiting = &queue{order: fairqueue.NewQueue(s.config.QueueLength), waiters: make(map[*fairqueue.Ticket]*waiter)}
 		s.queues[key] = waiting
 	}
 	return waiting
