fairshares: tenants of one rank share a lane's slots, online and batch

Cause: a lane serves tenants of one rank by what they send, so every tenant pays for the few that flood. Change: fairshares.Order, a QueueOrder by start-time fair queueing with slot time as cost, learned by size of request and settled by what a request really took. Weights are the tenants' limits. The same order for batch requests, whose asks name their tenant. QueueOrder gets the weights, and returns the charge of a grant, which the dispatcher hands back when the request has ended. On with pass_through.scheduling.fair_shares.

--- /dev/null
+++ b/internal/core/fairshares/order.go
@@ -0,0 +1,238 @@
+// Package fairshares orders a lane's queue so that the tenants of one rank share its slots. It
+// answers the load of a few tenants that send many times what others send: they wait behind the
+// requests of tenants that have had less than their share.
+//
+// Requests that can be in time come before late ones, then the rank of the tenant and of the route
+// decide, as without shares. Among requests that are alike in these, the tenants are served by
+// start-time fair queueing (package fairqueue) with the time for which requests hold their slots
+// as cost, and a tenant's own requests by least time left. Each pair of ranks has a virtual time
+// and accounts of its own.
+//
+// The virtual time is the least start tag of the tenants that wait with requests that can be in
+// time. Requests that are granted out of order, such as those that get an engine at once, are
+// charged and do not move it.
+package fairshares
+
+import (
+	"cmp"
+	"math"
+	"slices"
+	"time"
+
+	"ringstream.example/ringstream/internal/core/fairqueue"
+	"ringstream.example/ringstream/internal/core/grant"
+)
+
+// Order implements grant.QueueOrder. It is used by one dispatcher only.
+type Order struct {
+	weights   map[uint64]float64 // by grant.TenantHash; 1 where there is none
+	classes   map[classKey]*class
+	slotTimes slotTimes
+
+	// The following are reused by Arrange.
+	items   []item
+	waiting map[flowKey]*flow
+	flows   []flow
+}
+
+// classKey identifies requests that are alike in rank.
+type classKey struct{ tenantRank, rank int }
+
+// class holds the accounts of the tenants that compete within a pair of ranks.
+type class struct {
+	tags     *fairqueue.Tags[uint64]
+	inFlight int
+
+	// The following are valid within one call of Arrange.
+	arranged                bool
+	leastInTime, leastStart float64
+}
+
+// flowKey identifies a tenant within a class.
+type flowKey struct {
+	classKey
+	owner uint64
+}
+
+// flow is a tenant with waiting requests of a class.
+type flow struct {
+	class  *class
+	owner  uint64
+	weight float64
+	tag    float64 // start tag of the next request
+	passed bool    // it has had less than its share
+}
+
+// item is a waiting request with what it is sorted by.
+type item struct {
+	request  *grant.Waiting
+	flow     *flow
+	group    uint64
+	deadline int64 // nanoseconds
+	position int   // in the queue, then among the requests of the group by deadline
+	tag      float64
+}
+
+// New returns an order without history.
+func New() *Order {
+	return &Order{classes: make(map[classKey]*class), waiting: make(map[flowKey]*flow)}
+}
+
+// SetWeights implements grant.QueueOrder. Weights that are not above zero are ignored.
+func (o *Order) SetWeights(weights map[uint64]float64) { o.weights = weights }
+
+func (o *Order) weight(owner uint64) float64 {
+	if weight := o.weights[owner]; weight > 0 {
+		return weight
+	}
+	return 1
+}
+
+// Arrange implements grant.QueueOrder.
+func (o *Order) Arrange(queue []*grant.Waiting, _ time.Time) {
+	o.collect(queue)
+	o.forgetIdleClasses()
+	slices.SortFunc(o.items, func(a, b item) int {
+		return cmp.Or(cmp.Compare(a.group, b.group), cmp.Compare(a.deadline, b.deadline), cmp.Compare(a.position, b.position))
+	})
+	o.advance()
+	for i := range o.items {
+		next := &o.items[i]
+		next.position, next.tag = i, next.flow.tag
+		next.flow.tag += o.slotTimes.expected(next.request.MemoryTokens) / next.flow.weight
+	}
+	slices.SortFunc(o.items, func(a, b item) int {
+		return cmp.Or(cmp.Compare(a.group, b.group), cmp.Compare(a.tag, b.tag), passedFirst(a.flow, b.flow), cmp.Compare(a.position, b.position))
+	})
+	for i := range o.items {
+		queue[i] = o.items[i].request
+		o.items[i].request = nil
+	}
+}
+
+// collect reads the queue into items and flows.
+func (o *Order) collect(queue []*grant.Waiting) {
+	o.items = o.items[:0]
+	clear(o.waiting)
+	o.flows = slices.Grow(o.flows[:0], len(queue)) // pointers to its elements are kept
+	for _, known := range o.classes {
+		known.arranged = false
+	}
+	for position, request := range queue {
+		o.items = append(o.items, item{
+			request: request, flow: o.flowOf(request), group: groupOf(request), deadline: request.Deadline.UnixNano(), position: position,
+		})
+	}
+}
+
+// flowOf returns the flow of a waiting request.
+func (o *Order) flowOf(request *grant.Waiting) *flow {
+	key := flowKey{classKey{request.TenantRank, request.Rank}, request.Owner}
+	known := o.waiting[key]
+	if known == nil {
+		within := o.classOf(key.classKey)
+		if !within.arranged {
+			within.arranged, within.leastInTime, within.leastStart = true, math.Inf(1), math.Inf(1)
+		}
+		o.flows = append(o.flows, flow{class: within, owner: key.owner, weight: o.weight(key.owner), tag: within.tags.Start(key.owner)})
+		known = &o.flows[len(o.flows)-1]
+		o.waiting[key] = known
+		within.leastStart = min(within.leastStart, known.tag)
+	}
+	if request.InTime && !request.Place {
+		known.class.leastInTime = min(known.class.leastInTime, known.tag)
+	}
+	return known
+}
+
+func (o *Order) classOf(key classKey) *class {
+	known := o.classes[key]
+	if known == nil {
+		known = &class{tags: fairqueue.NewTags[uint64]()}
+		o.classes[key] = known
+	}
+	return known
+}
+
+// advance moves the classes' virtual times, and sets the start tags of the flows.
+func (o *Order) advance() {
+	for _, known := range o.classes {
+		switch {
+		case !known.arranged:
+		case math.IsInf(known.leastInTime, 1):
+			known.tags.Advance(known.leastStart)
+		default:
+			known.tags.Advance(known.leastInTime)
+		}
+	}
+	for i := range o.flows {
+		known := &o.flows[i]
+		known.tag, known.passed = known.class.tags.Start(known.owner), known.class.tags.Passed(known.owner)
+	}
+}
+
+// forgetIdleClasses removes the classes that have no requests.
+func (o *Order) forgetIdleClasses() {
+	for key, known := range o.classes {
+		if !known.arranged && known.inFlight == 0 {
+			delete(o.classes, key)
+		}
+	}
+}
+
+// Granted implements grant.QueueOrder.
+func (o *Order) Granted(request *grant.Waiting, _ time.Time) grant.SlotCharge {
+	seconds := o.slotTimes.expected(request.MemoryTokens)
+	within := o.classOf(classKey{request.TenantRank, request.Rank})
+	within.inFlight++
+	within.tags.ChargeEstimate(request.Owner, seconds/o.weight(request.Owner))
+	return grant.SlotCharge{
+		Owner: request.Owner, TenantRank: request.TenantRank, Rank: request.Rank, MemoryTokens: request.MemoryTokens,
+		Expected: time.Duration(seconds * float64(time.Second)),
+	}
+}
+
+// Finished implements grant.QueueOrder. It corrects the charge by the time for which the request
+// has held its slot.
+func (o *Order) Finished(use grant.SlotUse, _ time.Time) {
+	within := o.classOf(classKey{use.TenantRank, use.Rank})
+	within.inFlight--
+	within.tags.Settle(use.Owner, (use.Held-use.Expected).Seconds()/o.weight(use.Owner))
+	if use.Complete {
+		o.slotTimes.observe(use.MemoryTokens, use.Held)
+	}
+}
+
+// Bits of a request's group. The ranks follow them, that of the tenant first.
+const (
+	waitsForSlot = 1 << 63
+	isLate       = 1 << 62
+	rankBits     = 30
+	maxRank      = 1<<rankBits - 1
+)
+
+// groupOf returns what a request is sorted by before the shares.
+func groupOf(request *grant.Waiting) uint64 {
+	group := boundedRank(request.TenantRank)<<rankBits | boundedRank(request.Rank)
+	if !request.Place {
+		group |= waitsForSlot
+	}
+	if !request.InTime {
+		group |= isLate
+	}
+	return group
+}
+
+func boundedRank(rank int) uint64 { return uint64(min(max(rank, 0), maxRank)) }
+
+// passedFirst sorts flows that have had less than their share before others.
+func passedFirst(a, b *flow) int {
+	switch {
+	case a.passed == b.passed:
+		return 0
+	case a.passed:
+		return -1
+	default:
+		return 1
+	}
+}
--- a/internal/core/grant/dispatcher.go
+++ b/internal/core/grant/dispatcher.go
@@ -52,9 +52,9 @@
 	lastSentAt time.Time // when its grant, or its stop, was last sent
 	confirmed  bool      // the node has reported it in flight
 	tenant     uint64    // tenant whose limit has counted it; 0 if none
-	owner      uint64    // Ask.Owner; 0 if unknown
 	preempted  bool      // its node is sent a stop; it is no longer counted at the engine
 	suspect    Suspect
+	charge     *SlotCharge // what its tenant was charged; nil if this dispatcher granted no slot
 }
 
 // queuedAsk is a request in the dispatcher's queue.
@@ -185,6 +185,12 @@
 	d.limits.SetLimits(limits)
 }
 
+// SetWeights sets the weights by which tenants share the lane, keyed by TenantHash.
+func (d *Dispatcher) SetWeights(weights map[uint64]float64) {
+	d.policies.Order.SetWeights(weights)
+	d.policies.BatchOrder.SetWeights(weights)
+}
+
 // SetLive sets the number of live nodes. While it is 0 (unknown), the dispatcher's part
 // of every limit is zero.
 func (d *Dispatcher) SetLive(nodes int) { d.liveNodes = nodes }
@@ -355,7 +361,10 @@
 	d.retryBatch = true
 	if !request.work.Batch {
 		d.policies.Overload.Finished(now)
-		d.policies.Order.Finished(request.owner, now.Sub(request.since), now)
+	}
+	if request.charge != nil {
+		use := SlotUse{SlotCharge: *request.charge, Held: now.Sub(request.since), Complete: end.Result == enginechoice.Succeeded}
+		d.policies.orderOf(request.work.Batch).Finished(use, now)
 	}
 }
 
--- a/internal/core/grant/policies.go
+++ b/internal/core/grant/policies.go
@@ -13,13 +13,14 @@
 // is called by one dispatcher only, and with the dispatcher's clock. A nil field selects
 // the policy that needs no settings.
 type Policies struct {
-	Overload OverloadControl
-	Order    QueueOrder
-	Speeds   EngineSpeeds
+	Overload   OverloadControl
+	Order      QueueOrder // of online requests
+	BatchOrder QueueOrder // of batch requests
+	Speeds     EngineSpeeds
 }
 
-// Waiting is an online request in the queue, as the policies see it. Its address stays the
-// same while it waits.
+// Waiting is a request in the queue, as the policies see it. Its address stays the same while it
+// waits.
 type Waiting struct {
 	Node string // address of the node that has the request
 	ID   uint64 // Ask.ID, unique on the node
@@ -33,8 +34,8 @@
 	End                        time.Time // when its client or route gives it up; zero if unknown
 	// FirstToken is the expected time from its grant to its first token.
 	FirstToken time.Duration
-	// InTime reports that its first token can be expected by Deadline if it is granted a
-	// slot now.
+	// InTime reports that its first token, or its end if it is a batch request, can be
+	// expected by Deadline if it is granted a slot now.
 	InTime bool
 	// Place reports that it gets an engine at once, however full.
 	Place bool
@@ -70,12 +71,30 @@
 
 // QueueOrder decides which of the waiting requests get slots first.
 type QueueOrder interface {
+	// SetWeights sets the tenants' weights, keyed by TenantHash. Other tenants have weight 1.
+	SetWeights(weights map[uint64]float64)
 	// Arrange sorts the queue.
 	Arrange(queue []*Waiting, now time.Time)
-	// Granted records that a request has been granted a slot.
-	Granted(request *Waiting, now time.Time)
-	// Finished records how long a request of an owner has held a slot.
-	Finished(owner uint64, held time.Duration, now time.Time)
+	// Granted records that a request has been granted a slot. It returns what its tenant was
+	// charged for the slot, to be passed to Finished.
+	Granted(request *Waiting, now time.Time) SlotCharge
+	// Finished records that a request no longer has its slot.
+	Finished(use SlotUse, now time.Time)
+}
+
+// SlotCharge is what a tenant was charged for a slot when it was granted.
+type SlotCharge struct {
+	Owner            uint64 // TenantHash; 0 if the request belongs to no tenant
+	TenantRank, Rank int
+	MemoryTokens     int
+	Expected         time.Duration // time for which the slot was expected to be held
+}
+
+// SlotUse is how a granted slot was used.
+type SlotUse struct {
+	SlotCharge
+	Held     time.Duration
+	Complete bool // the request ran to its end
 }
 
 // EngineSpeeds learns how fast the engines of a lane work.
@@ -88,6 +107,14 @@
 	Slowness(engine enginechoice.Incarnation, now time.Time) float64
 }
 
+// orderOf returns the order of the batch requests or of the online ones.
+func (p Policies) orderOf(batch bool) QueueOrder {
+	if batch {
+		return p.BatchOrder
+	}
+	return p.Order
+}
+
 // withDefaults replaces the policies that are nil.
 func (p Policies) withDefaults() Policies {
 	if p.Overload == nil {
@@ -96,6 +123,9 @@
 	if p.Order == nil {
 		p.Order = deadlineOrder{}
 	}
+	if p.BatchOrder == nil {
+		p.BatchOrder = deadlineOrder{}
+	}
 	if p.Speeds == nil {
 		p.Speeds = equalSpeeds{}
 	}
@@ -122,6 +152,9 @@
 // deadline.
 type deadlineOrder struct{}
 
+// SetWeights implements QueueOrder.
+func (deadlineOrder) SetWeights(map[uint64]float64) {}
+
 // Arrange implements QueueOrder.
 func (deadlineOrder) Arrange(queue []*Waiting, _ time.Time) {
 	slices.SortStableFunc(queue, func(a, b *Waiting) int {
@@ -133,10 +166,10 @@
 }
 
 // Granted implements QueueOrder.
-func (deadlineOrder) Granted(*Waiting, time.Time) {}
+func (deadlineOrder) Granted(*Waiting, time.Time) SlotCharge { return SlotCharge{} }
 
 // Finished implements QueueOrder.
-func (deadlineOrder) Finished(uint64, time.Duration, time.Time) {}
+func (deadlineOrder) Finished(SlotUse, time.Time) {}
 
 // equalSpeeds takes all engines for equally fast.
 type equalSpeeds struct{}
--- a/internal/core/grant/queue.go
+++ b/internal/core/grant/queue.go
@@ -6,7 +6,6 @@
 	"time"
 
 	"ringstream.example/ringstream/internal/core/enginechoice"
-	"ringstream.example/ringstream/internal/core/ordering"
 )
 
 // updateQueue updates the node's requests in the queue from its State.
@@ -38,6 +37,7 @@
 // updateEntry updates a queued request from the node's newest Ask.
 func (d *Dispatcher) updateEntry(entry *queuedAsk, ask Ask, now time.Time) {
 	entry.ask = ask
+	entry.TenantRank, entry.Rank, entry.Owner = ask.TenantRank, ask.Rank, ask.Owner
 	entry.Deadline = now.Add(ask.DueIn)
 	if ask.EndsIn > 0 {
 		entry.End = now.Add(ask.EndsIn)
@@ -186,12 +186,15 @@
 			ID: entry.ask.ID, Engine: EngineHash(choice.Entry.Incarnation()), PrefillTokens: choice.PrefillTokens,
 			InFlight: choice.InFlight, Score: choice.Score, Preempts: choice.Preempts, Waited: now.Sub(entry.Since),
 		},
-		suspect: entry.ask.Suspect, owner: entry.ask.Owner,
+		suspect: entry.ask.Suspect,
 	}
 	d.trackSuspect(granted)
 	if !entry.ask.Batch && !entry.ask.AdmitOnly {
 		d.policies.Overload.Granted(&entry.Waiting, now)
-		d.policies.Order.Granted(&entry.Waiting, now)
+	}
+	if !entry.ask.AdmitOnly {
+		charge := d.policies.orderOf(entry.ask.Batch).Granted(&entry.Waiting, now)
+		granted.charge = &charge
 	}
 	if entry.reserved && d.limits != nil {
 		d.limits.Begin(entry.ask.Tenant)
@@ -250,34 +253,37 @@
 	reply.Stops = append(reply.Stops, newest.id)
 }
 
-// grantBatch grants batch requests the capacity that online requests leave. Requests that
-// are not late come first, then the order is by tenant rank, route rank and deadline.
+// grantBatch grants batch requests the capacity that online requests leave.
 func (d *Dispatcher) grantBatch(now time.Time) {
 	if len(d.online) > 0 {
 		return
 	}
 	d.retryBatch = false
-	var queue []*queuedAsk
-	for _, known := range d.nodes {
-		for _, entry := range known.queued {
-			if entry.ask.Batch {
-				queue = append(queue, entry)
-			}
-		}
-	}
-	slices.SortFunc(queue, func(a, b *queuedAsk) int {
-		return cmp.Or(
-			ordering.FalseFirst(a.ask.Late, b.ask.Late), cmp.Compare(a.ask.TenantRank, b.ask.TenantRank), cmp.Compare(a.ask.Rank, b.ask.Rank),
-			a.Deadline.Compare(b.Deadline), cmp.Compare(a.ask.ID, b.ask.ID),
-		)
-	})
+	queue := d.arrangeBatch(now)
 	if len(queue) == 0 {
 		return
 	}
-	capacity := d.engines.BatchCapacity(d.lane.Pool, queue[0].ask.RoomPercent, now)
-	for _, entry := range queue[:min(capacity, len(queue))] {
-		if !d.tryGrant(entry, now) && entry.ask.Suspect.Content == 0 {
+	capacity := d.engines.BatchCapacity(d.lane.Pool, queue[0].entry.ask.RoomPercent, now)
+	for _, waiting := range queue[:min(capacity, len(queue))] {
+		if !d.tryGrant(waiting.entry, now) && waiting.entry.ask.Suspect.Content == 0 {
 			return // keep the free capacity for the requests at the front
 		}
 	}
 }
+
+// arrangeBatch returns the batch requests in the order in which slots are granted. Requests that
+// are not late come first.
+func (d *Dispatcher) arrangeBatch(now time.Time) []*Waiting {
+	var queue []*Waiting
+	for _, known := range d.nodes {
+		for _, entry := range known.queued {
+			if entry.ask.Batch {
+				entry.InTime = !entry.ask.Late
+				queue = append(queue, &entry.Waiting)
+			}
+		}
+	}
+	slices.SortFunc(queue, func(a, b *Waiting) int { return cmp.Or(cmp.Compare(a.ID, b.ID), cmp.Compare(a.Node, b.Node)) })
+	d.policies.BatchOrder.Arrange(queue, now)
+	return queue
+}
--- a/internal/passthrough/batch/schedule.go
+++ b/internal/passthrough/batch/schedule.go
@@ -163,7 +163,7 @@
 		work.slotRequestID = s.Slots.NewID()
 	}
 	id := work.slotRequestID
-	return slots.BatchRequest{ID: id, Query: query, RoomPercent: s.config.MaxUsePercent, TenantRank: next.rank, Rank: route.Priority, Due: due, Late: next.late, Suspect: suspect, Start: func(decision slots.Decision) bool {
+	return slots.BatchRequest{ID: id, Query: query, RoomPercent: s.config.MaxUsePercent, TenantRank: next.rank, Rank: route.Priority, Owner: next.job.tenant, Due: due, Late: next.late, Suspect: suspect, Start: func(decision slots.Decision) bool {
 		return s.startItem(next, id, decision, routes)
 	}}
 }
--- a/internal/passthrough/slots/acquire.go
+++ b/internal/passthrough/slots/acquire.go
@@ -163,15 +163,22 @@
 	if s.config.Scheduling.RefuseOverload {
 		ask.Content = request.Content
 	}
-	if s.config.Scheduling.FairShares && request.Owner != "" {
-		ask.Owner = grant.TenantHash(request.Owner)
-	}
+	ask.Owner = s.ownerHash(request.Owner)
 	if request.Tenant != "" {
 		ask.Tenant = grant.TenantHash(request.Tenant)
 	}
 	return ask
 }
 
+// ownerHash returns the hash of the tenant in whose share a request runs, or 0 if there are no
+// shares or it belongs to no tenant.
+func (s *Service) ownerHash(tenant string) uint64 {
+	if !s.config.Scheduling.FairShares || tenant == "" {
+		return 0
+	}
+	return grant.TenantHash(tenant)
+}
+
 // pickLocally returns the engine that this node chooses without a dispatcher.
 func (s *Service) pickLocally(query enginechoice.Query) (choice enginechoice.Choice, found bool) {
 	query.Zone = s.Zone
--- a/internal/passthrough/slots/batch.go
+++ b/internal/passthrough/slots/batch.go
@@ -17,9 +17,12 @@
 	// TenantRank is the priority of the item's tenant. It takes precedence over Rank, the
 	// priority of its route. 0 is the highest priority.
 	TenantRank, Rank int
-	Due              time.Time
-	Late             bool // the item cannot finish by Due
-	Suspect          grant.Suspect
+	// Owner is the name of the item's tenant, in whose share of the engines it runs; empty if it
+	// belongs to no tenant.
+	Owner   string
+	Due     time.Time
+	Late    bool // the item cannot finish by Due
+	Suspect grant.Suspect
 	// Start runs the item. It returns false if the item no longer waits.
 	Start func(Decision) bool
 }
@@ -63,6 +66,7 @@
 	ask := s.askFromQuery(request.ID, request.Query)
 	ask.RoomPercent = request.RoomPercent
 	ask.Late, ask.TenantRank, ask.Rank, ask.Suspect = request.Late, request.TenantRank, request.Rank, request.Suspect
+	ask.Owner = s.ownerHash(request.Owner)
 	s.mu.Lock()
 	lane, known := s.batchLanes[request.ID]
 	if !known {
--- a/internal/passthrough/slots/config.go
+++ b/internal/passthrough/slots/config.go
@@ -4,6 +4,7 @@
 	"errors"
 
 	"ringstream.example/ringstream/internal/configcheck"
+	"ringstream.example/ringstream/internal/core/fairshares"
 	"ringstream.example/ringstream/internal/core/grant"
 )
 
@@ -32,5 +33,9 @@
 
 // policies returns the policies of a new dispatcher.
 func (c SchedulingConfig) policies() grant.Policies {
-	return grant.Policies{}
+	var policies grant.Policies
+	if c.FairShares {
+		policies.Order, policies.BatchOrder = fairshares.New(), fairshares.New()
+	}
+	return policies
 }
--- a/internal/passthrough/slots/tenants.go
+++ b/internal/passthrough/slots/tenants.go
@@ -63,6 +63,8 @@
 // limits holds the tenants' limits of one version of the routes.
 type limits struct {
 	byTenant map[uint64]quota.RateLimit // by grant.TenantHash; only tenants with a limit
+	// weights are the tenants' weights, by grant.TenantHash; only tenants with a limit.
+	weights map[uint64]float64
 	// pool is the pool whose dispatchers count the requests of all tenants, including requests
 	// that go to other pools.
 	pool string
@@ -76,9 +78,24 @@
 			read.byTenant[grant.TenantHash(known.Name)] = quota.RateLimit{PerSecond: known.Limit.PerSecond, Burst: known.Limit.Burst}
 		}
 	})
+	read.weights = weightsFromLimits(read.byTenant)
 	return read
 }
 
+// weightsFromLimits returns the weights by which tenants share the engines. They are in proportion
+// to the limits and 1 in the mean, which is the weight of a tenant without a limit.
+func weightsFromLimits(limits map[uint64]quota.RateLimit) map[uint64]float64 {
+	total := 0.0
+	for _, limit := range limits {
+		total += limit.PerSecond
+	}
+	weights := make(map[uint64]float64, len(limits))
+	for tenant, limit := range limits {
+		weights[tenant] = limit.PerSecond * float64(len(limits)) / total
+	}
+	return weights
+}
+
 // SetRoutes applies the tenants' limits of a new version of the routes.
 func (s *Service) SetRoutes(table *passroute.Table) {
 	now := time.Now()
@@ -88,6 +105,7 @@
 	s.localQuota.SetLimits(s.limits.byTenant)
 	for lane, dispatcher := range s.dispatchers {
 		dispatcher.SetLimits(s.config.Limits.margin(), s.limitsForLane(lane), now)
+		dispatcher.SetWeights(s.limits.weights)
 	}
 	s.scheduleWake(now)
 }
