--- a/internal/core/fairshares/order.go
+++ b/internal/core/fairshares/order.go
@@ -30,9 +30,11 @@
 	slotTimes slotTimes
 
 	// The following are reused by Arrange.
-	items   []item
-	waiting map[flowKey]*flow
-	flows   []flow
+	requests []*grant.Waiting // the queue as it was given
+	keys     []sortKey        // one for each request
+	flowOf   []int            // index into flows of each request
+	waiting  map[flowKey]int  // index into flows
+	flows    []flow
 }
 
 // classKey identifies requests that are alike in rank.
@@ -63,19 +65,28 @@
 	passed bool    // it has had less than its share
 }
 
-// item is a waiting request with what it is sorted by.
-type item struct {
-	request  *grant.Waiting
-	flow     *flow
-	group    uint64
-	deadline int64 // nanoseconds
-	position int   // in the queue, then among the requests of the group by deadline
-	tag      float64
+// sortKey is what a request is sorted by.
+type sortKey struct {
+	group uint64
+	value uint64 // deadline, then start tag
+	tie   uint32
+	index uint32 // in requests
+}
+
+func compareKeys(a, b sortKey) int {
+	switch {
+	case a.group != b.group:
+		return cmp.Compare(a.group, b.group)
+	case a.value != b.value:
+		return cmp.Compare(a.value, b.value)
+	default:
+		return cmp.Compare(a.tie, b.tie)
+	}
 }
 
 // New returns an order without history.
 func New() *Order {
-	return &Order{classes: make(map[classKey]*class), waiting: make(map[flowKey]*flow)}
+	return &Order{classes: make(map[classKey]*class), waiting: make(map[flowKey]int)}
 }
 
 // SetWeights implements grant.QueueOrder. Weights that are not above zero are ignored.
@@ -92,57 +103,66 @@
 func (o *Order) Arrange(queue []*grant.Waiting, _ time.Time) {
 	o.collect(queue)
 	o.forgetIdleClasses()
-	slices.SortFunc(o.items, func(a, b item) int {
-		return cmp.Or(cmp.Compare(a.group, b.group), cmp.Compare(a.deadline, b.deadline), cmp.Compare(a.position, b.position))
-	})
+	slices.SortFunc(o.keys, compareKeys)
 	o.advance()
-	for i := range o.items {
-		next := &o.items[i]
-		next.position, next.tag = i, next.flow.tag
-		next.flow.tag += o.slotTimes.expected(next.request.MemoryTokens) / next.flow.weight
+	for i := range o.keys {
+		key := &o.keys[i]
+		known := &o.flows[o.flowOf[key.index]]
+		key.value, key.tie = math.Float64bits(known.tag), uint32(i) //nolint:gosec // no queue is as long
+		if !known.passed {
+			key.tie |= afterPassed
+		}
+		known.tag += o.slotTimes.expected(o.requests[key.index].MemoryTokens) / known.weight
 	}
-	slices.SortFunc(o.items, func(a, b item) int {
-		return cmp.Or(cmp.Compare(a.group, b.group), cmp.Compare(a.tag, b.tag), passedFirst(a.flow, b.flow), cmp.Compare(a.position, b.position))
-	})
-	for i := range o.items {
-		queue[i] = o.items[i].request
-		o.items[i].request = nil
+	slices.SortFunc(o.keys, compareKeys)
+	for i, key := range o.keys {
+		queue[i] = o.requests[key.index]
 	}
+	clear(o.requests) // they are not kept beyond their end
 }
 
-// collect reads the queue into items and flows.
+// afterPassed in the tie of a key puts a request behind those of the same tag whose tenants have
+// had less than their share.
+const afterPassed = 1 << 31
+
+// signBit turns the order of signed numbers into that of unsigned ones.
+const signBit = 1 << 63
+
+// collect reads the queue into keys and flows.
 func (o *Order) collect(queue []*grant.Waiting) {
-	o.items = o.items[:0]
+	o.requests = append(o.requests[:0], queue...)
+	o.keys, o.flowOf, o.flows = o.keys[:0], o.flowOf[:0], o.flows[:0]
 	clear(o.waiting)
-	o.flows = slices.Grow(o.flows[:0], len(queue)) // pointers to its elements are kept
 	for _, known := range o.classes {
 		known.arranged = false
 	}
-	for position, request := range queue {
-		o.items = append(o.items, item{
-			request: request, flow: o.flowOf(request), group: groupOf(request), deadline: request.Deadline.UnixNano(), position: position,
-		})
+	for index, request := range queue {
+		o.flowOf = append(o.flowOf, o.addToFlow(request))
+		deadline := uint64(request.Deadline.UnixNano()) ^ signBit //nolint:gosec // the bits are meant
+		position := uint32(index)                                 //nolint:gosec // no queue is as long
+		o.keys = append(o.keys, sortKey{group: groupOf(request), value: deadline, tie: position, index: position})
 	}
 }
 
-// flowOf returns the flow of a waiting request.
-func (o *Order) flowOf(request *grant.Waiting) *flow {
+// addToFlow returns the index of a waiting request's flow.
+func (o *Order) addToFlow(request *grant.Waiting) int {
 	key := flowKey{classKey{request.TenantRank, request.Rank}, request.Owner}
-	known := o.waiting[key]
-	if known == nil {
+	index, known := o.waiting[key]
+	if !known {
 		within := o.classOf(key.classKey)
 		if !within.arranged {
 			within.arranged, within.leastInTime, within.leastStart = true, math.Inf(1), math.Inf(1)
 		}
+		index = len(o.flows)
 		o.flows = append(o.flows, flow{class: within, owner: key.owner, weight: o.weight(key.owner), tag: within.tags.Start(key.owner)})
-		known = &o.flows[len(o.flows)-1]
-		o.waiting[key] = known
-		within.leastStart = min(within.leastStart, known.tag)
+		o.waiting[key] = index
+		within.leastStart = min(within.leastStart, o.flows[index].tag)
 	}
 	if request.InTime && !request.Place {
-		known.class.leastInTime = min(known.class.leastInTime, known.tag)
+		within := o.flows[index].class
+		within.leastInTime = min(within.leastInTime, o.flows[index].tag)
 	}
-	return known
+	return index
 }
 
 func (o *Order) classOf(key classKey) *class {
@@ -224,15 +244,3 @@
 }
 
 func boundedRank(rank int) uint64 { return uint64(min(max(rank, 0), maxRank)) }
-
-// passedFirst sorts flows that have had less than their share before others.
-func passedFirst(a, b *flow) int {
-	switch {
-	case a.passed == b.passed:
-		return 0
-	case a.passed:
-		return -1
-	default:
-		return 1
-	}
-}
--- a/internal/core/grant/dispatcher.go
+++ b/internal/core/grant/dispatcher.go
@@ -231,6 +231,17 @@
 	return inFlight, queued
 }
 
+// QueuedByOwner returns the numbers of waiting requests by their tenants' TenantHash.
+func (d *Dispatcher) QueuedByOwner() map[uint64]int {
+	queued := make(map[uint64]int)
+	for _, known := range d.nodes {
+		for _, entry := range known.queued {
+			queued[entry.Owner]++
+		}
+	}
+	return queued
+}
+
 // ApplyState applies a node's State. A State that is not newer than the last one of the same run
 // of the node is ignored. The resulting messages are returned by Replies.
 func (d *Dispatcher) ApplyState(from string, state State, now time.Time) {
--- a/internal/passthrough/edge/metrics.go
+++ b/internal/passthrough/edge/metrics.go
@@ -35,6 +35,7 @@
 		}, func() float64 { return float64(n.sumLanes(count)) }))
 	}
 	n.registry.MustRegister(
+		slots.TenantQueueCollector{Service: n.slots},
 		prometheus.NewGaugeFunc(prometheus.GaugeOpts{Name: "ringstream_pass_engine_connections", Help: "Open connections to engines."}, func() float64 {
 			open, _ := n.pool.Counts()
 			return float64(open)
--- a/internal/passthrough/relay/attempt.go
+++ b/internal/passthrough/relay/attempt.go
@@ -78,6 +78,7 @@
 		e.mayHaveRun = true
 	}
 	e.releaseSlot(decision.Slot, outcome, err, deadlineCtx)
+	e.slotTime += time.Since(started)
 	fields := []zap.Field{
 		zap.String("request", e.call.Demand.RequestID), zap.Stringer("engine", engine.Incarnation()), zap.Int("attempt", e.tries),
 		zap.Duration("elapsed", time.Since(started)), zap.Error(err),
--- a/internal/passthrough/relay/relay.go
+++ b/internal/passthrough/relay/relay.go
@@ -96,6 +96,7 @@
 	lastUnserved error // why the last acquisition of a slot failed; nil if it succeeded
 	stream       *Splitter
 	firstEvent   time.Duration
+	slotTime     time.Duration     // for which the call held slots at engines
 	lastFailure  *bufferedResponse // the last error response of an engine
 	status       int               // sent to the client
 	headTimer    *silenceTimer     // ends an attempt whose engine sends no response head
@@ -117,12 +118,13 @@
 	state.clock.applySuspension(r.watch.Total()) // suspensions while the call was read
 	outcome := state.run(ctx, deadlineCtx)
 	r.metrics.record(call.Route.Name, outcome, time.Since(call.Received), state.firstEvent)
+	r.metrics.recordTenant(state, outcome, time.Now())
 	events.RequestDone.Log(r.logger,
 		zap.String("request", call.Demand.RequestID), zap.String("route", call.Route.Name),
 		zap.Int64("routes_version", call.Version), zap.Duration("routes_age", time.Since(call.Learned)),
 		zap.Stringer("outcome", outcome), zap.Int("status", state.status), zap.Int("attempts", state.attempts), zap.Int("tries", state.tries),
 		zap.Int("events", state.stream.Count()), zap.Duration("first_event", state.firstEvent), zap.Duration("objective", call.Route.Objective),
-		zap.Duration("elapsed", time.Since(call.Received)), zap.Stringer("content", state.content))
+		zap.Duration("elapsed", time.Since(call.Received)), zap.Stringer("content", state.content), zap.String("tenant", call.TenantName()))
 	if outcome == Cut || (outcome == ClientGone && state.headSent) {
 		panic(http.ErrAbortHandler)
 	}
--- a/internal/passthrough/slots/tenants.go
+++ b/internal/passthrough/slots/tenants.go
@@ -65,6 +65,7 @@
 	byTenant map[uint64]quota.RateLimit // by grant.TenantHash; only tenants with a limit
 	// weights are the tenants' weights, by grant.TenantHash; only tenants with a limit.
 	weights map[uint64]float64
+	names   map[uint64]string // of all tenants, by grant.TenantHash
 	// pool is the pool whose dispatchers count the requests of all tenants, including requests
 	// that go to other pools.
 	pool string
@@ -72,8 +73,9 @@
 
 // limitsFromTable reads the tenants' limits from a table.
 func limitsFromTable(table *passroute.Table) limits {
-	read := limits{byTenant: make(map[uint64]quota.RateLimit), pool: table.BusiestPool()}
+	read := limits{byTenant: make(map[uint64]quota.RateLimit), names: make(map[uint64]string), pool: table.BusiestPool()}
 	table.Tenants().Directory.Each(func(known *tenant.Tenant) {
+		read.names[grant.TenantHash(known.Name)] = known.Name
 		if known.Limit.Limited() {
 			read.byTenant[grant.TenantHash(known.Name)] = quota.RateLimit{PerSecond: known.Limit.PerSecond, Burst: known.Limit.Burst}
 		}
