--- a/internal/core/grant/dispatcher.go
+++ b/internal/core/grant/dispatcher.go
@@ -52,9 +52,9 @@
 	lastSentAt time.Time // when its grant, or its stop, was last sent
 	confirmed  bool      // the node has reported it in flight
 	tenant     uint64    // tenant whose limit has counted it; 0 if none
-	owner      uint64    // Ask.Owner; 0 if unknown
 	preempted  bool      // its node is sent a stop; it is no longer counted at the engine
 	suspect    Suspect
+	charge     *SlotCharge // what its tenant was charged; nil if this dispatcher granted no slot
 }
 
 // queuedAsk is a request in the dispatcher's queue.
@@ -200,6 +200,12 @@
 	d.limits.SetLimits(limits)
 }
 
+// SetWeights sets the weights by which tenants share the lane, keyed by TenantHash.
+func (d *Dispatcher) SetWeights(weights map[uint64]float64) {
+	d.policies.Order.SetWeights(weights)
+	d.policies.BatchOrder.SetWeights(weights)
+}
+
 // SetLive sets the number of live nodes. While it is 0 (unknown), the dispatcher's part
 // of every limit is zero.
 func (d *Dispatcher) SetLive(nodes int) { d.liveNodes = nodes }
@@ -240,6 +246,17 @@
 	return inFlight, queued
 }
 
+// QueuedByOwner returns the numbers of waiting requests by their tenants' TenantHash.
+func (d *Dispatcher) QueuedByOwner() map[uint64]int {
+	queued := make(map[uint64]int)
+	for _, known := range d.nodes {
+		for _, entry := range known.queued {
+			queued[entry.Owner]++
+		}
+	}
+	return queued
+}
+
 // ApplyState applies a node's State. A State that is not newer than the last one of the same run
 // of the node is ignored. The resulting messages are returned by Replies.
 func (d *Dispatcher) ApplyState(from string, state State, now time.Time) {
@@ -358,7 +375,10 @@
 		if request.engine != (enginechoice.Incarnation{}) {
 			d.policies.Overload.Finished(now.Sub(request.since), now)
 		}
-		d.policies.Order.Finished(request.owner, now.Sub(request.since), now)
+	}
+	if request.charge != nil {
+		use := SlotUse{SlotCharge: *request.charge, Held: now.Sub(request.since), Complete: end.Result == enginechoice.Succeeded}
+		d.policies.orderOf(request.work.Batch).Finished(use, now)
 	}
 }
 
--- a/internal/passthrough/slots/config.go
+++ b/internal/passthrough/slots/config.go
@@ -5,6 +5,7 @@
 
 	"ringstream.example/ringstream/internal/configcheck"
 	"ringstream.example/ringstream/internal/core/enginespeed"
+	"ringstream.example/ringstream/internal/core/fairshares"
 	"ringstream.example/ringstream/internal/core/grant"
 	"ringstream.example/ringstream/internal/core/overload"
 )
@@ -41,5 +42,8 @@
 	if c.RefuseOverload {
 		policies.Overload = overload.New()
 	}
+	if c.FairShares {
+		policies.Order, policies.BatchOrder = fairshares.New(), fairshares.New()
+	}
 	return policies
 }
