--- a/internal/core/grant/dispatcher.go
+++ b/internal/core/grant/dispatcher.go
@@ -92,9 +92,9 @@
 	full         bool         // whether a request found no slot in the last pass of grantOnline
 	reviewed     bool         // whether the last review by the overload control had a queue
 	bounded      bool         // whether an overload control bounds the queue
-	lastPassAt   time.Time    // of grantOnline
+	lastReviewAt time.Time    // of the last review by the overload control
 	retryOnline  bool         // queued online requests may have become grantable
-	arrived      bool         // an online request has joined the queue since the last pass
+	arrived      bool         // an online request has joined the queue since the last review
 	retryBatch   bool         // queued batch requests may have become grantable
 	replies      map[string]*Reply
 	firstTokens  firstTokenEstimator
--- a/internal/core/grant/queue.go
+++ b/internal/core/grant/queue.go
@@ -133,10 +133,10 @@
 // grantOnline grants queued online requests in the order of the policies, and refuses those
 // that the overload control does not let wait.
 func (d *Dispatcher) grantOnline(now time.Time) {
-	d.retryOnline, d.arrived, d.lastPassAt = false, false, now
+	d.retryOnline = false
 	d.dropDequeued()
 	if len(d.online) == 0 && !d.reviewed {
-		d.full = false
+		d.full, d.arrived = false, false
 		return
 	}
 	queue := d.arrange(now)
@@ -154,24 +154,33 @@
 		allFull = allFull || (!granted && entry.ask.Suspect.Content == 0 && len(entry.ask.Exclude) == 0)
 	}
 	d.full = allFull
-	d.refuseOverload(queue, now)
+	if d.reviewDue(now) {
+		d.refuseOverload(queue, now)
+	}
 	d.dropDequeued()
 }
 
 // grantChanged grants queued online requests if anything has changed that allows a grant or
 // a refusal. While the lane is full, a request that has just arrived can only be refused, and
-// waits for others to be looked at with it, until the next Tick at most. A pass takes as long
-// as the queue is, and a flood would cause one for each request.
+// waits for others to be looked at with it, until the next Tick at most.
 func (d *Dispatcher) grantChanged(now time.Time) {
-	refusable := d.arrived && d.bounded && now.Sub(d.lastPassAt) >= minRefusalInterval
-	if d.retryOnline || refusable || (d.arrived && !d.full) {
+	if d.retryOnline || (d.arrived && !d.full) || (d.arrived && d.bounded && d.reviewDue(now)) {
 		d.grantOnline(now)
 	}
 }
 
-// minRefusalInterval is the minimum time between two passes over the queue of a full lane that
-// only look for requests to refuse.
-const minRefusalInterval = 2 * time.Millisecond
+// Intervals of the reviews by the overload control. A review takes as long as the queue is,
+// and a flood would cause one for each request.
+const (
+	minReviewInterval = 2 * time.Millisecond  // while requests arrive
+	maxReviewInterval = 10 * time.Millisecond // half of the time within which a refusal is to be sent
+)
+
+// reviewDue reports whether the overload control is to review the queue.
+func (d *Dispatcher) reviewDue(now time.Time) bool {
+	since := now.Sub(d.lastReviewAt)
+	return (d.arrived && since >= minReviewInterval) || since >= maxReviewInterval
+}
 
 // dropDequeued removes the requests that no longer wait.
 func (d *Dispatcher) dropDequeued() {
@@ -196,7 +205,7 @@
 // refuseOverload refuses the requests of an arranged queue that the overload control does not
 // let wait.
 func (d *Dispatcher) refuseOverload(queue []*Waiting, now time.Time) {
-	d.reviewed = len(queue) > 0
+	d.reviewed, d.arrived, d.lastReviewAt = len(queue) > 0, false, now
 	waiting := slices.DeleteFunc(queue, func(waiting *Waiting) bool { return !d.isQueued(waiting.entry) })
 	for _, decision := range d.policies.Overload.Review(waiting, d.load(now), now) {
 		entry := decision.Request.entry
--- a/internal/core/overload/overload.go
+++ b/internal/core/overload/overload.go
@@ -53,6 +53,7 @@
 type Controller struct {
 	places   *returns.Schedule
 	held     mean // seconds for which an online request holds its slot
+	ends     meter
 	recent   meter
 	usual    meter // outside of overloads
 	byRank   map[rank]*meter
@@ -75,7 +76,7 @@
 func New() *Controller {
 	return &Controller{
 		places: returns.New(returns.Config{MaxPlaces: maxPlaces, KeptFor: keptFor}),
-		recent: meter{span: recentSpan}, usual: meter{span: usualSpan}, byRank: make(map[rank]*meter),
+		recent: meter{span: recentSpan}, ends: meter{span: recentSpan}, usual: meter{span: usualSpan}, byRank: make(map[rank]*meter),
 		told: newToldMemory(),
 	}
 }
@@ -118,6 +119,7 @@
 		c.since = time.Time{}
 	}
 	c.recent.advance(now)
+	c.ends.advance(now)
 	if c.since.IsZero() {
 		c.usual.advance(now)
 	} else {
@@ -134,7 +136,10 @@
 }
 
 // Finished implements grant.OverloadControl.
-func (c *Controller) Finished(held time.Duration, _ time.Time) { c.held.add(held.Seconds()) }
+func (c *Controller) Finished(held time.Duration, now time.Time) {
+	c.held.add(held.Seconds())
+	c.ends.add(now)
+}
 
 // PlacesWhenFull implements grant.OverloadControl.
 func (c *Controller) PlacesWhenFull() bool { return false }
--- a/internal/core/overload/review.go
+++ b/internal/core/overload/review.go
@@ -36,6 +36,7 @@
 	full      bool
 	known     bool    // whether perSecond is known
 	perSecond float64 // requests that the lane completes per second
+	soon      float64 // the same within the next fractions of a second
 	inTime    int     // requests in time so far
 	late      int     // late requests so far
 	// higher caches higherPerSecond of the last rank.
@@ -46,7 +47,8 @@
 
 // newReview returns a review of a lane. Its rate follows from its slots and the time for which
 // a request holds one, so that it is right as soon as engines are lost. Where the lane is full
-// with fewer online requests than slots, other work that it does not know uses the rest.
+// with fewer online requests than slots, other work that it does not know uses the rest. A lane
+// that has just become full completes as few as before, until its new requests end.
 func (c *Controller) newReview(load grant.LaneLoad, now time.Time) *review {
 	slots := load.Slots
 	if load.Full {
@@ -57,7 +59,11 @@
 	if known {
 		perSecond = float64(slots) / c.held.value
 	}
-	return &review{Controller: c, now: now, full: load.Full, known: known, perSecond: perSecond}
+	soon := perSecond
+	if ends, observed := c.ends.atMost(); observed {
+		soon = min(soon, ends)
+	}
+	return &review{Controller: c, now: now, full: load.Full, known: known, perSecond: perSecond, soon: soon}
 }
 
 // judge decides whether the next request of the queue is refused.
@@ -124,6 +130,9 @@
 // before returns the requests that get slots before a request: those in front of it in the
 // queue, and those with a place within the request's slack.
 func (r *review) before(request *grant.Waiting) float64 {
+	if r.places.Len() == 0 {
+		return float64(r.inTime)
+	}
 	return float64(r.inTime + r.places.DueBy(r.now.Add(r.slack(request))))
 }
 
@@ -135,9 +144,9 @@
 		r.higher, r.higherRank, r.higherSet = r.higherPerSecond(request, r.now), own, true
 	}
 	if request.Again {
-		return r.perSecond - max(r.higher, r.recentPerSecond())
+		return r.soon - max(r.higher, r.recentPerSecond())
 	}
-	return r.perSecond - r.higher
+	return r.soon - r.higher
 }
 
 // servedInTime reports whether a request in time is expected to get a slot within its slack,
--- a/internal/passthrough/relay/outcome.go
+++ b/internal/passthrough/relay/outcome.go
@@ -69,10 +69,19 @@
 	RunFailed  = "failed"
 )
 
-// notRunRetryAfter is the Retry-After of a request that no engine ran, except where the tenant is
-// over its limit.
+// notRunRetryAfter is the least Retry-After of a request that no engine ran, except where the
+// tenant is over its limit.
 const notRunRetryAfter = 100 * time.Millisecond
 
+// usablePart is the part of the time left, as a divisor, within which clients come back.
+const usablePart = 3
+
+// retryAfterVain returns the Retry-After of a request that has waited in vain for something that
+// may take as long again: an engine that takes work, or a dispatcher that knows the limits.
+func retryAfterVain(waited, left time.Duration) time.Duration {
+	return max(min(waited, left/usablePart), notRunRetryAfter)
+}
+
 // giveUp ends the call at once. The response claims no more than is known about whether an engine
 // ran the request. A response whose head is sent is cut off.
 func (e *exchange) giveUp(why reason) Outcome {
@@ -93,8 +102,12 @@
 		return Failed
 	}
 	e.status = http.StatusServiceUnavailable
-	e.headers.SetRetryAfter(e.to.Header(), notRunRetryAfter)
-	events.RequestRefused.Log(e.logger, zap.String("request", e.call.Demand.RequestID), zap.String("reason", string(why)), zap.Duration("retry_after", notRunRetryAfter))
+	retryAfter := notRunRetryAfter
+	if e.slots.RefusesOverload() && (why == noEngine || why == limitNotKnown) {
+		retryAfter = retryAfterVain(time.Since(e.call.Received), e.clock.remaining())
+	}
+	e.headers.SetRetryAfter(e.to.Header(), retryAfter)
+	events.RequestRefused.Log(e.logger, zap.String("request", e.call.Demand.RequestID), zap.String("reason", string(why)), zap.Duration("retry_after", retryAfter))
 	WriteRefusal(e.to, e.status, Refusal{Code: string(why), Message: "no engine ran the request; it may be sent again", Run: RunNot})
 	return NotRun
 }
--- a/internal/passthrough/slots/overload.go
+++ b/internal/passthrough/slots/overload.go
@@ -28,6 +28,10 @@
 	return []prometheus.Collector{m.refused, m.places, m.booked, m.queue}
 }
 
+// RefusesOverload reports whether requests that the engines cannot serve in their time are
+// refused.
+func (s *Service) RefusesOverload() bool { return s.config.Scheduling.RefuseOverload }
+
 // recordOverload adds the decisions of all dispatchers since the last call. The caller holds mu.
 func (s *Service) recordOverload() {
 	if !s.config.Scheduling.RefuseOverload {
