--- a/internal/core/overload/overload_test.go
+++ b/internal/core/overload/overload_test.go
@@ -262,3 +262,21 @@
 		}
 	}
 }
+
+// TestReturnsAreSpreadEvenly spreads requests over an interval and counts them by tenths of it.
+func TestReturnsAreSpreadEvenly(t *testing.T) {
+	const requests, tenth = 1000, 100 * time.Millisecond
+	var returns spread
+	var counts [10]int
+	for range requests {
+		counts[(returns.next(time.Second, time.Second+10*tenth)-time.Second)/tenth]++
+	}
+	for i, count := range counts {
+		if count < 90 || count > 110 {
+			t.Errorf("%d of %d requests return in tenth %d, want 100", count, requests, i)
+		}
+	}
+	if after := returns.next(time.Second, tenth); after != tenth {
+		t.Errorf("a request returns after %v, want the latest time that it can use", after)
+	}
+}
