--- a/internal/peer/sharing/sharing.go
+++ b/internal/peer/sharing/sharing.go
@@ -155,34 +155,54 @@
 	return share
 }
 
-// Run sends and serves messages and requests until ctx ends.
-func (s *Share) Run(ctx context.Context) error {
+// sockets are those at which a node receives datagrams and connections of other nodes.
+type sockets struct {
+	datagrams net.PacketConn
+	listener  net.Listener
+}
+
+// listenAt opens the sockets at an address.
+func listenAt(ctx context.Context, address string) (sockets, error) {
 	var network net.ListenConfig
-	datagrams, err := network.ListenPacket(ctx, "udp", s.config.Address)
+	datagrams, err := network.ListenPacket(ctx, "udp", address)
 	if err != nil {
-		return err
+		return sockets{}, err
 	}
-	s.datagrams.Store(&datagrams)
 	network.SetMultipathTCP(false)
-	listener, err := network.Listen(ctx, "tcp", s.config.Address)
+	listener, err := network.Listen(ctx, "tcp", address)
+	if err != nil {
+		return sockets{}, errors.Join(err, datagrams.Close())
+	}
+	return sockets{datagrams: datagrams, listener: listener}, nil
+}
+
+// Run sends and serves messages and requests until ctx ends.
+func (s *Share) Run(ctx context.Context) error {
+	opened, err := listenAt(ctx, s.config.Address)
 	if err != nil {
-		return errors.Join(err, datagrams.Close())
+		return err
 	}
+	s.serve(ctx, opened)
+	return nil
+}
+
+// serve sends and serves messages and requests at the sockets until ctx ends, and closes them.
+func (s *Share) serve(ctx context.Context, opened sockets) {
+	s.datagrams.Store(&opened.datagrams)
 	stopClosing := context.AfterFunc(ctx, func() {
-		_ = datagrams.Close()
-		_ = listener.Close()
+		_ = opened.datagrams.Close()
+		_ = opened.listener.Close()
 	})
 	defer stopClosing()
 	var group sync.WaitGroup
 	for _, part := range []func(){
-		func() { s.listen(ctx, datagrams) },
-		func() { s.serveRequests(ctx, listener) },
+		func() { s.listen(ctx, opened.datagrams) },
+		func() { s.serveRequests(ctx, opened.listener) },
 		func() { s.askPeersWhileStoreUnreachable(ctx) },
 	} {
 		group.Go(part)
 	}
 	group.Wait()
-	return nil
 }
 
 // serveRequests serves the requests of other nodes until the listener closes.
--- a/internal/peer/sharing/sharing_test.go
+++ b/internal/peer/sharing/sharing_test.go
@@ -4,9 +4,11 @@
 	"context"
 	"errors"
 	"fmt"
+	"io"
 	"net"
 	"sync"
 	"sync/atomic"
+	"syscall"
 	"testing"
 	"time"
 
@@ -95,14 +97,56 @@
 	l.learned <- learnedAnswer{documents, askedAt}
 }
 
+// reserved holds the sockets that freeAddress has opened, by address, until a node takes them.
+var reserved sync.Map
+
+// freeAddress returns an address at which only the node that start starts there can listen. Its sockets
+// are open already, because another process can take a port that is only known to be free.
 func freeAddress(t *testing.T) string {
+	t.Helper()
+	const tries = 50
+	var lastErr error
+	for range tries {
+		listener, err := net.Listen("tcp", "127.0.0.1:0")
+		if err != nil {
+			t.Fatal(err)
+		}
+		address := listener.Addr().String()
+		datagrams, err := net.ListenPacket("udp", address)
+		if err != nil {
+			lastErr = errors.Join(err, listener.Close())
+			continue
+		}
+		reserved.Store(address, sockets{datagrams: datagrams, listener: listener})
+		t.Cleanup(func() {
+			if opened, found := reserved.LoadAndDelete(address); found {
+				_ = opened.(sockets).datagrams.Close()
+				_ = opened.(sockets).listener.Close()
+			}
+		})
+		return address
+	}
+	t.Fatal(lastErr)
+	return ""
+}
+
+// silentAddress returns an address at which nothing listens while the test runs. A connection from it
+// keeps others from listening there.
+func silentAddress(t *testing.T) string {
 	t.Helper()
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
 	}
-	defer listener.Close()
-	return listener.Addr().String()
+	connection, err := net.Dial("tcp", listener.Addr().String())
+	if err != nil {
+		t.Fatal(errors.Join(err, listener.Close()))
+	}
+	t.Cleanup(func() {
+		_ = connection.Close()
+		_ = listener.Close()
+	})
+	return connection.LocalAddr().String()
 }
 
 func start(t *testing.T, node *fakeNode, address string) *Share {
@@ -110,23 +154,46 @@
 	return startWith(t, node, address, func(*Share) {})
 }
 
-// startWith starts a node after setUp has prepared its share.
+// startWith starts a node at an address of freeAddress after setUp has prepared its share.
 func startWith(t *testing.T, node *fakeNode, address string, setUp func(*Share)) *Share {
 	t.Helper()
+	opened, found := reserved.LoadAndDelete(address)
+	if !found {
+		t.Fatalf("address %s is not one of freeAddress, or a node has it already", address)
+	}
 	ctx, cancel := context.WithCancel(context.Background())
-	done := make(chan error, 1)
+	done := make(chan struct{})
 	share := New(DefaultConfig(address), node, node, node, node, zap.NewNop())
 	setUp(share)
-	go func() { done <- share.Run(ctx) }()
+	go func() {
+		defer close(done)
+		share.serve(ctx, opened.(sockets))
+	}()
 	t.Cleanup(func() {
 		cancel()
-		if err := <-done; err != nil {
-			t.Error(err)
-		}
+		<-done
 	})
 	return share
 }
 
+// TestNodeDoesNotStartAtATakenAddress checks that Run returns an error if one of its sockets cannot be opened.
+func TestNodeDoesNotStartAtATakenAddress(t *testing.T) {
+	for _, taken := range []string{"tcp", "udp"} {
+		address := freeAddress(t)
+		opened, _ := reserved.LoadAndDelete(address)
+		keep, release := io.Closer(opened.(sockets).listener), io.Closer(opened.(sockets).datagrams)
+		if taken == "udp" {
+			keep, release = release, keep
+		}
+		_ = release.Close()
+		node := newFakeNode()
+		if err := New(DefaultConfig(address), node, node, node, node, zap.NewNop()).Run(t.Context()); !errors.Is(err, syscall.EADDRINUSE) {
+			t.Errorf("%s taken: got error %v, want EADDRINUSE", taken, err)
+		}
+		_ = keep.Close()
+	}
+}
+
 func TestNodeGetsMissingDocumentsFromAPeer(t *testing.T) {
 	first, second := newFakeNode(), newFakeNode()
 	firstAddress, secondAddress := freeAddress(t), freeAddress(t)
@@ -261,7 +328,7 @@
 	served := newFakeNode()
 	address := freeAddress(t)
 	start(t, served, address)
-	asker := New(DefaultConfig(freeAddress(t)), newFakeNode(), newFakeNode(), newFakeNode(), newFakeNode(), zap.NewNop())
+	asker := New(DefaultConfig(silentAddress(t)), newFakeNode(), newFakeNode(), newFakeNode(), newFakeNode(), zap.NewNop())
 	for _, want := range []StoreAnswer{
 		{Commit: passthrough.CommitResult{Applied: true, Version: 9}},
 		{Commit: passthrough.CommitResult{Current: []passthrough.Row{{Table: "t", Key: "k", Value: []byte("v"), Version: 3}}}},
@@ -286,7 +353,7 @@
 			t.Error(difference)
 		}
 	}
-	if _, err := asker.CallStore(t.Context(), freeAddress(t), StoreCall{Kind: StoreCommit}); !errors.Is(err, passthrough.ErrNothingDone) {
+	if _, err := asker.CallStore(t.Context(), silentAddress(t), StoreCall{Kind: StoreCommit}); !errors.Is(err, passthrough.ErrNothingDone) {
 		t.Errorf("call to an address without a listener: got %v, want ErrNothingDone", err)
 	}
 }
