relay, ingress: a client that does not read its answer holds nothing past its time

Cause: answers on the pass-through port were written without a write deadline, so a client that never reads held its request, the slot at the engine and the engine's connection until it closed. A buffered answer was written before the slot ended. A client that stopped sending its request's body, without closing, held a request for ever too. A buffered answer over 16 MB was cut there and sent as if whole. Change: each request's answer has a write deadline: the client's time (1 minute where none is stated), for a call the deadline that the relay goes by, corrected after suspensions, and for calls about jobs their own time and 5 s. A refusal or a complete answer may be written 0.5 s longer: nothing is held by then. The deadline ends with the request on a kept connection. The body's bytes have the same deadline. A buffered answer is sent after its slot has ended. What was unsent to a client that was cut is discarded (linger 0) in place of being kept by the kernel. 8116 says who did not read, how long a write was held up and how many bytes it was given; ringstream_pass_unread_answers_total counts them. Buffered answers over the limit count as failed.

--- a/internal/events/passthrough.go
+++ b/internal/events/passthrough.go
@@ -36,6 +36,7 @@
 	NoRoute          = Define(Event{Number: 8107, Name: "no route", Level: zapcore.InfoLevel, Fields: []string{"request", "host", "path", "routes_version", "routes_age", "confirmed_age"}})
 	RequestTooBig    = Define(Event{Number: 8108, Name: "request body over the limit", Level: zapcore.InfoLevel, Fields: []string{"request", "limit", "confirmed_age"}})
 	NotReadable      = Define(Event{Number: 8109, Name: "request body not read", Level: zapcore.InfoLevel, Fields: []string{"request", "error"}})
+	ClientNotReading = Define(Event{Number: 8116, Name: "client does not read its answer", Level: zapcore.InfoLevel, Fields: []string{"request", "client", "blocked", "bytes", "elapsed"}})
 	RequestRefused   = Define(Event{Number: 8110, Name: "request refused, not run", Level: zapcore.InfoLevel, Fields: []string{"request", "reason", "retry_after", "queued", "per_second", "expected", "dispatcher"}})
 
 	EngineEnded    = Define(Event{Number: 8140, Name: "engine ended under a request", Level: zapcore.InfoLevel, Fields: []string{"request", "content", "engine", "crashes", "evidence", "blocked"}})
--- a/internal/passthrough/batch/read.go
+++ b/internal/passthrough/batch/read.go
@@ -25,6 +25,9 @@
 	maxAnswerBytes   = 900_000 // of text in one answer
 	maxAnswerResults = 400     // results in one answer
 	itemCacheSize    = 16
+	// answerTime is how long an answer may be written, beyond the time of the call. A client that states
+	// how long it waits has that time instead.
+	answerTime = 5 * time.Second
 )
 
 // HandleJobCall handles a call about a job.
@@ -32,6 +35,10 @@
 	started := time.Now()
 	ctx, cancel := context.WithTimeout(request.Context(), readTimeout+min(demand.Wait, maxResultWait))
 	defer cancel()
+	if demand.TimeLeft <= 0 {
+		limit := started.Add(readTimeout + min(demand.Wait, maxResultWait) + answerTime)
+		_ = http.NewResponseController(to).SetWriteDeadline(limit) // a writer without deadlines is a test's recorder
+	}
 	outcome := callOutcome{evidence: fromCopy, evidenceAt: s.follower.Health().AsOf}
 	switch call.Kind {
 	case passthrough.ReadResults:
--- a/internal/passthrough/ingress/config.go
+++ b/internal/passthrough/ingress/config.go
@@ -15,16 +15,18 @@
 func (c Config) Validate() error { return configcheck.Under("keys", c.Keys.Validate()) }
 
 type metrics struct {
-	keys *prometheus.CounterVec
+	keys   *prometheus.CounterVec
+	unread prometheus.Counter
 }
 
 // newMetrics creates and registers the metrics. The registerer may be nil.
 func newMetrics(registerer prometheus.Registerer) *metrics {
 	created := &metrics{
-		keys: prometheus.NewCounterVec(prometheus.CounterOpts{Name: "ringstream_pass_keys_total", Help: "Requests by what their key lets them do."}, []string{"verdict"}),
+		keys:   prometheus.NewCounterVec(prometheus.CounterOpts{Name: "ringstream_pass_keys_total", Help: "Requests by what their key lets them do."}, []string{"verdict"}),
+		unread: prometheus.NewCounter(prometheus.CounterOpts{Name: "ringstream_pass_unread_answers_total", Help: "Answers that were cut because the client did not read them in time."}),
 	}
 	if registerer != nil {
-		registerer.MustRegister(created.keys)
+		registerer.MustRegister(created.keys, created.unread)
 	}
 	return created
 }
--- a/internal/passthrough/ingress/idle.go
+++ b/internal/passthrough/ingress/idle.go
@@ -1,8 +1,10 @@
 package ingress
 
 import (
+	"errors"
 	"net"
 	"net/http"
+	"os"
 	"sync/atomic"
 	"time"
 )
@@ -31,6 +33,16 @@
 	idle        atomic.Bool
 }
 
+// Write implements net.Conn. When the peer has not read in time, it makes Close discard what is still
+// unsent. The kernel would keep it for minutes otherwise.
+func (c *idleConn) Write(content []byte) (int, error) {
+	count, err := c.Conn.Write(content)
+	if tcp, ok := c.Conn.(*net.TCPConn); ok && errors.Is(err, os.ErrDeadlineExceeded) {
+		_ = tcp.SetLinger(0) // without it, only the memory is kept longer
+	}
+	return count, err
+}
+
 // SetReadDeadline implements net.Conn. net/http sets the deadline of an idle connection right after
 // it has reported the idle state to trackIdle.
 func (c *idleConn) SetReadDeadline(at time.Time) error {
@@ -40,9 +52,15 @@
 	return c.Conn.SetReadDeadline(at)
 }
 
-// trackIdle records whether a connection is idle. It is the server's ConnState hook.
+// trackIdle records whether a connection is idle, and then removes the write deadline of the last
+// request. It is the server's ConnState hook.
 func trackIdle(connection net.Conn, state http.ConnState) {
-	if tracked, ok := connection.(*idleConn); ok {
-		tracked.idle.Store(state == http.StateIdle)
+	tracked, ok := connection.(*idleConn)
+	if !ok {
+		return
+	}
+	tracked.idle.Store(state == http.StateIdle)
+	if state == http.StateIdle {
+		_ = tracked.SetWriteDeadline(time.Time{}) // fails only if the connection is closed
 	}
 }
--- a/internal/passthrough/ingress/ingress.go
+++ b/internal/passthrough/ingress/ingress.go
@@ -95,23 +95,24 @@
 }
 
 // ServeHTTP implements http.Handler.
-func (s *Server) ServeHTTP(to http.ResponseWriter, request *http.Request) {
+func (s *Server) ServeHTTP(raw http.ResponseWriter, request *http.Request) {
 	s.Watch.Check() // brings Total up to date
 	received, suspended := time.Now(), s.Watch.Total()
 	s.inFlight.Add(1)
 	defer s.inFlight.Add(-1)
+	demand := s.Headers.Demand(request.Header)
+	to := s.newAnswerWriter(raw, request, demand, received)
 	if s.closeConnections.Load() {
 		to.Header().Set("Connection", "close")
 	}
 	to.Header()["Date"] = nil // only the engine sets it
-	demand := s.Headers.Demand(request.Header)
 	if table, _ := s.Routes.Table(); table == nil {
-		s.discardBody(request)
+		s.discardBody(to, request)
 		relay.RefuseNotRun(to, s.Headers, noRoutesRetryAfter, "no_routes", "this node does not know any routes yet")
 		return
 	}
 	if job := s.Format.JobCall(request); job.Kind != passthrough.NoJobCall {
-		s.discardBody(request)
+		s.discardBody(to, request)
 		s.serveJobCall(to, request, job, demand)
 		return
 	}
@@ -195,11 +196,17 @@
 }
 
 // readBody reads the request's body within the limit that is configured when the read begins. It
-// answers a request whose body is too large, and aborts the connection if the body cannot be read.
-func (s *Server) readBody(to http.ResponseWriter, request *http.Request, demand passthrough.Demand) ([]byte, bool) {
+// answers a request whose body is too large, and aborts the connection if the body cannot be read
+// within the client's time.
+func (s *Server) readBody(to *answerWriter, request *http.Request, demand passthrough.Demand) ([]byte, bool) {
 	table, _ := s.Routes.Table()
 	limit := bodyLimit(table)
-	body, err := io.ReadAll(http.MaxBytesReader(to, request.Body, limit))
+	var body []byte
+	var err error
+	to.withBodyDeadline(func() bool {
+		body, err = io.ReadAll(http.MaxBytesReader(to, request.Body, limit))
+		return err == nil
+	})
 	var tooLong *http.MaxBytesError
 	switch {
 	case errors.As(err, &tooLong):
@@ -227,8 +234,11 @@
 
 // discardBody reads the request's body, up to defaultMaxBodyBytes, so that the connection can be
 // reused.
-func (s *Server) discardBody(request *http.Request) {
-	_, _ = io.Copy(io.Discard, io.LimitReader(request.Body, defaultMaxBodyBytes))
+func (s *Server) discardBody(to *answerWriter, request *http.Request) {
+	to.withBodyDeadline(func() bool {
+		discarded, err := io.Copy(io.Discard, io.LimitReader(request.Body, defaultMaxBodyBytes))
+		return err == nil && discarded < defaultMaxBodyBytes
+	})
 }
 
 // currentIdleTimeout returns how long a client's connection may stay idle.
--- a/internal/passthrough/relay/attempt.go
+++ b/internal/passthrough/relay/attempt.go
@@ -6,7 +6,6 @@
 	"io"
 	"net/http"
 	"slices"
-	"strconv"
 	"strings"
 	"syscall"
 	"time"
@@ -33,12 +32,8 @@
 	body   []byte
 }
 
-func (r *bufferedResponse) write(to http.ResponseWriter) {
-	copyEndToEndHeaders(to.Header(), r.header)
-	to.Header().Set("Content-Length", strconv.Itoa(len(r.body)))
-	to.WriteHeader(r.status)
-	_, _ = to.Write(r.body) // the client may have left
-}
+// errAnswerTooLong means that a response cannot be buffered. A part of it is no answer.
+var errAnswerTooLong = errors.New("the answer is longer than the limit")
 
 var errUnsigned = errors.New("the answer lacks the engine's signature")
 
@@ -187,10 +182,14 @@
 	return NotRun, err
 }
 
-// forwardBuffered reads the whole response before it sends any of it to the client.
+// forwardBuffered reads the whole response. It is sent to the client after the attempt's slot has ended,
+// so that a client that reads slowly holds no slot.
 func (e *exchange) forwardBuffered(answer *engineconn.Exchange, success bool) (Outcome, error) {
 	answer.SetReadDeadline(e.clock.currentDeadline())
-	body, err := io.ReadAll(io.LimitReader(answer, maxBufferedBytes))
+	body, err := io.ReadAll(io.LimitReader(answer, maxBufferedBytes+1))
+	if err == nil && len(body) > maxBufferedBytes {
+		err = errAnswerTooLong
+	}
 	if err != nil {
 		return Failed, err
 	}
@@ -199,8 +198,7 @@
 		e.lastFailure = buffered
 		return Failed, nil
 	}
-	e.status = buffered.status
-	buffered.write(e.to)
+	e.buffered = buffered
 	if !success {
 		e.attempts++
 	}
@@ -214,7 +212,6 @@
 // forwardStream sends each event to the client as soon as it is complete.
 func (e *exchange) forwardStream(answer *engineconn.Exchange, slot *slots.Slot) (Outcome, error) {
 	e.stream.Restart()
-	flusher := http.NewResponseController(e.to)
 	buffer := make([]byte, 16<<10)
 	for {
 		answer.SetReadDeadline(e.readDeadline())
@@ -226,7 +223,7 @@
 			if _, failed := e.to.Write(whole); failed != nil {
 				return ClientGone, failed
 			}
-			if failed := flusher.Flush(); failed != nil {
+			if failed := e.control.Flush(); failed != nil {
 				return ClientGone, failed
 			}
 		}
--- /dev/null
+++ b/internal/passthrough/relay/deliver.go
@@ -0,0 +1,50 @@
+package relay
+
+import (
+	"net/http"
+	"strconv"
+	"time"
+)
+
+// finalAnswerTime is how long an answer that is complete, or a refusal, may be written at least, also when the
+// call's time is up. No engine is held meanwhile.
+const finalAnswerTime = 500 * time.Millisecond
+
+// limitWrites sets when a write to the client fails that the client has not read by then.
+func (e *exchange) limitWrites(at time.Time) {
+	_ = e.control.SetWriteDeadline(at) // a writer without deadlines is a test's recorder
+}
+
+// allowFinalAnswer gives the writes of a refusal or of a complete answer finalAnswerTime, or the rest of the call's
+// time if that is longer.
+func (e *exchange) allowFinalAnswer() {
+	limit := time.Now().Add(finalAnswerTime)
+	if deadline := e.clock.currentDeadline(); deadline.After(limit) {
+		limit = deadline
+	}
+	e.limitWrites(limit)
+}
+
+// deliver sends the response of an attempt that has completed, if it was buffered. The engine is done
+// with it, and its slot has ended.
+func (e *exchange) deliver() Outcome {
+	if e.buffered == nil {
+		return Completed
+	}
+	e.allowFinalAnswer()
+	e.headSent = true
+	e.status = e.buffered.status
+	if e.buffered.write(e.to) != nil || e.control.Flush() != nil {
+		return ClientGone
+	}
+	return Completed
+}
+
+// write sends the response.
+func (r *bufferedResponse) write(to http.ResponseWriter) error {
+	copyEndToEndHeaders(to.Header(), r.header)
+	to.Header().Set("Content-Length", strconv.Itoa(len(r.body)))
+	to.WriteHeader(r.status)
+	_, err := to.Write(r.body)
+	return err
+}
--- a/internal/passthrough/relay/outcome.go
+++ b/internal/passthrough/relay/outcome.go
@@ -79,9 +79,10 @@
 	if e.headSent {
 		return Cut
 	}
+	e.allowFinalAnswer()
 	if e.lastFailure != nil && why != timedOut {
 		e.status = e.lastFailure.status
-		e.lastFailure.write(e.to)
+		_ = e.lastFailure.write(e.to) // the client may have left
 		return Failed
 	}
 	if e.mayHaveRun {
--- a/internal/passthrough/relay/relay.go
+++ b/internal/passthrough/relay/relay.go
@@ -83,6 +83,7 @@
 	*Relay
 	call           *Call
 	to             http.ResponseWriter
+	control        *http.ResponseController // of to
 	currentAttempt attemptCanceler
 	clock          callClock // runs until the deadline of the client or the route, whichever is earlier
 	excluded       map[enginechoice.Incarnation]bool
@@ -97,6 +98,7 @@
 	stream       *Splitter
 	firstEvent   time.Duration
 	lastFailure  *bufferedResponse // the last error response of an engine
+	buffered     *bufferedResponse // the response to send, unless it is a stream
 	status       int               // sent to the client
 	headTimer    *silenceTimer     // ends an attempt whose engine sends no response head
 }
@@ -105,13 +107,14 @@
 // which makes net/http close the connection, so that the stream does not look complete.
 func (r *Relay) Serve(ctx context.Context, to http.ResponseWriter, call *Call) {
 	state := &exchange{
-		Relay: r, call: call, to: to,
+		Relay: r, call: call, to: to, control: http.NewResponseController(to),
 		excluded: make(map[enginechoice.Incarnation]bool), stream: NewSplitter(call.Demand.LastEvent), content: call.content().Digest(),
 	}
 	deadlineCtx, cancel := context.WithDeadline(ctx, deadlineOf(call))
 	defer cancel()
 	state.clock = callClock{cancel: cancel, deadline: deadlineOf(call), suspended: call.Suspended}
 	defer state.clock.stop()
+	state.limitWrites(state.clock.currentDeadline())
 	r.active.add(state)
 	defer r.active.remove(state)
 	state.clock.applySuspension(r.watch.Total()) // suspensions while the call was read
@@ -182,7 +185,9 @@
 		}
 		outcome := e.attempt(deadlineCtx, decision)
 		switch outcome {
-		case Completed, ClientGone:
+		case Completed:
+			return e.deliver()
+		case ClientGone:
 			return outcome
 		case NotRun:
 			e.excluded[decision.Choice.Entry.Incarnation()] = true
--- a/internal/passthrough/relay/running.go
+++ b/internal/passthrough/relay/running.go
@@ -42,7 +42,11 @@
 // every call and ends those whose time is up. Their timers stood still during the suspension.
 func (r *Relay) AdjustForSuspension(time.Duration) {
 	total := r.watch.Total()
-	r.active.each(func(call *exchange) { call.clock.applySuspension(total) })
+	r.active.each(func(call *exchange) {
+		if call.clock.applySuspension(total) {
+			call.limitWrites(call.clock.currentDeadline())
+		}
+	})
 }
 
 // StopContent cancels the attempts of a content that is blocked. Requests that are still queued at
@@ -78,12 +82,12 @@
 
 // applySuspension makes the deadline earlier by the time that the machine was suspended since the
 // deadline was last corrected. The total is that of all suspensions of the machine. A total that is
-// not larger than the one accounted for has no effect.
-func (c *callClock) applySuspension(total time.Duration) {
+// not larger than the one accounted for has no effect. It reports whether the deadline has changed.
+func (c *callClock) applySuspension(total time.Duration) (changed bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if total <= c.suspended {
-		return
+		return false
 	}
 	c.deadline = c.deadline.Add(c.suspended - total)
 	c.suspended = total
@@ -91,6 +95,7 @@
 		c.timer.Stop()
 	}
 	c.timer = time.AfterFunc(time.Until(c.deadline), c.cancel)
+	return true
 }
 
 // stop ends the timer.
