ingress, edge, sharing: bytes held for all clients are bounded; silent connections that nothing found

Cause: bodies of requests (64 MB each where the configuration sets no limit) were held without a bound on their sum. Connections to the readiness check and the metrics had no time-out. Nothing tested what finds a peer that accepts a connection and says nothing. Change: with pass_through.memory_mb, the bodies in flight hold a quarter of it at most, less what answers take that are being written. Readiness and metrics: 5 s for a request, 20 s for an answer, 2 min idle.

--- a/internal/passthrough/edge/config.go
+++ b/internal/passthrough/edge/config.go
@@ -25,6 +25,7 @@
 	PeerAddress  string                 `koanf:"peer_address" usage:"IP:port for what nodes tell each other; empty: they tell nothing"`
 	Seeds        []string               `koanf:"seeds" usage:"IP:port of nodes that may be asked for others"`
 	Capacity     float64                `koanf:"capacity" usage:"what the machine can do, as a share of a processor core: dispatchers are chosen among the larger machines"`
+	MemoryMB     float64                `koanf:"memory_mb" usage:"MB of memory that the node may use: a quarter of it may hold the bodies of requests in flight, further ones are refused; 0: not bounded"`
 	Readers      int                    `koanf:"readers_per_zone" usage:"nodes of a zone that serve the store's tables to the others there"`
 	LeaveTime    time.Duration          `koanf:"leave_time" usage:"at a planned stop: how long new connections are still taken after readiness ended"`
 	StopTime     time.Duration          `koanf:"stop_time" usage:"at a planned stop: the latest end, counted from its start"`
@@ -43,6 +44,13 @@
 	}
 }
 
+// heldShare is the share of the node's memory that may hold bodies and unread answers. Growing a body's buffer and
+// decoding a job take more than the body itself for a moment.
+const heldShare = 0.25
+
+// maxHeldBytes returns how many bytes may be held for all clients; 0: no bound.
+func (c Config) maxHeldBytes() int64 { return int64(c.MemoryMB * heldShare * (1 << 20)) }
+
 // Enabled reports whether the node serves pass-through routes.
 func (c Config) Enabled() bool { return c.Address != "" }
 
@@ -55,6 +63,7 @@
 		configcheck.OptionalAddress("peer_address", c.PeerAddress),
 		configcheck.OptionalAddress("store_address", c.StoreAddress),
 		configcheck.AtLeast("capacity", c.Capacity, 0.001),
+		configcheck.AtLeast("memory_mb", c.MemoryMB, 0),
 		configcheck.Between("readers_per_zone", c.Readers, 1, 99),
 		configcheck.NotNegative("leave_time", c.LeaveTime),
 		configcheck.Positive("stop_time", c.StopTime),
--- a/internal/passthrough/edge/edge.go
+++ b/internal/passthrough/edge/edge.go
@@ -138,7 +138,7 @@
 	node.guard.OnBlocked(forward.StopContent)
 	node.engines.OnRestart(node.guard.Restarted)
 	node.watch = suspension.NewWatch(clockOrSystem(platform.Clock))
-	node.ingress = ingress.New(ingress.Config{Keys: config.Keys}, ingress.Dependencies{
+	node.ingress = ingress.New(ingress.Config{Keys: config.Keys, MaxHeldBytes: config.maxHeldBytes()}, ingress.Dependencies{
 		Registerer: node.registry,
 		Headers:    platform.Headers, Format: platform.Format, Routes: node.routes, Batch: node.batch, Logger: node.logger,
 		Relay: forward, Watch: node.watch,
@@ -344,8 +344,17 @@
 	return serveEcho(ctx, server, n.config.MetricsAt)
 }
 
+// Time limits of a connection to the readiness check or the metrics. A client that goes silent would
+// keep its connection for ever otherwise.
+const (
+	probeReadTimeout  = 5 * time.Second  // for a whole request
+	probeWriteTimeout = 20 * time.Second // from the end of its header to the end of its answer
+	probeIdleTimeout  = 2 * time.Minute  // above the usual interval of a collector of metrics
+)
+
 func newEcho() *echo.Echo {
 	server := echo.New()
+	server.Server.ReadTimeout, server.Server.WriteTimeout, server.Server.IdleTimeout = probeReadTimeout, probeWriteTimeout, probeIdleTimeout
 	server.HideBanner = true
 	server.HidePort = true
 	return server
--- a/internal/passthrough/edge/inspect.go
+++ b/internal/passthrough/edge/inspect.go
@@ -75,6 +75,9 @@
 // Running returns the number of client requests in flight.
 func (n *Node) Running() int { return n.ingress.InFlight() }
 
+// HeldBytes returns the bytes that the node holds for its clients.
+func (n *Node) HeldBytes() int64 { return n.ingress.HeldBytes() }
+
 // KnownJobs returns the number of jobs that this node knows.
 func (n *Node) KnownJobs() int { return n.batch.KnownJobs() }
 
--- a/internal/passthrough/ingress/answer.go
+++ b/internal/passthrough/ingress/answer.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"io"
 	"net/http"
 	"os"
 	"time"
@@ -11,6 +12,7 @@
 
 	"ringstream.example/ringstream/internal/events"
 	"ringstream.example/ringstream/internal/passthrough"
+	"ringstream.example/ringstream/internal/passthrough/memorybudget"
 )
 
 // Times of a request, unless the relay or the batch service sets another one for the answer.
@@ -31,6 +33,8 @@
 	received time.Time
 	// clientDeadline is when the client stops waiting.
 	clientDeadline time.Time
+	budget         *memorybudget.Budget
+	bodyBytes      int64 // of the request's body, counted in the budget
 	bytes          int64 // written so far
 	reported       bool
 }
@@ -42,7 +46,7 @@
 		limit = demand.TimeLeft
 	}
 	writer := &answerWriter{
-		ResponseWriter: to, control: http.NewResponseController(to), logger: s.Logger, unread: s.metrics.unread,
+		ResponseWriter: to, control: http.NewResponseController(to), logger: s.Logger, unread: s.metrics.unread, budget: s.held,
 		request: request, id: demand.RequestID, received: received, clientDeadline: received.Add(limit),
 	}
 	writer.limitWrites()
@@ -74,6 +78,8 @@
 // Write implements http.ResponseWriter.
 func (w *answerWriter) Write(content []byte) (int, error) {
 	began := time.Now()
+	w.budget.Add(int64(len(content)))
+	defer w.budget.Release(int64(len(content)))
 	count, err := w.ResponseWriter.Write(content)
 	w.bytes += int64(count)
 	w.reportUnread(began, err)
@@ -99,3 +105,28 @@
 	events.ClientNotReading.Log(w.logger, zap.String("request", w.id), zap.String("client", w.request.RemoteAddr),
 		zap.Duration("blocked", time.Since(began)), zap.Int64("bytes", w.bytes), zap.Duration("elapsed", time.Since(w.received)))
 }
+
+// errMemoryFull means that the node holds as many bytes for its clients as it may.
+var errMemoryFull = errors.New("the node holds too much for its clients")
+
+// countedBody counts the bytes of a request's body in the budget as they arrive.
+type countedBody struct {
+	body io.Reader
+	to   *answerWriter
+}
+
+// Read implements io.Reader.
+func (b *countedBody) Read(into []byte) (int, error) {
+	count, err := b.body.Read(into)
+	if !b.to.budget.TryAdd(int64(count)) {
+		return 0, errMemoryFull
+	}
+	b.to.bodyBytes += int64(count)
+	return count, err
+}
+
+// releaseBody ends the count of the request's body.
+func (w *answerWriter) releaseBody() {
+	w.budget.Release(w.bodyBytes)
+	w.bodyBytes = 0
+}
--- a/internal/passthrough/ingress/ingress.go
+++ b/internal/passthrough/ingress/ingress.go
@@ -20,6 +20,7 @@
 	"ringstream.example/ringstream/internal/passthrough"
 	"ringstream.example/ringstream/internal/passthrough/batch"
 	"ringstream.example/ringstream/internal/passthrough/catalog"
+	"ringstream.example/ringstream/internal/passthrough/memorybudget"
 	"ringstream.example/ringstream/internal/passthrough/relay"
 	"ringstream.example/ringstream/internal/suspension"
 )
@@ -42,6 +43,7 @@
 	Dependencies
 	config           Config
 	metrics          *metrics
+	held             *memorybudget.Budget
 	http             *http.Server
 	inFlight         atomic.Int64
 	closeConnections atomic.Bool
@@ -58,7 +60,8 @@
 
 // New returns a server.
 func New(config Config, dependencies Dependencies) *Server {
-	server := &Server{Dependencies: dependencies, config: config, metrics: newMetrics(dependencies.Registerer)}
+	held := memorybudget.New(config.MaxHeldBytes)
+	server := &Server{Dependencies: dependencies, config: config, metrics: newMetrics(dependencies.Registerer, held), held: held}
 	server.http = &http.Server{
 		Handler:           server,
 		MaxHeaderBytes:    maxHeaderBytes,
@@ -73,6 +76,9 @@
 // InFlight returns the number of requests in flight.
 func (s *Server) InFlight() int { return int(s.inFlight.Load()) }
 
+// HeldBytes returns the bytes held for all clients.
+func (s *Server) HeldBytes() int64 { return s.held.Held() }
+
 // Serve serves the connections of a listener until Stop is called, and then returns nil.
 func (s *Server) Serve(listener net.Listener) error {
 	err := s.http.Serve(&idleListener{Listener: listener, idleTimeout: s.currentIdleTimeout})
@@ -102,6 +108,7 @@
 	defer s.inFlight.Add(-1)
 	demand := s.Headers.Demand(request.Header)
 	to := s.newAnswerWriter(raw, request, demand, received)
+	defer to.releaseBody()
 	if s.closeConnections.Load() {
 		to.Header().Set("Connection", "close")
 	}
@@ -204,7 +211,7 @@
 	var body []byte
 	var err error
 	to.withBodyDeadline(func() bool {
-		body, err = io.ReadAll(http.MaxBytesReader(to, request.Body, limit))
+		body, err = io.ReadAll(&countedBody{body: http.MaxBytesReader(to.ResponseWriter, request.Body, limit), to: to})
 		return err == nil
 	})
 	var tooLong *http.MaxBytesError
@@ -212,6 +219,9 @@
 	case errors.As(err, &tooLong):
 		s.refuseBodyTooLarge(to, limit, demand)
 		return nil, false
+	case errors.Is(err, errMemoryFull):
+		s.refuseMemoryFull(to, demand)
+		return nil, false
 	case err != nil:
 		events.NotReadable.Log(s.Logger, zap.String("request", demand.RequestID), zap.Error(err))
 		panic(http.ErrAbortHandler) // the client disconnected or sent a malformed body
@@ -219,6 +229,19 @@
 	return body, true
 }
 
+// memoryRetryAfter is the Retry-After of a request whose body the node has no memory for. Another node
+// may have some.
+const memoryRetryAfter = 300 * time.Millisecond
+
+// refuseMemoryFull answers a request whose body the node cannot hold, and gives up what it has read of it.
+func (s *Server) refuseMemoryFull(to *answerWriter, demand passthrough.Demand) {
+	to.releaseBody()
+	to.Header().Set("Connection", "close") // the rest of the body is not read
+	const reason = "memory_full"
+	events.RequestRefused.Log(s.Logger, zap.String("request", demand.RequestID), zap.String("reason", reason), zap.Duration("retry_after", memoryRetryAfter))
+	relay.RefuseNotRun(to, s.Headers, memoryRetryAfter, reason, "this node holds as many bytes for its clients as it may; no engine ran the request")
+}
+
 // refuseBodyTooLarge answers a request whose body exceeds the limit. The answer is 503 instead of
 // 413 if the limit may have been raised meanwhile.
 func (s *Server) refuseBodyTooLarge(to http.ResponseWriter, limit int64, demand passthrough.Demand) {
