enginespeed: differences by fullness within one engine

Cause: the usual time of a fullness class was a median over the engines that were that full; where engines differ in speed, the fast ones make up the least full classes, and the others were taken for slow at little load (ratio 2.5, several a second). Change: a class holds how much longer work takes than on average at the same engine; first tokens count as slow from three times the usual.

--- a/internal/core/enginespeed/enginespeed.go
+++ b/internal/core/enginespeed/enginespeed.go
@@ -22,9 +22,6 @@
 )
 
 const (
-	// slowFrom is the ratio to the usual time from which an observation is slow. Smaller
-	// differences cost a request less than a wait for another engine.
-	slowFrom = 1.75
 	// agreeing is the number of observations that must be slow, one after the other, before
 	// an engine is taken for slow. A request that stalls is one of them.
 	agreeing = 4
@@ -58,6 +55,11 @@
 	maxSlowness = 16
 )
 
+// slowFrom is the ratio to the usual time from which an observation of a kind is slow. Smaller
+// differences cost a request less than a wait for another engine. The time to a first token also
+// depends on the prompts of other requests, most of all in a burst.
+var slowFrom = [kinds]float64{ofFirstTokens: 3, ofPaces: 1.75, ofLoads: 1.75}
+
 // kind is a kind of observations. Each is compared only with those of the same kind: the time
 // to a first token includes delays that do not depend on the engine's speed, so its ratio is
 // smaller than that of a pace.
@@ -70,12 +72,14 @@
 	kinds
 )
 
-// observation is the time that some work took, relative to the usual time.
+// observation is the time that some work took.
 type observation struct {
-	key   string // observations of the same work replace each other; empty: none
-	node  string // which node observed it
-	at    time.Time
-	ratio float64 // natural logarithm of the ratio to the usual time
+	key  string // observations of the same work replace each other; empty: none
+	node string // which node observed it
+	at   time.Time
+	// ratio is the natural logarithm of the time, without the difference that its size and how
+	// full the engine is make; only its distance from other engines' counts.
+	ratio float64
 	// reference is the median over the engines when it was made.
 	reference float64
 	seconds   float64 // the observed time
@@ -86,6 +90,7 @@
 	recent   []observation // the last ones, oldest first; at most maxObservations
 	fresh    bool          // recent has changed since the last review
 	slowness float64       // 0: the usual speed
+	level    level         // while it has the usual speed
 }
 
 // pace returns the time between two events by the last paces; 0 if there are none.
@@ -145,11 +150,9 @@
 // ObserveFirstToken implements grant.EngineSpeeds. A request at an engine without a free slot
 // may have waited there, so its time tells nothing.
 func (t *Tracker) ObserveFirstToken(id enginechoice.Incarnation, first grant.FirstToken, at grant.Observed) {
-	if at.Fullness > 1 {
-		return
+	if at.Fullness <= 1 {
+		t.observe(id, ofFirstTokens, &t.usual.firstTokens[sizeClass(first.PrefillTokens)], logSeconds(first.Elapsed.Seconds()), at)
 	}
-	classes := &t.usual.firstTokens[sizeClass(first.PrefillTokens)]
-	t.observe(id, ofFirstTokens, classes, logSeconds(first.Elapsed.Seconds()), at)
 }
 
 // ObservePace implements grant.EngineSpeeds.
@@ -175,25 +178,38 @@
 	if at.Fullness > 1 {
 		return
 	}
-	usually, known := medianFor(&t.usual.firstTokens[sizeClass(first.PrefillTokens)], fullnessClass(at.Fullness))
-	ratio := logSeconds(first.Elapsed.Seconds()) - usually
-	seen := observation{key: request, node: at.Node, at: at.At, ratio: ratio, reference: t.reference[ofFirstTokens]}
+	difference, known := t.usual.firstTokens[sizeClass(first.PrefillTokens)].difference(fullnessClass(at.Fullness))
+	seen := observation{key: request, node: at.Node, at: at.At, ratio: logSeconds(first.Elapsed.Seconds()) - difference, reference: t.reference[ofFirstTokens]}
 	if known && t.slow(ofFirstTokens, seen) {
 		t.add(id, ofFirstTokens, seen)
 	}
 }
 
-// observe records the logarithm of a duration. It updates the usual time, unless the engine is
-// slow or seems so.
-func (t *Tracker) observe(id enginechoice.Incarnation, of kind, classes *[fullnessClasses]median, value float64, at grant.Observed) {
+// observe records the logarithm of a duration. It updates what is usual, unless the engine is slow
+// or seems so.
+func (t *Tracker) observe(id enginechoice.Incarnation, of kind, work *classes, value float64, at grant.Observed) {
 	class := fullnessClass(at.Fullness)
-	usually, known := medianFor(classes, class)
+	difference, known := work.difference(class)
 	if known {
-		t.add(id, of, observation{node: at.Node, at: at.At, ratio: value - usually, seconds: math.Exp(value)})
+		t.add(id, of, observation{node: at.Node, at: at.At, ratio: value - difference, seconds: math.Exp(value)})
 	}
-	if found := t.engines[id]; found == nil || !t.seemsSlow(found, of) {
-		classes[class].observe(value)
+	found := t.engine(id)
+	if t.seemsSlow(found, of) {
+		return
 	}
+	average := &found.evidence[of].level
+	if average.samples > 0 {
+		work[class].observe(value - average.value)
+	}
+	average.observe(value - difference)
+}
+
+// engine returns what is known about an engine.
+func (t *Tracker) engine(id enginechoice.Incarnation) *engine {
+	if t.engines[id] == nil {
+		t.engines[id] = &engine{}
+	}
+	return t.engines[id]
 }
 
 // seemsSlow reports whether an engine is slow, or half of the observations of a kind that would
@@ -214,15 +230,12 @@
 // slow reports whether an observation is slow beside those of the other engines, both when it was
 // made and now: when all engines become slower, or faster again, some show it earlier than others.
 func (t *Tracker) slow(of kind, seen observation) bool {
-	return seen.ratio-max(seen.reference, t.reference[of]) >= math.Log(slowFrom)
+	return seen.ratio-max(seen.reference, t.reference[of]) >= math.Log(slowFrom[of])
 }
 
 // add adds an observation of an engine.
 func (t *Tracker) add(id enginechoice.Incarnation, of kind, seen observation) {
-	if t.engines[id] == nil {
-		t.engines[id] = &engine{}
-	}
-	known := &t.engines[id].evidence[of]
+	known := &t.engine(id).evidence[of]
 	known.fresh = true
 	seen.reference = t.reference[of]
 	if seen.key != "" {
--- a/internal/core/enginespeed/review.go
+++ b/internal/core/enginespeed/review.go
@@ -22,9 +22,6 @@
 		}
 		if !known.isSlow() {
 			known.slowSince, known.grants = time.Time{}, 0
-			if known.observations() == 0 {
-				delete(t.engines, id)
-			}
 		}
 	}
 	slices.SortFunc(changes, func(a, b grant.SpeedChange) int { return cmp.Compare(a.Engine.ID, b.Engine.ID) })
@@ -167,7 +164,7 @@
 		ratios = append(ratios, seen.ratio)
 	}
 	slices.Sort(ratios)
-	return min(max(math.Exp(ratios[(len(ratios)-1)/2]-t.reference[of]), slowFrom), maxSlowness)
+	return min(max(math.Exp(ratios[(len(ratios)-1)/2]-t.reference[of]), slowFrom[of]), maxSlowness)
 }
 
 // changeOf returns what an operator is told of an engine whose speed has changed.
--- a/internal/core/enginespeed/usual.go
+++ b/internal/core/enginespeed/usual.go
@@ -36,29 +36,48 @@
 	m.value += min(max(value-m.value, -step), step)
 }
 
-// usual holds how long work usually takes in a lane, by the size of the work and by how full
-// its engine is.
+// classes holds, by how full an engine is, how much longer work takes than it does on average at
+// the same engine. Engines differ in speed, and the fast ones are less often full, so that the
+// times of all engines that are equally full would not do.
+type classes [fullnessClasses]median
+
+// usual holds these differences for the kinds of work whose time is observed.
 type usual struct {
-	firstTokens [sizeClasses][fullnessClasses]median
-	paces       [fullnessClasses]median
+	firstTokens [sizeClasses]classes // by the size of the prompt
+	paces       classes
 }
 
-// medianFor returns the median for a fullness class, or that of the nearest class below it,
+// difference returns the difference for a fullness class, or that of the nearest class below it,
 // or else above it, that has enough observations. It returns false if there is none.
-func medianFor(classes *[fullnessClasses]median, class int) (float64, bool) {
+func (c *classes) difference(class int) (float64, bool) {
 	for below := class; below >= 0; below-- {
-		if classes[below].samples >= minSamples {
-			return classes[below].value, true
+		if c[below].samples >= minSamples {
+			return c[below].value, true
 		}
 	}
 	for above := class + 1; above < fullnessClasses; above++ {
-		if classes[above].samples >= minSamples {
-			return classes[above].value, true
+		if c[above].samples >= minSamples {
+			return c[above].value, true
 		}
 	}
 	return 0, false
 }
 
+// level is the average logarithm of the times at one engine, without the differences.
+type level struct {
+	value   float64
+	samples int
+}
+
+// levelWeight is the weight of the newest observation in a level.
+const levelWeight = 0.05
+
+// observe adds a value to the average.
+func (l *level) observe(value float64) {
+	l.samples++
+	l.value += max(1/float64(l.samples), levelWeight) * (value - l.value)
+}
+
 // sizeClass returns the class of a number of prompt tokens.
 func sizeClass(tokens int) int {
 	return min(bits.Len(uint(max(tokens, 0))), sizeClasses-1) //nolint:gosec // not negative
