enginespeed, grant: a cheaper review

Cause: a review of 256 engines took 0.5 to 1 ms on a busy machine, 100 times a second. Change: it looks at the newest observations only, 20 times a second.

--- a/internal/core/enginespeed/review.go
+++ b/internal/core/enginespeed/review.go
@@ -35,8 +35,7 @@
 	node, several := "", false
 	for _, known := range t.engines {
 		seen := &known.evidence[of]
-		seen.recent = slices.DeleteFunc(seen.recent, func(old observation) bool { return now.Sub(old.at) > observationAge })
-		if len(seen.recent) == 0 {
+		if seen.dropOld(now); len(seen.recent) == 0 {
 			continue
 		}
 		latest := seen.newest()
@@ -60,20 +59,32 @@
 	}
 }
 
+// dropOld drops the observations that no longer count. They are in the order of their times.
+func (e *evidence) dropOld(now time.Time) {
+	old := 0
+	for old < len(e.recent) && now.Sub(e.recent[old].at) > observationAge {
+		old++
+	}
+	e.recent = slices.Delete(e.recent, 0, old)
+}
+
 // reviewEngine decides whether an engine is slow. It reports whether that has changed.
 func (t *Tracker) reviewEngine(e *engine, now time.Time) bool {
 	before := e.slowness() > 0
 	good, fresh := false, false
 	for of := range kinds {
 		known := &e.evidence[of]
-		trailing := t.trailingGood(of, known)
-		switch {
-		case known.slowness == 0 && t.agreeSlow(of, known), known.slowness > 0 && known.fresh && trailing == 0:
+		if known.slowness > 0 {
+			trailing := t.trailingGood(of, known)
+			good = good || (known.fresh && trailing > 0)
+			if trailing >= forgiving {
+				known.slowness = 0
+			} else if known.fresh && trailing == 0 {
+				known.slowness = t.slownessOf(of, known)
+			}
+		} else if t.agreeSlow(of, known) {
 			known.slowness = t.slownessOf(of, known)
-		case known.slowness > 0 && trailing >= forgiving:
-			known.slowness = 0
 		}
-		good = good || (known.slowness > 0 && known.fresh && trailing > 0)
 		fresh = fresh || known.fresh
 		known.fresh = false
 	}
--- a/internal/core/grant/dispatcher.go
+++ b/internal/core/grant/dispatcher.go
@@ -99,6 +99,8 @@
 	// slow holds the engines that are slower than usual.
 	slow         map[enginechoice.Incarnation]bool
 	speedChanges []SpeedChange // since the last SpeedChanges
+	// speedsReviewedAt is when the speeds were last reviewed.
+	speedsReviewedAt time.Time
 }
 
 // NewDispatcher returns a dispatcher of a lane that has no engines yet. Self is the name
--- a/internal/core/grant/speeds.go
+++ b/internal/core/grant/speeds.go
@@ -49,8 +49,16 @@
 	d.policies.Speeds.ObserveSilence(request.engine, name, silence, d.observed(request.node, request.engine, now))
 }
 
+// speedReviewInterval is the time between two reviews of the engines' speeds. A review looks at
+// all engines of the lane.
+const speedReviewInterval = 50 * time.Millisecond
+
 // reviewSpeeds applies the speeds of the engines to the choice.
 func (d *Dispatcher) reviewSpeeds(now time.Time) {
+	if now.Sub(d.speedsReviewedAt) < speedReviewInterval {
+		return
+	}
+	d.speedsReviewedAt = now
 	changes := d.policies.Speeds.Review(now)
 	for _, change := range changes {
 		if change.Slowness > 1 {
