grant, quota, slots: what tenants used of their limits outlives the dispatcher

Cause: a new dispatcher began each tenant's bucket with a quarter of the margin, and a refused request was told when one token is there, as all others were. Change: LimitUse tells the other candidates what is left of each limit; quota.RateCounter moves credit with the nodes. A node whose process has just started brings the refill since then; a fleet all of whose nodes have just started the time in which a former dispatcher might have counted them.

--- a/internal/core/grant/dispatcher.go
+++ b/internal/core/grant/dispatcher.go
@@ -75,6 +75,7 @@
 	attached       bool
 	inFlight       map[uint64]*inFlightRequest
 	queued         map[uint64]*queuedAsk
+	refilled       bool // the time since its process started has been credited to the limits
 }
 
 // Dispatcher grants the slots of one lane.
@@ -93,6 +94,12 @@
 	firstTokens  firstTokenEstimator
 	limits       *quota.RateCounter // nil if no tenant has a limit that is counted here
 	liveNodes    int                // number of live nodes of the fleet; 0 if unknown
+	limitShare   float64            // part of every limit that is counted here
+	// countingSince is when limitShare was last zero.
+	countingSince time.Time
+	exchange      *UseExchange // nil: the use of the limits is not kept
+	notNewFleet   bool         // refillNewFleet has credited its time, or may not
+	limitReturns  limitReturns
 	// suspects holds the in-flight requests whose content is suspected of crashing
 	// engines.
 	suspects map[*inFlightRequest]bool
@@ -181,6 +188,9 @@
 	}
 	if d.limits == nil {
 		d.limits = quota.NewRateCounter(margin, now)
+		if d.exchange != nil {
+			d.limits.KeepUse()
+		}
 	}
 	d.limits.SetLimits(limits)
 }
@@ -198,6 +208,10 @@
 	if d.liveNodes > 0 {
 		share = float64(d.Attached(now)) / float64(d.liveNodes)
 	}
+	if d.limitShare == 0 {
+		d.countingSince = now
+	}
+	d.limitShare = share
 	d.limits.Advance(now, share)
 }
 
@@ -205,13 +219,18 @@
 func (d *Dispatcher) Attached(now time.Time) int {
 	attached := 0
 	for _, known := range d.nodes {
-		if known.attached && now.Sub(known.lastStateAt) <= d.config.AttachmentTimeout {
+		if d.isAttached(known, now) {
 			attached++
 		}
 	}
 	return attached
 }
 
+// isAttached reports whether a node counts as attached.
+func (d *Dispatcher) isAttached(known *nodeState, now time.Time) bool {
+	return known.attached && now.Sub(known.lastStateAt) <= d.config.AttachmentTimeout
+}
+
 // Idle reports whether no node has requests in the lane or is attached to it.
 func (d *Dispatcher) Idle() bool { return len(d.nodes) == 0 }
 
@@ -240,8 +259,9 @@
 		known = &nodeState{life: state.Life, inFlight: make(map[uint64]*inFlightRequest), queued: make(map[uint64]*queuedAsk)}
 		d.nodes[from] = known
 	}
+	joined := state.Attached && !d.isAttached(known, now)
 	known.sequence, known.lastStateAt, known.zone, known.attached = state.Sequence, now, state.Zone, state.Attached
-	d.advanceLimits(now)
+	d.joinLimits(known, state, joined, now)
 	known.connected = make(map[enginechoice.Incarnation]bool, len(state.Connected))
 	for _, engine := range state.Connected {
 		known.connected[d.engineByHash[engine]] = true
@@ -252,6 +272,7 @@
 	d.grantOnline(now)
 	reply := d.reply(from)
 	reply.Life, reply.Sequence = state.Life, state.Sequence
+	reply.Counted = d.keepsLimits() && state.Attached && d.liveNodes > 0
 	if len(state.Held)+len(state.Waiting) == 0 && len(known.inFlight) == 0 && !state.Attached {
 		delete(d.nodes, from)
 	}
--- a/internal/core/grant/grant.go
+++ b/internal/core/grant/grant.go
@@ -179,6 +179,10 @@
 	// in the lane. The dispatcher's part of each tenant limit is the fraction of nodes
 	// that are attached to it (quota.RateCounter).
 	Attached bool
+	// UnusedFor is the time for which the node has admitted no request of a tenant with a
+	// limit, from the start of its process, as long as no dispatcher has replied that it
+	// counts the node (Reply.Counted); 0 afterwards.
+	UnusedFor time.Duration
 }
 
 // Grant permits a request to be sent to an engine.
@@ -209,6 +213,7 @@
 type Refusal struct {
 	ID      uint64        // Ask.ID
 	Verdict quota.Verdict // of the tenant's limit
+	Start   quota.Start   // from what the dispatcher began to count the tenant's requests
 	Reason  RefusalReason
 	// Overload holds the inputs of the decision if Reason is RefusedByOverload.
 	Overload OverloadRefusal
@@ -232,6 +237,8 @@
 	Stops []uint64
 	// Queued is the number of online requests of all nodes that wait for a slot.
 	Queued int
+	// Counted reports that the dispatcher counts the node's part of the tenants' limits.
+	Counted bool
 }
 
 // LimitUse is what a lane's dispatcher has counted against the tenants' limits. It tells
@@ -239,13 +246,10 @@
 type LimitUse struct {
 	Life     uint64 // LifeHash of the dispatcher's node
 	Sequence uint64 // increases with every LimitUse of the dispatcher
-	Tenants  []TenantUse
-}
-
-// TenantUse is the use of one tenant's limit.
-type TenantUse struct {
-	Tenant uint64  // TenantHash
-	Left   float64 // requests that the tenant could still start, over all nodes
+	// Elapsed is the time from an arbitrary fixed moment in the dispatcher's life until
+	// sending. From it the receiver recognizes a message that arrives late.
+	Elapsed time.Duration
+	Use     quota.Use
 }
 
 // declinedResult is the result of an unused grant. It does not affect the engine's
--- /dev/null
+++ b/internal/core/grant/limituse_test.go
@@ -0,0 +1,90 @@
+package grant
+
+import (
+	"testing"
+	"time"
+
+	"ringstream.example/ringstream/internal/core/quota"
+)
+
+// TestLateUseIsNotTakenForNew delivers messages late, as after a pause of the receiver, and out
+// of order.
+func TestLateUseIsNotTakenForNew(t *testing.T) {
+	const limit = 600 * time.Millisecond
+	sender, receiver := NewUseExchange(1, start), NewUseExchange(2, start)
+	send := func(after time.Duration) LimitUse { return sender.message(quota.Use{Rest: 1}, start.Add(after)) }
+	early, next, late := send(0), send(100*time.Millisecond), send(200*time.Millisecond)
+	receiver.Record(early, start.Add(time.Millisecond))
+	if !receiver.Record(late, start.Add(1200*time.Millisecond)) {
+		t.Fatal("a newer message is refused")
+	}
+	if got := receiver.fresh(start.Add(1200*time.Millisecond), limit); len(got) > 0 {
+		t.Errorf("a message that is a second late is fresh: %+v", got)
+	}
+	if receiver.Record(next, start.Add(1300*time.Millisecond)) {
+		t.Error("an older message replaces a newer one")
+	}
+	receiver.Record(send(1300*time.Millisecond), start.Add(1302*time.Millisecond))
+	if got := receiver.fresh(start.Add(1302*time.Millisecond), limit); len(got) != 1 || start.Add(1302*time.Millisecond).Sub(got[0].At) > 2*time.Millisecond {
+		t.Errorf("a message that arrives in time is not fresh: %+v", got)
+	}
+	if got := receiver.fresh(start.Add(2*time.Second), limit); len(got) > 0 {
+		t.Errorf("a message is fresh after 0.7 s: %+v", got)
+	}
+}
+
+// TestUseAgesWhileTheMachineIsSuspended suspends the receiver's machine, during which its clock
+// stands still.
+func TestUseAgesWhileTheMachineIsSuspended(t *testing.T) {
+	sender, receiver := NewUseExchange(1, start), NewUseExchange(2, start)
+	receiver.Record(sender.message(quota.Use{Rest: 1}, start), start)
+	receiver.AdjustForSuspension(time.Second)
+	if got := receiver.fresh(start.Add(10*time.Millisecond), 600*time.Millisecond); len(got) > 0 {
+		t.Errorf("a use from before the suspension is fresh: %+v", got)
+	}
+	receiver.Record(sender.message(quota.Use{Rest: 1}, start.Add(1100*time.Millisecond)), start.Add(100*time.Millisecond))
+	if got := receiver.fresh(start.Add(100*time.Millisecond), 600*time.Millisecond); len(got) != 1 {
+		t.Errorf("got %+v from after the suspension, want one", got)
+	}
+}
+
+// TestClocksMayDrift has the sender's clock run slower by a tenth of a second in ten minutes.
+func TestClocksMayDrift(t *testing.T) {
+	sender, receiver := NewUseExchange(1, start), NewUseExchange(2, start)
+	const drift = 1 - 0.1/600
+	for at := time.Duration(0); at < 2*time.Hour; at += 250 * time.Millisecond {
+		receiver.Record(sender.message(quota.Use{Rest: 1}, start.Add(time.Duration(float64(at)*drift))), start.Add(at))
+		if len(receiver.fresh(start.Add(at), 20*time.Millisecond)) != 1 {
+			t.Fatalf("a message that has just arrived is taken for old after %v", at)
+		}
+	}
+}
+
+// TestUseIsToldOnlyWhileNodesAreAttached checks when a dispatcher tells its use.
+func TestUseIsToldOnlyWhileNodesAreAttached(t *testing.T) {
+	d := NewDispatcher(DefaultDispatcherConfig(), lane, "n0", start)
+	d.KeepLimits(NewUseExchange(1, start))
+	d.SetEngines(entries(1), start)
+	d.SetLive(1)
+	d.SetLimits(quota.Margin{Requests: 80}, map[uint64]quota.RateLimit{tenantA: {PerSecond: 4, Burst: 20}}, start)
+	if _, due := d.TakeLimitUse(start.Add(time.Second)); due {
+		t.Error("a dispatcher without nodes tells a use")
+	}
+	now := start.Add(2 * time.Second)
+	d.ApplyState("n1", State{Life: 1, Sequence: 1, Attached: true}, now)
+	if _, due := d.TakeLimitUse(now); !due {
+		t.Error("a dispatcher with a node tells nothing")
+	}
+	now = now.Add(20 * time.Millisecond)
+	if _, due := d.TakeLimitUse(now); due {
+		t.Error("a use that has not changed is told again at once")
+	}
+	state := State{Life: 1, Sequence: 2, Attached: true}
+	for id := range uint64(10) {
+		state.Waiting = append(state.Waiting, Ask{ID: id + 1, Tenant: tenantA, AdmitOnly: true})
+	}
+	d.ApplyState("n1", state, now)
+	if use, due := d.TakeLimitUse(now); !due || len(use.Use.Tenants) != 1 {
+		t.Errorf("got %+v, %v after a large use", use, due)
+	}
+}
--- a/internal/core/grant/network_test.go
+++ b/internal/core/grant/network_test.go
@@ -47,6 +47,7 @@
 	from, to string
 	state    *State
 	reply    *Reply
+	use      *LimitUse
 }
 
 // network simulates nodes that exchange datagrams with delay and loss, on a virtual clock.
@@ -96,15 +97,20 @@
 }
 
 func (n *network) send(from, to string, state *State, reply *Reply) {
+	n.sendMessage(datagram{from: from, to: to, state: state, reply: reply})
+}
+
+func (n *network) sendMessage(message datagram) {
 	n.sent++
-	if from != to && (n.random.IntN(1000) < n.lossPerMille || (n.lost != nil && n.lost(from, to))) {
+	remote := message.from != message.to
+	if remote && (n.random.IntN(1000) < n.lossPerMille || (n.lost != nil && n.lost(message.from, message.to))) {
 		return
 	}
-	delay := time.Duration(0)
-	if from != to {
-		delay = time.Millisecond + time.Duration(n.random.IntN(2))*time.Millisecond
+	message.at = n.now
+	if remote {
+		message.at = n.now.Add(time.Millisecond + time.Duration(n.random.IntN(2))*time.Millisecond)
 	}
-	n.queue = append(n.queue, datagram{at: n.now.Add(delay), from: from, to: to, state: state, reply: reply})
+	n.queue = append(n.queue, message)
 }
 
 // run advances the clock by a span of time.
@@ -150,6 +156,11 @@
 }
 
 func (n *network) replies(node *simNode) {
+	if use, due := node.dispatcher.TakeLimitUse(n.now); due {
+		for _, to := range node.requester.OtherCandidates(node.address) {
+			n.sendMessage(datagram{from: node.address, to: to, use: &use})
+		}
+	}
 	for to, reply := range node.dispatcher.Replies() {
 		n.send(node.address, to, nil, &reply)
 	}
@@ -172,6 +183,10 @@
 			n.queue = append(n.queue, message)
 			continue
 		}
+		if message.use != nil {
+			node.dispatcher.exchange.Record(*message.use, n.now)
+			continue
+		}
 		if message.state != nil {
 			node.dispatcher.ApplyState(message.from, *message.state, n.now)
 			n.replies(node)
--- a/internal/core/grant/poll.go
+++ b/internal/core/grant/poll.go
@@ -152,6 +152,9 @@
 func (r *Requester) nextState(now time.Time, connected []uint64) State {
 	r.sequence++
 	state := State{Life: r.life, Sequence: r.sequence, Zone: r.zone, Connected: connected, Attached: r.attached}
+	if r.attached && !r.unusedSince.IsZero() {
+		state.UnusedFor = max(now.Sub(r.unusedSince), 0)
+	}
 	for _, id := range slices.Sorted(maps.Keys(r.held)) {
 		state.Held = append(state.Held, r.held[id].Held)
 	}
--- a/internal/core/grant/queue.go
+++ b/internal/core/grant/queue.go
@@ -61,10 +61,9 @@
 func (d *Dispatcher) admit(from string, known *nodeState, ask Ask, now time.Time) *queuedAsk {
 	entry := newEntry(from, ask, now)
 	if ask.Tenant != 0 && d.limits != nil {
-		verdict := d.limits.Reserve(ask.Tenant)
+		verdict := d.reserve(ask, now)
 		if !verdict.Admitted {
-			reply := d.reply(from)
-			reply.Refused = append(reply.Refused, Refusal{ID: ask.ID, Verdict: verdict})
+			d.refuseByLimit(from, ask, verdict, now)
 			return nil
 		}
 		entry.reserved = true
--- a/internal/core/grant/requester.go
+++ b/internal/core/grant/requester.go
@@ -116,6 +116,8 @@
 	nextSendAt time.Time   // when to send the next message; zero if nothing has changed
 	roundTrip  time.Duration
 	attached   bool
+	// unusedSince is State.UnusedFor as a time; zero if it is not told, or no longer.
+	unusedSince time.Time
 	// suspendedSequence is the newest sequence from before the machine was suspended. The
 	// dispatcher has withdrawn the grants of replies to it.
 	suspendedSequence uint64
@@ -186,6 +188,23 @@
 	r.attached = attached
 }
 
+// SetUnusedSince sets the time since which this node has admitted no request of a tenant with a
+// limit. It is told to the dispatcher until one replies that it counts the node.
+func (r *Requester) SetUnusedSince(at time.Time) { r.unusedSince = at }
+
+// DelayUnusedSince records that this node may have admitted a request by itself.
+func (r *Requester) DelayUnusedSince(now time.Time) {
+	if !r.unusedSince.IsZero() {
+		r.unusedSince = now
+	}
+}
+
+// OtherCandidates returns the addresses of the candidates for the lane's dispatcher, without
+// the given one.
+func (r *Requester) OtherCandidates(self string) []string {
+	return slices.DeleteFunc(slices.Clone(r.ranking), func(address string) bool { return address == self })
+}
+
 // Attached reports whether the node stays attached while it has nothing in the lane.
 func (r *Requester) Attached() bool { return r.attached }
 
@@ -301,6 +320,9 @@
 	if from == r.current {
 		r.acknowledge(reply.Sequence, now)
 	}
+	if reply.Counted {
+		r.unusedSince = time.Time{}
+	}
 	for _, granted := range reply.Grants {
 		switch {
 		case reply.Sequence <= r.suspendedSequence:
--- /dev/null
+++ b/internal/core/quota/kept.go
@@ -0,0 +1,202 @@
+package quota
+
+import (
+	"cmp"
+	"math"
+	"slices"
+	"time"
+)
+
+// TenantUse is what is left of one tenant's limit.
+type TenantUse struct {
+	Tenant uint64
+	Left   float64 // requests that the tenant could still start, over all nodes
+}
+
+// Use is what a counter tells of the tenants' limits.
+type Use struct {
+	// Tenants holds the tenants that have the smallest part of their burst left.
+	Tenants []TenantUse
+	// Rest is the part of its burst that each tenant has left at least that is not listed; at
+	// most 1.
+	Rest float64
+}
+
+// KnownUse is the Use that another counter told.
+type KnownUse struct {
+	At   time.Time // when it was true, at the latest; on the clock of the counter that reads it
+	Left map[uint64]float64
+	Rest float64
+}
+
+// NewKnownUse returns a Use that was told and true at a time.
+func NewKnownUse(use Use, at time.Time) KnownUse {
+	known := KnownUse{At: at, Rest: use.Rest, Left: make(map[uint64]float64, len(use.Tenants))}
+	for _, tenant := range use.Tenants {
+		known.Left[tenant.Tenant] = tenant.Left
+	}
+	return known
+}
+
+// left returns what a tenant has left, given the capacity and the refill rate of its bucket.
+func (k KnownUse) left(tenant uint64, capacity, rate float64, now time.Time) float64 {
+	level, listed := k.Left[tenant]
+	if !listed {
+		level = k.Rest * capacity
+	}
+	return min(level+max(now.Sub(k.At), 0).Seconds()*rate, capacity)
+}
+
+// untoldMargin is the part of the margin that a tenant may use before its counter must tell
+// its use again. Twice as much, the use between two messages of which the first is lost, is
+// startMargin.
+const untoldMargin = 0.125
+
+// toldResolution is the resolution of TenantUse.Left, in requests. A coarse number takes
+// fewer bytes in a message.
+const toldResolution = 0.125
+
+// keptUse is the state of a counter that keeps the use of the limits beyond a counter's end.
+type keptUse struct {
+	enabled bool
+	known   []KnownUse // of the counters that the joining nodes may have left
+	tellNow bool       // a tenant has used untoldMargin since Use
+	start   Start
+}
+
+// Start tells from what a counter began to count the nodes that joined it last.
+type Start struct {
+	Known bool          // the use that another counter told
+	Age   time.Duration // of that use
+}
+
+// KeepUse makes the counter take over the use of the limits with the nodes that join it, as
+// other counters have told it (SetKnown), and give it up with the nodes that leave it.
+//
+// # Worst overshoot
+//
+// A bucket holds credit in proportion to the part of the nodes that the counter has. When
+// nodes leave, the counter gives up their part of the credit. When they join, it adds their
+// part of what the told use leaves, refilled for the time since then. So credit moves with
+// the nodes and no counter adds credit of its own where the use is known: p, in the bound of
+// RateCounter, counts only the counters that began without known use. Two terms replace it:
+//
+//   - U, for each counter that ended: what it admitted since the last use that was heard. It
+//     tells its use as soon as a tenant has used a*untoldMargin, so U is at most that if its
+//     last message arrives, and twice as much if one is lost, which equals the start without
+//     known use. Use of which nothing was heard for the time in which nodes count at two
+//     counters is not taken over.
+//   - K, for each counter that goes on while nodes have left it unnoticed, because it was cut
+//     off or paused: what the nodes that stay admit there, beyond their part, until it notices
+//     (grant.DispatcherConfig.AttachmentTimeout). They may use all of the credit, so K is at most the
+//     left burst. It is reached only by a tenant that was quiet before, sends its burst through the side that was cut off
+//     in that time, and sends it again through the other side in the same window.
+//
+// A node whose process has just started has admitted nothing through any counter since then.
+// Its part is refilled for that time (Refill). Another counter may count the node's part for
+// as long as a node that moved, so this is covered by R*M.
+func (p *RateCounter) KeepUse() { p.keptUse.enabled = true }
+
+// SetKnown sets the use that is taken over as nodes join, one KnownUse for each counter that
+// they may have left. The smallest counts. Without any, the use is not known.
+func (p *RateCounter) SetKnown(known []KnownUse) { p.keptUse.known = known }
+
+// Start returns from what the counter began.
+func (p *RateCounter) Start() Start { return p.keptUse.start }
+
+// withdraw gives up the credit of the nodes that have left since the former share.
+func (p *RateCounter) withdraw(known *counterBucket, former float64) {
+	if p.keptUse.enabled && p.share < former && known.level > 0 {
+		known.level *= p.share / former
+	}
+}
+
+// startCredit returns the credit that a tenant gets for the nodes that have joined since the
+// former share.
+func (p *RateCounter) startCredit(tenant uint64, limit RateLimit, former float64) float64 {
+	if p.share <= former {
+		return 0
+	}
+	if !p.keptUse.enabled || len(p.keptUse.known) == 0 {
+		p.keptUse.start = Start{}
+		return max(p.share-p.maxShare, 0) * p.startPart * p.margin.requests(limit)
+	}
+	capacity, rate := p.fullCapacity(limit), p.fullRate(limit)
+	left := capacity
+	newest := p.keptUse.known[0].At
+	for _, known := range p.keptUse.known {
+		left = min(left, known.left(tenant, capacity, rate, p.advancedAt))
+		if known.At.After(newest) {
+			newest = known.At
+		}
+	}
+	p.keptUse.start = Start{Known: true, Age: p.advancedAt.Sub(newest)}
+	return (p.share - former) * left
+}
+
+// Refill adds the refill of a part of the nodes for a time in which they admitted nothing
+// and counted at no counter.
+func (p *RateCounter) Refill(part float64, unused time.Duration) {
+	for _, known := range p.tenants {
+		p.refill(known)
+		full := min(p.fullRate(known.limit)*unused.Seconds(), p.fullCapacity(known.limit))
+		known.fill(part*full, p.capacity(known.limit))
+	}
+}
+
+// recordUntold records that a request has started.
+func (p *RateCounter) recordUntold(known *counterBucket) {
+	known.untold++
+	if known.untold >= untoldMargin*p.margin.requests(known.limit) {
+		p.keptUse.tellNow = true
+	}
+}
+
+// MustTell reports whether a tenant has used so much since Use that it must be told at once.
+func (p *RateCounter) MustTell() bool { return p.keptUse.tellNow }
+
+// Use returns the use of the limits over all nodes, with at most the given number of
+// tenants. It assumes that the nodes of other counters have used their part of each limit
+// as those of this counter have.
+func (p *RateCounter) Use(most int) Use {
+	p.keptUse.tellNow = false
+	if p.share == 0 {
+		return Use{}
+	}
+	type partLeft struct {
+		TenantUse
+		part float64
+	}
+	var list []partLeft
+	for tenant, known := range p.tenants {
+		p.refill(known)
+		known.untold = 0
+		capacity := p.fullCapacity(known.limit)
+		if left := known.level / p.share; left < capacity {
+			rounded := math.Floor(left/toldResolution) * toldResolution
+			list = append(list, partLeft{TenantUse{Tenant: tenant, Left: rounded}, rounded / capacity})
+		}
+	}
+	if len(list) > most {
+		slices.SortFunc(list, func(a, b partLeft) int { return cmp.Or(cmp.Compare(a.part, b.part), cmp.Compare(a.Tenant, b.Tenant)) })
+	}
+	use := Use{Rest: 1}
+	for i, tenant := range list {
+		if i == most {
+			use.Rest = tenant.part
+			break
+		}
+		use.Tenants = append(use.Tenants, tenant.TenantUse)
+	}
+	return use
+}
+
+// RefillInterval returns the time in which a tenant's limit admits one request, or zero if
+// the tenant has no limit or nothing is refilled.
+func (p *RateCounter) RefillInterval(tenant uint64) time.Duration {
+	known := p.tenants[tenant]
+	if known == nil || p.rate(known.limit) <= 0 {
+		return 0
+	}
+	return time.Duration(float64(time.Second) / p.rate(known.limit))
+}
--- a/internal/core/quota/place.go
+++ b/internal/core/quota/place.go
@@ -64,7 +64,8 @@
 //
 // where p is the sum, over the counters that began in the window, of the largest part of
 // the nodes that each had. The term with shareMargin is zero while one counter has all
-// nodes.
+// nodes. A counter that keeps its use (KeepUse) adds less for its start and may add other
+// terms, see there.
 type RateCounter struct {
 	margin        Margin
 	tenants       map[uint64]*counterBucket
@@ -73,6 +74,7 @@
 	maxShare      float64 // largest share so far
 	activeSeconds float64 // time for which the counter has refilled, without pauses
 	advancedAt    time.Time
+	keptUse       keptUse
 }
 
 // counterBucket is the token bucket of one tenant in a RateCounter.
@@ -81,6 +83,7 @@
 	limit    RateLimit
 	filledAt float64 // RateCounter.activeSeconds when it was last filled
 	reserved int     // requests that are admitted and not yet started
+	untold   float64 // requests started since RateCounter.Use
 }
 
 // NewRateCounter returns a counter that does not know what was admitted before.
@@ -129,9 +132,11 @@
 	for _, known := range p.tenants {
 		p.refill(known)
 	}
+	former := p.share
 	p.share = share
-	for _, known := range p.tenants {
-		known.fill(max(share-p.maxShare, 0)*p.startPart*p.margin.requests(known.limit), p.capacity(known.limit))
+	for tenant, known := range p.tenants {
+		p.withdraw(known, former)
+		known.fill(p.startCredit(tenant, known.limit, former), p.capacity(known.limit))
 	}
 	p.maxShare = max(share, p.maxShare)
 }
@@ -151,18 +156,26 @@
 }
 
 // rate returns the refill rate of a bucket, in requests per second.
-func (p *RateCounter) rate(limit RateLimit) float64 {
+func (p *RateCounter) rate(limit RateLimit) float64 { return p.fullRate(limit) * p.limitPart(limit) }
+
+// fullRate returns the refill rate of the bucket of a counter that has all nodes.
+func (p *RateCounter) fullRate(limit RateLimit) float64 {
 	tolerance := 0.0
 	if window := p.margin.Window.Seconds(); window > 0 {
 		tolerance = toleranceMargin / 2 * p.margin.requests(limit) / window
 	}
-	return (limit.PerSecond + tolerance) * p.limitPart(limit)
+	return limit.PerSecond + tolerance
 }
 
-// capacity returns the capacity of a bucket in requests. It is at least 1 where the
-// counter has all nodes, because a limit without a burst would otherwise admit nothing.
+// capacity returns the capacity of a bucket in requests.
 func (p *RateCounter) capacity(limit RateLimit) float64 {
-	return max(limit.Burst+toleranceMargin/2*p.margin.requests(limit), 1) * p.limitPart(limit)
+	return p.fullCapacity(limit) * p.limitPart(limit)
+}
+
+// fullCapacity returns the capacity of the bucket of a counter that has all nodes. It is at
+// least 1, because a limit without a burst would otherwise admit nothing.
+func (p *RateCounter) fullCapacity(limit RateLimit) float64 {
+	return max(limit.Burst+toleranceMargin/2*p.margin.requests(limit), 1)
 }
 
 // Verdict is a counter's decision on a request.
@@ -188,21 +201,25 @@
 
 // Reserve admits a request before it is queued, or refuses it. A request of a tenant
 // without a limit is admitted. Call Advance first.
-func (p *RateCounter) Reserve(tenant uint64) Verdict {
+func (p *RateCounter) Reserve(tenant uint64) Verdict { return p.ReserveBeside(tenant, 0) }
+
+// ReserveBeside is Reserve for a request that leaves a number of requests for others.
+func (p *RateCounter) ReserveBeside(tenant uint64, others int) Verdict {
 	known := p.tenants[tenant]
 	if known == nil {
 		return Verdict{Admitted: true, Share: p.share}
 	}
 	p.refill(known)
 	left := known.level - float64(known.reserved)
-	verdict := Verdict{Admitted: left+roundingTolerance >= 1, Limit: known.limit, Left: left, Share: p.share}
+	needed := 1 + float64(others)
+	verdict := Verdict{Admitted: left+roundingTolerance >= needed, Limit: known.limit, Left: left, Share: p.share}
 	if verdict.Admitted {
 		known.reserved++
 		return verdict
 	}
 	verdict.RetryAfter = maxCounterRetry
 	if rate := p.rate(known.limit); rate > 0 {
-		wait := time.Duration((1 - left) / rate * float64(time.Second))
+		wait := time.Duration((needed - left) / rate * float64(time.Second))
 		verdict.RetryAfter = min(max(wait, minCounterRetry), maxCounterRetry)
 	}
 	return verdict
@@ -213,6 +230,7 @@
 	if known := p.tenants[tenant]; known != nil {
 		known.reserved = max(known.reserved-1, 0)
 		known.level--
+		p.recordUntold(known)
 	}
 }
 
--- a/internal/events/passthrough.go
+++ b/internal/events/passthrough.go
@@ -31,7 +31,7 @@
 	AttemptEnded     = Define(Event{Number: 8104, Name: "attempt ended", Level: zapcore.InfoLevel, Fields: []string{"request", "engine", "attempt", "outcome", "status", "events", "elapsed", "error", "content", "engine_ended"}})
 	EngineNotReached = Define(Event{Number: 8115, Name: "engine not reached", Level: zapcore.DebugLevel, Fields: []string{"request", "engine", "attempt", "elapsed", "error"}})
 	NoEngine         = Define(Event{Number: 8105, Name: "no engine can take the request", Level: zapcore.InfoLevel, Fields: []string{"request", "pool", "excluded", "error"}})
-	OverLimit        = Define(Event{Number: 8114, Name: "tenant over its limit", Level: zapcore.InfoLevel, Fields: []string{"request", "tenant", "per_second", "burst", "left", "share", "dispatcher", "routes_version", "retry_after"}})
+	OverLimit        = Define(Event{Number: 8114, Name: "tenant over its limit", Level: zapcore.InfoLevel, Fields: []string{"request", "tenant", "per_second", "burst", "left", "share", "dispatcher", "routes_version", "retry_after", "use_known", "use_age"}})
 	SurplusAnswer    = Define(Event{Number: 8106, Name: "answer of another request dropped", Level: zapcore.InfoLevel, Fields: []string{"request", "engine", "answered"}})
 	NoRoute          = Define(Event{Number: 8107, Name: "no route", Level: zapcore.InfoLevel, Fields: []string{"request", "host", "path", "routes_version", "routes_age", "confirmed_age"}})
 	RequestTooBig    = Define(Event{Number: 8108, Name: "request body over the limit", Level: zapcore.InfoLevel, Fields: []string{"request", "limit", "confirmed_age"}})
--- a/internal/passthrough/relay/outcome.go
+++ b/internal/passthrough/relay/outcome.go
@@ -110,7 +110,7 @@
 	events.OverLimit.Log(e.logger, zap.String("request", e.call.Demand.RequestID), zap.String("tenant", e.call.TenantName()),
 		zap.Float64("per_second", verdict.Limit.PerSecond), zap.Float64("burst", verdict.Limit.Burst), zap.Float64("left", verdict.Left),
 		zap.Float64("share", verdict.Share), zap.String("dispatcher", cause.Dispatcher), zap.Int64("routes_version", e.call.Version),
-		zap.Duration("retry_after", verdict.RetryAfter))
+		zap.Duration("retry_after", verdict.RetryAfter), zap.Bool("use_known", cause.Start.Known), zap.Duration("use_age", cause.Start.Age))
 	e.status = http.StatusTooManyRequests
 	e.headers.SetRetryAfter(e.to.Header(), verdict.RetryAfter)
 	WriteRefusal(e.to, e.status, Refusal{Code: "tenant_over_limit", Message: "the tenant has used up what its limit allows now; no engine ran the request", Run: RunNot})
--- /dev/null
+++ b/internal/passthrough/slots/limituse_test.go
@@ -0,0 +1,57 @@
+package slots
+
+import (
+	"context"
+	"errors"
+	"testing"
+	"time"
+
+	"ringstream.example/ringstream/internal/core/grant"
+	"ringstream.example/ringstream/internal/core/tenant"
+)
+
+// keepLimits makes all nodes keep the use of the limits.
+func (f *fleet) keepLimits() {
+	for _, node := range f.nodes {
+		node.mu.Lock()
+		node.config.Scheduling.KeepLimits = true
+		node.mu.Unlock()
+	}
+}
+
+// TestUseOfALimitOutlivesItsDispatcher has a tenant use half of its burst and loses the
+// dispatcher. The next one must admit what is left for the nodes that turn to it, and no more.
+func TestUseOfALimitOutlivesItsDispatcher(t *testing.T) {
+	runInBubble(t, func(t *testing.T, ctx context.Context) {
+		f := newFleet(ctx, 4, 50)
+		f.keepLimits()
+		f.setLimit("one", tenant.Limit{PerSecond: 0.1, Burst: 20})
+		names := []string{"n0", "n1", "n2", "n3"}
+		for _, node := range f.nodes {
+			node.setCandidates(names...)
+		}
+		names = grant.Rank(grant.Lane{Pool: "p", Parts: 1}, f.nodes["n0"].currentCandidates())
+		time.Sleep(300 * time.Second) // the bucket fills
+		asking := f.nodes[names[3]]
+		admit := func(count int) (admitted int) {
+			for i := range count {
+				_, err := asking.Acquire(ctx, tenantRequest("one", time.Second))
+				if overLimit := (*OverLimitError)(nil); err != nil && !errors.As(err, &overLimit) {
+					t.Errorf("request %d: %v", i, err)
+				}
+				if err == nil {
+					admitted++
+				}
+			}
+			return admitted
+		}
+		if got := admit(10); got != 10 {
+			t.Fatalf("%d of 10 requests within the burst were admitted", got)
+		}
+		time.Sleep(200 * time.Millisecond)
+		f.setIsolated(names[0], true)
+		if got := admit(20); got != 7 {
+			t.Errorf("the next dispatcher admitted %d requests, want three quarters of the 10 that are left, for three of four nodes", got)
+		}
+	})
+}
--- a/internal/passthrough/slots/messages.go
+++ b/internal/passthrough/slots/messages.go
@@ -19,6 +19,7 @@
 	noDispatcher      []uint64 // online asks that no dispatcher has answered; this node chooses the engine
 	stops             []uint64 // ask ids of this node's batch runs to stop
 	dispatcherChanges []dispatcherChange
+	limitUses         []outgoingLimitUse
 }
 
 type outgoingState struct {
@@ -101,6 +102,7 @@
 
 // collectReplies collects a dispatcher's pending replies. The caller holds mu.
 func (s *Service) collectReplies(lane grant.Lane, dispatcher *laneDispatcher, now time.Time, out *outbox) {
+	s.collectLimitUse(lane, dispatcher, now, out)
 	for to, reply := range dispatcher.Replies() {
 		if to == s.Self {
 			s.handleReply(s.Self, lane, reply, now, out)
@@ -124,11 +126,6 @@
 	return nil
 }
 
-// HandleLimitUse handles what the dispatcher of a lane has counted against the tenants' limits.
-func (s *Service) HandleLimitUse(_ string, lane grant.Lane, _ grant.LimitUse) error {
-	return checkLane(lane)
-}
-
 func (s *Service) handleReply(from string, lane grant.Lane, reply grant.Reply, now time.Time, out *outbox) {
 	requester := s.requesters[lane]
 	if requester == nil {
@@ -152,6 +149,7 @@
 		events.DispatcherChanged.Log(s.Logger, zap.String("pool", change.lane.Pool), zap.Uint32("part", change.lane.Part), zap.Uint32("parts", change.lane.Parts),
 			zap.String("from", change.from), zap.String("to", change.to))
 	}
+	s.sendLimitUses(out.limitUses)
 	for _, message := range out.states {
 		s.transport.SendState(message.to, message.lane, message.state)
 	}
@@ -162,6 +160,7 @@
 		s.deliverGrant(given)
 	}
 	for _, given := range out.refusals {
+		s.Metrics.refused(given.refusal)
 		s.deliverVerdict(given.refusal.ID, refusalVerdict(given))
 	}
 	for _, id := range out.noDispatcher {
@@ -177,7 +176,7 @@
 	if received.refusal.Reason == grant.RefusedByOverload {
 		return verdict{overloaded: &OverloadedError{Refusal: received.refusal.Overload, Dispatcher: received.from}}
 	}
-	return verdict{overLimit: &OverLimitError{Verdict: received.refusal.Verdict, Dispatcher: received.from}}
+	return verdict{overLimit: &OverLimitError{Verdict: received.refusal.Verdict, Start: received.refusal.Start, Dispatcher: received.from}}
 }
 
 // scheduleWake makes the loop wake at the given time at the latest. The caller holds mu.
--- a/internal/passthrough/slots/slots.go
+++ b/internal/passthrough/slots/slots.go
@@ -109,7 +109,9 @@
 	limits           limits
 	liveNodeCount    int                // live nodes, including this one; 0: unknown
 	localQuota       *quota.RateCounter // this node's share of the limits, used while it reaches no dispatcher
-	nextWake         time.Time          // when the loop wakes next
+	useExchanges     map[grant.Lane]*grant.UseExchange
+	unusedSince      time.Time // since when this node has admitted no request of a limited tenant by itself
+	nextWake         time.Time // when the loop wakes next
 }
 
 // New returns a service. Run does its periodic work.
@@ -119,7 +121,9 @@
 		Dependencies: dependencies, lifeHash: grant.LifeHash(dependencies.Incarnation), wake: make(chan struct{}, 1),
 		requesters: make(map[grant.Lane]*laneRequester), dispatchers: make(map[grant.Lane]*laneDispatcher),
 		waiters: make(map[uint64]*waiter), batchRequests: make(map[uint64]BatchRequest), batchLanes: make(map[uint64]grant.Lane),
-		engines: newEngineView(),
+		engines:      newEngineView(),
+		useExchanges: make(map[grant.Lane]*grant.UseExchange),
+		unusedSince:  time.Now(),
 	}
 }
 
@@ -143,6 +147,9 @@
 		for _, known := range s.requesters {
 			known.AdjustForSuspension()
 		}
+		for _, known := range s.useExchanges {
+			known.AdjustForSuspension(gap)
+		}
 		s.scheduleWake(now)
 	})
 }
@@ -346,6 +353,9 @@
 	if requester == nil {
 		requester = &laneRequester{Requester: grant.NewRequester(grant.DefaultRequesterConfig(), s.lifeHash, s.Zone)}
 		requester.SetAttached(s.keepsLimits(lane), now)
+		if s.config.Scheduling.KeepLimits {
+			requester.SetUnusedSince(s.unusedSince)
+		}
 		s.requesters[lane] = requester
 	}
 	requester.lastUsed = now
@@ -359,6 +369,9 @@
 	if dispatcher == nil && len(s.dispatchers) < maxDispatcherLanes {
 		dispatcher = &laneDispatcher{Dispatcher: grant.NewDispatcher(grant.DefaultDispatcherConfig(), lane, s.Name, now)}
 		dispatcher.UsePolicies(s.config.Scheduling.policies())
+		if s.config.Scheduling.KeepLimits {
+			dispatcher.KeepLimits(s.useExchange(lane, now))
+		}
 		dispatcher.SetEngines(s.engines.enginesInPool(lane.Pool), now)
 		dispatcher.SetLimits(s.config.Limits.margin(), s.limitsForLane(lane), now)
 		dispatcher.SetLive(s.liveNodeCount)
--- a/internal/passthrough/slots/tenants.go
+++ b/internal/passthrough/slots/tenants.go
@@ -42,7 +42,8 @@
 // OverLimitError reports that a request exceeds its tenant's limit.
 type OverLimitError struct {
 	Verdict    quota.Verdict
-	Dispatcher string // address of the dispatcher that counts the tenant's requests
+	Start      quota.Start // from what the dispatcher began to count
+	Dispatcher string      // address of the dispatcher that counts the tenant's requests
 }
 
 // Error implements error.
@@ -161,7 +162,9 @@
 	if limited && s.liveNodeCount == 0 {
 		return errMembersNotKnown
 	}
-	s.localQuota.Advance(time.Now(), 1/float64(max(s.liveNodeCount, 1)))
+	now := time.Now()
+	s.delayUnusedSince(now)
+	s.localQuota.Advance(now, 1/float64(max(s.liveNodeCount, 1)))
 	if !s.localQuota.AdmitRandomly(tenant, rand.Float64()) {
 		return ErrLimitNotKnown
 	}
