quota, grant: nodes that come back bring their credit; requests wait for joining nodes

Change: credit that was given up returns with nodes that come back within 0.6 s, if no other counter tells a use. The wait is 2 s (MaxSilentBackoff).

--- a/internal/core/grant/dispatcher.go
+++ b/internal/core/grant/dispatcher.go
@@ -385,6 +385,7 @@
 // requests.
 func (d *Dispatcher) Tick(now time.Time) {
 	d.advanceLimits(now)
+	d.limitReturns.expire(now)
 	for address, known := range d.nodes {
 		if now.Sub(known.lastStateAt) > d.config.NodeTimeout {
 			d.removeNode(address, now)
--- a/internal/core/grant/limitreturns.go
+++ b/internal/core/grant/limitreturns.go
@@ -22,13 +22,28 @@
 	returnTimeDivisor = 3
 	// minReturnDelay is the interval at which a dispatcher advances the limits.
 	minReturnDelay = 10 * time.Millisecond
+	// expireInterval is the interval at which the places of tenants that send nothing more are
+	// removed.
+	expireInterval = time.Second
 	// maxReturnDelay bounds the return of a request whose client's time is not known.
 	maxReturnDelay = 5 * time.Second
 )
 
 // limitReturns holds the schedules of the tenants' refused requests, keyed by TenantHash.
 type limitReturns struct {
-	byTenant map[uint64]*returns.Schedule
+	byTenant  map[uint64]*returns.Schedule
+	expiredAt time.Time // of all tenants
+}
+
+// expire removes the places of all tenants that are no longer kept.
+func (l *limitReturns) expire(now time.Time) {
+	if now.Sub(l.expiredAt) < expireInterval {
+		return
+	}
+	l.expiredAt = now
+	for tenant := range l.byTenant {
+		l.of(tenant, now)
+	}
 }
 
 // of returns a tenant's schedule without places that are no longer kept, or nil if it has no
@@ -69,7 +84,11 @@
 	if schedule.Arrive(ask.Content, now) == returns.Due {
 		return d.limits.Reserve(ask.Tenant)
 	}
-	return d.limits.ReserveBeside(ask.Tenant, schedule.DueBy(now))
+	verdict := d.limits.ReserveBeside(ask.Tenant, schedule.DueBy(now))
+	if verdict.Admitted {
+		schedule.Release(ask.Content)
+	}
+	return verdict
 }
 
 // refuseByLimit refuses a request that its tenant's limit does not admit, unless it is to
--- a/internal/core/grant/limitreturns_test.go
+++ b/internal/core/grant/limitreturns_test.go
@@ -90,6 +90,21 @@
 	}
 }
 
+// TestPlacesOfATenantThatLeavesAreForgotten books places for a tenant that sends nothing more.
+func TestPlacesOfATenantThatLeavesAreForgotten(t *testing.T) {
+	d := newLimitedDispatcher()
+	for content := range uint64(20) {
+		d.ask(content+1, time.Minute)
+	}
+	if booked := d.limitReturns.byTenant[tenantA].Len(); booked != 20 {
+		t.Errorf("%d places are booked, want 20", booked)
+	}
+	d.advance(2*time.Second + returnKeptFor + expireInterval)
+	if kept := len(d.limitReturns.byTenant); kept > 0 {
+		t.Errorf("%d tenants have places, want none", kept)
+	}
+}
+
 // TestMissedPlaceIsGivenToOthers has a request come back too late.
 func TestMissedPlaceIsGivenToOthers(t *testing.T) {
 	d := newLimitedDispatcher()
--- a/internal/core/grant/limituse.go
+++ b/internal/core/grant/limituse.go
@@ -21,6 +21,9 @@
 	fullUseInterval = 250 * time.Millisecond
 	// minUseInterval bounds the messages that large requests of tenants call for.
 	minUseInterval = 10 * time.Millisecond
+	// maxJoinTime is the time in which the nodes turn to a dispatcher that ranks before theirs
+	// (RequesterConfig.MaxSilentBackoff).
+	maxJoinTime = 2 * time.Second
 	// maxToldTenants bounds a message to 24 KB, below the size of the largest datagram.
 	maxToldTenants = 1200
 )
@@ -99,7 +102,7 @@
 // of them the tenant would be within its limit.
 func (d *Dispatcher) awaitsNodes(verdict quota.Verdict, now time.Time) bool {
 	return d.keepsLimits() && verdict.Share > 0 && verdict.Share < 1 &&
-		now.Sub(d.countingSince) < d.config.AttachmentTimeout && verdict.Left >= verdict.Share
+		now.Sub(d.countingSince) < maxJoinTime && verdict.Left >= verdict.Share
 }
 
 // UseExchange is a node's exchange of the use of the limits with the other candidates of a
--- a/internal/core/quota/kept.go
+++ b/internal/core/quota/kept.go
@@ -62,6 +62,10 @@
 	known   []KnownUse // of the counters that the joining nodes may have left
 	tellNow bool       // a tenant has used untoldMargin since Use
 	start   Start
+	// The nodes that have left and not come back, as a part of all nodes, and when the last
+	// of them left.
+	leftShare float64
+	leftAt    time.Time
 }
 
 // Start tells from what a counter began to count the nodes that joined it last.
@@ -93,7 +97,9 @@
 //     in that time, and sends it again through the other side in the same window.
 //
 // A node whose process has just started has admitted nothing through any counter since then.
-// Its part is refilled for that time (Refill). Another counter may count the node's part for
+// Its part is refilled for that time (Refill). Nodes that left and come back within returnTime,
+// while no other counter tells a use, bring the credit that they left with; what they used in
+// between belongs to U. Another counter may count the node's part for
 // as long as a node that moved, so this is covered by R*M.
 func (p *RateCounter) KeepUse() { p.keptUse.enabled = true }
 
@@ -104,33 +110,66 @@
 // Start returns from what the counter began.
 func (p *RateCounter) Start() Start { return p.keptUse.start }
 
+// returnTime is the time within which nodes that come back bring the credit that was given up
+// with them, if no other counter tells a use. They found no other counter, as while all nodes
+// start. It is the time for which nodes may count at two counters.
+const returnTime = 600 * time.Millisecond
+
+// moveCredit gives up the credit of the nodes that have left since the former share, or adds
+// that of the nodes that have joined.
+func (p *RateCounter) moveCredit(former float64) {
+	kept := &p.keptUse
+	if kept.enabled && p.share < former {
+		for _, known := range p.tenants {
+			p.withdraw(known, former)
+		}
+		kept.leftShare += former - p.share
+		kept.leftAt = p.advancedAt
+		return
+	}
+	returned := 0.0
+	if kept.leftShare > 0 {
+		returned = min((p.share-former)/kept.leftShare, 1)
+	}
+	for tenant, known := range p.tenants {
+		credit := p.startCredit(tenant, known, former, returned)
+		known.withdrawn *= 1 - returned
+		known.fill(credit, p.capacity(known.limit))
+	}
+	kept.leftShare = max(kept.leftShare-(p.share-former), 0)
+}
+
 // withdraw gives up the credit of the nodes that have left since the former share.
 func (p *RateCounter) withdraw(known *counterBucket, former float64) {
-	if p.keptUse.enabled && p.share < former && known.level > 0 {
-		known.level *= p.share / former
+	if known.level > 0 {
+		credit := known.level * (1 - p.share/former)
+		known.level -= credit
+		known.withdrawn += credit
 	}
 }
 
 // startCredit returns the credit that a tenant gets for the nodes that have joined since the
-// former share.
-func (p *RateCounter) startCredit(tenant uint64, limit RateLimit, former float64) float64 {
-	if p.share <= former {
-		return 0
-	}
-	if !p.keptUse.enabled || len(p.keptUse.known) == 0 {
-		p.keptUse.start = Start{}
-		return max(p.share-p.maxShare, 0) * p.startPart * p.margin.requests(limit)
+// former share. Returned is the part of those that left before.
+func (p *RateCounter) startCredit(tenant uint64, known *counterBucket, former, returned float64) float64 {
+	kept := &p.keptUse
+	if len(kept.known) == 0 {
+		kept.start = Start{}
+		credit := max(p.share-p.maxShare, 0) * p.startPart * p.margin.requests(known.limit)
+		if p.advancedAt.Sub(kept.leftAt) <= returnTime {
+			credit += known.withdrawn * returned
+		}
+		return credit
 	}
-	capacity, rate := p.fullCapacity(limit), p.fullRate(limit)
+	capacity, rate := p.fullCapacity(known.limit), p.fullRate(known.limit)
 	left := capacity
-	newest := p.keptUse.known[0].At
-	for _, known := range p.keptUse.known {
-		left = min(left, known.left(tenant, capacity, rate, p.advancedAt))
-		if known.At.After(newest) {
-			newest = known.At
+	newest := kept.known[0].At
+	for _, told := range kept.known {
+		left = min(left, told.left(tenant, capacity, rate, p.advancedAt))
+		if told.At.After(newest) {
+			newest = told.At
 		}
 	}
-	p.keptUse.start = Start{Known: true, Age: p.advancedAt.Sub(newest)}
+	kept.start = Start{Known: true, Age: p.advancedAt.Sub(newest)}
 	return (p.share - former) * left
 }
 
--- a/internal/core/quota/place.go
+++ b/internal/core/quota/place.go
@@ -84,6 +84,8 @@
 	filledAt float64 // RateCounter.activeSeconds when it was last filled
 	reserved int     // requests that are admitted and not yet started
 	untold   float64 // requests started since RateCounter.Use
+	// withdrawn is the credit that was given up with the nodes that left.
+	withdrawn float64
 }
 
 // NewRateCounter returns a counter that does not know what was admitted before.
@@ -134,10 +136,7 @@
 	}
 	former := p.share
 	p.share = share
-	for tenant, known := range p.tenants {
-		p.withdraw(known, former)
-		known.fill(p.startCredit(tenant, known.limit, former), p.capacity(known.limit))
-	}
+	p.moveCredit(former)
 	p.maxShare = max(share, p.maxShare)
 }
 
