--- a/internal/passthrough/slots/slots.go
+++ b/internal/passthrough/slots/slots.go
@@ -112,7 +112,9 @@
 	liveNodeCount    int                               // live nodes, including this one; 0: unknown
 	unreadableLoads  map[enginechoice.Incarnation]bool // engines whose unreadable load was logged
 	localQuota       *quota.RateCounter                // this node's share of the limits, used while it reaches no dispatcher
-	nextWake         time.Time                         // when the loop wakes next
+	useExchanges     map[grant.Lane]*grant.UseExchange
+	unusedSince      time.Time // since when this node has admitted no request of a limited tenant by itself
+	nextWake         time.Time // when the loop wakes next
 }
 
 // New returns a service. Run does its periodic work.
@@ -123,6 +125,8 @@
 		requesters: make(map[grant.Lane]*laneRequester), dispatchers: make(map[grant.Lane]*laneDispatcher),
 		waiters: make(map[uint64]*waiter), batchRequests: make(map[uint64]BatchRequest), batchLanes: make(map[uint64]grant.Lane),
 		engines: newEngineView(), unreadableLoads: make(map[enginechoice.Incarnation]bool),
+		useExchanges: make(map[grant.Lane]*grant.UseExchange),
+		unusedSince:  time.Now(),
 	}
 }
 
@@ -146,6 +150,9 @@
 		for _, known := range s.requesters {
 			known.AdjustForSuspension()
 		}
+		for _, known := range s.useExchanges {
+			known.AdjustForSuspension(gap)
+		}
 		s.scheduleWake(now)
 	})
 }
@@ -357,6 +364,9 @@
 	if requester == nil {
 		requester = &laneRequester{Requester: grant.NewRequester(grant.DefaultRequesterConfig(), s.lifeHash, s.Zone)}
 		requester.SetAttached(s.keepsLimits(lane), now)
+		if s.config.Scheduling.KeepLimits {
+			requester.SetUnusedSince(s.unusedSince)
+		}
 		s.requesters[lane] = requester
 	}
 	requester.lastUsed = now
@@ -372,6 +382,9 @@
 		dispatcher = &laneDispatcher{Dispatcher: grant.NewDispatcher(grant.DefaultDispatcherConfig(), lane, s.Name, now)}
 		dispatcher.overload, _ = policies.Overload.(*overload.Controller)
 		dispatcher.UsePolicies(policies)
+		if s.config.Scheduling.KeepLimits {
+			dispatcher.KeepLimits(s.useExchange(lane, now))
+		}
 		dispatcher.SetEngines(s.engines.enginesInPool(lane.Pool), now)
 		dispatcher.SetLimits(s.config.Limits.margin(), s.limitsForLane(lane), now)
 		dispatcher.SetWeights(s.limits.weights)
