--- a/internal/passthrough/relay/outcome_test.go
+++ b/internal/passthrough/relay/outcome_test.go
@@ -22,7 +22,7 @@
 }
 
 func newExchange(to http.ResponseWriter, service *slots.Service) *exchange {
-	state := &exchange{Relay: &Relay{headers: retryHeaders{}, logger: zap.NewNop(), slots: service}, to: to, call: &Call{Received: time.Now()}}
+	state := &exchange{Relay: &Relay{headers: retryHeaders{}, logger: zap.NewNop(), slots: service}, to: to, control: http.NewResponseController(to), call: &Call{Received: time.Now()}}
 	state.clock = callClock{cancel: func() {}, deadline: time.Now().Add(time.Minute)}
 	return state
 }
