fairshares: a tenant may be ahead of its share by its limit's burst

Cause: tenants with few requests send them in clumps; without a burst the second one waits until the share has grown by a request, longer than an objective. Change: TenantPart (weight and burst, from the tenant's limit) in place of a weight. Without a limit an idle tenant still gathers nothing.

--- a/internal/core/fairqueue/tags.go
+++ b/internal/core/fairqueue/tags.go
@@ -13,6 +13,7 @@
 // account is what a flow was charged.
 type account struct {
 	finish    float64 // finish tag of the flow's last request
+	burst     float64 // by how much the flow may start before the virtual time
 	unsettled int     // requests that were charged by an estimate and have not ended
 }
 
@@ -25,31 +26,38 @@
 }
 
 // Start returns the start tag of the next request of a flow. A flow that was idle starts at the
-// virtual time, so that it has no credit from the time in which it was idle.
-func (t *Tags[Flow]) Start(flow Flow) float64 { return max(t.virtualTime, t.accounts[flow].finish) }
+// virtual time, so that it has no credit from the time in which it was idle. A flow with a burst,
+// in cost per weight, may start before the virtual time by that much at most.
+func (t *Tags[Flow]) Start(flow Flow, burst float64) float64 {
+	earliest := t.virtualTime - burst
+	if known, found := t.accounts[flow]; found {
+		return max(earliest, known.finish)
+	}
+	return earliest
+}
 
-// Passed reports whether the virtual time has passed the flow's last finish tag: the flow has had
-// less than its share.
-func (t *Tags[Flow]) Passed(flow Flow) bool {
+// Passed reports whether the flow has had less than its share, so that it starts as early as it
+// can.
+func (t *Tags[Flow]) Passed(flow Flow, burst float64) bool {
 	known, found := t.accounts[flow]
-	return !found || known.finish < t.virtualTime
+	return !found || known.finish < t.virtualTime-burst
 }
 
 // Charge adds the cost of a request, divided by the flow's weight, to the flow. It returns the
 // request's start tag.
 func (t *Tags[Flow]) Charge(flow Flow, costPerWeight float64) float64 {
-	return t.charge(flow, costPerWeight, 0)
+	return t.charge(flow, costPerWeight, account{})
 }
 
 // ChargeEstimate is Charge for a request whose cost is known only when it has ended. Settle must
 // be called then.
-func (t *Tags[Flow]) ChargeEstimate(flow Flow, costPerWeight float64) float64 {
-	return t.charge(flow, costPerWeight, 1)
+func (t *Tags[Flow]) ChargeEstimate(flow Flow, burst, costPerWeight float64) float64 {
+	return t.charge(flow, costPerWeight, account{burst: burst, unsettled: 1})
 }
 
-func (t *Tags[Flow]) charge(flow Flow, costPerWeight float64, unsettled int) float64 {
-	start := t.Start(flow)
-	t.accounts[flow] = account{finish: start + costPerWeight, unsettled: t.accounts[flow].unsettled + unsettled}
+func (t *Tags[Flow]) charge(flow Flow, costPerWeight float64, change account) float64 {
+	start := t.Start(flow, change.burst)
+	t.accounts[flow] = account{finish: start + costPerWeight, burst: change.burst, unsettled: t.accounts[flow].unsettled + change.unsettled}
 	return start
 }
 
@@ -72,7 +80,7 @@
 		return
 	}
 	for flow, known := range t.accounts {
-		if known.finish < to && known.unsettled <= 0 {
+		if known.finish < to-known.burst && known.unsettled <= 0 {
 			delete(t.accounts, flow)
 		}
 	}
--- a/internal/core/fairshares/order.go
+++ b/internal/core/fairshares/order.go
@@ -8,6 +8,9 @@
 // as cost, and a tenant's own requests by least time left. Each pair of ranks has a virtual time
 // and accounts of its own.
 //
+// A tenant whose limit allows a burst may be ahead of its share by as many requests after it has
+// had less than its share. Others gather no credit.
+//
 // The virtual time is the least start tag of the tenants that wait with requests that can be in
 // time. Requests that are granted out of order, such as those that get an engine at once, are
 // charged and do not move it.
@@ -25,7 +28,7 @@
 
 // Order implements grant.QueueOrder. It is used by one dispatcher only.
 type Order struct {
-	weights   map[uint64]float64 // by grant.TenantHash; 1 where there is none
+	tenants   map[uint64]grant.TenantPart // by grant.TenantHash
 	classes   map[classKey]*class
 	slotTimes slotTimes
 
@@ -61,6 +64,7 @@
 	class  *class
 	owner  uint64
 	weight float64
+	burst  float64 // cost per weight
 	tag    float64 // start tag of the next request
 	passed bool    // it has had less than its share
 }
@@ -89,14 +93,16 @@
 	return &Order{classes: make(map[classKey]*class), waiting: make(map[flowKey]int)}
 }
 
-// SetWeights implements grant.QueueOrder. Weights that are not above zero are ignored.
-func (o *Order) SetWeights(weights map[uint64]float64) { o.weights = weights }
+// SetTenants implements grant.QueueOrder. Parts whose weight is not above zero are ignored.
+func (o *Order) SetTenants(tenants map[uint64]grant.TenantPart) { o.tenants = tenants }
 
-func (o *Order) weight(owner uint64) float64 {
-	if weight := o.weights[owner]; weight > 0 {
-		return weight
+// part returns a tenant's weight, and its burst in cost per weight.
+func (o *Order) part(owner uint64) (weight, burst float64) {
+	part := o.tenants[owner]
+	if part.Weight <= 0 {
+		return 1, 0
 	}
-	return 1
+	return part.Weight, part.Burst * o.slotTimes.overall() / part.Weight
 }
 
 // Arrange implements grant.QueueOrder.
@@ -108,7 +114,7 @@
 	for i := range o.keys {
 		key := &o.keys[i]
 		known := &o.flows[o.flowOf[key.index]]
-		key.value, key.tie = math.Float64bits(known.tag), uint32(i) //nolint:gosec // no queue is as long
+		key.value, key.tie = orderedBits(known.tag), uint32(i) //nolint:gosec // no queue is as long
 		if !known.passed {
 			key.tie |= afterPassed
 		}
@@ -126,7 +132,16 @@
 const afterPassed = 1 << 31
 
 // signBit turns the order of signed numbers into that of unsigned ones.
-const signBit = 1 << 63
+const signBit uint64 = 1 << 63
+
+// orderedBits returns bits whose order is that of the numbers.
+func orderedBits(number float64) uint64 {
+	bits := math.Float64bits(number)
+	if number < 0 {
+		return ^bits
+	}
+	return bits | signBit
+}
 
 // collect reads the queue into keys and flows.
 func (o *Order) collect(queue []*grant.Waiting) {
@@ -154,7 +169,8 @@
 			within.arranged, within.leastInTime, within.leastStart = true, math.Inf(1), math.Inf(1)
 		}
 		index = len(o.flows)
-		o.flows = append(o.flows, flow{class: within, owner: key.owner, weight: o.weight(key.owner), tag: within.tags.Start(key.owner)})
+		weight, burst := o.part(key.owner)
+		o.flows = append(o.flows, flow{class: within, owner: key.owner, weight: weight, burst: burst, tag: within.tags.Start(key.owner, burst)})
 		o.waiting[key] = index
 		within.leastStart = min(within.leastStart, o.flows[index].tag)
 	}
@@ -187,7 +203,7 @@
 	}
 	for i := range o.flows {
 		known := &o.flows[i]
-		known.tag, known.passed = known.class.tags.Start(known.owner), known.class.tags.Passed(known.owner)
+		known.tag, known.passed = known.class.tags.Start(known.owner, known.burst), known.class.tags.Passed(known.owner, known.burst)
 	}
 }
 
@@ -205,7 +221,8 @@
 	seconds := o.slotTimes.expected(request.MemoryTokens)
 	within := o.classOf(classKey{request.TenantRank, request.Rank})
 	within.inFlight++
-	within.tags.ChargeEstimate(request.Owner, seconds/o.weight(request.Owner))
+	weight, burst := o.part(request.Owner)
+	within.tags.ChargeEstimate(request.Owner, burst, seconds/weight)
 	return grant.SlotCharge{
 		Owner: request.Owner, TenantRank: request.TenantRank, Rank: request.Rank, MemoryTokens: request.MemoryTokens,
 		Expected: time.Duration(seconds * float64(time.Second)),
@@ -217,7 +234,8 @@
 func (o *Order) Finished(use grant.SlotUse, _ time.Time) {
 	within := o.classOf(classKey{use.TenantRank, use.Rank})
 	within.inFlight--
-	within.tags.Settle(use.Owner, (use.Held-use.Expected).Seconds()/o.weight(use.Owner))
+	weight, _ := o.part(use.Owner)
+	within.tags.Settle(use.Owner, (use.Held-use.Expected).Seconds()/weight)
 	if use.Complete {
 		o.slotTimes.observe(use.MemoryTokens, use.Held)
 	}
--- a/internal/core/fairshares/slottimes.go
+++ b/internal/core/fairshares/slottimes.go
@@ -9,6 +9,7 @@
 // of its prompt and its expected output.
 type slotTimes struct {
 	seconds [sizeClasses]float64 // mean by class of size; 0 if nothing was observed
+	all     float64              // mean over all sizes; 0 if nothing was observed
 }
 
 const (
@@ -30,8 +31,12 @@
 
 // observe records for how long a request has held its slot.
 func (s *slotTimes) observe(tokens int, held time.Duration) {
-	mean := &s.seconds[sizeClass(tokens)]
 	taken := max(held.Seconds(), leastSeconds)
+	updateMean(&s.seconds[sizeClass(tokens)], taken)
+	updateMean(&s.all, taken)
+}
+
+func updateMean(mean *float64, taken float64) {
 	if *mean == 0 {
 		*mean = taken
 		return
@@ -39,6 +44,14 @@
 	*mean += observationWeight * (taken - *mean)
 }
 
+// overall returns for how many seconds requests of all sizes hold their slots in the mean.
+func (s *slotTimes) overall() float64 {
+	if s.all > 0 {
+		return s.all
+	}
+	return unknownSeconds
+}
+
 // expected returns for how many seconds a request is expected to hold its slot. If its size class
 // has not been observed, it returns the estimate of the nearest one that has.
 func (s *slotTimes) expected(tokens int) float64 {
--- a/internal/core/grant/dispatcher.go
+++ b/internal/core/grant/dispatcher.go
@@ -185,10 +185,10 @@
 	d.limits.SetLimits(limits)
 }
 
-// SetWeights sets the weights by which tenants share the lane, keyed by TenantHash.
-func (d *Dispatcher) SetWeights(weights map[uint64]float64) {
-	d.policies.Order.SetWeights(weights)
-	d.policies.BatchOrder.SetWeights(weights)
+// SetTenants sets the parts by which tenants share the lane, keyed by TenantHash.
+func (d *Dispatcher) SetTenants(tenants map[uint64]TenantPart) {
+	d.policies.Order.SetTenants(tenants)
+	d.policies.BatchOrder.SetTenants(tenants)
 }
 
 // SetLive sets the number of live nodes. While it is 0 (unknown), the dispatcher's part
--- a/internal/core/grant/policies.go
+++ b/internal/core/grant/policies.go
@@ -71,8 +71,9 @@
 
 // QueueOrder decides which of the waiting requests get slots first.
 type QueueOrder interface {
-	// SetWeights sets the tenants' weights, keyed by TenantHash. Other tenants have weight 1.
-	SetWeights(weights map[uint64]float64)
+	// SetTenants sets the tenants' parts in the lane, keyed by TenantHash. Other tenants have
+	// weight 1 and no burst.
+	SetTenants(tenants map[uint64]TenantPart)
 	// Arrange sorts the queue.
 	Arrange(queue []*Waiting, now time.Time)
 	// Granted records that a request has been granted a slot. It returns what its tenant was
@@ -82,6 +83,14 @@
 	Finished(use SlotUse, now time.Time)
 }
 
+// TenantPart is a tenant's part in the slots of a lane.
+type TenantPart struct {
+	Weight float64 // above zero; in proportion to the part
+	// Burst is the number of requests by which the tenant may be ahead of its part after it has
+	// sent less.
+	Burst float64
+}
+
 // SlotCharge is what a tenant was charged for a slot when it was granted.
 type SlotCharge struct {
 	Owner            uint64 // TenantHash; 0 if the request belongs to no tenant
@@ -152,8 +161,8 @@
 // deadline.
 type deadlineOrder struct{}
 
-// SetWeights implements QueueOrder.
-func (deadlineOrder) SetWeights(map[uint64]float64) {}
+// SetTenants implements QueueOrder.
+func (deadlineOrder) SetTenants(map[uint64]TenantPart) {}
 
 // Arrange implements QueueOrder.
 func (deadlineOrder) Arrange(queue []*Waiting, _ time.Time) {
--- a/internal/passthrough/slots/slots.go
+++ b/internal/passthrough/slots/slots.go
@@ -361,7 +361,7 @@
 		dispatcher.UsePolicies(s.config.Scheduling.policies())
 		dispatcher.SetEngines(s.engines.enginesInPool(lane.Pool), now)
 		dispatcher.SetLimits(s.config.Limits.margin(), s.limitsForLane(lane), now)
-		dispatcher.SetWeights(s.limits.weights)
+		dispatcher.SetTenants(s.limits.parts)
 		dispatcher.SetLive(s.liveNodeCount)
 		s.dispatchers[lane] = dispatcher
 	}
--- a/internal/passthrough/slots/tenants.go
+++ b/internal/passthrough/slots/tenants.go
@@ -63,9 +63,10 @@
 // limits holds the tenants' limits of one version of the routes.
 type limits struct {
 	byTenant map[uint64]quota.RateLimit // by grant.TenantHash; only tenants with a limit
-	// weights are the tenants' weights, by grant.TenantHash; only tenants with a limit.
-	weights map[uint64]float64
-	names   map[uint64]string // of all tenants, by grant.TenantHash
+	// parts are the tenants' parts in the slots of a lane, by grant.TenantHash; only tenants with
+	// a limit.
+	parts map[uint64]grant.TenantPart
+	names map[uint64]string // of all tenants, by grant.TenantHash
 	// pool is the pool whose dispatchers count the requests of all tenants, including requests
 	// that go to other pools.
 	pool string
@@ -80,22 +81,22 @@
 			read.byTenant[grant.TenantHash(known.Name)] = quota.RateLimit{PerSecond: known.Limit.PerSecond, Burst: known.Limit.Burst}
 		}
 	})
-	read.weights = weightsFromLimits(read.byTenant)
+	read.parts = partsFromLimits(read.byTenant)
 	return read
 }
 
-// weightsFromLimits returns the weights by which tenants share the engines. They are in proportion
-// to the limits and 1 in the mean, which is the weight of a tenant without a limit.
-func weightsFromLimits(limits map[uint64]quota.RateLimit) map[uint64]float64 {
+// partsFromLimits returns the parts by which tenants share the engines. The weights are in
+// proportion to the limits and 1 in the mean, which is the weight of a tenant without a limit.
+func partsFromLimits(limits map[uint64]quota.RateLimit) map[uint64]grant.TenantPart {
 	total := 0.0
 	for _, limit := range limits {
 		total += limit.PerSecond
 	}
-	weights := make(map[uint64]float64, len(limits))
+	parts := make(map[uint64]grant.TenantPart, len(limits))
 	for tenant, limit := range limits {
-		weights[tenant] = limit.PerSecond * float64(len(limits)) / total
+		parts[tenant] = grant.TenantPart{Weight: limit.PerSecond * float64(len(limits)) / total, Burst: limit.Burst}
 	}
-	return weights
+	return parts
 }
 
 // SetRoutes applies the tenants' limits of a new version of the routes.
@@ -107,7 +108,7 @@
 	s.localQuota.SetLimits(s.limits.byTenant)
 	for lane, dispatcher := range s.dispatchers {
 		dispatcher.SetLimits(s.config.Limits.margin(), s.limitsForLane(lane), now)
-		dispatcher.SetWeights(s.limits.weights)
+		dispatcher.SetTenants(s.limits.parts)
 	}
 	s.scheduleWake(now)
 }
