relay: 8102 names the tenant's rank

Cause: in a flood a tenant of a low priority waits whatever its share, which 8102 did not tell from a tenant beyond its share. Change: field tenant_rank after tenant.

--- a/internal/events/passthrough.go
+++ b/internal/events/passthrough.go
@@ -26,7 +26,7 @@
 
 	RequestAccepted  = Define(Event{Number: 8101, Name: "request taken", Level: zapcore.DebugLevel, Fields: []string{"request", "route", "tenant", "routes_version", "left"}})
 	KeyRefused       = Define(Event{Number: 8113, Name: "key refused", Level: zapcore.InfoLevel, Fields: []string{"request", "key", "verdict", "routes_version", "confirmed_age"}})
-	RequestDone      = Define(Event{Number: 8102, Name: "request ended", Level: zapcore.InfoLevel, Fields: []string{"request", "route", "routes_version", "routes_age", "outcome", "status", "attempts", "tries", "events", "first_event", "objective", "elapsed", "content", "tenant"}})
+	RequestDone      = Define(Event{Number: 8102, Name: "request ended", Level: zapcore.InfoLevel, Fields: []string{"request", "route", "routes_version", "routes_age", "outcome", "status", "attempts", "tries", "events", "first_event", "objective", "elapsed", "content", "tenant", "tenant_rank"}})
 	EngineChosen     = Define(Event{Number: 8103, Name: "engine chosen", Level: zapcore.InfoLevel, Fields: []string{"request", "engine", "attempt", "chosen_by", "dispatcher", "waited", "score_ms", "in_flight", "slots", "prefill_tokens", "makes_room", "state", "left", "last_event"}})
 	AttemptEnded     = Define(Event{Number: 8104, Name: "attempt ended", Level: zapcore.InfoLevel, Fields: []string{"request", "engine", "attempt", "outcome", "status", "events", "elapsed", "error", "content", "engine_ended"}})
 	EngineNotReached = Define(Event{Number: 8115, Name: "engine not reached", Level: zapcore.DebugLevel, Fields: []string{"request", "engine", "attempt", "elapsed", "error"}})
--- a/internal/passthrough/relay/relay.go
+++ b/internal/passthrough/relay/relay.go
@@ -48,6 +48,14 @@
 	return c.Tenant.Name
 }
 
+// tenantRank returns the priority of the call's tenant; 0, the highest, if it has none.
+func (c *Call) tenantRank() int {
+	if c.Tenant == nil {
+		return 0
+	}
+	return c.Tenant.Priority
+}
+
 // content returns the parts of the call that are the same in a repeat of it.
 func (c *Call) content() quarantine.Content {
 	return quarantine.Content{Host: c.Request.Host, Target: c.Request.RequestURI, Caller: c.TenantName(), Body: c.Body}
@@ -124,7 +132,7 @@
 		zap.Int64("routes_version", call.Version), zap.Duration("routes_age", time.Since(call.Learned)),
 		zap.Stringer("outcome", outcome), zap.Int("status", state.status), zap.Int("attempts", state.attempts), zap.Int("tries", state.tries),
 		zap.Int("events", state.stream.Count()), zap.Duration("first_event", state.firstEvent), zap.Duration("objective", call.Route.Objective),
-		zap.Duration("elapsed", time.Since(call.Received)), zap.Stringer("content", state.content), zap.String("tenant", call.TenantName()))
+		zap.Duration("elapsed", time.Since(call.Received)), zap.Stringer("content", state.content), zap.String("tenant", call.TenantName()), zap.Int("tenant_rank", call.tenantRank()))
 	if outcome == Cut || (outcome == ClientGone && state.headSent) {
 		panic(http.ErrAbortHandler)
 	}
@@ -244,7 +252,7 @@
 	query.Exclude = e.excluded
 	request := slots.Request{
 		ID: e.call.Demand.RequestID, Query: query, Rank: e.call.Route.Priority, PlacementDeadline: slotDeadline, EndsAt: e.clock.currentDeadline(),
-		Owner: e.call.TenantName(), Content: e.content.Hash(), MayHaveRun: e.mayHaveRun, Suspect: e.guard.Suspect(e.content),
+		TenantRank: e.call.tenantRank(), Owner: e.call.TenantName(), Content: e.content.Hash(), MayHaveRun: e.mayHaveRun, Suspect: e.guard.Suspect(e.content),
 	}
 	if e.call.Route.Objective > 0 {
 		request.FirstTokenDeadline = e.call.Received.Add(e.call.Route.Objective)
@@ -252,9 +260,6 @@
 	if e.stream.Count() > 0 {
 		request.PlacementDeadline = e.call.Received // a resumed stream does not wait for a free slot
 	}
-	if e.call.Tenant != nil {
-		request.TenantRank = e.call.Tenant.Priority
-	}
 	if e.call.Tenant != nil && !e.limitCounted {
 		request.Tenant = e.call.Tenant.Name
 	}
