--- a/internal/core/quota/kept_test.go
+++ b/internal/core/quota/kept_test.go
@@ -188,6 +188,35 @@
 	}
 }
 
+// TestNodesThatComeBackBringTheirCredit has nodes leave and come back, as a node that turns to
+// a dispatcher that does not answer.
+func TestNodesThatComeBackBringTheirCredit(t *testing.T) {
+	limit := map[uint64]RateLimit{tenantA: {PerSecond: 0.001, Burst: 10}}
+	for _, test := range []struct {
+		name  string
+		away  time.Duration
+		known []KnownUse
+		want  float64
+	}{
+		{"soon", 500 * time.Millisecond, nil, 10},
+		{"late", 700 * time.Millisecond, nil, 5},
+		{"another counter tells a use", 100 * time.Millisecond, []KnownUse{NewKnownUse(Use{Rest: 0.5}, epoch)}, 7.5},
+	} {
+		counter := NewRateCounter(Margin{}, epoch)
+		counter.KeepUse()
+		counter.SetLimits(limit)
+		counter.SetKnown([]KnownUse{NewKnownUse(Use{Rest: 1}, epoch)})
+		counter.Advance(epoch, 1)
+		counter.SetKnown(nil)
+		counter.Advance(epoch, 0.5)
+		counter.SetKnown(test.known)
+		counter.Advance(epoch.Add(test.away), 1)
+		if got := counter.Reserve(tenantA).Left; got < test.want-0.01 || got > test.want+0.01 {
+			t.Errorf("%s: %v left, want %v", test.name, got, test.want)
+		}
+	}
+}
+
 // BenchmarkUse tells the use of 2,600 tenants, all of which have used their limits.
 func BenchmarkUse(b *testing.B) {
 	counter := NewRateCounter(Margin{}, epoch)
