core/overload: late requests that waited are held only as many as can be served

Cause: a dispatcher that did not know its rate has let requests wait without a bound, and held them until their end. Change: one that was let wait and is late is held if the lane serves it after as long again as the overload has lasted.

--- a/internal/core/overload/overload_test.go
+++ b/internal/core/overload/overload_test.go
@@ -161,6 +161,23 @@
 	}
 }
 
+// TestQueueThatGrewUnboundedIsCut has more requests wait than the lane serves until they end, as
+// at a dispatcher that did not know its rate. Once it does, those that are late and cannot be served
+// are refused.
+func TestQueueThatGrewUnboundedIsCut(t *testing.T) {
+	controller, now := newBusy(40)
+	var queue []*grant.Waiting
+	for id := range uint64(2000) {
+		request := newRequest(id+1, now)
+		request.InTime, request.Admitted = false, true
+		queue = append(queue, request)
+	}
+	waiting := len(queue) - len(controller.Review(queue, fullLane, now))
+	if most := (slots - 40) * int(patience/time.Second); waiting > most || waiting < most/2 {
+		t.Errorf("%d late requests wait, want at most the %d that the lane serves beside the usual ones", waiting, most)
+	}
+}
+
 // TestRanksAboveGoFirst has requests of a higher rank arrive at nearly the lane's rate. A lower
 // rank is then let wait only for what they leave.
 func TestRanksAboveGoFirst(t *testing.T) {
--- a/internal/core/overload/review.go
+++ b/internal/core/overload/review.go
@@ -213,16 +213,20 @@
 }
 
 // servedLate reports whether a request is expected to be served late, by what the lane
-// completes beyond the requests that arrive. Requests that were let wait are not sent away
-// before their time is over.
+// completes beyond the requests that arrive: for one that was let wait to be in time, once the
+// overload can be over; for others, within lateHorizon. One that waits for a late answer is not sent
+// away before its time is over.
 func (r *review) servedLate(request *grant.Waiting) bool {
-	if request.Admitted {
+	if request.LateOnly {
 		return r.perSecond > 0
 	}
 	before := float64(r.inTime + r.late + 1)
+	left := request.End.Sub(r.now) - request.FirstToken
+	if request.Admitted {
+		return before <= (r.perSecond-r.usualPerSecond())*(left-r.age()).Seconds()
+	}
 	spare := r.perSecond - max(r.recentPerSecond(), r.usualPerSecond())
-	horizon := min(request.End.Sub(r.now)-request.FirstToken, lateHorizon)
-	return before <= spare*horizon.Seconds()
+	return before <= spare*min(left, lateHorizon).Seconds()
 }
 
 func seconds(value float64) time.Duration { return time.Duration(value * float64(time.Second)) }
