--- a/internal/core/overload/review.go
+++ b/internal/core/overload/review.go
@@ -36,7 +36,7 @@
 	full      bool
 	known     bool    // whether perSecond is known
 	perSecond float64 // requests that the lane completes per second
-	soon      float64 // the same within the next fractions of a second
+	soon      float64 // what it completes at most, but for one in 1,000 cases
 	inTime    int     // requests in time so far
 	late      int     // late requests so far
 	// higher caches higherPerSecond of the last rank.
@@ -45,10 +45,11 @@
 	higherSet  bool
 }
 
-// newReview returns a review of a lane. Its rate follows from its slots and the time for which
-// a request holds one, so that it is right as soon as engines are lost. Where the lane is full
-// with fewer online requests than slots, other work that it does not know uses the rest. A lane
-// that has just become full completes as few as before, until its new requests end.
+// newReview returns a review of a lane. Its rate is what it has been seen to complete: a lane
+// that has just become full completes as few as before, until its new requests end, and requests
+// take longer at engines that are full. It is at most what follows from the slots and the time for
+// which a request holds one, so that it is right as soon as engines are lost. Where the lane is
+// full with fewer online requests than slots, other work that it does not know uses the rest.
 func (c *Controller) newReview(load grant.LaneLoad, now time.Time) *review {
 	slots := load.Slots
 	if load.Full {
@@ -60,8 +61,9 @@
 		perSecond = float64(slots) / c.held.value
 	}
 	soon := perSecond
-	if ends, observed := c.ends.atMost(); observed {
-		soon = min(soon, ends)
+	if ends, observed := c.ends.perSecond(); observed {
+		atMost, _ := c.ends.atMost()
+		perSecond, soon = min(perSecond, ends), min(soon, atMost)
 	}
 	return &review{Controller: c, now: now, full: load.Full, known: known, perSecond: perSecond, soon: soon}
 }
@@ -93,10 +95,7 @@
 	if !request.Again {
 		r.noteLate(r.now)
 	}
-	if request.Returned {
-		return grant.OverloadRefusal{}, false // it is not sent away again
-	}
-	if request.Admitted && request.InTime && !r.certainlyLate(request) {
+	if request.InTime && (request.Returned || (request.Admitted && !r.certainlyLate(request))) {
 		return grant.OverloadRefusal{}, false
 	}
 	if at, booked := r.book(request); booked {
@@ -196,12 +195,15 @@
 
 // book books a place for a request. New requests get the places that the usual arrivals
 // leave after the overload. A request that was let wait in vain, which is rare, gets the next
-// place. A request that comes back without one gets none, since its client may have used up
-// its attempts.
+// place. A request that has come back gets none, since its client may have used up its
+// attempts.
 func (r *review) book(request *grant.Waiting) (time.Time, bool) {
-	if request.Again {
+	if request.Again || request.Returned {
 		return time.Time{}, false
 	}
+	if at, booked := r.places.At(request.Content); booked {
+		return at, true // it has come early
+	}
 	earliest, rate := r.earliestReturn(request), r.perSecond-r.usualPerSecond()
 	if request.Admitted {
 		earliest, rate = r.drain(request), r.perSecond
--- a/internal/core/returns/returns.go
+++ b/internal/core/returns/returns.go
@@ -89,6 +89,12 @@
 	return at, true
 }
 
+// At returns the time of the place of a request, if it has one.
+func (s *Schedule) At(key uint64) (time.Time, bool) {
+	at, booked := s.byKey[key]
+	return at, booked
+}
+
 // firstFree returns the first time from earliest that is at least gap from every place, and
 // its index among the places.
 func (s *Schedule) firstFree(earliest time.Time, gap time.Duration) (time.Time, int) {
--- a/internal/core/returns/returns_test.go
+++ b/internal/core/returns/returns_test.go
@@ -25,6 +25,9 @@
 	if arrival := schedule.Arrive(1, ms(99)); arrival != Early {
 		t.Errorf("a request before its place counts as %v, want Early", arrival)
 	}
+	if at, booked := schedule.At(1); !booked || !at.Equal(ms(100)) {
+		t.Errorf("the place of a request that came early is %v (%v)", at, booked)
+	}
 	if at, _ := schedule.Book(1, ms(99), ms(1000), 50*time.Millisecond); !at.Equal(ms(100)) {
 		t.Errorf("a request that came early was told %v, want the place that it had", at)
 	}
