--- a/internal/core/overload/overload_test.go
+++ b/internal/core/overload/overload_test.go
@@ -111,7 +111,7 @@
 }
 
 // TestRequestsThatCannotStartAreRefused reviews requests whose time is over before a first
-// token.
+// token, or, late, before the end of an answer.
 func TestRequestsThatCannotStartAreRefused(t *testing.T) {
 	controller, now := newBusy(40)
 	request := newRequest(1, now)
@@ -120,6 +120,11 @@
 	if len(refused) != 1 || refused[0].Refusal.RetryAfter > 10*time.Millisecond {
 		t.Errorf("got %+v, want a refusal with at most a third of the time left", refused)
 	}
+	late := newRequest(2, now)
+	late.InTime, late.LateOnly, late.Admitted, late.End = false, true, true, now.Add(heldFor*9/10)
+	if refused := controller.Review([]*grant.Waiting{late}, fullLane, now); len(refused) != 1 {
+		t.Errorf("got %+v, want a refusal of a late request whose answer cannot be whole", refused)
+	}
 }
 
 // TestLaneWithoutEnginesSendsBack reviews requests at a lane that has lost all engines: nobody
--- a/internal/core/overload/review.go
+++ b/internal/core/overload/review.go
@@ -85,9 +85,9 @@
 	if request.MayHaveRun || request.Place || request.End.IsZero() {
 		return grant.OverloadRefusal{}, false
 	}
-	if left := request.End.Sub(r.now); left <= request.FirstToken {
+	if r.timeToStart(request) <= 0 {
 		r.counts.Expired++
-		return r.refusal(left / usablePart), true
+		return r.refusal(request.End.Sub(r.now) / usablePart), true
 	}
 	if !r.full || !r.known || (request.InTime && r.servedInTime(request)) {
 		return grant.OverloadRefusal{}, false
@@ -121,6 +121,16 @@
 	return grant.OverloadRefusal{RetryAfter: max(after, 0), Queued: r.inTime + r.late, PerSecond: r.perSecond}
 }
 
+// timeToStart returns how long a request can wait for its slot before its client or route gives
+// it up. A late one must also have the time that requests usually take, so that its answer is whole.
+func (r *review) timeToStart(request *grant.Waiting) time.Duration {
+	needed := request.FirstToken
+	if !request.InTime {
+		needed = max(needed, seconds(r.held.value))
+	}
+	return request.End.Sub(r.now) - needed
+}
+
 // slack returns how long a request can wait for its slot and be in time.
 func (r *review) slack(request *grant.Waiting) time.Duration {
 	return request.Deadline.Sub(r.now) - request.FirstToken
@@ -223,7 +233,7 @@
 		return r.perSecond > 0
 	}
 	before := float64(r.inTime + r.late + 1)
-	left := request.End.Sub(r.now) - request.FirstToken
+	left := r.timeToStart(request)
 	if request.Admitted {
 		return before <= (r.perSecond-r.usualPerSecond())*(left-r.age()).Seconds()
 	}
