--- a/internal/core/overload/overload_test.go
+++ b/internal/core/overload/overload_test.go
@@ -58,7 +58,7 @@
 	controller, now := newBusy(40)
 	_, refused := arrive(controller, 200, now)
 	usable := patience/usablePart - transit
-	wantGap := seconds(1 / (slots/heldFor.Seconds() - controller.usualPerSecond()))
+	wantGap := seconds(1 / (controller.newReview(fullLane, now).perSecond - controller.usualPerSecond()))
 	var last time.Duration
 	for _, decision := range refused {
 		refusal := decision.Refusal
@@ -77,7 +77,8 @@
 	if waiting := 200 - len(refused); waiting < 15 || waiting > 30 {
 		t.Errorf("%d requests wait, want what 100 a second serve in 0.3 s, with a margin", waiting)
 	}
-	if all := int((usable-usable*earliestPart/latestPart)/wantGap) + 1; counts.Booked != all || counts.Booked+counts.Refused != len(refused) {
+	all := int((usable-usable*earliestPart/latestPart)/wantGap) + 1
+	if counts.Booked != all || counts.Booked+counts.Refused != len(refused) {
 		t.Errorf("%d requests have places and %d have none, want the %d places in the last part of the %v that they can use", counts.Booked, counts.Refused, all, usable)
 	}
 }
@@ -110,7 +111,7 @@
 }
 
 // TestRequestsThatCannotStartAreRefused reviews requests whose time is over before a first
-// token.
+// token, or, late, before the end of an answer.
 func TestRequestsThatCannotStartAreRefused(t *testing.T) {
 	controller, now := newBusy(40)
 	request := newRequest(1, now)
@@ -119,6 +120,11 @@
 	if len(refused) != 1 || refused[0].Refusal.RetryAfter > 10*time.Millisecond {
 		t.Errorf("got %+v, want a refusal with at most a third of the time left", refused)
 	}
+	late := newRequest(2, now)
+	late.InTime, late.LateOnly, late.Admitted, late.End = false, true, true, now.Add(heldFor*9/10)
+	if refused := controller.Review([]*grant.Waiting{late}, fullLane, now); len(refused) != 1 {
+		t.Errorf("got %+v, want a refusal of a late request whose answer cannot be whole", refused)
+	}
 }
 
 // TestLaneWithoutEnginesSendsBack reviews requests at a lane that has lost all engines: nobody
@@ -161,6 +167,23 @@
 	}
 }
 
+// TestQueueThatGrewUnboundedIsCut has more requests wait than the lane serves until they end, as
+// at a dispatcher that did not know its rate. Once it does, those that are late and cannot be served
+// are refused.
+func TestQueueThatGrewUnboundedIsCut(t *testing.T) {
+	controller, now := newBusy(40)
+	var queue []*grant.Waiting
+	for id := range uint64(2000) {
+		request := newRequest(id+1, now)
+		request.InTime, request.Admitted = false, true
+		queue = append(queue, request)
+	}
+	waiting := len(queue) - len(controller.Review(queue, fullLane, now))
+	if most := (slots - 40) * int(patience/time.Second); waiting > most || waiting < most/2 {
+		t.Errorf("%d late requests wait, want at most the %d that the lane serves beside the usual ones", waiting, most)
+	}
+}
+
 // TestRanksAboveGoFirst has requests of a higher rank arrive at nearly the lane's rate. A lower
 // rank is then let wait only for what they leave.
 func TestRanksAboveGoFirst(t *testing.T) {
