--- a/internal/passthrough/edge/edge.go
+++ b/internal/passthrough/edge/edge.go
@@ -25,6 +25,7 @@
 	"ringstream.example/ringstream/internal/passthrough/engineconn"
 	"ringstream.example/ringstream/internal/passthrough/guard"
 	"ringstream.example/ringstream/internal/passthrough/ingress"
+	"ringstream.example/ringstream/internal/passthrough/memorybudget"
 	"ringstream.example/ringstream/internal/passthrough/peerstore"
 	"ringstream.example/ringstream/internal/passthrough/relay"
 	"ringstream.example/ringstream/internal/passthrough/replicas"
@@ -135,13 +136,15 @@
 		follower.SetPaceFactor(node.storeSlowdown)
 	}
 	forward := relay.New(platform.Headers, node.engines, node.slots, node.pool, node.guard, node.logger, relay.NewMetrics(node.registry))
+	held := memorybudget.New(config.maxHeldBytes())
+	forward.SetMemoryBudget(held)
 	node.guard.OnBlocked(forward.StopContent)
 	node.engines.OnRestart(node.guard.Restarted)
 	node.watch = suspension.NewWatch(clockOrSystem(platform.Clock))
-	node.ingress = ingress.New(ingress.Config{Keys: config.Keys, MaxHeldBytes: config.maxHeldBytes()}, ingress.Dependencies{
+	node.ingress = ingress.New(ingress.Config{Keys: config.Keys}, ingress.Dependencies{
 		Registerer: node.registry,
 		Headers:    platform.Headers, Format: platform.Format, Routes: node.routes, Batch: node.batch, Logger: node.logger,
-		Relay: forward, Watch: node.watch,
+		Relay: forward, Watch: node.watch, Held: held,
 	})
 	if config.PeerAddress != "" {
 		local := &sharer{node: node}
--- a/internal/passthrough/ingress/answer.go
+++ b/internal/passthrough/ingress/answer.go
@@ -46,7 +46,7 @@
 		limit = demand.TimeLeft
 	}
 	writer := &answerWriter{
-		ResponseWriter: to, control: http.NewResponseController(to), logger: s.Logger, unread: s.metrics.unread, budget: s.held,
+		ResponseWriter: to, control: http.NewResponseController(to), logger: s.Logger, unread: s.metrics.unread, budget: s.Held,
 		request: request, id: demand.RequestID, received: received, clientDeadline: received.Add(limit),
 	}
 	writer.limitWrites()
--- a/internal/passthrough/ingress/config.go
+++ b/internal/passthrough/ingress/config.go
@@ -10,8 +10,6 @@
 // Config holds the settings of the ingress server.
 type Config struct {
 	Keys KeysConfig
-	// MaxHeldBytes bounds the bytes held for all clients together; 0: no bound.
-	MaxHeldBytes int64
 }
 
 // Validate checks the settings of all parts.
--- a/internal/passthrough/ingress/ingress.go
+++ b/internal/passthrough/ingress/ingress.go
@@ -34,6 +34,8 @@
 	Watch   *suspension.Watch
 	Batch   *batch.Service
 	Logger  *zap.Logger
+	// Held bounds the bytes held for all clients together.
+	Held *memorybudget.Budget
 	// Registerer may be nil.
 	Registerer prometheus.Registerer
 }
@@ -43,7 +45,6 @@
 	Dependencies
 	config           Config
 	metrics          *metrics
-	held             *memorybudget.Budget
 	http             *http.Server
 	inFlight         atomic.Int64
 	closeConnections atomic.Bool
@@ -60,8 +61,7 @@
 
 // New returns a server.
 func New(config Config, dependencies Dependencies) *Server {
-	held := memorybudget.New(config.MaxHeldBytes)
-	server := &Server{Dependencies: dependencies, config: config, metrics: newMetrics(dependencies.Registerer, held), held: held}
+	server := &Server{Dependencies: dependencies, config: config, metrics: newMetrics(dependencies.Registerer, dependencies.Held)}
 	server.http = &http.Server{
 		Handler:           server,
 		MaxHeaderBytes:    maxHeaderBytes,
@@ -77,7 +77,7 @@
 func (s *Server) InFlight() int { return int(s.inFlight.Load()) }
 
 // HeldBytes returns the bytes held for all clients.
-func (s *Server) HeldBytes() int64 { return s.held.Held() }
+func (s *Server) HeldBytes() int64 { return s.Held.Held() }
 
 // Serve serves the connections of a listener until Stop is called, and then returns nil.
 func (s *Server) Serve(listener net.Listener) error {
--- a/internal/passthrough/relay/attempt.go
+++ b/internal/passthrough/relay/attempt.go
@@ -35,6 +35,9 @@
 // errAnswerTooLong means that a response cannot be buffered. A part of it is no answer.
 var errAnswerTooLong = errors.New("the answer is longer than the limit")
 
+// errClientTooFarBehind means that no more of an answer can be read ahead of its client.
+var errClientTooFarBehind = errors.New("the client is too far behind its answer")
+
 var errUnsigned = errors.New("the answer lacks the engine's signature")
 
 // attempt sends the request to one engine and forwards the response to the client.
@@ -212,22 +215,23 @@
 // forwardStream sends each event to the client as soon as it is complete.
 func (e *exchange) forwardStream(answer *engineconn.Exchange, slot *slots.Slot) (Outcome, error) {
 	e.stream.Restart()
-	buffer := make([]byte, 16<<10)
+	reader := newReadAhead(answer, e.held, e.clock.earlierOf, func() { e.limitWrites(time.Now()) })
+	defer reader.close()
+	buffer := make([]byte, readChunkBytes)
 	for {
 		answer.SetReadDeadline(e.readDeadline())
-		count, err := answer.Read(buffer)
+		count, err := reader.Read(buffer)
 		whole, tooLong := e.stream.Add(buffer[:count])
 		if len(whole) > 0 {
 			e.recordFirstEvent(slot)
 			e.sendHead(answer.Response)
-			if _, failed := e.to.Write(whole); failed != nil {
-				return ClientGone, failed
-			}
-			if failed := e.control.Flush(); failed != nil {
+			if failed := e.writeEvents(whole, reader); failed != nil {
 				return ClientGone, failed
 			}
 		}
 		switch {
+		case errors.Is(err, errClientTooFarBehind):
+			return ClientGone, err
 		case tooLong != nil:
 			return Failed, tooLong
 		case errors.Is(err, io.EOF) && !e.stream.Pending():
@@ -244,14 +248,7 @@
 
 // readDeadline returns the deadline of the next read: the silence timeout or the call's deadline,
 // whichever is earlier.
-func (e *exchange) readDeadline() time.Time {
-	if timeout := e.silenceTimeout(); timeout > 0 {
-		if until := time.Now().Add(timeout); until.Before(e.clock.currentDeadline()) {
-			return until
-		}
-	}
-	return e.clock.currentDeadline()
-}
+func (e *exchange) readDeadline() time.Time { return e.clock.earlierOf(e.silenceTimeout()) }
 
 // recordFirstEvent records that an attempt has produced an event, and the time of the call's
 // first event.
--- a/internal/passthrough/relay/deliver.go
+++ b/internal/passthrough/relay/deliver.go
@@ -25,6 +25,16 @@
 	e.limitWrites(limit)
 }
 
+// writeEvents sends events to the client at once. The engine's answer is read ahead if that takes long.
+func (e *exchange) writeEvents(whole []byte, reader *readAhead) error {
+	reader.beginWrite(e.silenceTimeout())
+	defer reader.endWrite()
+	if _, err := e.to.Write(whole); err != nil {
+		return err
+	}
+	return e.control.Flush()
+}
+
 // deliver sends the response of an attempt that has completed, if it was buffered. The engine is done
 // with it, and its slot has ended.
 func (e *exchange) deliver() Outcome {
--- a/internal/passthrough/relay/relay.go
+++ b/internal/passthrough/relay/relay.go
@@ -21,6 +21,7 @@
 	"ringstream.example/ringstream/internal/passthrough/catalog"
 	"ringstream.example/ringstream/internal/passthrough/engineconn"
 	"ringstream.example/ringstream/internal/passthrough/guard"
+	"ringstream.example/ringstream/internal/passthrough/memorybudget"
 	"ringstream.example/ringstream/internal/passthrough/slots"
 	"ringstream.example/ringstream/internal/suspension"
 	"ringstream.example/ringstream/internal/wait"
@@ -64,8 +65,13 @@
 	metrics *Metrics
 	active  *activeCalls
 	watch   *suspension.Watch
+	held    *memorybudget.Budget // counts what is read ahead of slow clients
 }
 
+// SetMemoryBudget sets the budget of what is read ahead of slow clients. It must be called before the first
+// Serve; without it there is no bound on the sum.
+func (r *Relay) SetMemoryBudget(held *memorybudget.Budget) { r.held = held }
+
 // SetSuspensionWatch sets the watch that the relay checks for suspensions of the machine before
 // each attempt. It must be called before the first Serve.
 func (r *Relay) SetSuspensionWatch(watch *suspension.Watch) {
@@ -75,7 +81,7 @@
 
 // New returns a relay.
 func New(headers passthrough.Headers, engines *catalog.Engines, slots *slots.Service, pool *engineconn.Pool, guard *guard.Service, logger *zap.Logger, metrics *Metrics) *Relay {
-	return &Relay{headers: headers, engines: engines, slots: slots, pool: pool, guard: guard, logger: logger, metrics: metrics, active: newActiveCalls()}
+	return &Relay{headers: headers, engines: engines, slots: slots, pool: pool, guard: guard, logger: logger, metrics: metrics, active: newActiveCalls(), held: memorybudget.New(0)}
 }
 
 // exchange is the state of one call across its attempts.
--- a/internal/passthrough/relay/running.go
+++ b/internal/passthrough/relay/running.go
@@ -80,6 +80,18 @@
 	return c.deadline
 }
 
+// earlierOf returns the end of a timeout that begins now, or the call's deadline if that is earlier. A
+// timeout of 0 means none.
+func (c *callClock) earlierOf(timeout time.Duration) time.Time {
+	deadline := c.currentDeadline()
+	if timeout > 0 {
+		if until := time.Now().Add(timeout); until.Before(deadline) {
+			return until
+		}
+	}
+	return deadline
+}
+
 // applySuspension makes the deadline earlier by the time that the machine was suspended since the
 // deadline was last corrected. The total is that of all suspensions of the machine. A total that is
 // not larger than the one accounted for has no effect. It reports whether the deadline has changed.
