--- a/internal/core/enginechoice/pick.go
+++ b/internal/core/enginechoice/pick.go
@@ -29,8 +29,8 @@
 	PreviousEngine Incarnation
 	// Connected holds the engines to which the node keeps an idle connection.
 	Connected map[Incarnation]bool
-	// MaxSlowness is the largest slowness of an engine at which the request is expected to
-	// start in its time; 0 if any will do.
+	// MaxSlowness is the largest ratio of the time to a first token to the usual one at which the
+	// request is expected to start in its time; 0 if any will do.
 	MaxSlowness float64
 	// MaxPace is the largest time between two events at which the request is in time; 0 if any
 	// will do.
--- a/internal/core/enginechoice/speed.go
+++ b/internal/core/enginechoice/speed.go
@@ -10,6 +10,9 @@
 	// Grants is the number of requests that may use the engine as if it were not slow, which
 	// shows whether it still is.
 	Grants int
+	// FirstToken is the time to a first token there relative to the usual, which includes what
+	// does not depend on the engine; 0 if unknown.
+	FirstToken float64
 	// Pace is the time between two events there; 0 if unknown.
 	Pace time.Duration
 }
@@ -41,7 +44,11 @@
 
 // InTimeAt reports whether a request is expected to be in time at an engine of a speed.
 func (q Query) InTimeAt(speed Speed) bool {
-	return (q.MaxSlowness == 0 || speed.Slowness <= q.MaxSlowness) && (q.MaxPace == 0 || speed.Pace <= q.MaxPace)
+	firstToken := speed.FirstToken
+	if firstToken == 0 {
+		firstToken = speed.Slowness
+	}
+	return (q.MaxSlowness == 0 || firstToken <= q.MaxSlowness) && (q.MaxPace == 0 || speed.Pace <= q.MaxPace)
 }
 
 // msWork is the time from a request's first token to its end at an engine of the usual speed
--- a/internal/core/enginespeed/enginespeed.go
+++ b/internal/core/enginespeed/enginespeed.go
@@ -247,6 +247,16 @@
 	known.recent = append(known.recent, seen)
 }
 
+// firstTokenRatio returns the time to a first token at a slow engine relative to the usual; 0 if
+// unknown.
+func (t *Tracker) firstTokenRatio(e *engine) float64 {
+	known := &e.evidence[ofFirstTokens]
+	if len(known.recent) == 0 {
+		return 0
+	}
+	return min(max(t.ratioOf(ofFirstTokens, known), 1), maxSlowness)
+}
+
 // Granted implements grant.EngineSpeeds.
 func (t *Tracker) Granted(id enginechoice.Incarnation, now time.Time) {
 	if known := t.engines[id]; known != nil && known.grants > 0 {
@@ -264,5 +274,5 @@
 	if known == nil || !known.isSlow() {
 		return enginechoice.Speed{}
 	}
-	return enginechoice.Speed{Slowness: known.slowness(), Grants: known.grants, Pace: known.pace()}
+	return enginechoice.Speed{Slowness: known.slowness(), Grants: known.grants, FirstToken: t.firstTokenRatio(known), Pace: known.pace()}
 }
--- a/internal/core/enginespeed/review.go
+++ b/internal/core/enginespeed/review.go
@@ -170,12 +170,18 @@
 
 // slownessOf returns the slowness of an engine by its last observations of a kind.
 func (t *Tracker) slownessOf(of kind, e *evidence) float64 {
+	return min(max(t.ratioOf(of, e), slowFrom[of]), maxSlowness)
+}
+
+// ratioOf returns the median ratio of an engine's last observations of a kind to those of the
+// lane's other engines.
+func (t *Tracker) ratioOf(of kind, e *evidence) float64 {
 	ratios := make([]float64, 0, agreeing)
 	for _, seen := range e.recent[max(len(e.recent)-agreeing, 0):] {
 		ratios = append(ratios, seen.ratio)
 	}
 	slices.Sort(ratios)
-	return min(max(math.Exp(ratios[(len(ratios)-1)/2]-t.reference[of]), slowFrom[of]), maxSlowness)
+	return math.Exp(ratios[(len(ratios)-1)/2] - t.reference[of])
 }
 
 // changeOf returns what an operator is told of an engine whose speed has changed.
