enginechoice: preempt only for a request that would be late at a slow engine

Cause: with slowness weighed against a preemption, more batch runs were stopped and more items were late, for requests that would have been in time at a slow engine. Change: slowness makes a batch request worth preempting only if the request would be late at the slow engine.

--- a/internal/core/enginechoice/pick.go
+++ b/internal/core/enginechoice/pick.go
@@ -121,7 +121,7 @@
 			rank: affinity(s.node, known.hash),
 		})
 	}
-	return best.choice()
+	return best.choice(query)
 }
 
 // CanPick reports whether Pick would find an engine for the request. It stops at the first
--- a/internal/core/enginechoice/speed.go
+++ b/internal/core/enginechoice/speed.go
@@ -106,8 +106,9 @@
 }
 
 // choice returns the better one of the two candidates. Slowness counts against an engine beside a
-// slot of the usual speed that is free, or that a batch request frees, but not beside a queue.
-func (b *bestEngines) choice() (Choice, bool) {
+// free slot of the usual speed, but not beside a queue. It makes a batch request worth preempting
+// only if the request would be late at the slow engine.
+func (b *bestEngines) choice(query Query) (Choice, bool) {
 	switch {
 	case b.usual.engine == nil && b.slow.engine == nil:
 		return Choice{}, false
@@ -117,7 +118,7 @@
 		return b.slow.choice(), true
 	}
 	slow := b.slow.score
-	if b.usual.hasSlot() {
+	if b.usual.hasSlot() && (!b.usual.preempts || !query.InTimeAt(b.slow.engine.speed)) {
 		slow = slowScore(slow, b.slow.slowness)
 	}
 	if slow < b.usual.score {
