--- a/internal/core/enginechoice/speed.go
+++ b/internal/core/enginechoice/speed.go
@@ -10,6 +10,9 @@
 	// Grants is the number of requests that may use the engine as if it were not slow, which
 	// shows whether it still is.
 	Grants int
+	// FirstToken is the time to a first token there relative to the usual, which includes what
+	// does not depend on the engine; 0 if unknown.
+	FirstToken float64
 	// Pace is the time between two events there; 0 if unknown.
 	Pace time.Duration
 }
@@ -41,7 +44,11 @@
 
 // InTimeAt reports whether a request is expected to be in time at an engine of a speed.
 func (q Query) InTimeAt(speed Speed) bool {
-	return (q.MaxSlowness == 0 || speed.Slowness <= q.MaxSlowness) && (q.MaxPace == 0 || speed.Pace <= q.MaxPace)
+	firstToken := speed.FirstToken
+	if firstToken == 0 {
+		firstToken = speed.Slowness
+	}
+	return (q.MaxSlowness == 0 || firstToken <= q.MaxSlowness) && (q.MaxPace == 0 || speed.Pace <= q.MaxPace)
 }
 
 // msWork is the time from a request's first token to its end at an engine of the usual speed
@@ -99,8 +106,9 @@
 }
 
 // choice returns the better one of the two candidates. Slowness counts against an engine beside a
-// slot of the usual speed that is free, or that a batch request frees, but not beside a queue.
-func (b *bestEngines) choice() (Choice, bool) {
+// free slot of the usual speed, but not beside a queue. It makes a batch request worth preempting
+// only if the request would be late at the slow engine.
+func (b *bestEngines) choice(query Query) (Choice, bool) {
 	switch {
 	case b.usual.engine == nil && b.slow.engine == nil:
 		return Choice{}, false
@@ -110,7 +118,7 @@
 		return b.slow.choice(), true
 	}
 	slow := b.slow.score
-	if b.usual.hasSlot() {
+	if b.usual.hasSlot() && (!b.usual.preempts || !query.InTimeAt(b.slow.engine.speed)) {
 		slow = slowScore(slow, b.slow.slowness)
 	}
 	if slow < b.usual.score {
