grant, core/overload: no batch run starts in an overload

Change: the overload control tells whether some requests cannot be served in time; batch items wait then.

--- a/internal/core/grant/overload_test.go
+++ b/internal/core/grant/overload_test.go
@@ -187,6 +187,29 @@
 	}
 }
 
+// overloaded is an overload control of a lane that cannot serve some requests in time.
+type overloaded struct{ unboundedQueue }
+
+func (overloaded) Overloaded(now time.Time) bool { return now.Before(start.Add(time.Second)) }
+
+// TestNoBatchRunStartsInAnOverload has a batch item wait at a lane with free slots that is
+// overloaded, as between two requests of a flood.
+func TestNoBatchRunStartsInAnOverload(t *testing.T) {
+	d := newControlled(overloaded{})
+	state := State{Life: 1, Sequence: 1, Waiting: []Ask{{ID: 1, Batch: true, BatchPercent: 100, RoomPercent: 100}}}
+	for _, test := range []struct {
+		at   time.Duration
+		want int
+	}{{at: 900 * time.Millisecond, want: 0}, {at: 1100 * time.Millisecond, want: 1}} {
+		state.Sequence++
+		d.ApplyState("n1", state, start.Add(test.at))
+		d.Tick(start.Add(test.at))
+		if grants := d.Replies()["n1"].Grants; len(grants) != test.want {
+			t.Errorf("after %v: got %+v, want %d grants", test.at, grants, test.want)
+		}
+	}
+}
+
 // TestNothingWaitsLongerThanATick changes the lane in each way that lets a waiting request have a
 // slot, while the queue is long and has no bound, and checks the grant by the next Tick.
 func TestNothingWaitsLongerThanATick(t *testing.T) {
--- a/internal/core/grant/policies.go
+++ b/internal/core/grant/policies.go
@@ -73,6 +73,9 @@
 	Granted(request *Waiting, now time.Time)
 	// Finished records how long an online request of the lane has held its slot.
 	Finished(held time.Duration, now time.Time)
+	// Overloaded reports whether some requests cannot be served in time at present. No batch
+	// runs are started then, since online requests would soon stop them.
+	Overloaded(now time.Time) bool
 	// PlacesWhenFull reports whether a request that asks for placement, and that no engine
 	// can have run, gets an engine however full.
 	PlacesWhenFull() bool
@@ -133,6 +136,9 @@
 // Finished implements OverloadControl.
 func (unboundedQueue) Finished(time.Duration, time.Time) {}
 
+// Overloaded implements OverloadControl.
+func (unboundedQueue) Overloaded(time.Time) bool { return false }
+
 // PlacesWhenFull implements OverloadControl.
 func (unboundedQueue) PlacesWhenFull() bool { return true }
 
--- a/internal/core/grant/queue.go
+++ b/internal/core/grant/queue.go
@@ -322,7 +322,7 @@
 // grantBatch grants batch requests the capacity that online requests leave. Requests that
 // are not late come first, then the order is by tenant rank, route rank and deadline.
 func (d *Dispatcher) grantBatch(now time.Time) {
-	if len(d.online) > 0 {
+	if len(d.online) > 0 || d.policies.Overload.Overloaded(now) {
 		return
 	}
 	d.retryBatch = false
--- a/internal/core/overload/overload.go
+++ b/internal/core/overload/overload.go
@@ -141,6 +141,11 @@
 	c.ends.add(now)
 }
 
+// Overloaded implements grant.OverloadControl.
+func (c *Controller) Overloaded(now time.Time) bool {
+	return !c.since.IsZero() && now.Sub(c.lastLate) <= overloadEnd
+}
+
 // PlacesWhenFull implements grant.OverloadControl.
 func (c *Controller) PlacesWhenFull() bool { return false }
 
--- a/internal/core/overload/replay_test.go
+++ b/internal/core/overload/replay_test.go
@@ -302,6 +302,7 @@
 func (earliestDeadline) Arrived(*grant.Waiting, time.Time) {}
 func (earliestDeadline) Granted(*grant.Waiting, time.Time) {}
 func (earliestDeadline) Finished(time.Duration, time.Time) {}
+func (earliestDeadline) Overloaded(time.Time) bool         { return false }
 func (earliestDeadline) PlacesWhenFull() bool              { return false }
 func (earliestDeadline) Review([]*grant.Waiting, grant.LaneLoad, time.Time) []grant.OverloadDecision {
 	return nil
