core/overload: no margin on the observed rate; late requests are held by half of what is left

Change: the rate observed is taken as it is; nobody books at more than what the usual arrivals leave; who is late is held if the lane serves it in half of its time left.

--- a/internal/core/overload/meter.go
+++ b/internal/core/overload/meter.go
@@ -42,16 +42,6 @@
 	return m.count / covered, true
 }
 
-// atMost returns a rate that the events exceed at present with a probability of less than
-// 0.001. It returns false until the time observed is long enough to tell it.
-func (m *meter) atMost() (float64, bool) {
-	perSecond, known := m.perSecond()
-	if !known {
-		return 0, false
-	}
-	return perSecond + deviations*math.Sqrt(m.count+1)/m.span.Seconds(), true
-}
-
 // minObservedPart is the part of a meter's span, as a divisor, that must have been observed
 // before its rate is used.
 const minObservedPart = 5
--- a/internal/core/overload/overload_test.go
+++ b/internal/core/overload/overload_test.go
@@ -179,7 +179,7 @@
 		queue = append(queue, request)
 	}
 	waiting := len(queue) - len(controller.Review(queue, fullLane, now))
-	if most := (slots - 40) * int(patience/time.Second); waiting > most || waiting < most/2 {
+	if most := (slots - 40) * int((patience-heldFor)/time.Second) / waitedRoomPart; waiting > most || waiting < most/2 {
 		t.Errorf("%d late requests wait, want at most the %d that the lane serves beside the usual ones", waiting, most)
 	}
 }
@@ -215,9 +215,10 @@
 		for _, decision := range controller.Review(queue, fullLane, now) {
 			refused[decision.Request] = decision.Refusal
 		}
+		perSecond := controller.newReview(fullLane, now).perSecond
 		before, places := 0, make(map[time.Duration]bool)
 		for _, request := range queue {
-			served := float64(before+1)+deviations*math.Sqrt(float64(before)) <= slots/heldFor.Seconds()*request.Deadline.Sub(now).Seconds()
+			served := float64(before+1)+deviations*math.Sqrt(float64(before)) <= perSecond*request.Deadline.Sub(now).Seconds()
 			refusal, isRefused := refused[request]
 			switch {
 			case isRefused && served && request.InTime && !booksBefore(refused, request.Deadline.Sub(now)):
--- a/internal/core/overload/review.go
+++ b/internal/core/overload/review.go
@@ -24,6 +24,9 @@
 	// wait for a late answer. It keeps slots in use between arrivals. Arrivals may rise at any
 	// time, and the requests that are held then wait in vain.
 	lateHorizon = 100 * time.Millisecond
+	// waitedRoomPart is the part of the time left, as a divisor, within which a request that was
+	// let wait to be in time must be expected to be served late. Arrivals may rise again.
+	waitedRoomPart = 2
 	// toldFor is how long after the time that it was told a request that comes back is
 	// recognized.
 	toldFor = time.Second
@@ -36,7 +39,6 @@
 	full      bool
 	known     bool    // whether perSecond is known
 	perSecond float64 // requests that the lane completes per second
-	soon      float64 // what it completes at most, but for one in 1,000 cases
 	inTime    int     // requests in time so far
 	late      int     // late requests so far
 	// higher caches higherPerSecond of the last rank.
@@ -60,12 +62,10 @@
 	if known {
 		perSecond = float64(slots) / c.held.value
 	}
-	soon := perSecond
 	if ends, observed := c.ends.perSecond(); observed {
-		atMost, _ := c.ends.atMost()
-		perSecond, soon = min(perSecond, ends), min(soon, atMost)
+		perSecond = min(perSecond, ends)
 	}
-	return &review{Controller: c, now: now, full: load.Full, known: known, perSecond: perSecond, soon: soon}
+	return &review{Controller: c, now: now, full: load.Full, known: known, perSecond: perSecond}
 }
 
 // judge decides whether the next request of the queue is refused.
@@ -153,9 +153,9 @@
 		r.higher, r.higherRank, r.higherSet = r.higherPerSecond(request, r.now), own, true
 	}
 	if request.Again {
-		return r.soon - max(r.higher, r.recentPerSecond())
+		return r.perSecond - max(r.higher, r.recentPerSecond())
 	}
-	return r.soon - r.higher
+	return r.perSecond - r.higher
 }
 
 // servedInTime reports whether a request in time is expected to get a slot within its slack,
@@ -203,9 +203,8 @@
 	return max(r.age(), r.drain(request), r.usable(request)*earliestPart/latestPart)
 }
 
-// book books a place for a request. New requests get the places that the usual arrivals
-// leave after the overload. A request that was let wait in vain, which is rare, gets the next
-// place. A request that has come back gets none, since its client may have used up its
+// book books a place for a request among those that the usual arrivals leave after the overload.
+// A request that was let wait in vain, which is rare, gets the next place. A request that has come back gets none, since its client may have used up its
 // attempts.
 func (r *review) book(request *grant.Waiting) (time.Time, bool) {
 	if request.Again || request.Returned {
@@ -216,7 +215,7 @@
 	}
 	earliest, rate := r.earliestReturn(request), r.perSecond-r.usualPerSecond()
 	if request.Admitted {
-		earliest, rate = r.drain(request), r.perSecond
+		earliest = r.drain(request)
 	}
 	if rate <= 0 {
 		return time.Time{}, false
@@ -234,11 +233,14 @@
 	}
 	before := float64(r.inTime + r.late + 1)
 	left := r.timeToStart(request)
-	if request.Admitted {
-		return before <= (r.perSecond-r.usualPerSecond())*(left-r.age()).Seconds()
-	}
 	spare := r.perSecond - max(r.recentPerSecond(), r.usualPerSecond())
-	return before <= spare*min(left, lateHorizon).Seconds()
+	if !request.Admitted {
+		return before <= spare*min(left, lateHorizon).Seconds()
+	}
+	if r.age() > 0 {
+		spare = r.perSecond - r.usualPerSecond()
+	}
+	return before <= spare*((left-r.age())/waitedRoomPart).Seconds()
 }
 
 func seconds(value float64) time.Duration { return time.Duration(value * float64(time.Second)) }
