--- a/internal/core/grant/queue.go
+++ b/internal/core/grant/queue.go
@@ -346,7 +346,7 @@
 
 // grantBatch grants batch requests the capacity that online requests leave.
 func (d *Dispatcher) grantBatch(now time.Time) {
-	if len(d.online) > 0 {
+	if len(d.online) > 0 || d.policies.Overload.Overloaded(now) {
 		return
 	}
 	d.retryBatch = false
