--- a/internal/passthrough/batch/schedule.go
+++ b/internal/passthrough/batch/schedule.go
@@ -97,6 +97,9 @@
 	}
 	tenants := known.Table.Tenants().Directory
 	waiting := s.candidates(tenants)
+	if s.Slots.SharesAmongTenants() {
+		takeTurns(waiting)
+	}
 	storeNow, _ := s.storeClock()
 	now := time.Now()
 	requests := make([]slots.BatchRequest, 0, maxSlotRequests)
@@ -200,6 +203,34 @@
 	return list
 }
 
+// takeTurns lets tenants of one priority take turns in a list of candidates, so that one tenant's
+// items do not take all of the node's slot requests. Each tenant's items keep their order.
+func takeTurns(list []candidate) {
+	type group struct {
+		late   bool
+		rank   int
+		tenant string
+	}
+	taken := make(map[group]int)
+	turns := make(map[workKey]int, len(list))
+	for _, next := range list {
+		key := group{next.late, next.rank, next.job.tenant}
+		turns[next.key()] = taken[key]
+		taken[key]++
+	}
+	slices.SortStableFunc(list, func(a, b candidate) int {
+		return cmp.Or(ordering.FalseFirst(a.late, b.late), cmp.Compare(a.rank, b.rank), cmp.Compare(turns[a.key()], turns[b.key()]))
+	})
+}
+
+// workKey identifies an item of a job of this node.
+type workKey struct {
+	job   *ownedJob
+	index int
+}
+
+func (c candidate) key() workKey { return workKey{c.job, c.index} }
+
 // tenantRank returns the priority of a tenant. An unknown tenant, or none, gets the highest.
 func tenantRank(tenants *tenant.Directory, name string) int {
 	if holder, found := tenants.ByName(name); found {
--- a/internal/passthrough/batch/schedule_test.go
+++ b/internal/passthrough/batch/schedule_test.go
@@ -58,3 +58,30 @@
 		service.mu.Unlock()
 	}
 }
+
+func TestTenantsTakeTurns(t *testing.T) {
+	first, second := &ownedJob{tenant: "a"}, &ownedJob{tenant: "b"}
+	list := []candidate{
+		{job: first, index: 0},
+		{job: first, index: 1},
+		{job: first, index: 2},
+		{job: second, index: 0},
+		{job: second, index: 1},
+		{job: first, index: 3, rank: 1},
+		{job: second, index: 2, late: true},
+	}
+	takeTurns(list)
+	for i, next := range []candidate{
+		{job: first, index: 0},
+		{job: second, index: 0},
+		{job: first, index: 1},
+		{job: second, index: 1},
+		{job: first, index: 2},
+		{job: first, index: 3, rank: 1},
+		{job: second, index: 2, late: true},
+	} {
+		if list[i].key() != next.key() {
+			t.Errorf("place %d: item %d of tenant %s, want item %d of tenant %s", i, list[i].index, list[i].job.tenant, next.index, next.job.tenant)
+		}
+	}
+}
--- a/internal/passthrough/slots/acquire.go
+++ b/internal/passthrough/slots/acquire.go
@@ -170,6 +170,9 @@
 	return ask
 }
 
+// SharesAmongTenants reports whether the tenants of one priority share the engines.
+func (s *Service) SharesAmongTenants() bool { return s.config.Scheduling.FairShares }
+
 // ownerHash returns the hash of the tenant in whose share a request runs, or 0 if there are no
 // shares or it belongs to no tenant.
 func (s *Service) ownerHash(tenant string) uint64 {
--- a/internal/passthrough/slots/slots_test.go
+++ b/internal/passthrough/slots/slots_test.go
@@ -68,6 +68,11 @@
 // newFleet starts the given numbers of nodes and of engines with two slots each. All nodes ask
 // the first one as their dispatcher.
 func newFleet(ctx context.Context, nodes, engines int) *fleet {
+	return newScheduledFleet(ctx, nodes, engines, DefaultSchedulingConfig())
+}
+
+// newScheduledFleet is newFleet for nodes with settings of the scheduling.
+func newScheduledFleet(ctx context.Context, nodes, engines int, scheduling SchedulingConfig) *fleet {
 	f := &fleet{nodes: make(map[string]*testNode), isolated: make(map[string]bool)}
 	for i := range nodes {
 		name := fmt.Sprint("n", i)
@@ -78,7 +83,7 @@
 				set.Upsert(enginechoice.Entry{ID: fmt.Sprint("e", engine), Pool: "p", Slots: 2}, enginechoice.Ready, now)
 			}
 		})
-		node.Service = New(Config{Limits: DefaultLimitsConfig()}, Dependencies{
+		node.Service = New(Config{Limits: DefaultLimitsConfig(), Scheduling: scheduling}, Dependencies{
 			Engines: list, Logger: zap.NewNop(), Metrics: NewMetrics(nil), Self: name, Name: name, Incarnation: name, Zone: "z1",
 			Candidates: node.currentCandidates, Seeds: func() []string { return []string{"n0"} },
 			LiveNodes: func() int { return nodes },
