--- a/internal/passthrough/slots/shares_test.go
+++ b/internal/passthrough/slots/shares_test.go
@@ -29,7 +29,7 @@
 func TestTenantThatFloodsWaits(t *testing.T) {
 	for _, shares := range []bool{true, false} {
 		runInBubble(t, func(t *testing.T, ctx context.Context) {
-			f := newScheduledFleet(ctx, 2, 1, SchedulingConfig{FairShares: shares})
+			f := newFleetWith(ctx, 2, 1, SchedulingConfig{FairShares: shares})
 			directory, _ := tenant.NewDirectory([]tenant.Definition{
 				{Tenant: tenant.Tenant{Name: "flood", Limit: tenant.Limit{PerSecond: 10}}}, {Tenant: tenant.Tenant{Name: "small", Limit: tenant.Limit{PerSecond: 10}}},
 			})
--- a/internal/passthrough/slots/slots_test.go
+++ b/internal/passthrough/slots/slots_test.go
@@ -68,11 +68,11 @@
 // newFleet starts the given numbers of nodes and of engines with two slots each. All nodes ask
 // the first one as their dispatcher.
 func newFleet(ctx context.Context, nodes, engines int) *fleet {
-	return newScheduledFleet(ctx, nodes, engines, DefaultSchedulingConfig())
+	return newFleetWith(ctx, nodes, engines, DefaultSchedulingConfig())
 }
 
-// newScheduledFleet is newFleet for nodes with settings of the scheduling.
-func newScheduledFleet(ctx context.Context, nodes, engines int, scheduling SchedulingConfig) *fleet {
+// newFleetWith does what newFleet does, with a configuration of the scheduling.
+func newFleetWith(ctx context.Context, nodes, engines int, scheduling SchedulingConfig) *fleet {
 	f := &fleet{nodes: make(map[string]*testNode), isolated: make(map[string]bool)}
 	for i := range nodes {
 		name := fmt.Sprint("n", i)
