--- a/internal/core/grant/dispatcher.go
+++ b/internal/core/grant/dispatcher.go
@@ -75,6 +75,8 @@
 	attached       bool
 	inFlight       map[uint64]*inFlightRequest
 	queued         map[uint64]*queuedAsk
+	refused        map[uint64]*sentRefusal
+	refilled       bool // the time since its process started has been credited to the limits
 }
 
 // Dispatcher grants the slots of one lane.
@@ -87,15 +89,32 @@
 	startedAt    time.Time
 	busySince    time.Time // when the lane last stopped being idle
 	nodes        map[string]*nodeState
-	online       []*queuedAsk // sorted only in grantOnline; few
+	online       []*queuedAsk // sorted only in grantOnline
+	full         bool         // whether a request found no slot in the last pass of grantOnline
+	reviewed     bool         // whether the last review by the overload control had a queue
+	bounded      bool         // whether an overload control bounds the queue
+	lastReviewAt time.Time    // of the last review by the overload control
+	retryOnline  bool         // queued online requests may have become grantable
+	arrived      bool         // an online request has joined the queue since the last review
 	retryBatch   bool         // queued batch requests may have become grantable
 	replies      map[string]*Reply
 	firstTokens  firstTokenEstimator
 	limits       *quota.RateCounter // nil if no tenant has a limit that is counted here
 	liveNodes    int                // number of live nodes of the fleet; 0 if unknown
+	limitShare   float64            // part of every limit that is counted here
+	// countingSince is when limitShare was last zero.
+	countingSince time.Time
+	exchange      *UseExchange // nil: the use of the limits is not kept
+	notNewFleet   bool         // refillNewFleet has credited its time, or may not
+	limitReturns  limitReturns
 	// suspects holds the in-flight requests whose content is suspected of crashing
 	// engines.
 	suspects map[*inFlightRequest]bool
+	// slow holds the engines that are slower than usual.
+	slow         map[enginechoice.Incarnation]bool
+	speedChanges []SpeedChange // since the last SpeedChanges
+	// speedsReviewedAt is when the speeds were last reviewed.
+	speedsReviewedAt time.Time
 }
 
 // NewDispatcher returns a dispatcher of a lane that has no engines yet. Self is the name
@@ -104,13 +123,16 @@
 	return &Dispatcher{
 		config: config, policies: Policies{}.withDefaults(), lane: lane, engines: enginechoice.NewSet(self), engineByHash: make(map[uint64]enginechoice.Incarnation),
 		startedAt: now, nodes: make(map[string]*nodeState), replies: make(map[string]*Reply),
-		suspects: make(map[*inFlightRequest]bool),
+		suspects: make(map[*inFlightRequest]bool), slow: make(map[enginechoice.Incarnation]bool),
 	}
 }
 
 // UsePolicies sets the dispatcher's policies. It must be called before the first State is
 // applied.
-func (d *Dispatcher) UsePolicies(policies Policies) { d.policies = policies.withDefaults() }
+func (d *Dispatcher) UsePolicies(policies Policies) {
+	d.bounded = policies.Overload != nil
+	d.policies = policies.withDefaults()
+}
 
 // SetEngines replaces the lane's engines. Engines that are not listed are removed, and
 // entries of other pools or lanes are ignored.
@@ -161,6 +183,8 @@
 	engine, listed := d.engineByHash[hash]
 	if listed {
 		d.engines.Remove(engine, false, now)
+		d.policies.Speeds.Remove(engine)
+		delete(d.slow, engine)
 		delete(d.engineByHash, hash)
 	}
 	return listed
@@ -181,6 +205,9 @@
 	}
 	if d.limits == nil {
 		d.limits = quota.NewRateCounter(margin, now)
+		if d.exchange != nil {
+			d.limits.KeepUse()
+		}
 	}
 	d.limits.SetLimits(limits)
 }
@@ -204,6 +231,10 @@
 	if d.liveNodes > 0 {
 		share = float64(d.Attached(now)) / float64(d.liveNodes)
 	}
+	if d.limitShare == 0 {
+		d.countingSince = now
+	}
+	d.limitShare = share
 	d.limits.Advance(now, share)
 }
 
@@ -211,13 +242,18 @@
 func (d *Dispatcher) Attached(now time.Time) int {
 	attached := 0
 	for _, known := range d.nodes {
-		if known.attached && now.Sub(known.lastStateAt) <= d.config.AttachmentTimeout {
+		if d.isAttached(known, now) {
 			attached++
 		}
 	}
 	return attached
 }
 
+// isAttached reports whether a node counts as attached.
+func (d *Dispatcher) isAttached(known *nodeState, now time.Time) bool {
+	return known.attached && now.Sub(known.lastStateAt) <= d.config.AttachmentTimeout
+}
+
 // Idle reports whether no node has requests in the lane or is attached to it.
 func (d *Dispatcher) Idle() bool { return len(d.nodes) == 0 }
 
@@ -254,42 +290,28 @@
 		if len(d.nodes) == 0 {
 			d.busySince = now
 		}
-		known = &nodeState{life: state.Life, inFlight: make(map[uint64]*inFlightRequest), queued: make(map[uint64]*queuedAsk)}
+		known = &nodeState{life: state.Life, inFlight: make(map[uint64]*inFlightRequest), queued: make(map[uint64]*queuedAsk), refused: make(map[uint64]*sentRefusal)}
 		d.nodes[from] = known
 	}
+	joined := state.Attached && !d.isAttached(known, now)
 	known.sequence, known.lastStateAt, known.zone, known.attached = state.Sequence, now, state.Zone, state.Attached
-	d.advanceLimits(now)
+	d.joinLimits(known, state, joined, now)
 	known.connected = make(map[enginechoice.Incarnation]bool, len(state.Connected))
 	for _, engine := range state.Connected {
 		known.connected[d.engineByHash[engine]] = true
 	}
 	d.updateInFlight(from, known, state, now)
-	d.observe(state, now)
+	d.observe(from, state, now)
 	d.updateQueue(from, known, state, now)
-	d.grantOnline(now)
+	d.grantChanged(now)
 	reply := d.reply(from)
 	reply.Life, reply.Sequence = state.Life, state.Sequence
+	reply.Counted = d.keepsLimits() && state.Attached && d.liveNodes > 0
 	if len(state.Held)+len(state.Waiting) == 0 && len(known.inFlight) == 0 && !state.Attached {
 		delete(d.nodes, from)
 	}
 }
 
-// observe records what a State tells of the engines.
-func (d *Dispatcher) observe(state State, now time.Time) {
-	for _, load := range state.Loads {
-		engine := d.engineByHash[load.Engine]
-		d.engines.RecordReport(engine, load.Running, load.Waiting, now)
-		d.policies.Speeds.ObserveLoad(engine, load, now)
-	}
-	for _, first := range state.Firsts {
-		d.firstTokens.observe(first)
-		d.policies.Speeds.ObserveFirstToken(d.engineByHash[first.Engine], first, now)
-	}
-	for _, pace := range state.Paces {
-		d.policies.Speeds.ObservePace(d.engineByHash[pace.Engine], pace, now)
-	}
-}
-
 // updateInFlight updates a node's in-flight requests from its State.
 func (d *Dispatcher) updateInFlight(from string, known *nodeState, state State, now time.Time) {
 	ended := make(map[uint64]Ended, len(state.Ended))
@@ -338,7 +360,9 @@
 	}
 	if held.Started {
 		d.engines.FirstToken(request.engine, request.work)
+		return
 	}
+	d.observeSilence(request, now)
 }
 
 // addReported counts a request that another dispatcher granted, or for which the node
@@ -369,9 +393,11 @@
 	}
 	delete(known.inFlight, request.id)
 	delete(d.suspects, request)
-	d.retryBatch = true
+	d.retryBatch, d.retryOnline = true, true
 	if !request.work.Batch {
-		d.policies.Overload.Finished(now)
+		if request.engine != (enginechoice.Incarnation{}) {
+			d.policies.Overload.Finished(now.Sub(request.since), now)
+		}
 	}
 	if request.charge != nil {
 		use := SlotUse{SlotCharge: *request.charge, Held: now.Sub(request.since), Complete: end.Result == enginechoice.Succeeded}
@@ -384,6 +410,7 @@
 // requests.
 func (d *Dispatcher) Tick(now time.Time) {
 	d.advanceLimits(now)
+	d.limitReturns.expire(now)
 	for address, known := range d.nodes {
 		if now.Sub(known.lastStateAt) > d.config.NodeTimeout {
 			d.removeNode(address, now)
@@ -395,6 +422,7 @@
 			}
 		}
 	}
+	d.reviewSpeeds(now)
 	d.engines.UpdateOnlinePeaks(now)
 	for _, overcommit := range d.engines.Overcommitted(now) {
 		for range overcommit.Preempt {
--- a/internal/core/grant/queue.go
+++ b/internal/core/grant/queue.go
@@ -16,6 +16,10 @@
 			continue // granted already; the reply is still in transit
 		}
 		asked[ask.ID] = true
+		if known.refused[ask.ID] != nil {
+			d.resendRefusal(from, known.refused[ask.ID], now)
+			continue
+		}
 		entry := known.queued[ask.ID]
 		if entry == nil {
 			entry = d.admit(from, known, ask, now)
@@ -32,6 +36,31 @@
 			delete(known.queued, id)
 		}
 	}
+	for id := range known.refused {
+		if !asked[id] {
+			delete(known.refused, id)
+		}
+	}
+}
+
+// sentRefusal is a refusal of a request that its node still reports as waiting.
+type sentRefusal struct {
+	refusal    Refusal
+	decidedAt  time.Time
+	lastSentAt time.Time
+}
+
+// resendRefusal sends a refusal again that may have been lost. The time to come back has
+// become shorter meanwhile.
+func (d *Dispatcher) resendRefusal(node string, sent *sentRefusal, now time.Time) {
+	if now.Sub(sent.lastSentAt) < d.config.ResendInterval {
+		return
+	}
+	sent.lastSentAt = now
+	refusal := sent.refusal
+	refusal.Overload.RetryAfter = max(refusal.Overload.RetryAfter-now.Sub(sent.decidedAt), 0)
+	reply := d.reply(node)
+	reply.Refused = append(reply.Refused, refusal)
 }
 
 // updateEntry updates a queued request from the node's newest Ask.
@@ -42,8 +71,11 @@
 	if ask.EndsIn > 0 {
 		entry.End = now.Add(ask.EndsIn)
 	}
-	entry.Place = ask.Place && (ask.MayHaveRun || d.policies.Overload.PlacesWhenFull())
-	entry.MayHaveRun = ask.MayHaveRun
+	// Builds before EndsIn do not tell whether the request may have run.
+	mayHaveRun := ask.MayHaveRun || ask.EndsIn == 0
+	place := ask.Place && (mayHaveRun || d.policies.Overload.PlacesWhenFull())
+	d.retryOnline = d.retryOnline || place != entry.Place
+	entry.Place, entry.MayHaveRun = place, ask.MayHaveRun
 }
 
 // newEntry returns the entry of a request that joins the queue.
@@ -51,6 +83,7 @@
 	entry := &queuedAsk{ask: ask, Waiting: Waiting{
 		Node: from, ID: ask.ID, TenantRank: ask.TenantRank, Rank: ask.Rank, Owner: ask.Owner, Content: ask.Content,
 		PromptTokens: ask.promptTokens(), MemoryTokens: ask.MemoryTokens, Since: now,
+		Moved: ask.Queued, MayHaveRun: ask.MayHaveRun,
 	}}
 	entry.entry = entry
 	return entry
@@ -61,10 +94,9 @@
 func (d *Dispatcher) admit(from string, known *nodeState, ask Ask, now time.Time) *queuedAsk {
 	entry := newEntry(from, ask, now)
 	if ask.Tenant != 0 && d.limits != nil {
-		verdict := d.limits.Reserve(ask.Tenant)
+		verdict := d.reserve(ask, now)
 		if !verdict.Admitted {
-			reply := d.reply(from)
-			reply.Refused = append(reply.Refused, Refusal{ID: ask.ID, Verdict: verdict})
+			d.refuseByLimit(from, ask, verdict, now)
 			return nil
 		}
 		entry.reserved = true
@@ -76,6 +108,9 @@
 	known.queued[ask.ID] = entry
 	if !ask.Batch {
 		d.online = append(d.online, entry)
+		d.policies.Overload.Arrived(&entry.Waiting, now)
+		d.arrived = true
+		d.retryOnline = d.retryOnline || len(ask.Exclude) > 0 // others of the lane's engines may be full
 	}
 	return entry
 }
@@ -97,12 +132,15 @@
 // grantOnline grants queued online requests in the order of the policies, and refuses those
 // that the overload control does not let wait.
 func (d *Dispatcher) grantOnline(now time.Time) {
+	d.retryOnline = false
 	d.dropDequeued()
-	if len(d.online) == 0 {
+	if len(d.online) == 0 && !d.reviewed {
+		d.full, d.arrived = false, false
 		return
 	}
 	queue := d.arrange(now)
-	full := false
+	full, tooSlow := false, 0
+	allFull := false // for a request that may use every engine
 	for _, waiting := range queue {
 		entry := waiting.entry
 		if entry.ask.Queued && !entry.Place && now.Sub(d.busySince) < d.config.RequeuedStartDelay {
@@ -111,11 +149,41 @@
 		if full && !entry.Place && len(entry.ask.Exclude) == 0 {
 			continue
 		}
-		granted := d.tryGrant(entry, now)
-		full = full || (!granted && entry.ask.Suspect.Content == 0)
+		result := d.tryGrant(entry, now)
+		if result == onlyTooSlow {
+			tooSlow++
+		}
+		noRoom := result == notGranted && entry.ask.Suspect.Content == 0
+		full = full || tooSlow >= maxTooSlow || noRoom
+		allFull = allFull || (noRoom && len(entry.ask.Exclude) == 0)
+	}
+	d.full = allFull
+	if d.reviewDue(now) {
+		d.refuseOverload(queue, now)
 	}
 	d.dropDequeued()
-	d.refuseOverload(now)
+}
+
+// grantChanged grants queued online requests if anything has changed that allows a grant or
+// a refusal. While the lane is full, a request that has just arrived can only be refused, and
+// waits for others to be looked at with it, until the next Tick at most.
+func (d *Dispatcher) grantChanged(now time.Time) {
+	if d.retryOnline || (d.arrived && !d.full) || (d.arrived && d.bounded && d.reviewDue(now)) {
+		d.grantOnline(now)
+	}
+}
+
+// Intervals of the reviews by the overload control. A review takes as long as the queue is,
+// and a flood would cause one for each request.
+const (
+	minReviewInterval = 2 * time.Millisecond  // while requests arrive
+	maxReviewInterval = 10 * time.Millisecond // half of the time within which a refusal is to be sent
+)
+
+// reviewDue reports whether the overload control is to review the queue.
+func (d *Dispatcher) reviewDue(now time.Time) bool {
+	since := now.Sub(d.lastReviewAt)
+	return (d.arrived && since >= minReviewInterval) || since >= maxReviewInterval
 }
 
 // dropDequeued removes the requests that no longer wait.
@@ -128,51 +196,74 @@
 	queue := make([]*Waiting, 0, len(d.online))
 	for _, entry := range d.online {
 		entry.FirstToken = d.firstTokens.expected(entry.PromptTokens)
-		entry.InTime = !now.Add(entry.FirstToken).After(entry.Deadline)
+		entry.InTime = !entry.LateOnly && !now.Add(entry.FirstToken).After(entry.Deadline)
 		queue = append(queue, &entry.Waiting)
 	}
 	d.policies.Order.Arrange(queue, now)
+	for i, waiting := range queue {
+		d.online[i] = waiting.entry // the next sort finds them nearly in order
+	}
 	return queue
 }
 
-// refuseOverload refuses the requests that the overload control does not let wait.
-func (d *Dispatcher) refuseOverload(now time.Time) {
-	if len(d.online) == 0 {
-		return
-	}
-	for _, decision := range d.policies.Overload.Review(d.arrange(now), d.load(now), now) {
+// refuseOverload refuses the requests of an arranged queue that the overload control does not
+// let wait.
+func (d *Dispatcher) refuseOverload(queue []*Waiting, now time.Time) {
+	d.reviewed, d.arrived, d.lastReviewAt = len(queue) > 0, false, now
+	waiting := slices.DeleteFunc(queue, func(waiting *Waiting) bool { return !d.isQueued(waiting.entry) })
+	for _, decision := range d.policies.Overload.Review(waiting, d.load(now), now) {
 		entry := decision.Request.entry
 		if entry.MayHaveRun || !d.isQueued(entry) {
 			continue
 		}
 		d.releaseReservation(entry)
-		delete(d.nodes[entry.Node].queued, entry.ask.ID)
+		known := d.nodes[entry.Node]
+		delete(known.queued, entry.ask.ID)
+		refusal := Refusal{ID: entry.ask.ID, Reason: RefusedByOverload, Overload: decision.Refusal}
+		known.refused[entry.ask.ID] = &sentRefusal{refusal: refusal, decidedAt: now, lastSentAt: now}
 		reply := d.reply(entry.Node)
-		reply.Refused = append(reply.Refused, Refusal{ID: entry.ask.ID, Reason: RefusedByOverload, Overload: decision.Refusal})
+		reply.Refused = append(reply.Refused, refusal)
 	}
-	d.dropDequeued()
 }
 
 // load returns the load of the lane.
 func (d *Dispatcher) load(now time.Time) LaneLoad {
 	slots, online, batch := d.engines.Usage(d.lane.Pool, now)
-	return LaneLoad{Slots: slots, Online: online, Batch: batch}
+	return LaneLoad{Slots: slots, Online: online, Batch: batch, Full: d.full}
 }
 
-// tryGrant grants an entry the best engine. It reports whether an engine could be
-// granted; an online request needs a free slot unless it asks for placement.
-func (d *Dispatcher) tryGrant(entry *queuedAsk, now time.Time) bool {
+// grantResult is the result of an attempt to grant a request an engine.
+type grantResult uint8
+
+const (
+	notGranted  grantResult = iota // no engine has room for it
+	onlyTooSlow                    // only engines at which it would be late have room for it
+	isGranted
+)
+
+// tryGrant grants an entry the best engine. An online request needs a free slot, at an engine
+// at which it can be in time if it can be at all, unless it asks for placement.
+func (d *Dispatcher) tryGrant(entry *queuedAsk, now time.Time) grantResult {
 	known := d.nodes[entry.Node]
-	choice, found := d.pick(entry, d.query(entry, known), now)
+	query := d.query(entry, known)
+	d.setTimes(&query, entry, now)
+	choice, found := d.pick(entry, query, now)
 	if !found || (!entry.ask.Batch && !entry.Place && !choice.HasSlot()) {
-		return false
+		return notGranted
+	}
+	if d.tooSlow(entry, query, choice) {
+		return onlyTooSlow
 	}
 	if choice.Preempts {
 		d.preemptNewestBatch(choice.Entry.Incarnation(), now)
 	}
 	d.engines.RecordPrompt(choice.Entry.Incarnation(), entry.ask.Shared, now)
 	d.commitGrant(known, entry, choice, now)
-	return true
+	d.policies.Speeds.Granted(choice.Entry.Incarnation(), now)
+	if d.slow[choice.Entry.Incarnation()] {
+		d.engines.SetSpeed(choice.Entry.Incarnation(), d.policies.Speeds.Speed(choice.Entry.Incarnation()))
+	}
+	return isGranted
 }
 
 // commitGrant grants an entry the chosen engine and counts the request there. The Choice
@@ -184,7 +275,7 @@
 		node: entry.Node, id: entry.ask.ID, engine: choice.Entry.Incarnation(), work: work, since: now,
 		grant: Grant{
 			ID: entry.ask.ID, Engine: EngineHash(choice.Entry.Incarnation()), PrefillTokens: choice.PrefillTokens,
-			InFlight: choice.InFlight, Score: choice.Score, Preempts: choice.Preempts, Waited: now.Sub(entry.Since),
+			InFlight: choice.InFlight, Score: choice.Score, Preempts: choice.Preempts, Waited: now.Sub(entry.Since), Slowness: choice.Slowness,
 		},
 		suspect: entry.ask.Suspect,
 	}
@@ -265,7 +356,7 @@
 	}
 	capacity := d.engines.BatchCapacity(d.lane.Pool, queue[0].entry.ask.RoomPercent, now)
 	for _, waiting := range queue[:min(capacity, len(queue))] {
-		if !d.tryGrant(waiting.entry, now) && waiting.entry.ask.Suspect.Content == 0 {
+		if d.tryGrant(waiting.entry, now) != isGranted && waiting.entry.ask.Suspect.Content == 0 {
 			return // keep the free capacity for the requests at the front
 		}
 	}
--- a/internal/events/passthrough.go
+++ b/internal/events/passthrough.go
@@ -31,11 +31,12 @@
 	AttemptEnded     = Define(Event{Number: 8104, Name: "attempt ended", Level: zapcore.InfoLevel, Fields: []string{"request", "engine", "attempt", "outcome", "status", "events", "elapsed", "error", "content", "engine_ended"}})
 	EngineNotReached = Define(Event{Number: 8115, Name: "engine not reached", Level: zapcore.DebugLevel, Fields: []string{"request", "engine", "attempt", "elapsed", "error"}})
 	NoEngine         = Define(Event{Number: 8105, Name: "no engine can take the request", Level: zapcore.InfoLevel, Fields: []string{"request", "pool", "excluded", "error"}})
-	OverLimit        = Define(Event{Number: 8114, Name: "tenant over its limit", Level: zapcore.InfoLevel, Fields: []string{"request", "tenant", "per_second", "burst", "left", "share", "dispatcher", "routes_version", "retry_after"}})
+	OverLimit        = Define(Event{Number: 8114, Name: "tenant over its limit", Level: zapcore.InfoLevel, Fields: []string{"request", "tenant", "per_second", "burst", "left", "share", "dispatcher", "routes_version", "retry_after", "use_known", "use_age"}})
 	SurplusAnswer    = Define(Event{Number: 8106, Name: "answer of another request dropped", Level: zapcore.InfoLevel, Fields: []string{"request", "engine", "answered"}})
 	NoRoute          = Define(Event{Number: 8107, Name: "no route", Level: zapcore.InfoLevel, Fields: []string{"request", "host", "path", "routes_version", "routes_age", "confirmed_age"}})
 	RequestTooBig    = Define(Event{Number: 8108, Name: "request body over the limit", Level: zapcore.InfoLevel, Fields: []string{"request", "limit", "confirmed_age"}})
 	NotReadable      = Define(Event{Number: 8109, Name: "request body not read", Level: zapcore.InfoLevel, Fields: []string{"request", "error"}})
+	ClientNotReading = Define(Event{Number: 8116, Name: "client does not read its answer", Level: zapcore.InfoLevel, Fields: []string{"request", "client", "blocked", "bytes", "elapsed"}})
 	RequestRefused   = Define(Event{Number: 8110, Name: "request refused, not run", Level: zapcore.InfoLevel, Fields: []string{"request", "reason", "retry_after", "queued", "per_second", "expected", "dispatcher"}})
 
 	EngineEnded    = Define(Event{Number: 8140, Name: "engine ended under a request", Level: zapcore.InfoLevel, Fields: []string{"request", "content", "engine", "crashes", "evidence", "blocked"}})
@@ -47,6 +48,10 @@
 	CrashesKept    = Define(Event{Number: 8146, Name: "crashes kept in the store", Level: zapcore.InfoLevel, Fields: []string{"content", "crashes", "error"}})
 	ItemHeld       = Define(Event{Number: 8147, Name: "item held, its content is blocked", Level: zapcore.InfoLevel, Fields: []string{"job", "request", "content", "crashes", "evidence", "for"}})
 
+	EngineSlow           = Define(Event{Number: 8160, Name: "engine is slow", Level: zapcore.InfoLevel, Fields: []string{"pool", "part", "engine", "slowness", "observations", "newest", "oldest"}, Action: "Work takes slowness times as long at this engine as at the others of its lane, by its last observations, the newest and oldest of these ages. It gets work only where that is better than waiting. See docs/operations/routing.md."})
+	EngineUsualSpeed     = Define(Event{Number: 8161, Name: "engine has the usual speed again", Level: zapcore.InfoLevel, Fields: []string{"pool", "part", "engine", "slow_for", "observations", "newest", "oldest"}})
+	EngineLoadUnreadable = Define(Event{Number: 8162, Name: "load of an engine not readable", Level: zapcore.InfoLevel, Fields: []string{"engine"}, Action: "The header with the engine's load has neither three nor four figures; it is ignored. Logged once for each engine."})
+
 	PeerUnanswered          = Define(Event{Number: 8030, Name: "peer did not answer", Level: zapcore.DebugLevel, Fields: []string{"peer", "error"}})
 	PeerDocumentsApplied    = Define(Event{Number: 8031, Name: "documents taken from a peer", Level: zapcore.InfoLevel, Fields: []string{"peer", "routes_version", "rows", "age"}})
 	StoreConnectionLost     = Define(Event{Number: 8033, Name: "own way to the store lost", Level: zapcore.WarnLevel, Fields: []string{"failures", "error"}, Action: "The node has peers make its calls to the store while they reach it. One node alone with this line points at its machine or at the store's view of it; all of them, at the store."})
--- a/internal/passthrough/batch/run.go
+++ b/internal/passthrough/batch/run.go
@@ -103,7 +103,7 @@
 	s.mu.Lock()
 	kept := work.text.events
 	s.mu.Unlock()
-	s.forecast.observeRun(kept-before, time.Since(started))
+	s.forecast.observeRun(kept-before, time.Since(started), r.decision.Choice.Slowness)
 	if end == runCompleted {
 		s.Guard.RecordSuccess(r.item.ID, r.digest)
 		s.forecast.observeItem(kept)
@@ -171,6 +171,9 @@
 	case runStopped, runPreempted:
 		result = enginechoice.Abandoned
 	}
+	if errors.Is(err, errSlowEngine) {
+		result = enginechoice.Abandoned
+	}
 	refused := errors.Is(err, engineconn.ErrNotSent) && errors.Is(err, syscall.ECONNREFUSED)
 	r.decision.Slot.End(result, refused)
 }
@@ -218,9 +221,7 @@
 func (s *Service) readItem(r itemRun, answer *engineconn.Exchange) (runOutcome, error) {
 	response := answer.Response
 	headers := s.Headers.Answer(response.StatusCode, response.Header)
-	if headers.LoadKnown {
-		r.decision.Slot.RecordReport(headers.Load.Running, headers.Load.Waiting)
-	}
+	r.decision.Slot.RecordLoad(headers)
 	answer.SetReadDeadline(time.Now().Add(eventTimeout))
 	switch {
 	case headers.NotRun:
@@ -253,11 +254,18 @@
 	splitter := relay.NewSplitter(r.job.work[r.index].text.lastEvent)
 	s.mu.Unlock()
 	buffer := make([]byte, 16<<10)
+	var waited time.Duration // for the events to come
+	var pace runPace
 	for {
 		response.SetReadDeadline(time.Now().Add(eventTimeout))
+		waitedFrom, before := time.Now(), splitter.Count()
 		count, err := response.Read(buffer)
+		waited += time.Since(waitedFrom)
 		whole, tooLong := splitter.Add(buffer[:count])
 		if len(whole) > 0 {
+			r.decision.Slot.RecordEvents(splitter.Count()-before, waited)
+			pace.add(splitter.Count()-before, waited)
+			waited = 0
 			s.keepEvents(r, whole)
 		}
 		switch {
@@ -269,6 +277,8 @@
 			return runInterrupted, io.ErrUnexpectedEOF
 		case err != nil:
 			return runInterrupted, err
+		case len(whole) > 0 && s.runsTooSlowly(r, pace):
+			return runInterrupted, errSlowEngine
 		}
 	}
 }
--- a/internal/passthrough/ingress/ingress.go
+++ b/internal/passthrough/ingress/ingress.go
@@ -20,6 +20,7 @@
 	"ringstream.example/ringstream/internal/passthrough"
 	"ringstream.example/ringstream/internal/passthrough/batch"
 	"ringstream.example/ringstream/internal/passthrough/catalog"
+	"ringstream.example/ringstream/internal/passthrough/memorybudget"
 	"ringstream.example/ringstream/internal/passthrough/relay"
 	"ringstream.example/ringstream/internal/suspension"
 )
@@ -33,6 +34,8 @@
 	Watch   *suspension.Watch
 	Batch   *batch.Service
 	Logger  *zap.Logger
+	// Held bounds the bytes held for all clients together.
+	Held *memorybudget.Budget
 	// Registerer may be nil.
 	Registerer prometheus.Registerer
 }
@@ -58,7 +61,7 @@
 
 // New returns a server.
 func New(config Config, dependencies Dependencies) *Server {
-	server := &Server{Dependencies: dependencies, config: config, metrics: newMetrics(dependencies.Registerer)}
+	server := &Server{Dependencies: dependencies, config: config, metrics: newMetrics(dependencies.Registerer, dependencies.Held)}
 	server.http = &http.Server{
 		Handler:           server,
 		MaxHeaderBytes:    maxHeaderBytes,
@@ -73,6 +76,9 @@
 // InFlight returns the number of requests in flight.
 func (s *Server) InFlight() int { return int(s.inFlight.Load()) }
 
+// HeldBytes returns the bytes held for all clients.
+func (s *Server) HeldBytes() int64 { return s.Held.Held() }
+
 // Serve serves the connections of a listener until Stop is called, and then returns nil.
 func (s *Server) Serve(listener net.Listener) error {
 	err := s.http.Serve(&idleListener{Listener: listener, idleTimeout: s.currentIdleTimeout})
@@ -95,23 +101,25 @@
 }
 
 // ServeHTTP implements http.Handler.
-func (s *Server) ServeHTTP(to http.ResponseWriter, request *http.Request) {
+func (s *Server) ServeHTTP(raw http.ResponseWriter, request *http.Request) {
 	s.Watch.Check() // brings Total up to date
 	received, suspended := time.Now(), s.Watch.Total()
 	s.inFlight.Add(1)
 	defer s.inFlight.Add(-1)
+	demand := s.Headers.Demand(request.Header)
+	to := s.newAnswerWriter(raw, request, demand, received)
+	defer to.releaseBody()
 	if s.closeConnections.Load() {
 		to.Header().Set("Connection", "close")
 	}
 	to.Header()["Date"] = nil // only the engine sets it
-	demand := s.Headers.Demand(request.Header)
 	if table, _ := s.Routes.Table(); table == nil {
-		s.discardBody(request)
+		s.discardBody(to, request)
 		relay.RefuseNotRun(to, s.Headers, noRoutesRetryAfter, "no_routes", "this node does not know any routes yet")
 		return
 	}
 	if job := s.Format.JobCall(request); job.Kind != passthrough.NoJobCall {
-		s.discardBody(request)
+		s.discardBody(to, request)
 		s.serveJobCall(to, request, job, demand)
 		return
 	}
@@ -195,16 +203,25 @@
 }
 
 // readBody reads the request's body within the limit that is configured when the read begins. It
-// answers a request whose body is too large, and aborts the connection if the body cannot be read.
-func (s *Server) readBody(to http.ResponseWriter, request *http.Request, demand passthrough.Demand) ([]byte, bool) {
+// answers a request whose body is too large, and aborts the connection if the body cannot be read
+// within the client's time.
+func (s *Server) readBody(to *answerWriter, request *http.Request, demand passthrough.Demand) ([]byte, bool) {
 	table, _ := s.Routes.Table()
 	limit := bodyLimit(table)
-	body, err := io.ReadAll(http.MaxBytesReader(to, request.Body, limit))
+	var body []byte
+	var err error
+	to.withBodyDeadline(func() bool {
+		body, err = io.ReadAll(&countedBody{body: http.MaxBytesReader(to.ResponseWriter, request.Body, limit), to: to})
+		return err == nil
+	})
 	var tooLong *http.MaxBytesError
 	switch {
 	case errors.As(err, &tooLong):
 		s.refuseBodyTooLarge(to, limit, demand)
 		return nil, false
+	case errors.Is(err, errMemoryFull):
+		s.refuseMemoryFull(to, demand)
+		return nil, false
 	case err != nil:
 		events.NotReadable.Log(s.Logger, zap.String("request", demand.RequestID), zap.Error(err))
 		panic(http.ErrAbortHandler) // the client disconnected or sent a malformed body
@@ -212,6 +229,19 @@
 	return body, true
 }
 
+// memoryRetryAfter is the Retry-After of a request whose body the node has no memory for. Another node
+// may have some.
+const memoryRetryAfter = 300 * time.Millisecond
+
+// refuseMemoryFull answers a request whose body the node cannot hold, and gives up what it has read of it.
+func (s *Server) refuseMemoryFull(to *answerWriter, demand passthrough.Demand) {
+	to.releaseBody()
+	to.Header().Set("Connection", "close") // the rest of the body is not read
+	const reason = "memory_full"
+	events.RequestRefused.Log(s.Logger, zap.String("request", demand.RequestID), zap.String("reason", reason), zap.Duration("retry_after", memoryRetryAfter))
+	relay.RefuseNotRun(to, s.Headers, memoryRetryAfter, reason, "this node holds as many bytes for its clients as it may; no engine ran the request")
+}
+
 // refuseBodyTooLarge answers a request whose body exceeds the limit. The answer is 503 instead of
 // 413 if the limit may have been raised meanwhile.
 func (s *Server) refuseBodyTooLarge(to http.ResponseWriter, limit int64, demand passthrough.Demand) {
@@ -227,8 +257,11 @@
 
 // discardBody reads the request's body, up to defaultMaxBodyBytes, so that the connection can be
 // reused.
-func (s *Server) discardBody(request *http.Request) {
-	_, _ = io.Copy(io.Discard, io.LimitReader(request.Body, defaultMaxBodyBytes))
+func (s *Server) discardBody(to *answerWriter, request *http.Request) {
+	to.withBodyDeadline(func() bool {
+		discarded, err := io.Copy(io.Discard, io.LimitReader(request.Body, defaultMaxBodyBytes))
+		return err == nil && discarded < defaultMaxBodyBytes
+	})
 }
 
 // currentIdleTimeout returns how long a client's connection may stay idle.
--- a/internal/passthrough/relay/relay.go
+++ b/internal/passthrough/relay/relay.go
@@ -21,6 +21,7 @@
 	"ringstream.example/ringstream/internal/passthrough/catalog"
 	"ringstream.example/ringstream/internal/passthrough/engineconn"
 	"ringstream.example/ringstream/internal/passthrough/guard"
+	"ringstream.example/ringstream/internal/passthrough/memorybudget"
 	"ringstream.example/ringstream/internal/passthrough/slots"
 	"ringstream.example/ringstream/internal/suspension"
 	"ringstream.example/ringstream/internal/wait"
@@ -71,9 +72,15 @@
 	logger  *zap.Logger
 	metrics *Metrics
 	active  *activeCalls
+	usual   *usualTimes
 	watch   *suspension.Watch
+	held    *memorybudget.Budget // counts what is read ahead of slow clients
 }
 
+// SetMemoryBudget sets the budget of what is read ahead of slow clients. It must be called before the first
+// Serve; without it there is no bound on the sum.
+func (r *Relay) SetMemoryBudget(held *memorybudget.Budget) { r.held = held }
+
 // SetSuspensionWatch sets the watch that the relay checks for suspensions of the machine before
 // each attempt. It must be called before the first Serve.
 func (r *Relay) SetSuspensionWatch(watch *suspension.Watch) {
@@ -83,7 +90,7 @@
 
 // New returns a relay.
 func New(headers passthrough.Headers, engines *catalog.Engines, slots *slots.Service, pool *engineconn.Pool, guard *guard.Service, logger *zap.Logger, metrics *Metrics) *Relay {
-	return &Relay{headers: headers, engines: engines, slots: slots, pool: pool, guard: guard, logger: logger, metrics: metrics, active: newActiveCalls()}
+	return &Relay{headers: headers, engines: engines, slots: slots, pool: pool, guard: guard, logger: logger, metrics: metrics, active: newActiveCalls(), usual: newUsualTimes(), held: memorybudget.New(0)}
 }
 
 // exchange is the state of one call across its attempts.
@@ -91,6 +98,7 @@
 	*Relay
 	call           *Call
 	to             http.ResponseWriter
+	control        *http.ResponseController // of to
 	currentAttempt attemptCanceler
 	clock          callClock // runs until the deadline of the client or the route, whichever is earlier
 	excluded       map[enginechoice.Incarnation]bool
@@ -106,21 +114,24 @@
 	firstEvent   time.Duration
 	slotTime     time.Duration     // for which the call held slots at engines
 	lastFailure  *bufferedResponse // the last error response of an engine
+	buffered     *bufferedResponse // the response to send, unless it is a stream
 	status       int               // sent to the client
-	headTimer    *silenceTimer     // ends an attempt whose engine sends no response head
+	pace         attemptPace
+	headTimer    *silenceTimer // ends an attempt whose engine sends no response head
 }
 
 // Serve answers a call. For a stream that cannot be finished it panics with http.ErrAbortHandler,
 // which makes net/http close the connection, so that the stream does not look complete.
 func (r *Relay) Serve(ctx context.Context, to http.ResponseWriter, call *Call) {
 	state := &exchange{
-		Relay: r, call: call, to: to,
+		Relay: r, call: call, to: to, control: http.NewResponseController(to),
 		excluded: make(map[enginechoice.Incarnation]bool), stream: NewSplitter(call.Demand.LastEvent), content: call.content().Digest(),
 	}
 	deadlineCtx, cancel := context.WithDeadline(ctx, deadlineOf(call))
 	defer cancel()
 	state.clock = callClock{cancel: cancel, deadline: deadlineOf(call), suspended: call.Suspended}
 	defer state.clock.stop()
+	state.limitWrites(state.clock.currentDeadline())
 	r.active.add(state)
 	defer r.active.remove(state)
 	state.clock.applySuspension(r.watch.Total()) // suspensions while the call was read
@@ -192,7 +203,9 @@
 		}
 		outcome := e.attempt(deadlineCtx, decision)
 		switch outcome {
-		case Completed, ClientGone:
+		case Completed:
+			return e.deliver()
+		case ClientGone:
 			return outcome
 		case NotRun:
 			e.excluded[decision.Choice.Entry.Incarnation()] = true
@@ -253,6 +266,7 @@
 	request := slots.Request{
 		ID: e.call.Demand.RequestID, Query: query, Rank: e.call.Route.Priority, PlacementDeadline: slotDeadline, EndsAt: e.clock.currentDeadline(),
 		TenantRank: e.call.tenantRank(), Owner: e.call.TenantName(), Content: e.content.Hash(), MayHaveRun: e.mayHaveRun, Suspect: e.guard.Suspect(e.content),
+		PauseObjective: e.call.Route.PauseObjective,
 	}
 	if e.call.Route.Objective > 0 {
 		request.FirstTokenDeadline = e.call.Received.Add(e.call.Route.Objective)
--- a/internal/passthrough/slots/acquire.go
+++ b/internal/passthrough/slots/acquire.go
@@ -38,6 +38,8 @@
 	// MayHaveRun reports that an engine ran the request or may have.
 	MayHaveRun bool
 	Suspect    grant.Suspect
+	// PauseObjective is the route's objective for the longest time between two events; zero: none.
+	PauseObjective time.Duration
 }
 
 // OverloadedError reports that the engines cannot serve a request in its time.
@@ -160,9 +162,12 @@
 	ask := s.askFromQuery(s.NewID(), query)
 	ask.TenantRank, ask.Rank, ask.Suspect = request.TenantRank, request.Rank, request.Suspect
 	ask.MayHaveRun = request.MayHaveRun
-	if s.config.Scheduling.RefuseOverload {
+	if s.config.Scheduling.RefuseOverload || s.config.Scheduling.KeepLimits {
 		ask.Content = request.Content
 	}
+	if s.LearnsSpeeds() {
+		ask.PauseObjective = request.PauseObjective
+	}
 	ask.Owner = s.ownerHash(request.Owner)
 	if request.Tenant != "" {
 		ask.Tenant = grant.TenantHash(request.Tenant)
@@ -401,7 +406,7 @@
 	}
 	decision := Decision{Source: ByDispatcher, From: received.from, Choice: enginechoice.Choice{
 		Entry: listed.Entry, State: listed.State, Score: received.grant.Score, PrefillTokens: received.grant.PrefillTokens,
-		InFlight: received.grant.InFlight, Preempts: received.grant.Preempts,
+		InFlight: received.grant.InFlight, Preempts: received.grant.Preempts, Slowness: received.grant.Slowness,
 	}}
 	if received.from == s.Self {
 		decision.Source = ByLocalDispatcher
--- a/internal/passthrough/slots/slots.go
+++ b/internal/passthrough/slots/slots.go
@@ -16,6 +16,7 @@
 
 	"ringstream.example/ringstream/internal/core/enginechoice"
 	"ringstream.example/ringstream/internal/core/grant"
+	"ringstream.example/ringstream/internal/core/overload"
 	"ringstream.example/ringstream/internal/core/quota"
 	"ringstream.example/ringstream/internal/passthrough/catalog"
 	"ringstream.example/ringstream/internal/suspension"
@@ -80,6 +81,7 @@
 // laneDispatcher is the dispatcher of a lane for which this node is responsible.
 type laneDispatcher struct {
 	*grant.Dispatcher
+	overload *overload.Controller // nil: the queue has no bound
 	lastUsed time.Time
 	lastTick time.Time
 }
@@ -107,9 +109,12 @@
 	refreshedAt      time.Time
 	rankedCandidates []grant.Candidate // the candidates of the current dispatcher rankings
 	limits           limits
-	liveNodeCount    int                // live nodes, including this one; 0: unknown
-	localQuota       *quota.RateCounter // this node's share of the limits, used while it reaches no dispatcher
-	nextWake         time.Time          // when the loop wakes next
+	liveNodeCount    int                               // live nodes, including this one; 0: unknown
+	unreadableLoads  map[enginechoice.Incarnation]bool // engines whose unreadable load was logged
+	localQuota       *quota.RateCounter                // this node's share of the limits, used while it reaches no dispatcher
+	useExchanges     map[grant.Lane]*grant.UseExchange
+	unusedSince      time.Time // since when this node has admitted no request of a limited tenant by itself
+	nextWake         time.Time // when the loop wakes next
 }
 
 // New returns a service. Run does its periodic work.
@@ -119,7 +124,9 @@
 		Dependencies: dependencies, lifeHash: grant.LifeHash(dependencies.Incarnation), wake: make(chan struct{}, 1),
 		requesters: make(map[grant.Lane]*laneRequester), dispatchers: make(map[grant.Lane]*laneDispatcher),
 		waiters: make(map[uint64]*waiter), batchRequests: make(map[uint64]BatchRequest), batchLanes: make(map[uint64]grant.Lane),
-		engines: newEngineView(),
+		engines: newEngineView(), unreadableLoads: make(map[enginechoice.Incarnation]bool),
+		useExchanges: make(map[grant.Lane]*grant.UseExchange),
+		unusedSince:  time.Now(),
 	}
 }
 
@@ -143,6 +150,9 @@
 		for _, known := range s.requesters {
 			known.AdjustForSuspension()
 		}
+		for _, known := range s.useExchanges {
+			known.AdjustForSuspension(gap)
+		}
 		s.scheduleWake(now)
 	})
 }
@@ -178,6 +188,7 @@
 
 // tickDispatchers does the dispatchers' periodic work. The caller holds mu.
 func (s *Service) tickDispatchers(now time.Time, out *outbox) {
+	ticked := false
 	for lane, dispatcher := range s.dispatchers {
 		if dispatcher.Idle() {
 			if now.Sub(dispatcher.lastUsed) > idleRetention {
@@ -186,11 +197,17 @@
 			continue
 		}
 		if now.Sub(dispatcher.lastTick) >= tickInterval {
-			dispatcher.lastTick = now
+			dispatcher.lastTick, ticked = now, true
 			dispatcher.Tick(now)
+			for _, change := range dispatcher.SpeedChanges() {
+				out.speedChanges = append(out.speedChanges, speedChange{lane: lane, change: change})
+			}
 			s.collectReplies(lane, dispatcher, now, out)
 		}
 	}
+	if ticked {
+		s.recordOverload()
+	}
 }
 
 // pollRequesters polls the requester of each lane and returns when to poll again. The caller
@@ -281,6 +298,7 @@
 	for _, known := range s.dispatchers {
 		known.SetLive(s.liveNodeCount)
 	}
+	s.updateSpeedMetrics()
 	s.attachToLimitLanes(candidates, now)
 }
 
@@ -346,6 +364,9 @@
 	if requester == nil {
 		requester = &laneRequester{Requester: grant.NewRequester(grant.DefaultRequesterConfig(), s.lifeHash, s.Zone)}
 		requester.SetAttached(s.keepsLimits(lane), now)
+		if s.config.Scheduling.KeepLimits {
+			requester.SetUnusedSince(s.unusedSince)
+		}
 		s.requesters[lane] = requester
 	}
 	requester.lastUsed = now
@@ -357,8 +378,13 @@
 func (s *Service) dispatcherFor(lane grant.Lane, now time.Time) *laneDispatcher {
 	dispatcher := s.dispatchers[lane]
 	if dispatcher == nil && len(s.dispatchers) < maxDispatcherLanes {
+		policies := s.config.Scheduling.policies()
 		dispatcher = &laneDispatcher{Dispatcher: grant.NewDispatcher(grant.DefaultDispatcherConfig(), lane, s.Name, now)}
-		dispatcher.UsePolicies(s.config.Scheduling.policies())
+		dispatcher.overload, _ = policies.Overload.(*overload.Controller)
+		dispatcher.UsePolicies(policies)
+		if s.config.Scheduling.KeepLimits {
+			dispatcher.KeepLimits(s.useExchange(lane, now))
+		}
 		dispatcher.SetEngines(s.engines.enginesInPool(lane.Pool), now)
 		dispatcher.SetLimits(s.config.Limits.margin(), s.limitsForLane(lane), now)
 		dispatcher.SetTenants(s.limits.parts)
