slots: requests over a limit get places to return only where overload is refused too

Change: the content is told, as before, with refuse_overload only, so that the schedule of returns needs both keys.

--- a/internal/passthrough/slots/acquire.go
+++ b/internal/passthrough/slots/acquire.go
@@ -160,7 +160,7 @@
 	ask := s.askFromQuery(s.NewID(), query)
 	ask.TenantRank, ask.Rank, ask.Suspect = request.TenantRank, request.Rank, request.Suspect
 	ask.MayHaveRun = request.MayHaveRun
-	if s.config.Scheduling.RefuseOverload || s.config.Scheduling.KeepLimits {
+	if s.config.Scheduling.RefuseOverload {
 		ask.Content = request.Content
 	}
 	if s.config.Scheduling.FairShares && request.Owner != "" {
