grant: a request without room of its own holds up nobody; ends that held no slot are no rate

A request that excludes engines, or prefers a full one with its prefix, marked the lane full, so that those behind it were skipped, and refused, beside free slots; in-time requests for which only slow engines had room did the same to late ones. Withdrawn grants and lost nodes counted as requests that held a slot. A late datagram of the released form cleared MayHaveRun. Change: grantPass; LaneLoad.Full also while in-time requests have only slow engines; hasHeldSlot; MayHaveRun and the owner stay.

--- a/internal/core/enginechoice/room.go
+++ b/internal/core/enginechoice/room.go
@@ -69,3 +69,13 @@
 	}
 	return slots, online, batch
 }
+
+// HasFreeSlot reports whether an engine of a pool that takes work has a free slot.
+func (s *Set) HasFreeSlot(pool string, now time.Time) bool {
+	for _, known := range s.pools[pool] {
+		if known.usable() && !now.Before(known.unhealthyUntil) && known.inFlight(now) < known.entry.Slots {
+			return true
+		}
+	}
+	return false
+}
--- a/internal/core/grant/dispatcher.go
+++ b/internal/core/grant/dispatcher.go
@@ -53,6 +53,7 @@
 	confirmed  bool      // the node has reported it in flight
 	tenant     uint64    // tenant whose limit has counted it; 0 if none
 	preempted  bool      // its node is sent a stop; it is no longer counted at the engine
+	nodeLost   bool      // its node is no longer heard; when it ended is not known
 	suspect    Suspect
 	charge     *SlotCharge // what its tenant was charged; nil if this dispatcher granted no slot
 }
@@ -92,6 +93,7 @@
 	online       []*queuedAsk // sorted only in grantOnline
 	full         bool         // whether a request found no slot in the last pass of grantOnline
 	reviewed     bool         // whether the last review by the overload control had a queue
+	inTimeFull   bool         // no engine had room in the last pass at which a request can be in time
 	bounded      bool         // whether an overload control bounds the queue
 	lastReviewAt time.Time    // of the last review by the overload control
 	retryOnline  bool         // queued online requests may have become grantable
@@ -394,10 +396,8 @@
 	delete(known.inFlight, request.id)
 	delete(d.suspects, request)
 	d.retryBatch, d.retryOnline = true, true
-	if !request.work.Batch {
-		if request.engine != (enginechoice.Incarnation{}) {
-			d.policies.Overload.Finished(now.Sub(request.since), now)
-		}
+	if !request.work.Batch && request.hasHeldSlot(end) {
+		d.policies.Overload.Finished(now.Sub(request.since), now)
 	}
 	if request.charge != nil {
 		use := SlotUse{SlotCharge: *request.charge, Held: now.Sub(request.since), Complete: end.Result == enginechoice.Succeeded}
@@ -405,6 +405,12 @@
 	}
 }
 
+// hasHeldSlot reports whether an ended request has held a slot since it was granted.
+func (r *inFlightRequest) hasHeldSlot(end Ended) bool {
+	ran := r.confirmed && !end.Unused && !end.Refused && end.Result != enginechoice.Shed
+	return ran && r.charge != nil && !r.nodeLost
+}
+
 // Tick does the periodic work: it removes nodes that have timed out, withdraws unconfirmed
 // grants, preempts batch runs at engines with more requests than slots, and grants batch
 // requests.
@@ -455,6 +461,7 @@
 		return
 	}
 	for _, request := range known.inFlight {
+		request.nodeLost = true
 		d.finish(known, request, Ended{Result: enginechoice.Abandoned}, now)
 	}
 	for _, entry := range known.queued {
--- a/internal/core/grant/queue.go
+++ b/internal/core/grant/queue.go
@@ -66,7 +66,10 @@
 // updateEntry updates a queued request from the node's newest Ask.
 func (d *Dispatcher) updateEntry(entry *queuedAsk, ask Ask, now time.Time) {
 	entry.ask = ask
-	entry.TenantRank, entry.Rank, entry.Owner = ask.TenantRank, ask.Rank, ask.Owner
+	entry.TenantRank, entry.Rank = ask.TenantRank, ask.Rank
+	if ask.EndsIn > 0 { // the form of earlier builds has no owner
+		entry.Owner = ask.Owner
+	}
 	entry.Deadline = now.Add(ask.DueIn)
 	if ask.EndsIn > 0 {
 		entry.End = now.Add(ask.EndsIn)
@@ -75,7 +78,7 @@
 	mayHaveRun := ask.MayHaveRun || ask.EndsIn == 0
 	place := ask.Place && (mayHaveRun || d.policies.Overload.PlacesWhenFull())
 	d.retryOnline = d.retryOnline || place != entry.Place
-	entry.Place, entry.MayHaveRun = place, ask.MayHaveRun
+	entry.Place, entry.MayHaveRun = place, entry.MayHaveRun || ask.MayHaveRun
 }
 
 // newEntry returns the entry of a request that joins the queue.
@@ -135,35 +138,70 @@
 	d.retryOnline = false
 	d.dropDequeued()
 	if len(d.online) == 0 && !d.reviewed {
-		d.full, d.arrived = false, false
+		d.full, d.inTimeFull, d.arrived = false, false, false
 		return
 	}
 	queue := d.arrange(now)
-	full, tooSlow := false, 0
-	allFull := false // for a request that may use every engine
+	var pass grantPass
 	for _, waiting := range queue {
 		entry := waiting.entry
 		if entry.ask.Queued && !entry.Place && now.Sub(d.busySince) < d.config.RequeuedStartDelay {
 			continue
 		}
-		if full && !entry.Place && len(entry.ask.Exclude) == 0 {
+		if pass.skips(entry) {
 			continue
 		}
-		result := d.tryGrant(entry, now)
-		if result == onlyTooSlow {
-			tooSlow++
-		}
-		noRoom := result == notGranted && entry.ask.Suspect.Content == 0
-		full = full || tooSlow >= maxTooSlow || noRoom
-		allFull = allFull || (noRoom && len(entry.ask.Exclude) == 0)
+		d.record(&pass, entry, d.tryGrant(entry, now), now)
 	}
-	d.full = allFull
+	d.full, d.inTimeFull = pass.full && !pass.mayHaveRoom, pass.full || pass.tooSlow >= maxTooSlow
 	if d.reviewDue(now) {
 		d.refuseOverload(queue, now)
 	}
 	d.dropDequeued()
 }
 
+// grantPass is what one pass over the queue has found out.
+type grantPass struct {
+	full        bool // no engine has room for the requests that follow
+	mayHaveRoom bool // one has for requests that can use engines which others cannot
+	tooSlow     int  // requests in time for which only slow engines had room
+	noRoom      int  // requests that did not get an engine though some have room
+}
+
+// skips reports whether a request cannot get an engine in this pass. A slow engine may have
+// room for a late request where it has none for those in time.
+func (p *grantPass) skips(entry *queuedAsk) bool {
+	if entry.Place || len(entry.ask.Exclude) > 0 {
+		return false
+	}
+	return p.full || (entry.InTime && p.tooSlow >= maxTooSlow)
+}
+
+// record records the result of an attempt to grant a request an engine. Where the queue is
+// bounded, a request that finds no room at the engines that it may use, or that it prefers, does
+// not hold up the requests behind it while other engines have room.
+func (d *Dispatcher) record(pass *grantPass, entry *queuedAsk, result grantResult, now time.Time) {
+	switch {
+	case result == onlyTooSlow:
+		pass.tooSlow++
+	case result != notGranted || entry.ask.Suspect.Content != 0:
+	case !d.bounded:
+		pass.full = true
+		pass.mayHaveRoom = pass.mayHaveRoom || len(entry.ask.Exclude) > 0
+	case len(entry.ask.Exclude) > 0:
+		pass.mayHaveRoom = true
+	case pass.noRoom < maxNoRoom && d.engines.HasFreeSlot(d.lane.Pool, now):
+		pass.noRoom++
+		pass.mayHaveRoom = true
+	default:
+		pass.full = true
+	}
+}
+
+// maxNoRoom is the number of requests that may prefer an engine without room before the rest of
+// the queue is left to wait. It bounds the work of one pass.
+const maxNoRoom = 8
+
 // grantChanged grants queued online requests if anything has changed that allows a grant or
 // a refusal. While the lane is full, a request that has just arrived can only be refused, and
 // waits for others to be looked at with it, until the next Tick at most.
@@ -229,7 +267,7 @@
 // load returns the load of the lane.
 func (d *Dispatcher) load(now time.Time) LaneLoad {
 	slots, online, batch := d.engines.Usage(d.lane.Pool, now)
-	return LaneLoad{Slots: slots, Online: online, Batch: batch, Full: d.full}
+	return LaneLoad{Slots: slots, Online: online, Batch: batch, Full: d.inTimeFull}
 }
 
 // grantResult is the result of an attempt to grant a request an engine.
