fairshares: a tenant's requests that return when told come before its new ones

Cause: overload control tells refused requests when to come back and keeps their place. Change: within a tenant, and so within its share, Waiting.Returned goes before the deadline, as in the order without shares. The reference model and the order without tenants draw it too.

--- a/internal/core/fairshares/order.go
+++ b/internal/core/fairshares/order.go
@@ -5,7 +5,7 @@
 // Requests that can be in time come before late ones, then the rank of the tenant and of the route
 // decide, as without shares. Among requests that are alike in these, the tenants are served by
 // start-time fair queueing (package fairqueue) with the time for which requests hold their slots
-// as cost, and a tenant's own requests by least time left. Each pair of ranks has a virtual time
+// as cost, and a tenant's own requests by least time left, those that return when told before new ones. Each pair of ranks has a virtual time
 // and accounts of its own.
 //
 // A tenant whose limit allows a burst may be ahead of its share by as many requests after it has
@@ -153,12 +153,21 @@
 	}
 	for index, request := range queue {
 		o.flowOf = append(o.flowOf, o.addToFlow(request))
-		deadline := uint64(request.Deadline.UnixNano()) ^ signBit //nolint:gosec // the bits are meant
-		position := uint32(index)                                 //nolint:gosec // no queue is as long
-		o.keys = append(o.keys, sortKey{group: groupOf(request), value: deadline, tie: position, index: position})
+		position := uint32(index) //nolint:gosec // no queue is as long
+		o.keys = append(o.keys, sortKey{group: groupOf(request), value: placeInTenant(request), tie: position, index: position})
 	}
 }
 
+// placeInTenant returns what a tenant's own requests are sorted by: those that return when they were
+// told to come first, then by deadline.
+func placeInTenant(request *grant.Waiting) uint64 {
+	deadline := uint64(max(request.Deadline.UnixNano(), 0)) //nolint:gosec // not negative
+	if request.Returned {
+		return deadline
+	}
+	return deadline | signBit
+}
+
 // addToFlow returns the index of a waiting request's flow.
 func (o *Order) addToFlow(request *grant.Waiting) int {
 	key := flowKey{classKey{request.TenantRank, request.Rank}, request.Owner}
--- a/internal/core/fairshares/order_test.go
+++ b/internal/core/fairshares/order_test.go
@@ -25,6 +25,7 @@
 		MemoryTokens: rapid.SampledFrom([]int{10, 100, 1000}).Draw(t, "tokens"),
 		Deadline:     start.Add(time.Duration(rapid.IntRange(0, 50).Draw(t, "deadline")) * time.Millisecond),
 		InTime:       rapid.IntRange(0, 3).Draw(t, "in time") > 0, Place: rapid.IntRange(0, 9).Draw(t, "place") == 0,
+		Returned: rapid.IntRange(0, 4).Draw(t, "returned") == 0,
 	}
 }
 
@@ -36,6 +37,11 @@
 	)
 }
 
+// compareInTenant compares two requests of a tenant that are alike in rank.
+func compareInTenant(a, b *grant.Waiting) int {
+	return cmp.Or(ordering.FalseFirst(!a.Returned, !b.Returned), a.Deadline.Compare(b.Deadline))
+}
+
 func ids(queue []*grant.Waiting) []uint64 {
 	var list []uint64
 	for _, request := range queue {
@@ -53,7 +59,7 @@
 		}
 		want := slices.Clone(queue)
 		slices.SortStableFunc(want, func(a, b *grant.Waiting) int {
-			return cmp.Or(compareUnshared(a, b), a.Deadline.Compare(b.Deadline))
+			return cmp.Or(compareUnshared(a, b), compareInTenant(a, b))
 		})
 		order.Arrange(queue, start)
 		if !slices.Equal(ids(queue), ids(want)) {
@@ -141,7 +147,7 @@
 func (r *referenceShares) arrange(queue []*grant.Waiting) []*grant.Waiting {
 	r.advance(queue)
 	left := slices.Clone(queue)
-	slices.SortStableFunc(left, func(a, b *grant.Waiting) int { return cmp.Or(compareUnshared(a, b), a.Deadline.Compare(b.Deadline)) })
+	slices.SortStableFunc(left, func(a, b *grant.Waiting) int { return cmp.Or(compareUnshared(a, b), compareInTenant(a, b)) })
 	next := make(map[[3]int]float64) // start tag of the tenant's next request
 	tag := make(map[*grant.Waiting]float64)
 	for _, request := range left {
