core/overload: those that waited are held for a late answer only if it comes soon

Cause: some 320 requests that had waited to be in time were held by half of what was left of their time; the next load step left 140 of them no slot. Change: an eighth of the time left in place of half.

--- a/internal/core/overload/review.go
+++ b/internal/core/overload/review.go
@@ -26,7 +26,7 @@
 	lateHorizon = 100 * time.Millisecond
 	// waitedRoomPart is the part of the time left, as a divisor, within which a request that was
 	// let wait to be in time must be expected to be served late. Arrivals may rise again.
-	waitedRoomPart = 2
+	waitedRoomPart = 8
 	// toldFor is how long after the time that it was told a request that comes back is
 	// recognized.
 	toldFor = time.Second
