--- a/internal/core/enginespeed/enginespeed_test.go
+++ b/internal/core/enginespeed/enginespeed_test.go
@@ -106,6 +106,35 @@
 	}
 }
 
+// TestFullEnginesAreNotCondemned lets one engine after the other become full, at which work takes
+// 2.4 times as long there. After some of them that is no reason to take an engine for slow.
+func TestFullEnginesAreNotCondemned(t *testing.T) {
+	const rounds, learn = 6, 2
+	tracker, ids := learned(5)
+	now := start
+	var late []grant.SpeedChange
+	for round := range rounds {
+		for full := range ids {
+			for turn := range 2 * agreeingOfOne {
+				now = now.Add(50 * time.Millisecond)
+				for i, id := range ids {
+					pace, at := grant.Pace{Events: 2, Elapsed: 100 * time.Millisecond}, grant.Observed{Node: []string{"n1", "n2"}[turn%2], Fullness: 0.6, At: now}
+					if i == full && turn >= agreeingOfOne {
+						pace.Elapsed, at.Fullness = 240*time.Millisecond, 1
+					}
+					tracker.ObservePace(id, pace, at)
+				}
+				if changes := tracker.Review(now); round >= learn {
+					late = append(late, changes...)
+				}
+			}
+		}
+	}
+	for _, change := range late {
+		t.Errorf("%+v", change)
+	}
+}
+
 // TestStalledRequestCondemnsNone replays single requests that stall, at half of the engines.
 func TestStalledRequestCondemnsNone(t *testing.T) {
 	r := newReplay(1, New())
