enginechoice: batch capacity counts all slots

Cause: slots of slow engines counted for less in the batch capacity, so items waited while slots were free and were late.

--- a/internal/core/enginechoice/room.go
+++ b/internal/core/enginechoice/room.go
@@ -40,20 +40,19 @@
 // whole pool, since an online request goes to whichever engine has a free slot. Reserving
 // slots at each engine separately left one slot in six unused and lowered the overall score
 // of a simulated day of service, from 0 to 1, by 0.03 (mean of 6 pairs of days with 72
-// engines). A slot of a slow engine counts for as much as it does in the time.
+// engines).
 func (s *Set) BatchCapacity(pool string, percent int, now time.Time) int {
-	slots, used := 0.0, 0.0
+	slots, used := 0, 0
 	for _, known := range s.pools[pool] {
 		if !known.usable() || now.Before(known.unhealthyUntil) {
 			continue
 		}
 		own := max(known.entry.Slots, 1)
-		slowness := max(known.speed.Slowness, 1)
-		slots += float64(own) / slowness
-		used += float64(min(known.inFlight(now), own)) / slowness
+		slots += own
+		used += min(known.inFlight(now), own)
 	}
 	reserved := max(int(s.peaks[pool].value+0.5)-s.online(pool), 0)
-	return max(int(slots)*percent/100-int(math.Ceil(used))-reserved, 0)
+	return max(slots*percent/100-used-reserved, 0)
 }
 
 // Usage returns the slots of the engines of a pool that take work, and the requests in
