core/quota: credit that left long ago does not come back with a later leave

Cause: withdrawn and leftShare had no age of their own. Each leave set leftAt, so credit that had left longer than returnTime ago was paid out to nodes that left and came back later. Change: a leave later than returnTime after the last one first drops the credit that left before. Conclusion: nodes that come back bring no more than what left within returnTime of the last leave.

--- a/internal/core/quota/kept.go
+++ b/internal/core/quota/kept.go
@@ -120,6 +120,7 @@
 func (p *RateCounter) moveCredit(former float64) {
 	kept := &p.keptUse
 	if kept.enabled && p.share < former {
+		p.forgetLeft()
 		for _, known := range p.tenants {
 			p.withdraw(known, former)
 		}
@@ -139,6 +140,19 @@
 	kept.leftShare = max(kept.leftShare-(p.share-former), 0)
 }
 
+// forgetLeft drops the credit of nodes that left longer than returnTime ago, which a later leave
+// would otherwise make returnable again.
+func (p *RateCounter) forgetLeft() {
+	kept := &p.keptUse
+	if p.advancedAt.Sub(kept.leftAt) <= returnTime {
+		return
+	}
+	kept.leftShare = 0
+	for _, known := range p.tenants {
+		known.withdrawn = 0
+	}
+}
+
 // withdraw gives up the credit of the nodes that have left since the former share.
 func (p *RateCounter) withdraw(known *counterBucket, former float64) {
 	if known.level > 0 {
--- a/internal/core/quota/kept_test.go
+++ b/internal/core/quota/kept_test.go
@@ -249,3 +249,37 @@
 		}
 	}
 }
+
+// TestCreditThatLeftLongAgoDoesNotReturn has half of the nodes leave for long, uses up what stays,
+// and then has other nodes leave and come back. They must bring only what they left with.
+func TestCreditThatLeftLongAgoDoesNotReturn(t *testing.T) {
+	limit := RateLimit{PerSecond: 0.01, Burst: 20}
+	now := epoch
+	counter := NewRateCounter(Margin{}, now)
+	counter.KeepUse()
+	counter.SetLimits(map[uint64]RateLimit{tenantA: limit})
+	counter.SetKnown([]KnownUse{NewKnownUse(Use{Rest: 1}, now)})
+	counter.Advance(now, 1)
+	counter.SetKnown(nil)
+	admit := func() (admitted int) {
+		for counter.Reserve(tenantA).Admitted {
+			counter.Begin(tenantA)
+			admitted++
+		}
+		return admitted
+	}
+	now = now.Add(time.Second)
+	counter.Advance(now, 0.5)
+	if got := admit(); got != 10 {
+		t.Fatalf("%d requests admitted for half of the nodes, want 10", got)
+	}
+	for range 10 {
+		now = now.Add(returnTime + time.Millisecond)
+		counter.Advance(now, 0.25)
+		now = now.Add(10 * time.Millisecond)
+		counter.Advance(now, 0.5)
+	}
+	if got := admit(); got != 0 {
+		t.Errorf("%d more requests admitted after nodes left and came back, want none", got)
+	}
+}
