passthrough/slots: a limit that another lane counts is not filled up anew

Cause: a node told the dispatchers of new limit lanes the time since its process started as the time in which it had admitted nothing, though the dispatchers of the former lanes had admitted requests. Change: when the first limit lane changes from an earlier one (a table with another busiest pool, another lane count), the unused time of all requesters starts anew. Conclusion: a change of the counting pool or of the lane count refills no burst.

--- a/internal/passthrough/slots/limituse_test.go
+++ b/internal/passthrough/slots/limituse_test.go
@@ -6,7 +6,9 @@
 	"testing"
 	"time"
 
+	"ringstream.example/ringstream/internal/core/enginechoice"
 	"ringstream.example/ringstream/internal/core/grant"
+	"ringstream.example/ringstream/internal/core/passroute"
 	"ringstream.example/ringstream/internal/core/tenant"
 )
 
@@ -55,3 +57,39 @@
 		}
 	})
 }
+
+// TestLimitIsNotRefilledWhenAnotherPoolCountsIt has a tenant use its burst, and then a configuration
+// that makes another pool the busiest one, whose dispatcher counts the tenant from then on.
+func TestLimitIsNotRefilledWhenAnotherPoolCountsIt(t *testing.T) {
+	runInBubble(t, func(t *testing.T, ctx context.Context) {
+		f := newFleet(ctx, 4, 50)
+		f.keepLimits()
+		limit := tenant.Limit{PerSecond: 0.1, Burst: 20}
+		f.setLimit("one", limit)
+		for _, node := range f.nodes {
+			node.setCandidates("n0", "n1", "n2", "n3")
+		}
+		time.Sleep(300 * time.Second) // the bucket fills
+		admit := func() (admitted int) {
+			for range 20 {
+				if decision, err := f.nodes["n3"].Acquire(ctx, tenantRequest("one", time.Second)); err == nil {
+					decision.Slot.End(enginechoice.Succeeded, false)
+					admitted++
+				}
+			}
+			return admitted
+		}
+		if got := admit(); got != 20 {
+			t.Fatalf("%d of 20 requests within the burst were admitted", got)
+		}
+		directory, _ := tenant.NewDirectory([]tenant.Definition{{Tenant: tenant.Tenant{Name: "one", Limit: limit}}})
+		table := passroute.NewTable(2, []passroute.Route{{Name: "r", Targets: []passroute.Target{{Pool: "q", Weight: 1}}}}, nil, passroute.Limits{}, passroute.Tenants{Directory: directory})
+		for _, node := range f.nodes {
+			node.SetRoutes(table)
+		}
+		time.Sleep(3 * time.Second)
+		if got := admit(); got > 1 {
+			t.Errorf("%d more requests were admitted by the dispatcher of the other pool", got)
+		}
+	})
+}
--- a/internal/passthrough/slots/slots.go
+++ b/internal/passthrough/slots/slots.go
@@ -113,8 +113,9 @@
 	unreadableLoads  map[enginechoice.Incarnation]bool // engines whose unreadable load was logged
 	localQuota       *quota.RateCounter                // this node's share of the limits, used while it reaches no dispatcher
 	useExchanges     map[grant.Lane]*grant.UseExchange
-	unusedSince      time.Time // since when this node has admitted no request of a limited tenant by itself
-	nextWake         time.Time // when the loop wakes next
+	unusedSince      time.Time  // since when this node has admitted no request of a limited tenant by itself
+	firstLimitLane   grant.Lane // the first of the lanes that count the tenants' requests; zero: none did yet
+	nextWake         time.Time  // when the loop wakes next
 }
 
 // New returns a service. Run does its periodic work.
@@ -286,6 +287,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.applyEngineChanges(changes, now)
+	s.noteLimitLanes(now)
 	if !due {
 		return
 	}
--- a/internal/passthrough/slots/tenants.go
+++ b/internal/passthrough/slots/tenants.go
@@ -106,6 +106,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.limits = limitsFromTable(table)
+	s.noteLimitLanes(now)
 	s.localQuota.SetLimits(s.limits.byTenant)
 	for lane, dispatcher := range s.dispatchers {
 		dispatcher.SetLimits(s.config.Limits.margin(), s.limitsForLane(lane), now)
@@ -154,6 +155,20 @@
 	}
 }
 
+// noteLimitLanes delays the time since which this node has admitted no request when other lanes than
+// before count the tenants' requests: the dispatchers of the former lanes have admitted some until
+// now. The caller holds mu.
+func (s *Service) noteLimitLanes(now time.Time) {
+	if len(s.limits.byTenant) == 0 || s.limits.pool == "" {
+		return
+	}
+	first := s.limitLane(0)
+	if s.firstLimitLane != (grant.Lane{}) && first != s.firstLimitLane {
+		s.delayUnusedSince(now)
+	}
+	s.firstLimitLane = first
+}
+
 // keepsLimits reports whether a lane's dispatcher counts requests of tenants. The caller holds
 // mu.
 func (s *Service) keepsLimits(lane grant.Lane) bool {
