core/grant: the time in which a node admitted nothing is credited by one dispatcher

Cause: a reply to a Tick's grant did not say that the node is counted, and a node that lost the reply that did told the next dispatcher its whole unused time again. Change: all replies say it. A node that leaves a dispatcher with messages unanswered tells the time since the last of them; the grant of a limited tenant's request ends the unused time. Measured: TestUnusedTimeIsToldToOneDispatcher, TestAllRepliesTellThatTheNodeIsCounted and TestGrantOfALimitedTenantEndsTheUnusedTime fail without the change (1 h told to both dispatchers). Conclusion: a lost reply costs credit and adds none.

--- a/internal/core/grant/dispatcher.go
+++ b/internal/core/grant/dispatcher.go
@@ -78,6 +78,7 @@
 	queued         map[uint64]*queuedAsk
 	refused        map[uint64]*sentRefusal
 	refilled       bool // the time since its process started has been credited to the limits
+	counted        bool // Reply.Counted
 }
 
 // Dispatcher grants the slots of one lane.
@@ -308,7 +309,7 @@
 	d.grantChanged(now)
 	reply := d.reply(from)
 	reply.Life, reply.Sequence = state.Life, state.Sequence
-	reply.Counted = d.keepsLimits() && state.Attached && d.liveNodes > 0
+	known.counted = d.keepsLimits() && state.Attached && d.liveNodes > 0
 	if len(state.Held)+len(state.Waiting) == 0 && len(known.inFlight) == 0 && !state.Attached {
 		delete(d.nodes, from)
 	}
@@ -480,6 +481,7 @@
 	for address, reply := range d.replies {
 		if known := d.nodes[address]; known != nil {
 			reply.Life, reply.Sequence = known.life, known.sequence
+			reply.Counted = known.counted
 		}
 		reply.Queued = len(d.online)
 		replies[address] = *reply
--- a/internal/core/grant/limituse.go
+++ b/internal/core/grant/limituse.go
@@ -105,6 +105,17 @@
 		now.Sub(d.countingSince) < maxJoinTime && verdict.Left >= verdict.Share
 }
 
+// SetUnusedSince sets the time since which this node has admitted no request of a tenant with a
+// limit. It is told to the dispatcher until one replies that it counts the node.
+func (r *Requester) SetUnusedSince(at time.Time) { r.unusedSince = at }
+
+// DelayUnusedSince records that this node may have admitted a request by itself.
+func (r *Requester) DelayUnusedSince(now time.Time) {
+	if !r.unusedSince.IsZero() {
+		r.unusedSince = now
+	}
+}
+
 // UseExchange is a node's exchange of the use of the limits with the other candidates of a
 // lane. It outlives the node's dispatcher of the lane.
 type UseExchange struct {
--- a/internal/core/grant/limituse_test.go
+++ b/internal/core/grant/limituse_test.go
@@ -88,3 +88,57 @@
 		t.Errorf("got %+v, %v after a large use", use, due)
 	}
 }
+
+// TestUnusedTimeIsToldToOneDispatcher loses the replies of the first dispatcher, which may have
+// counted the node. The next one must not be told the time until then again.
+func TestUnusedTimeIsToldToOneDispatcher(t *testing.T) {
+	requester := NewRequester(DefaultRequesterConfig(), 1, "z")
+	requester.SetUnusedSince(start.Add(-time.Hour))
+	requester.SetAttached(true, start)
+	requester.SetRanking([]string{"n1", "n2"}, start)
+	told := make(map[string]time.Duration)
+	for now := start; now.Before(start.Add(2 * time.Second)); now = now.Add(time.Millisecond) {
+		actions, _ := requester.Poll(now, nil)
+		for _, send := range actions.Sends {
+			if told[send.To] == 0 {
+				told[send.To] = send.State.UnusedFor
+			}
+		}
+	}
+	if told["n1"] < time.Hour || told["n2"] == 0 || told["n2"] > 2*time.Second {
+		t.Errorf("told the dispatchers of %v", told)
+	}
+}
+
+// TestAllRepliesTellThatTheNodeIsCounted grants in a Tick. Its reply may be the only one to arrive.
+func TestAllRepliesTellThatTheNodeIsCounted(t *testing.T) {
+	d := NewDispatcher(DefaultDispatcherConfig(), lane, "n0", start)
+	d.KeepLimits(NewUseExchange(1, start))
+	d.SetLive(1)
+	d.SetLimits(quota.Margin{Requests: 80}, map[uint64]quota.RateLimit{tenantA: {PerSecond: 4, Burst: 20}}, start)
+	state := State{Life: 1, Sequence: 1, Attached: true, UnusedFor: time.Hour, Waiting: []Ask{{ID: 1, Tenant: tenantA, OwnTokens: 1}}}
+	d.ApplyState("n1", state, start)
+	if reply := d.Replies()["n1"]; len(reply.Grants) != 0 || !reply.Counted {
+		t.Fatalf("got %+v", reply)
+	}
+	d.SetEngines(entries(1), start)
+	d.Tick(start.Add(10 * time.Millisecond))
+	if reply := d.Replies()["n1"]; len(reply.Grants) != 1 || !reply.Counted {
+		t.Errorf("got %+v, want a grant and that the node is counted", reply)
+	}
+}
+
+// TestGrantOfALimitedTenantEndsTheUnusedTime receives a grant whose reply does not say that the node
+// is counted.
+func TestGrantOfALimitedTenantEndsTheUnusedTime(t *testing.T) {
+	requester := NewRequester(DefaultRequesterConfig(), 1, "z")
+	requester.SetUnusedSince(start.Add(-time.Hour))
+	requester.SetAttached(true, start)
+	requester.SetRanking([]string{"n1"}, start)
+	requester.Wait(Ask{ID: 1, Tenant: tenantA}, Deadlines{Objective: start.Add(time.Second)}, start)
+	requester.Poll(start, nil)
+	requester.ApplyReply("n1", Reply{Life: 1, Sequence: 1, Grants: []Grant{{ID: 1}}}, start)
+	if got := requester.nextState(start.Add(time.Second), nil).UnusedFor; got > time.Second {
+		t.Errorf("told an unused time of %v after a grant", got)
+	}
+}
--- a/internal/core/grant/requester.go
+++ b/internal/core/grant/requester.go
@@ -172,6 +172,9 @@
 	if address == r.current {
 		return
 	}
+	if told := len(r.unanswered); told > 0 {
+		r.DelayUnusedSince(r.unanswered[told-1].at) // the former dispatcher may count the time until then
+	}
 	r.previous, r.current = r.current, address
 	r.unanswered, r.resent = nil, false
 	for _, pending := range r.asks {
@@ -194,17 +197,6 @@
 	r.attached = attached
 }
 
-// SetUnusedSince sets the time since which this node has admitted no request of a tenant with a
-// limit. It is told to the dispatcher until one replies that it counts the node.
-func (r *Requester) SetUnusedSince(at time.Time) { r.unusedSince = at }
-
-// DelayUnusedSince records that this node may have admitted a request by itself.
-func (r *Requester) DelayUnusedSince(now time.Time) {
-	if !r.unusedSince.IsZero() {
-		r.unusedSince = now
-	}
-}
-
 // OtherCandidates returns the addresses of the candidates for the lane's dispatcher, without
 // the given one.
 func (r *Requester) OtherCandidates(self string) []string {
@@ -344,6 +336,9 @@
 		r.unusedSince = time.Time{}
 	}
 	for _, granted := range reply.Grants {
+		if asked := r.asks[granted.ID]; asked != nil && asked.ask.Tenant != 0 {
+			r.DelayUnusedSince(now)
+		}
 		switch {
 		case reply.Sequence <= r.suspendedSequence:
 			r.Decline(granted, now)
