passthrough/relay: refusals have time to arrive, also after a suspension

Cause: refuseOverLimit, refuseOverloaded and refuseBlocked kept the call's write deadline, and a suspension set the deadline back to the call's during a final answer. Serve did not renew it after its own correction. Change: all refusals call allowFinalAnswer, and the limit of the writes is set in one place that knows the end of finalAnswerTime. Conclusion: a client reads the refusal in place of a closed connection.

--- a/internal/passthrough/relay/deliver.go
+++ b/internal/passthrough/relay/deliver.go
@@ -18,9 +18,20 @@
 // allowFinalAnswer gives the writes of a refusal or of a complete answer finalAnswerTime, or the rest of the call's
 // time if that is longer.
 func (e *exchange) allowFinalAnswer() {
-	limit := time.Now().Add(finalAnswerTime)
-	if deadline := e.clock.currentDeadline(); deadline.After(limit) {
-		limit = deadline
+	e.writeLimits.Lock()
+	e.finalAnswerUntil = time.Now().Add(finalAnswerTime)
+	e.writeLimits.Unlock()
+	e.limitWritesToCall()
+}
+
+// limitWritesToCall sets the limit of the writes to the call's deadline, or to the end of finalAnswerTime if that
+// is later.
+func (e *exchange) limitWritesToCall() {
+	e.writeLimits.Lock()
+	defer e.writeLimits.Unlock()
+	limit := e.clock.currentDeadline()
+	if e.finalAnswerUntil.After(limit) {
+		limit = e.finalAnswerUntil
 	}
 	e.limitWrites(limit)
 }
--- a/internal/passthrough/relay/outcome.go
+++ b/internal/passthrough/relay/outcome.go
@@ -120,6 +120,7 @@
 	if e.headSent || e.mayHaveRun {
 		return e.giveUp(attemptsUsed)
 	}
+	e.allowFinalAnswer()
 	verdict := cause.Verdict
 	events.OverLimit.Log(e.logger, zap.String("request", e.call.Demand.RequestID), zap.String("tenant", e.call.TenantName()),
 		zap.Float64("per_second", verdict.Limit.PerSecond), zap.Float64("burst", verdict.Limit.Burst), zap.Float64("left", verdict.Left),
@@ -137,6 +138,7 @@
 	if e.headSent || e.mayHaveRun {
 		return e.giveUp(attemptsUsed)
 	}
+	e.allowFinalAnswer()
 	refusal := cause.Refusal
 	events.RequestRefused.Log(e.logger, zap.String("request", e.call.Demand.RequestID), zap.String("reason", string(overloaded)), zap.Duration("retry_after", refusal.RetryAfter),
 		zap.Int("queued", refusal.Queued), zap.Float64("per_second", refusal.PerSecond), zap.Duration("expected", refusal.Expected), zap.String("dispatcher", cause.Dispatcher))
@@ -153,6 +155,7 @@
 	if e.headSent {
 		return Cut
 	}
+	e.allowFinalAnswer()
 	retryAfter := time.Until(verdict.Until)
 	events.ContentRefused.Log(e.logger, zap.String("request", e.call.Demand.RequestID), zap.Stringer("content", e.content), zap.String("route", e.call.Route.Name),
 		zap.String("tenant", e.call.TenantName()), zap.Int("crashes", verdict.Crashes), zap.Float64("evidence", verdict.Evidence), zap.Bool("by_operator", verdict.Ordered), zap.Duration("retry_after", retryAfter))
--- a/internal/passthrough/relay/outcome_test.go
+++ b/internal/passthrough/relay/outcome_test.go
@@ -5,12 +5,16 @@
 	"net/http/httptest"
 	"strings"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"go.uber.org/zap"
 
 	"ringstream.example/ringstream/internal/core/grant"
+	"ringstream.example/ringstream/internal/core/passroute"
+	"ringstream.example/ringstream/internal/core/quarantine"
 	"ringstream.example/ringstream/internal/passthrough"
+	"ringstream.example/ringstream/internal/passthrough/guard"
 	"ringstream.example/ringstream/internal/passthrough/slots"
 )
 
@@ -71,3 +75,45 @@
 		}
 	}
 }
+
+// deadlineRecorder records until when it may be written to.
+type deadlineRecorder struct {
+	*httptest.ResponseRecorder
+	until time.Time
+}
+
+// SetWriteDeadline is called by http.ResponseController.
+func (r *deadlineRecorder) SetWriteDeadline(at time.Time) error {
+	r.until = at
+	return nil
+}
+
+// TestRefusalsArriveAtTheEndOfTheClientsTime refuses requests whose time is nearly over, and suspends
+// the machine for a second then. Each refusal must have finalAnswerTime to be written.
+func TestRefusalsArriveAtTheEndOfTheClientsTime(t *testing.T) {
+	for name, refuse := range map[string]func(*exchange){
+		"over limit": func(e *exchange) { e.refuseOverLimit(&slots.OverLimitError{}) },
+		"overloaded": func(e *exchange) { e.refuseOverloaded(&slots.OverloadedError{}) },
+		"blocked":    func(e *exchange) { e.refuseBlocked(quarantine.Verdict{}) },
+		"no engine":  func(e *exchange) { e.giveUp(noEngine) },
+	} {
+		synctest.Test(t, func(t *testing.T) {
+			to := &deadlineRecorder{ResponseRecorder: httptest.NewRecorder()}
+			state := newExchange(to, slots.New(slots.Config{}, slots.Dependencies{}))
+			state.call.Route = &passroute.Route{Name: "r"}
+			state.guard = &guard.Service{Dependencies: guard.Dependencies{Metrics: guard.NewMetrics(nil)}}
+			state.clock.deadline = time.Now().Add(time.Millisecond)
+			state.limitWritesToCall()
+			refuse(state)
+			if left := time.Until(to.until); left != finalAnswerTime {
+				t.Errorf("%s: the refusal may be written for %v", name, left)
+			}
+			state.clock.applySuspension(time.Second)
+			defer state.clock.stop()
+			state.limitWritesToCall()
+			if left := time.Until(to.until); left != finalAnswerTime {
+				t.Errorf("%s: after a suspension the refusal may be written for %v", name, left)
+			}
+		})
+	}
+}
--- a/internal/passthrough/relay/relay.go
+++ b/internal/passthrough/relay/relay.go
@@ -8,6 +8,7 @@
 	"context"
 	"errors"
 	"net/http"
+	"sync"
 	"time"
 
 	"go.uber.org/zap"
@@ -118,6 +119,9 @@
 	status       int               // sent to the client
 	pace         attemptPace
 	headTimer    *silenceTimer // ends an attempt whose engine sends no response head
+
+	writeLimits      sync.Mutex // guards finalAnswerUntil and the order of limits
+	finalAnswerUntil time.Time  // end of finalAnswerTime; zero before a final answer
 }
 
 // Serve answers a call. For a stream that cannot be finished it panics with http.ErrAbortHandler,
@@ -131,10 +135,10 @@
 	defer cancel()
 	state.clock = callClock{cancel: cancel, deadline: deadlineOf(call), suspended: call.Suspended}
 	defer state.clock.stop()
-	state.limitWrites(state.clock.currentDeadline())
 	r.active.add(state)
 	defer r.active.remove(state)
 	state.clock.applySuspension(r.watch.Total()) // suspensions while the call was read
+	state.limitWritesToCall()
 	outcome := state.run(ctx, deadlineCtx)
 	r.metrics.record(call.Route.Name, outcome, time.Since(call.Received), state.firstEvent)
 	r.metrics.recordTenant(state, outcome, time.Now())
--- a/internal/passthrough/relay/running.go
+++ b/internal/passthrough/relay/running.go
@@ -44,7 +44,7 @@
 	total := r.watch.Total()
 	r.active.each(func(call *exchange) {
 		if call.clock.applySuspension(total) {
-			call.limitWrites(call.clock.currentDeadline())
+			call.limitWritesToCall()
 		}
 	})
 }
