passthrough/memorybudget: slow clients do not stop the requests of others; relay: close ends a read at once

Cause: with more held than the limit, no bytes did not fit either: empty bodies got 503, and an answer's end gave its client up. Read-ahead could take the whole budget. A body longer than the limit could never be served. close could set the read deadline before run overwrote it. The deadline of a read-ahead is set with the lock held, and not after close.

--- a/internal/passthrough/ingress/answer.go
+++ b/internal/passthrough/ingress/answer.go
@@ -109,24 +109,46 @@
 // errMemoryFull means that the node holds as many bytes for its clients as it may.
 var errMemoryFull = errors.New("the node holds too much for its clients")
 
-// countedBody counts the bytes of a request's body in the budget as they arrive.
+// countedBody counts a request's body in the budget: its stated length before the first read, and what
+// exceeds that as it arrives.
 type countedBody struct {
 	body io.Reader
 	to   *answerWriter
+	read int64
 }
 
 // Read implements io.Reader.
 func (b *countedBody) Read(into []byte) (int, error) {
 	count, err := b.body.Read(into)
-	if !b.to.budget.TryAdd(int64(count)) {
+	b.read += int64(count)
+	if !b.to.holdBody(b.read) {
 		return 0, errMemoryFull
 	}
-	b.to.bodyBytes += int64(count)
 	return count, err
 }
 
+// readCounted reads the request's body, whose length is negative if the client has not stated it.
+func (w *answerWriter) readCounted(body io.Reader, length int64) ([]byte, error) {
+	if !w.holdBody(length) {
+		return nil, errMemoryFull
+	}
+	return io.ReadAll(&countedBody{body: body, to: w})
+}
+
+// holdBody counts a number of bytes of the request's body in the budget. It reports whether they fit.
+func (w *answerWriter) holdBody(bytes int64) bool {
+	if bytes <= w.bodyBytes {
+		return true
+	}
+	if !w.budget.TryGrowBody(w.bodyBytes, bytes) {
+		return false
+	}
+	w.bodyBytes = bytes
+	return true
+}
+
 // releaseBody ends the count of the request's body.
 func (w *answerWriter) releaseBody() {
-	w.budget.Release(w.bodyBytes)
+	w.budget.ReleaseBody(w.bodyBytes)
 	w.bodyBytes = 0
 }
--- a/internal/passthrough/ingress/ingress.go
+++ b/internal/passthrough/ingress/ingress.go
@@ -211,7 +211,7 @@
 	var body []byte
 	var err error
 	to.withBodyDeadline(func() bool {
-		body, err = io.ReadAll(&countedBody{body: http.MaxBytesReader(to.ResponseWriter, request.Body, limit), to: to})
+		body, err = to.readCounted(http.MaxBytesReader(to.ResponseWriter, request.Body, limit), min(request.ContentLength, limit))
 		return err == nil
 	})
 	var tooLong *http.MaxBytesError
--- a/internal/passthrough/relay/readahead.go
+++ b/internal/passthrough/relay/readahead.go
@@ -60,7 +60,7 @@
 	if len(r.ahead) > 0 {
 		count := copy(into, r.ahead)
 		r.ahead = r.ahead[count:]
-		r.budget.Release(int64(count))
+		r.budget.ReleaseAhead(int64(count))
 		r.mu.Unlock()
 		return count, nil
 	}
@@ -103,11 +103,7 @@
 // read no further.
 func (r *readAhead) run() {
 	chunk := make([]byte, readChunkBytes)
-	for {
-		r.mu.Lock()
-		silence := r.silence
-		r.mu.Unlock()
-		r.source.SetReadDeadline(r.deadline(silence))
+	for r.prepareRead() {
 		count, err := r.source.Read(chunk)
 		if !r.keep(chunk[:count], err) {
 			return
@@ -115,12 +111,26 @@
 	}
 }
 
+// prepareRead sets the deadline of the next read, unless the reader is closed, whose own deadline must
+// stay. It reports whether to read.
+func (r *readAhead) prepareRead() bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.closed {
+		r.running = false
+		r.changed.Broadcast()
+		return false
+	}
+	r.source.SetReadDeadline(r.deadline(r.silence))
+	return true
+}
+
 // keep adds what was read and reports whether to read on.
 func (r *readAhead) keep(content []byte, err error) bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	defer r.changed.Broadcast()
-	fits := len(r.ahead)+len(content) <= maxAheadBytes && r.budget.TryAdd(int64(len(content)))
+	fits := len(r.ahead)+len(content) <= maxAheadBytes && r.budget.TryAddAhead(int64(len(content)))
 	if fits {
 		r.ahead = append(r.ahead, content...)
 		r.err = err
@@ -142,6 +152,6 @@
 		r.source.SetReadDeadline(time.Now())
 		r.changed.Wait()
 	}
-	r.budget.Release(int64(len(r.ahead)))
+	r.budget.ReleaseAhead(int64(len(r.ahead)))
 	r.ahead = nil
 }
