core/grant, passthrough/slots: a refusal for overload costs its tenant no token in another lane

Cause: the admission by the dispatcher that counts a tenant could not be returned when the dispatcher that grants the slots refused the request for overload. Change: the node keeps the admission's grant and returns it with a result of its own. A grant that is declined because it came twice, or that times out, may have been used and is not counted back. TestOnlyAReturnedAdmissionIsCountedBack passes, and fails if each unused admission is counted back. Conclusion: a request that is refused for overload when it arrives leaves its tenant's limit as it was.

--- a/internal/core/grant/dispatcher.go
+++ b/internal/core/grant/dispatcher.go
@@ -52,6 +52,7 @@
 	lastSentAt time.Time // when its grant, or its stop, was last sent
 	confirmed  bool      // the node has reported it in flight
 	tenant     uint64    // tenant whose limit has counted it; 0 if none
+	admitOnly  bool      // Ask.AdmitOnly
 	preempted  bool      // its node is sent a stop; it is no longer counted at the engine
 	nodeLost   bool      // its node is no longer heard; when it ended is not known
 	suspect    Suspect
@@ -391,7 +392,7 @@
 	if end.Refused {
 		d.engines.ConnectionRefused(request.engine, now)
 	}
-	if end.Unused && d.limits != nil {
+	if end.Unused && d.limits != nil && (!request.admitOnly || end.Result == returnedAdmission) {
 		d.limits.Undo(request.tenant)
 	}
 	delete(known.inFlight, request.id)
--- a/internal/core/grant/grant.go
+++ b/internal/core/grant/grant.go
@@ -258,3 +258,8 @@
 // declinedResult is the result of an unused grant. It does not affect the engine's
 // health.
 const declinedResult = enginechoice.Abandoned
+
+// returnedAdmission is the result of an admission (Ask.AdmitOnly) that was not used. It differs from
+// declinedResult, with which a node also declines a grant that it receives a second time and may
+// have used.
+const returnedAdmission = enginechoice.Shed
--- a/internal/core/grant/limituse.go
+++ b/internal/core/grant/limituse.go
@@ -116,6 +116,13 @@
 	}
 }
 
+// ReturnAdmission returns an admission whose request was not started. The dispatcher counts it back
+// while it still knows the grant, for DispatcherConfig.GrantTimeout.
+func (r *Requester) ReturnAdmission(granted Grant, now time.Time) {
+	r.ended = append(r.ended, endedReport{ended: Ended{ID: granted.ID, Engine: granted.Engine, Result: returnedAdmission, Unused: true}, at: now})
+	r.scheduleSend(now)
+}
+
 // UseExchange is a node's exchange of the use of the limits with the other candidates of a
 // lane. It outlives the node's dispatcher of the lane.
 type UseExchange struct {
--- a/internal/core/grant/limituse_test.go
+++ b/internal/core/grant/limituse_test.go
@@ -1,6 +1,7 @@
 package grant
 
 import (
+	"math"
 	"testing"
 	"time"
 
@@ -142,3 +143,48 @@
 		t.Errorf("told an unused time of %v after a grant", got)
 	}
 }
+
+// TestOnlyAReturnedAdmissionIsCountedBack uses up a limit by admissions, of which one ends in
+// different ways. Only one that its node returns may be admitted again.
+func TestOnlyAReturnedAdmissionIsCountedBack(t *testing.T) {
+	const burst = 2
+	for _, test := range []struct {
+		name  string
+		end   func(requester *Requester, granted Grant)
+		after time.Duration
+		want  float64
+	}{
+		{"kept", func(*Requester, Grant) {}, 0, 0},
+		{"timed out", func(*Requester, Grant) {}, DefaultDispatcherConfig().GrantTimeout + time.Millisecond, 0},
+		{"received again", func(r *Requester, granted Grant) { r.Decline(granted, start) }, 0, 0},
+		{"returned", func(r *Requester, granted Grant) { r.ReturnAdmission(granted, start) }, 0, 1},
+		{"returned twice", func(r *Requester, granted Grant) {
+			r.ReturnAdmission(granted, start)
+			r.ReturnAdmission(granted, start)
+		}, 0, 1},
+		{"returned late", func(r *Requester, granted Grant) { r.ReturnAdmission(granted, start) }, DefaultDispatcherConfig().GrantTimeout + time.Millisecond, 0},
+	} {
+		d := NewDispatcher(DefaultDispatcherConfig(), lane, "n0", start)
+		d.KeepLimits(NewUseExchange(1, start))
+		d.SetLive(1)
+		d.SetLimits(quota.Margin{}, map[uint64]quota.RateLimit{tenantA: {PerSecond: 0.01, Burst: burst}}, start)
+		requester := NewRequester(DefaultRequesterConfig(), 1, "z")
+		requester.SetUnusedSince(start.Add(-time.Hour))
+		requester.SetAttached(true, start)
+		requester.SetRanking([]string{"n0"}, start)
+		var granted Grant
+		for id := range uint64(burst) {
+			requester.Wait(Ask{ID: id + 1, Tenant: tenantA, AdmitOnly: true}, Deadlines{Objective: start.Add(time.Second)}, start)
+			d.ApplyState("n1", requester.nextState(start, nil), start)
+			if grants := requester.ApplyReply("n0", d.Replies()["n1"], start).Grants; len(grants) > 0 {
+				granted = grants[0]
+			}
+		}
+		d.Tick(start.Add(test.after))
+		test.end(requester, granted)
+		d.ApplyState("n1", requester.nextState(start, nil), start.Add(test.after))
+		if got := math.Floor(d.limits.Reserve(tenantA).Left); granted.ID != burst || got != test.want {
+			t.Errorf("%s: %v requests are left after grant %d, want %v", test.name, got, granted.ID, test.want)
+		}
+	}
+}
--- a/internal/core/grant/queue.go
+++ b/internal/core/grant/queue.go
@@ -315,7 +315,7 @@
 			ID: entry.ask.ID, Engine: EngineHash(choice.Entry.Incarnation()), PrefillTokens: choice.PrefillTokens,
 			InFlight: choice.InFlight, Score: choice.Score, Preempts: choice.Preempts, Waited: now.Sub(entry.Since), Slowness: choice.Slowness,
 		},
-		suspect: entry.ask.Suspect,
+		suspect: entry.ask.Suspect, admitOnly: entry.ask.AdmitOnly,
 	}
 	d.trackSuspect(granted)
 	if !entry.ask.Batch && !entry.ask.AdmitOnly {
@@ -328,7 +328,7 @@
 	if entry.reserved && d.limits != nil {
 		d.limits.Begin(entry.ask.Tenant)
 	}
-	if entry.reserved && !entry.ask.AdmitOnly {
+	if entry.reserved {
 		granted.tenant = entry.ask.Tenant
 	}
 	known.inFlight[granted.id] = granted
--- a/internal/passthrough/slots/acquire.go
+++ b/internal/passthrough/slots/acquire.go
@@ -1,6 +1,7 @@
 package slots
 
 import (
+	"cmp"
 	"context"
 	"fmt"
 	"time"
@@ -99,6 +100,7 @@
 func (s *Service) Acquire(ctx context.Context, request Request) (Decision, error) {
 	started := time.Now()
 	query := request.Query
+	var admission *receivedGrant // by the dispatcher that counts the tenant, if that grants no slot
 	for {
 		suspensions := s.watch.Count()
 		if !s.hasUsableEngine(query) {
@@ -106,13 +108,15 @@
 		}
 		ask := s.newRequestAsk(request, query)
 		lane := s.laneForAsk(query.Pool, ask)
-		if counted, err := s.countAgainstLimit(ctx, request, ask, lane); err != nil {
+		if counted, granted, err := s.countAgainstLimit(ctx, request, ask, lane); err != nil {
 			return Decision{}, err
 		} else if counted {
 			request.Tenant, ask.Tenant = "", 0
+			admission = cmp.Or(granted, admission)
 		}
 		result, err := s.waitForKnownMembers(ctx, request, lane, ask)
 		if err != nil {
+			s.returnAdmission(admission, err)
 			return Decision{}, err
 		}
 		if result.granted != nil && s.watch.Count() != suspensions { // the dispatcher may have revoked the grant
@@ -140,21 +144,21 @@
 
 // countAgainstLimit counts a request against its tenant's limit, if the dispatcher that counts
 // the tenant is not the one that grants the slot. It returns false if the request is still to be
-// counted, together with the ask for the slot.
-func (s *Service) countAgainstLimit(ctx context.Context, request Request, ask grant.Ask, lane grant.Lane) (bool, error) {
+// counted, together with the ask for the slot. The admission is nil if no dispatcher has granted it.
+func (s *Service) countAgainstLimit(ctx context.Context, request Request, ask grant.Ask, lane grant.Lane) (counted bool, admission *receivedGrant, err error) {
 	if request.Tenant == "" {
-		return true, nil
+		return true, nil, nil
 	}
 	s.mu.Lock()
 	_, limited := s.limits.byTenant[ask.Tenant]
 	home := s.limitLane(ask.Tenant)
 	s.mu.Unlock()
 	if !limited || home == lane {
-		return !limited, nil
+		return !limited, nil, nil
 	}
 	ask.ID, ask.AdmitOnly = s.NewID(), true
-	_, err := s.waitForKnownMembers(ctx, request, home, ask)
-	return err == nil, err
+	result, err := s.waitForKnownMembers(ctx, request, home, ask)
+	return err == nil, result.granted, err
 }
 
 // newRequestAsk returns the ask of an online request.
--- a/internal/passthrough/slots/limituse.go
+++ b/internal/passthrough/slots/limituse.go
@@ -1,6 +1,7 @@
 package slots
 
 import (
+	"errors"
 	"time"
 
 	"ringstream.example/ringstream/internal/core/grant"
@@ -78,3 +79,18 @@
 		requester.DelayUnusedSince(now)
 	}
 }
+
+// returnAdmission returns the admission of a request that was refused for overload. It started
+// nowhere, so its tenant keeps the token.
+func (s *Service) returnAdmission(admission *receivedGrant, cause error) {
+	overloaded := (*OverloadedError)(nil)
+	if admission == nil || !errors.As(cause, &overloaded) {
+		return
+	}
+	s.mu.Lock()
+	if requester := s.requesters[admission.lane]; requester != nil {
+		requester.ReturnAdmission(admission.grant, time.Now())
+	}
+	s.mu.Unlock()
+	s.runDueWork()
+}
--- a/internal/passthrough/slots/limituse_test.go
+++ b/internal/passthrough/slots/limituse_test.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"errors"
+	"maps"
+	"slices"
 	"testing"
 	"time"
 
@@ -93,3 +95,51 @@
 		}
 	})
 }
+
+// TestOverloadRefusalCostsNoToken refuses requests for overload, and others not, while another pool's
+// dispatcher counts their tenant. The tenant's burst is two requests.
+func TestOverloadRefusalCostsNoToken(t *testing.T) {
+	for _, test := range []struct {
+		name     string
+		answer   verdict
+		admitted int
+	}{
+		{"overloaded", verdict{overloaded: &OverloadedError{}}, 6},
+		{"served alone", verdict{noDispatcher: true}, 2},
+	} {
+		runInBubble(t, func(t *testing.T, ctx context.Context) {
+			f := newFleet(ctx, 2, 1)
+			directory, _ := tenant.NewDirectory([]tenant.Definition{{Tenant: tenant.Tenant{Name: "one", Limit: tenant.Limit{PerSecond: 0.01, Burst: 2}}}})
+			table := passroute.NewTable(1, []passroute.Route{{Name: "r", Targets: []passroute.Target{{Pool: "q", Weight: 1}}}}, nil, passroute.Limits{}, passroute.Tenants{Directory: directory})
+			for _, node := range f.nodes {
+				node.SetRoutes(table)
+			}
+			time.Sleep(300 * time.Second) // the bucket fills
+			node := f.nodes["n1"]
+			<-node.acquire(ctx)
+			<-node.acquire(ctx) // the engine is full, so that the requests wait
+			admitted := 0
+			for range 6 {
+				ended := make(chan error, 1)
+				go func() {
+					_, err := node.Acquire(ctx, tenantRequest("one", time.Second))
+					ended <- err
+				}()
+				time.Sleep(50 * time.Millisecond)
+				node.mu.Lock()
+				waiting := slices.Collect(maps.Keys(node.waiters))
+				node.mu.Unlock()
+				for _, id := range waiting {
+					node.deliverVerdict(id, test.answer)
+				}
+				if overLimit := (*OverLimitError)(nil); !errors.As(<-ended, &overLimit) {
+					admitted++
+				}
+				time.Sleep(50 * time.Millisecond)
+			}
+			if admitted != test.admitted {
+				t.Errorf("%s: %d of 6 requests were admitted, want %d", test.name, admitted, test.admitted)
+			}
+		})
+	}
+}
