--- a/internal/passthrough/slots/limituse_test.go
+++ b/internal/passthrough/slots/limituse_test.go
@@ -143,3 +143,27 @@
 		})
 	}
 }
+
+// TestFirstEnginesDelayNoUnusedTime learns the limits before the engines, whose number decides how
+// many lanes there are. Only a later change of the lanes delays the unused time.
+func TestFirstEnginesDelayNoUnusedTime(t *testing.T) {
+	runInBubble(t, func(t *testing.T, _ context.Context) {
+		service := New(Config{Limits: DefaultLimitsConfig()}, Dependencies{})
+		started := service.unusedSince
+		directory, _ := tenant.NewDirectory([]tenant.Definition{{Tenant: tenant.Tenant{Name: "one", Limit: tenant.Limit{PerSecond: 10, Burst: 10}}}})
+		table := passroute.NewTable(1, []passroute.Route{{Name: "r", Targets: []passroute.Target{{Pool: "p", Weight: 1}}}}, nil, passroute.Limits{}, passroute.Tenants{Directory: directory})
+		for _, test := range []struct {
+			slots   int
+			delayed bool
+		}{{0, false}, {100_000, false}, {200_000, true}} {
+			time.Sleep(time.Second)
+			if test.slots > 0 {
+				service.engines.slotsByPool["p"] = test.slots
+			}
+			service.SetRoutes(table)
+			if delayed := service.unusedSince != started; delayed != test.delayed {
+				t.Errorf("%d slots: the unused time begins at %v, that of the start is %v", test.slots, service.unusedSince, started)
+			}
+		}
+	})
+}
--- a/internal/passthrough/slots/tenants.go
+++ b/internal/passthrough/slots/tenants.go
@@ -157,9 +157,9 @@
 
 // noteLimitLanes delays the time since which this node has admitted no request when other lanes than
 // before count the tenants' requests: the dispatchers of the former lanes have admitted some until
-// now. The caller holds mu.
+// now. A node that knows no engine has asked none of them. The caller holds mu.
 func (s *Service) noteLimitLanes(now time.Time) {
-	if len(s.limits.byTenant) == 0 || s.limits.pool == "" {
+	if len(s.limits.byTenant) == 0 || s.limits.pool == "" || len(s.engines.slotsByPool) == 0 {
 		return
 	}
 	first := s.limitLane(0)
