--- a/internal/passthrough/slots/limituse_test.go
+++ b/internal/passthrough/slots/limituse_test.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"errors"
+	"maps"
+	"slices"
 	"testing"
 	"time"
 
@@ -93,3 +95,75 @@
 		}
 	})
 }
+
+// TestOverloadRefusalCostsNoToken refuses requests for overload, and others not, while another pool's
+// dispatcher counts their tenant. The tenant's burst is two requests.
+func TestOverloadRefusalCostsNoToken(t *testing.T) {
+	for _, test := range []struct {
+		name     string
+		answer   verdict
+		admitted int
+	}{
+		{"overloaded", verdict{overloaded: &OverloadedError{}}, 6},
+		{"served alone", verdict{noDispatcher: true}, 2},
+	} {
+		runInBubble(t, func(t *testing.T, ctx context.Context) {
+			f := newFleet(ctx, 2, 1)
+			directory, _ := tenant.NewDirectory([]tenant.Definition{{Tenant: tenant.Tenant{Name: "one", Limit: tenant.Limit{PerSecond: 0.01, Burst: 2}}}})
+			table := passroute.NewTable(1, []passroute.Route{{Name: "r", Targets: []passroute.Target{{Pool: "q", Weight: 1}}}}, nil, passroute.Limits{}, passroute.Tenants{Directory: directory})
+			for _, node := range f.nodes {
+				node.SetRoutes(table)
+			}
+			time.Sleep(300 * time.Second) // the bucket fills
+			node := f.nodes["n1"]
+			<-node.acquire(ctx)
+			<-node.acquire(ctx) // the engine is full, so that the requests wait
+			admitted := 0
+			for range 6 {
+				ended := make(chan error, 1)
+				go func() {
+					_, err := node.Acquire(ctx, tenantRequest("one", time.Second))
+					ended <- err
+				}()
+				time.Sleep(50 * time.Millisecond)
+				node.mu.Lock()
+				waiting := slices.Collect(maps.Keys(node.waiters))
+				node.mu.Unlock()
+				for _, id := range waiting {
+					node.deliverVerdict(id, test.answer)
+				}
+				if overLimit := (*OverLimitError)(nil); !errors.As(<-ended, &overLimit) {
+					admitted++
+				}
+				time.Sleep(50 * time.Millisecond)
+			}
+			if admitted != test.admitted {
+				t.Errorf("%s: %d of 6 requests were admitted, want %d", test.name, admitted, test.admitted)
+			}
+		})
+	}
+}
+
+// TestFirstEnginesDelayNoUnusedTime learns the limits before the engines, whose number decides how
+// many lanes there are. Only a later change of the lanes delays the unused time.
+func TestFirstEnginesDelayNoUnusedTime(t *testing.T) {
+	runInBubble(t, func(t *testing.T, _ context.Context) {
+		service := New(Config{Limits: DefaultLimitsConfig()}, Dependencies{})
+		started := service.unusedSince
+		directory, _ := tenant.NewDirectory([]tenant.Definition{{Tenant: tenant.Tenant{Name: "one", Limit: tenant.Limit{PerSecond: 10, Burst: 10}}}})
+		table := passroute.NewTable(1, []passroute.Route{{Name: "r", Targets: []passroute.Target{{Pool: "p", Weight: 1}}}}, nil, passroute.Limits{}, passroute.Tenants{Directory: directory})
+		for _, test := range []struct {
+			slots   int
+			delayed bool
+		}{{0, false}, {100_000, false}, {200_000, true}} {
+			time.Sleep(time.Second)
+			if test.slots > 0 {
+				service.engines.slotsByPool["p"] = test.slots
+			}
+			service.SetRoutes(table)
+			if delayed := service.unusedSince != started; delayed != test.delayed {
+				t.Errorf("%d slots: the unused time begins at %v, that of the start is %v", test.slots, service.unusedSince, started)
+			}
+		}
+	})
+}
