relay: a stream moves for its engine's pace only where another engine can take it

Cause: the decision to move knew only that the lane had no queue. With one engine, 15 events at 230 ms and a pause objective of 250 ms, the stream was given up and run again (7 runs in place of 5). Moves used up the attempts, took Service.mu several times an event, and events that gathered behind a slow client counted for the engine's pace. Change: a move needs an engine with a free slot that is not excluded (Set.CanPickFree, looked up every 100 ms at most), an engine that the dispatcher calls slow or four unusually long waits in succession, events left, no pause that was too long already, nothing read ahead, and an attempt left for failures; without one, only a stream that is certainly late moves. One stream of an engine leaves for its pace in 100 ms. An engine left for being slow or silent is readmitted if no other can take the stream. Events after a write of more than 5 ms, or read ahead, tell no pace. Silent engines' streams are not spread over time.

--- a/internal/core/enginechoice/pick.go
+++ b/internal/core/enginechoice/pick.go
@@ -138,6 +138,20 @@
 	return false
 }
 
+// CanPickFree reports whether an engine that does not fail or shed work has a free slot for the
+// online request.
+func (s *Set) CanPickFree(query Query, now time.Time) bool {
+	for id, known := range s.pools[query.Pool] {
+		if query.Exclude[id] || !known.usable() || now.Before(known.unhealthyUntil) || now.Before(known.shedUntil) {
+			continue
+		}
+		if known.entry.Slots <= 0 || known.inFlight(now) < known.entry.Slots {
+			return true
+		}
+	}
+	return false
+}
+
 // acceptsBatch reports whether the engine can accept a batch request.
 func (e *engine) acceptsBatch(query Query, inFlight int, now time.Time) bool {
 	if now.Before(e.unhealthyUntil) || now.Before(e.shedUntil) {
--- a/internal/core/enginechoice/speed_test.go
+++ b/internal/core/enginechoice/speed_test.go
@@ -121,3 +121,30 @@
 		t.Errorf("capacity %d, want %d of %d", got, want, before)
 	}
 }
+
+// TestCanPickFree checks that a free slot counts only at an engine that is not excluded, does not
+// fail and does not shed work.
+func TestCanPickFree(t *testing.T) {
+	first, second := newSet(2).List("p")[0].Entry, newSet(2).List("p")[1].Entry
+	for name, test := range map[string]struct {
+		change func(*Set)
+		want   bool
+	}{
+		"free":    {func(*Set) {}, true},
+		"leaving": {func(s *Set) { s.Upsert(second, Leaving, start) }, false},
+		"refused": {func(s *Set) { s.ConnectionRefused(second.Incarnation(), start) }, false},
+		"full": {func(s *Set) {
+			for range second.Slots {
+				s.Start(second.Incarnation(), &Work{})
+			}
+		}, false},
+		"gone": {func(s *Set) { s.Remove(second.Incarnation(), false, start) }, false},
+	} {
+		set := newSet(2)
+		test.change(set)
+		query := Query{Pool: "p", Exclude: map[Incarnation]bool{first.Incarnation(): true}}
+		if got := set.CanPickFree(query, start); got != test.want {
+			t.Errorf("%s: %t", name, got)
+		}
+	}
+}
--- a/internal/core/enginespeed/move.go
+++ b/internal/core/enginespeed/move.go
@@ -44,6 +44,13 @@
 // Pace returns the usual time between two events; 0 if unknown.
 func (u *UsualTimes) Pace() time.Duration { return u.pace.duration() }
 
+// Unusual reports whether a time between two events is so long that a single cause other than a
+// slow engine is unlikely; false if the usual pace is unknown.
+func (u *UsualTimes) Unusual(pace time.Duration) bool {
+	usual := u.Pace()
+	return usual > 0 && pace >= unusualFactor*usual
+}
+
 // duration returns the median; 0 while there are too few observations.
 func (m *median) duration() time.Duration {
 	if m.samples < minUsualSamples {
@@ -57,8 +64,15 @@
 type Attempt struct {
 	// MayMove reports that the route allows another attempt.
 	MayMove bool
-	// FreeElsewhere reports that other engines are expected to have a free slot.
+	// SpareAttempt reports that after a move the route still allows an attempt, for a failure.
+	SpareAttempt bool
+	// FreeElsewhere reports that another engine that may take the request is expected to have a
+	// free slot.
 	FreeElsewhere bool
+	// EngineSlow reports that the engine is known to be slow.
+	EngineSlow bool
+	// PauseMissed reports that a pause has been longer than the objective.
+	PauseMissed bool
 	// Started reports that the request has had an event, at this engine or an earlier one.
 	Started bool
 	// Waited is the time from the request's arrival to the start of the attempt.
@@ -98,7 +112,7 @@
 		objective, expected = a.PauseObjective, a.Pace
 		latest = max(minSilence, silencePauseFactor*a.PauseObjective)
 	}
-	if !a.FreeElsewhere || a.FirstEvent == 0 || expected == 0 {
+	if !a.SpareAttempt || !a.FreeElsewhere || a.FirstEvent == 0 || expected == 0 {
 		return latest
 	}
 	inTime := objective - moveFactor*a.FirstEvent
@@ -112,19 +126,30 @@
 // MissesObjective reports whether a request with some events left should move after an event,
 // since by the pace seen at its engine its pauses are about to exceed their objective, or it will
 // not end in the time left, and at another engine neither is expected. Events is 0 if unknown.
+// Without a spare attempt it moves only if it would certainly not end in time.
 func (a Attempt) MissesObjective(events int, pace, left time.Duration) bool {
-	if !a.MayMove || !a.FreeElsewhere || a.FirstEvent == 0 || a.Pace == 0 || pace < minGain*a.Pace {
+	if !a.MayMove || !a.FreeElsewhere || !a.EngineSlow || events <= 0 {
+		return false
+	}
+	if a.FirstEvent == 0 || a.Pace == 0 || pace < minGain*a.Pace {
 		return false
 	}
 	move := moveFactor * a.FirstEvent
 	pausesLong := a.PauseObjective > 0 && pace*pauseMarginPercent/100 > a.PauseObjective && move < a.PauseObjective
 	here, elsewhere := time.Duration(events)*pace, move+time.Duration(events)*a.Pace
-	return pausesLong || (here > left && elsewhere < left/2)
+	endsInTime := elsewhere < left/2
+	if !a.SpareAttempt {
+		return endsInTime && here > certainlyLate*left
+	}
+	return (pausesLong && !a.PauseMissed) || (endsInTime && here > left)
 }
 
 const (
 	// minGain is the multiple of the usual pace from which a request moves for its pace.
 	minGain = 2
+	// certainlyLate is the multiple of the time left that the rest of a request must take to
+	// be certainly late: its number of events is an estimate.
+	certainlyLate = 2
 	// pauseMarginPercent is the longest pause to expect, as a percentage of the mean pace.
 	pauseMarginPercent = 125
 )
--- a/internal/passthrough/relay/attempt.go
+++ b/internal/passthrough/relay/attempt.go
@@ -76,6 +76,9 @@
 		e.attempts++
 		e.mayHaveRun = true
 	}
+	if outcome == Failed && e.leftSlowEngine(err, interrupted) {
+		e.abandoned = append(e.abandoned, engine.Incarnation())
+	}
 	e.recordPace(outcome)
 	e.releaseSlot(decision.Slot, outcome, err, deadlineCtx)
 	e.slotTime += time.Since(started)
@@ -200,21 +203,28 @@
 	reader := newReadAhead(answer, e.held, e.clock.earlierOf, func() { e.limitWrites(time.Now()) })
 	defer reader.close()
 	buffer := make([]byte, readChunkBytes)
-	var waited time.Duration // for the events to come
+	var waited time.Duration  // for the events to come
+	var written time.Duration // time that the last write to the client took
+	heldUp := false           // the events to come may have waited for the client
 	for {
 		answer.SetReadDeadline(e.readDeadline())
 		waitedFrom, before := time.Now(), e.stream.Count()
 		count, err := reader.Read(buffer)
 		waited += time.Since(waitedFrom)
+		heldUp = heldUp || written > maxWriteTime || reader.readFromAhead
 		whole, tooLong := e.stream.Add(buffer[:count])
 		if len(whole) > 0 {
 			e.recordFirstEvent(slot)
-			e.recordEvents(e.stream.Count()-before, waited)
-			waited = 0
+			if !heldUp {
+				e.recordEvents(e.stream.Count()-before, waited)
+			}
+			waited, heldUp = 0, false
 			e.sendHead(answer.Response)
+			writtenFrom := time.Now()
 			if failed := e.writeEvents(whole, reader); failed != nil {
 				return ClientGone, failed
 			}
+			written = time.Since(writtenFrom)
 		}
 		switch {
 		case errors.Is(err, errClientTooFarBehind):
@@ -229,12 +239,16 @@
 			return Failed, io.ErrUnexpectedEOF
 		case err != nil:
 			return Failed, err
-		case len(whole) > 0 && e.missesObjective():
+		case len(whole) > 0 && !reader.hasAhead() && e.missesObjective():
 			return Failed, errSlowEngine
 		}
 	}
 }
 
+// maxWriteTime is how long a write to the client takes at most if the events that come after it are
+// to tell the engine's pace. They gather meanwhile.
+const maxWriteTime = 5 * time.Millisecond
+
 // readDeadline returns the deadline of the next read: the silence timeout or the call's deadline,
 // whichever is earlier.
 func (e *exchange) readDeadline() time.Time { return e.clock.earlierOf(e.silenceTimeout()) }
--- a/internal/passthrough/relay/move.go
+++ b/internal/passthrough/relay/move.go
@@ -2,9 +2,11 @@
 
 import (
 	"errors"
+	"maps"
 	"sync"
 	"time"
 
+	"ringstream.example/ringstream/internal/core/enginechoice"
 	"ringstream.example/ringstream/internal/core/enginespeed"
 	"ringstream.example/ringstream/internal/passthrough/slots"
 )
@@ -59,7 +61,12 @@
 	events    int           // events of this attempt after its first
 	waited    time.Duration // for these events
 	recent    time.Duration // smoothed time between two events
-	hasEvent  bool
+	longest   time.Duration // longest wait for events
+	slowWaits int           // consecutive waits for events that were unusually long
+	// freeElsewhere is whether another engine had a free slot at checkedAt.
+	freeElsewhere bool
+	checkedAt     time.Time
+	hasEvent      bool
 }
 
 // recentWeight is the weight of the newest event in the smoothed pace.
@@ -82,6 +89,11 @@
 			e.pace.recent = pace
 		}
 		e.pace.recent += time.Duration(recentWeight * float64(pace-e.pace.recent))
+		e.pace.longest = max(e.pace.longest, waited)
+		e.pace.slowWaits++
+		if !e.pace.usual.Unusual(pace) {
+			e.pace.slowWaits = 0
+		}
 	}
 	if e.pace.hasEvent {
 		return
@@ -125,11 +137,86 @@
 	}
 	if attempt.MayMove && e.slots.LearnsSpeeds() {
 		attempt.FirstEvent, attempt.Pace = e.pace.usual.FirstEvent(), e.pace.usual.Pace()
-		attempt.FreeElsewhere = e.pace.decision.Choice.HasSlot() && !e.pace.decision.Slot.LaneHasQueue()
+		attempt.SpareAttempt = e.attempts+2 < route.Attempts
+		attempt.EngineSlow = attempt.Slowness > 1 || e.pace.slowWaits >= minSlowWaits
+		attempt.PauseMissed = route.PauseObjective > 0 && e.pace.longest > route.PauseObjective
+		attempt.FreeElsewhere = e.freeElsewhere()
 	}
 	return attempt
 }
 
+// minSlowWaits is the number of consecutive unusually long waits from which an engine counts as
+// slow before its lane's dispatcher says so. Fewer may have one cause, such as a long prompt.
+const minSlowWaits = 4
+
+// freeSlotAge is how long this node's knowledge of free slots is used. It bounds the locks that a
+// stream with many events takes.
+const freeSlotAge = 100 * time.Millisecond
+
+// freeElsewhere reports whether another engine that may take the request has a free slot.
+func (e *exchange) freeElsewhere() bool {
+	now := time.Now()
+	if now.Sub(e.pace.checkedAt) < freeSlotAge {
+		return e.pace.freeElsewhere
+	}
+	e.pace.checkedAt = now
+	e.pace.freeElsewhere = false
+	if !e.pace.decision.Choice.HasSlot() || e.pace.decision.Slot.LaneHasQueue() {
+		return false
+	}
+	query := Query(e.call.Pool, e.call.Demand)
+	query.Exclude = maps.Clone(e.excluded)
+	query.Exclude[e.pace.decision.Choice.Entry.Incarnation()] = true
+	e.engines.Use(func(set *enginechoice.Set, now time.Time) { e.pace.freeElsewhere = set.CanPickFree(query, now) })
+	return e.pace.freeElsewhere
+}
+
+// recentMoves bounds the streams that leave an engine for its pace: the engines that take them
+// would be slower if all came at once. It is safe for concurrent use.
+type recentMoves struct {
+	mu sync.Mutex // guards at
+	at map[enginechoice.Incarnation]time.Time
+}
+
+const (
+	// moveInterval is the shortest time between two moves from an engine.
+	moveInterval = 100 * time.Millisecond
+	// maxRecentMoves bounds the engines whose last move is kept.
+	maxRecentMoves = 1024
+)
+
+// allow reports whether a stream may leave an engine now, and counts it if so.
+func (m *recentMoves) allow(engine enginechoice.Incarnation, now time.Time) bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if now.Sub(m.at[engine]) < moveInterval {
+		return false
+	}
+	if m.at == nil || len(m.at) >= maxRecentMoves {
+		m.at = make(map[enginechoice.Incarnation]time.Time)
+	}
+	m.at[engine] = now
+	return true
+}
+
+// leftSlowEngine reports whether an attempt ended because its engine was slow or silent.
+func (e *exchange) leftSlowEngine(err error, interrupted bool) bool {
+	return e.slots.LearnsSpeeds() && (interrupted || errors.Is(err, errSlowEngine) || isTimeout(err))
+}
+
+// readmitAbandoned allows the engines again that were left for being slow, once no other engine
+// can take the request. It reports whether there were any.
+func (e *exchange) readmitAbandoned(why error) bool {
+	if !errors.Is(why, slots.ErrNoEngine) || len(e.abandoned) == 0 {
+		return false
+	}
+	for _, engine := range e.abandoned {
+		delete(e.excluded, engine)
+	}
+	e.abandoned = nil
+	return true
+}
+
 // minPaceEvents is the number of events of an attempt from which its pace is trusted.
 const minPaceEvents = 3
 
@@ -140,5 +227,6 @@
 		return false
 	}
 	left := max(e.pace.usual.Events()-e.stream.Count(), 0)
-	return e.movable().MissesObjective(left, e.pace.recent, e.clock.remaining())
+	return e.movable().MissesObjective(left, e.pace.recent, e.clock.remaining()) &&
+		e.moves.allow(e.pace.decision.Choice.Entry.Incarnation(), time.Now())
 }
--- a/internal/passthrough/relay/readahead.go
+++ b/internal/passthrough/relay/readahead.go
@@ -31,6 +31,8 @@
 	deadline func(silence time.Duration) time.Time
 	giveUp   func() // ends the write that is held up
 	timer    *time.Timer
+	// readFromAhead reports that the last Read returned what was read ahead.
+	readFromAhead bool
 
 	mu      sync.Mutex // guards the fields below
 	changed *sync.Cond // signaled when any of them changes
@@ -54,6 +56,7 @@
 // Read reads what was read ahead, or else from the engine.
 func (r *readAhead) Read(into []byte) (int, error) {
 	r.mu.Lock()
+	r.readFromAhead = r.running || len(r.ahead) > 0
 	for len(r.ahead) == 0 && r.err == nil && r.running {
 		r.changed.Wait()
 	}
@@ -72,6 +75,13 @@
 	return r.source.Read(into)
 }
 
+// hasAhead reports whether a part of the answer, or its end, was read ahead.
+func (r *readAhead) hasAhead() bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.running || len(r.ahead) > 0 || r.err != nil
+}
+
 // beginWrite is called before a write to the client, with the silence timeout of the engine.
 func (r *readAhead) beginWrite(silence time.Duration) {
 	r.mu.Lock()
--- a/internal/passthrough/relay/relay.go
+++ b/internal/passthrough/relay/relay.go
@@ -73,6 +73,7 @@
 	metrics *Metrics
 	active  *activeCalls
 	usual   *usualTimes
+	moves   *recentMoves
 	watch   *suspension.Watch
 	held    *memorybudget.Budget // counts what is read ahead of slow clients
 }
@@ -90,7 +91,7 @@
 
 // New returns a relay.
 func New(headers passthrough.Headers, engines *catalog.Engines, slots *slots.Service, pool *engineconn.Pool, guard *guard.Service, logger *zap.Logger, metrics *Metrics) *Relay {
-	return &Relay{headers: headers, engines: engines, slots: slots, pool: pool, guard: guard, logger: logger, metrics: metrics, active: newActiveCalls(), usual: newUsualTimes(), held: memorybudget.New(0)}
+	return &Relay{headers: headers, engines: engines, slots: slots, pool: pool, guard: guard, logger: logger, metrics: metrics, active: newActiveCalls(), usual: newUsualTimes(), moves: &recentMoves{}, held: memorybudget.New(0)}
 }
 
 // exchange is the state of one call across its attempts.
@@ -102,6 +103,7 @@
 	currentAttempt attemptCanceler
 	clock          callClock // runs until the deadline of the client or the route, whichever is earlier
 	excluded       map[enginechoice.Incarnation]bool
+	abandoned      []enginechoice.Incarnation // excluded for being slow or silent
 
 	content      quarantine.Digest
 	attempts     int  // attempts in which an engine ran the request or may have
@@ -187,6 +189,9 @@
 		if errors.Is(err, slots.ErrLimitNotKnown) {
 			return e.giveUp(limitNotKnown)
 		}
+		if e.readmitAbandoned(err) {
+			continue
+		}
 		if err != nil {
 			if len(e.excluded) == 0 && time.Now().After(slotDeadline) || !e.waitForRetry(deadlineCtx, slotDeadline) {
 				return e.concludeUnserved(clientCtx, deadlineCtx)
