batch: an item leaves only an engine known to be slow, once, and runs elsewhere next

Cause: runs were stopped wherever their events came late, also in a flood, in which all runs are slower than usual; the next request could get the same engine, and the item was stopped again. Change: a run is stopped only at an engine that was slow as of its grant, if another engine accepts the item now, and once for each item. Its next request excludes that engine while another accepts the item and the item is not late. Measured: go test ./internal/passthrough/batch: passes; without the condition on the engine TestRunsLeaveSlowEnginesOnce fails.

--- a/internal/passthrough/batch/owned.go
+++ b/internal/passthrough/batch/owned.go
@@ -25,6 +25,7 @@
 	cancelRun      context.CancelFunc       // preempts the current run; nil: none can be preempted
 	preemptedAt    time.Time                // when the last run was preempted
 	notBefore      time.Time                // earliest start of the next run
+	leftSlow       enginechoice.Incarnation // engine whose run was stopped since it is slow; zero: none
 	refusals       int                      // consecutive runs that no engine started
 	text           progress
 	savedEvents    int  // number of events of text that the store has
--- a/internal/passthrough/batch/slow.go
+++ b/internal/passthrough/batch/slow.go
@@ -3,6 +3,8 @@
 import (
 	"errors"
 	"time"
+
+	"ringstream.example/ringstream/internal/core/enginechoice"
 )
 
 // errSlowEngine ends a run whose engine is too slow for the item's deadline.
@@ -26,9 +28,10 @@
 }
 
 // runsTooSlowly reports whether a run should be stopped, so that its item continues at another
-// engine.
+// engine. Only engines that are known to be slow are left, and an item leaves one once: in a flood
+// all runs are slower than usual, and a move would cost the item its place and its prompt.
 func (s *Service) runsTooSlowly(r itemRun, pace runPace) bool {
-	if !s.Slots.LearnsSpeeds() || pace.events < minForecastEvents {
+	if r.decision.Choice.Slowness <= 1 || !s.Slots.LearnsSpeeds() || pace.events < minForecastEvents {
 		return false
 	}
 	storeNow, known := s.storeClock()
@@ -36,7 +39,45 @@
 		return false
 	}
 	s.mu.Lock()
-	kept := r.job.work[r.index].text.events
+	work := &r.job.work[r.index]
+	kept, leftSlow := work.text.events, work.leftSlow
+	s.mu.Unlock()
+	if leftSlow != (enginechoice.Incarnation{}) || !s.forecast.shouldMove(kept, pace.waited/time.Duration(pace.events), r.job.deadline()-storeNow) {
+		return false
+	}
+	engine := r.decision.Choice.Entry.Incarnation()
+	if !s.canRun(enginechoice.Query{
+		Pool: r.decision.Choice.Entry.Pool, Batch: true, MaxBatchPercent: s.config.MaxEnginePercent, Exclude: map[enginechoice.Incarnation]bool{engine: true},
+	}) {
+		return false
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	work.leftSlow = engine
+	return true
+}
+
+// canRun reports whether an engine accepts a batch request now.
+func (s *Service) canRun(query enginechoice.Query) (can bool) {
+	s.Engines.Use(func(set *enginechoice.Set, now time.Time) { can = set.CanPick(query, now) })
+	return can
+}
+
+// avoidSlowEngine excludes the engine that an item has left because it is slow, if another engine
+// accepts the item. A late item takes any engine.
+func (s *Service) avoidSlowEngine(query *enginechoice.Query, next candidate) {
+	s.mu.Lock()
+	leftSlow := next.job.work[next.index].leftSlow
 	s.mu.Unlock()
-	return s.forecast.shouldMove(kept, pace.waited/time.Duration(pace.events), r.job.deadline()-storeNow)
+	if leftSlow == (enginechoice.Incarnation{}) || next.late {
+		return
+	}
+	if query.PreviousEngine == leftSlow {
+		query.PreviousEngine = enginechoice.Incarnation{}
+	}
+	elsewhere := *query
+	elsewhere.Exclude = map[enginechoice.Incarnation]bool{leftSlow: true}
+	if s.canRun(elsewhere) {
+		query.Exclude = elsewhere.Exclude
+	}
 }
