grant, enginespeed: silence counts for as long as it lasts, and costs nothing with speeds off

Cause: each State renewed the observations of waiting requests, so all of them were of the last 200 ms and never spanned the 300 ms that make an engine slow. Each held request had a string built for it with every State, also with speeds off, and removed engines were observed anew and kept. Change: observations that replace each other keep the time of the first; the span is measured from it. Requests are named by a struct. Nothing is observed without a policy of speeds, or of an engine that is not listed. Tests: TestSilenceIsEvidence repeats the observations every RefreshInterval, as nodes do.

--- a/internal/core/enginespeed/enginespeed.go
+++ b/internal/core/enginespeed/enginespeed.go
@@ -74,9 +74,11 @@
 
 // observation is the time that some work took.
 type observation struct {
-	key  string // observations of the same work replace each other; empty: none
-	node string // which node observed it
+	key  grant.RequestKey // observations of the same request replace each other; zero: none
+	node string           // which node observed it
 	at   time.Time
+	// since is when the first of the observations that replaced each other was made.
+	since time.Time
 	// ratio is the natural logarithm of the time, without the difference that its size and how
 	// full the engine is make; only its distance from other engines' counts.
 	ratio float64
@@ -174,7 +176,7 @@
 
 // ObserveSilence implements grant.EngineSpeeds. The time so far is a lower bound of the time to
 // the first token; it counts once it is slow.
-func (t *Tracker) ObserveSilence(id enginechoice.Incarnation, request string, first grant.FirstToken, at grant.Observed) {
+func (t *Tracker) ObserveSilence(id enginechoice.Incarnation, request grant.RequestKey, first grant.FirstToken, at grant.Observed) {
 	if at.Fullness > 1 {
 		return
 	}
@@ -237,9 +239,14 @@
 func (t *Tracker) add(id enginechoice.Incarnation, of kind, seen observation) {
 	known := &t.engine(id).evidence[of]
 	known.fresh = true
-	seen.reference = t.reference[of]
-	if seen.key != "" {
-		known.recent = slices.DeleteFunc(known.recent, func(other observation) bool { return other.key == seen.key })
+	seen.reference, seen.since = t.reference[of], seen.at
+	if seen.key != (grant.RequestKey{}) {
+		known.recent = slices.DeleteFunc(known.recent, func(other observation) bool {
+			if other.key == seen.key {
+				seen.since = other.since
+			}
+			return other.key == seen.key
+		})
 	}
 	if len(known.recent) == maxObservations {
 		known.recent = slices.Delete(known.recent, 0, 1)
--- a/internal/core/enginespeed/enginespeed_test.go
+++ b/internal/core/enginespeed/enginespeed_test.go
@@ -209,26 +209,38 @@
 }
 
 // TestSilenceIsEvidence checks that an engine is taken for slow before any of its first tokens
-// has come, by several requests that wait, and not by one of them.
+// has come, by several requests that wait, and not by one of them. Each node reports its requests
+// anew with every message.
 func TestSilenceIsEvidence(t *testing.T) {
 	tracker, ids := learned(5)
 	silence := grant.FirstToken{PrefillTokens: 100, Elapsed: 100 * time.Millisecond}
 	now := start.Add(time.Second)
-	for range 10 {
-		tracker.ObserveSilence(ids[0], "n1/1", silence, grant.Observed{Node: "n1", At: now})
+	report := func(engine enginechoice.Incarnation, requests ...grant.RequestKey) []grant.SpeedChange {
+		for _, request := range requests {
+			tracker.ObserveSilence(engine, request, silence, grant.Observed{Node: request.Node, At: now})
+		}
+		changes := tracker.Review(now)
+		now = now.Add(grant.RefreshInterval)
+		silence.Elapsed += grant.RefreshInterval
+		return changes
 	}
-	if changes := tracker.Review(now); len(changes) > 0 {
-		t.Fatalf("after one request: %+v", changes)
+	for range 10 {
+		if changes := report(ids[1], grant.RequestKey{Node: "n1", ID: 9}); len(changes) > 0 {
+			t.Fatalf("after one request: %+v", changes)
+		}
 	}
-	for _, request := range []string{"n1/2", "n2/1", "n3/1"} {
-		now = now.Add(agreeingStep)
-		tracker.ObserveSilence(ids[0], request, silence, grant.Observed{Node: request[:2], At: now})
+	silence.Elapsed = 100 * time.Millisecond
+	waiting := []grant.RequestKey{{Node: "n1", ID: 1}, {Node: "n1", ID: 2}, {Node: "n2", ID: 1}, {Node: "n3", ID: 1}}
+	for reported := time.Duration(0); reported < agreeingFor; reported += grant.RefreshInterval {
+		if changes := report(ids[0], waiting...); len(changes) > 0 {
+			t.Fatalf("after %v: %+v", reported, changes)
+		}
 	}
-	if changes := tracker.Review(now); len(changes) != 1 || changes[0].Slowness < 4 {
+	if changes := report(ids[0], waiting...); len(changes) != 1 || changes[0].Slowness < 4 {
 		t.Fatalf("after four requests: %+v", changes)
 	}
-	tracker.ObserveSilence(ids[1], "n1/5", grant.FirstToken{PrefillTokens: 100, Elapsed: 25 * time.Millisecond}, grant.Observed{Node: "n1", At: now})
-	if tracker.engines[ids[1]].evidence[ofFirstTokens].newest().key != "" {
+	tracker.ObserveSilence(ids[2], grant.RequestKey{Node: "n1", ID: 5}, grant.FirstToken{PrefillTokens: 100, Elapsed: 25 * time.Millisecond}, grant.Observed{Node: "n1", At: now})
+	if tracker.engines[ids[2]].evidence[ofFirstTokens].newest().key != (grant.RequestKey{}) {
 		t.Error("a request that has not waited long counts")
 	}
 }
--- a/internal/core/enginespeed/review.go
+++ b/internal/core/enginespeed/review.go
@@ -147,11 +147,14 @@
 // where several nodes observe the lane, since the node may be slow itself.
 func (t *Tracker) agreeSlow(of kind, e *evidence) bool {
 	slow, sameNode := 0, true
+	since := time.Time{}
 	for i := len(e.recent) - 1; i >= 0 && t.slow(of, e.recent[i]); i-- {
-		slow++
+		if slow++; slow == 1 || e.recent[i].since.Before(since) {
+			since = e.recent[i].since
+		}
 		sameNode = sameNode && e.recent[i].node == e.newest().node
 		enough := slow >= agreeingOfOne && (of != ofFirstTokens || !t.severalNodes) || slow >= agreeing && !sameNode
-		longEnough := slow == maxObservations || e.newest().at.Sub(e.recent[i].at) >= agreeingFor
+		longEnough := slow == maxObservations || e.newest().at.Sub(since) >= agreeingFor
 		if enough && longEnough {
 			return true
 		}
--- a/internal/core/grant/dispatcher.go
+++ b/internal/core/grant/dispatcher.go
@@ -364,7 +364,7 @@
 		d.engines.FirstToken(request.engine, request.work)
 		return
 	}
-	d.observeSilence(request, now)
+	d.observeSilence(request, held.Engine, now)
 }
 
 // addReported counts a request that another dispatcher granted, or for which the node
--- a/internal/core/grant/policies.go
+++ b/internal/core/grant/policies.go
@@ -125,14 +125,19 @@
 	Complete bool // the request ran to its end
 }
 
+// RequestKey names a request among those of all nodes.
+type RequestKey struct {
+	Node string // address of the node that has the request
+	ID   uint64 // Ask.ID, unique on the node
+}
+
 // EngineSpeeds learns how fast the engines of a lane work.
 type EngineSpeeds interface {
 	ObserveFirstToken(engine enginechoice.Incarnation, first FirstToken, at Observed)
 	ObservePace(engine enginechoice.Incarnation, pace Pace, at Observed)
 	ObserveLoad(engine enginechoice.Incarnation, load Load, at Observed)
-	// ObserveSilence records that a request has had no first token for first.Elapsed. The
-	// request is named by its node's address and its ID.
-	ObserveSilence(engine enginechoice.Incarnation, request string, first FirstToken, at Observed)
+	// ObserveSilence records that a request has had no first token for first.Elapsed.
+	ObserveSilence(engine enginechoice.Incarnation, request RequestKey, first FirstToken, at Observed)
 	// Granted records that a request was granted an engine.
 	Granted(engine enginechoice.Incarnation, now time.Time)
 	// Remove drops what is known about an engine that is no longer listed.
@@ -244,7 +249,7 @@
 func (equalSpeeds) ObserveLoad(enginechoice.Incarnation, Load, Observed) {}
 
 // ObserveSilence implements EngineSpeeds.
-func (equalSpeeds) ObserveSilence(enginechoice.Incarnation, string, FirstToken, Observed) {}
+func (equalSpeeds) ObserveSilence(enginechoice.Incarnation, RequestKey, FirstToken, Observed) {}
 
 // Granted implements EngineSpeeds.
 func (equalSpeeds) Granted(enginechoice.Incarnation, time.Time) {}
--- a/internal/core/grant/speeds.go
+++ b/internal/core/grant/speeds.go
@@ -1,7 +1,6 @@
 package grant
 
 import (
-	"strconv"
 	"time"
 
 	"ringstream.example/ringstream/internal/core/enginechoice"
@@ -41,13 +40,16 @@
 
 // observeSilence records that an online request has had no first token yet. Batch requests may
 // be paused by their engine.
-func (d *Dispatcher) observeSilence(request *inFlightRequest, now time.Time) {
-	if request.work.Batch {
+func (d *Dispatcher) observeSilence(request *inFlightRequest, engine uint64, now time.Time) {
+	if _, unused := d.policies.Speeds.(equalSpeeds); unused || request.work.Batch {
 		return
 	}
-	name := request.node + "/" + strconv.FormatUint(request.id, 10)
+	if _, listed := d.engineByHash[engine]; !listed {
+		return // what was known about it has been dropped
+	}
+	key := RequestKey{Node: request.node, ID: request.id}
 	silence := FirstToken{Elapsed: now.Sub(request.since), PrefillTokens: request.work.PrefillTokens}
-	d.policies.Speeds.ObserveSilence(request.engine, name, silence, d.observed(request.node, request.engine, now))
+	d.policies.Speeds.ObserveSilence(request.engine, key, silence, d.observed(request.node, request.engine, now))
 }
 
 // speedReviewInterval is the time between two reviews of the engines' speeds. A review looks at
--- a/internal/core/grant/speeds_test.go
+++ b/internal/core/grant/speeds_test.go
@@ -31,7 +31,7 @@
 	return enginechoice.Speed{Slowness: f.slowness[engine.ID]}
 }
 
-func (f *fixedSpeeds) ObserveSilence(enginechoice.Incarnation, string, FirstToken, Observed) {
+func (f *fixedSpeeds) ObserveSilence(enginechoice.Incarnation, RequestKey, FirstToken, Observed) {
 	f.silences++
 }
 
@@ -130,3 +130,16 @@
 		t.Errorf("sent again: %+v", again)
 	}
 }
+
+// TestSilenceOfUnlistedEngine checks that a request held at an engine that was removed tells
+// nothing of it, since what was known about it has been dropped.
+func TestSilenceOfUnlistedEngine(t *testing.T) {
+	dispatcher, speeds := newSlowLane(4)
+	dispatcher.ApplyState("n1", State{Life: 1, Sequence: 1, Waiting: asks(1, 300*time.Millisecond)}, start)
+	held := Held{ID: 1, Engine: dispatcher.Replies()["n1"].Grants[0].Engine}
+	dispatcher.UpdateEngines(nil, []enginechoice.Incarnation{{ID: "e0"}}, start)
+	dispatcher.ApplyState("n1", State{Life: 1, Sequence: 2, Held: []Held{held}}, start.Add(50*time.Millisecond))
+	if speeds.silences != 0 {
+		t.Errorf("%d silences", speeds.silences)
+	}
+}
