--- a/internal/core/enginechoice/speed_test.go
+++ b/internal/core/enginechoice/speed_test.go
@@ -114,7 +114,8 @@
 // TestCanPickFree checks that a free slot counts only at an engine that is not excluded, does not
 // fail and does not shed work.
 func TestCanPickFree(t *testing.T) {
-	first, second := newSet(2).List("p")[0].Entry, newSet(2).List("p")[1].Entry
+	list := newSet(2).List("p") // in no particular order
+	first, second := list[0].Entry, list[1].Entry
 	for name, test := range map[string]struct {
 		change func(*Set)
 		want   bool
--- a/internal/core/grant/policies.go
+++ b/internal/core/grant/policies.go
@@ -74,7 +74,7 @@
 	Granted(request *Waiting, now time.Time)
 	// Finished records how long an online request of the lane has held its slot.
 	Finished(held time.Duration, now time.Time)
-	// Overloaded reports whether some requests cannot be served in time at present. No batch
+	// Overloaded reports whether requests are refused at present. No batch
 	// runs are started then, since online requests would soon stop them.
 	Overloaded(now time.Time) bool
 	// PlacesWhenFull reports whether a request that asks for placement, and that no engine
--- a/internal/core/overload/overload.go
+++ b/internal/core/overload/overload.go
@@ -59,10 +59,12 @@
 	byRank   map[rank]*meter
 	since    time.Time // when the overload began; zero if there is none
 	lastLate time.Time // when a request could last not be in time
-	told     toldMemory
-	spread   spread
-	counts   Counts
-	queue    QueueLength
+	// lastRefused is when a request was last refused for lack of slots.
+	lastRefused time.Time
+	told        toldMemory
+	spread      spread
+	counts      Counts
+	queue       QueueLength
 }
 
 // rank is the priority of a request, the tenant's before the route's. Lower ones go first.
@@ -141,9 +143,10 @@
 	c.ends.add(now)
 }
 
-// Overloaded implements grant.OverloadControl.
+// Overloaded implements grant.OverloadControl. Requests that are late and wait are no overload: the
+// lane serves all of them, and batch runs may start behind them.
 func (c *Controller) Overloaded(now time.Time) bool {
-	return !c.since.IsZero() && now.Sub(c.lastLate) <= overloadEnd
+	return !c.lastRefused.IsZero() && now.Sub(c.lastRefused) <= overloadEnd
 }
 
 // PlacesWhenFull implements grant.OverloadControl.
--- a/internal/core/overload/overload_test.go
+++ b/internal/core/overload/overload_test.go
@@ -99,6 +99,21 @@
 	}
 }
 
+// TestLaneIsOverloadedWhileItRefuses has a late request wait for its answer, and then
+// more than the lane serves.
+func TestLaneIsOverloadedWhileItRefuses(t *testing.T) {
+	controller, now := newBusy(40)
+	late := newRequest(1, now)
+	late.Deadline, late.InTime, late.LateOnly, late.Admitted = now.Add(-time.Second), false, true, true
+	controller.Arrived(late, now)
+	if refused := controller.Review([]*grant.Waiting{late}, fullLane, now); len(refused) > 0 || controller.Overloaded(now) {
+		t.Errorf("%d requests refused, overloaded %t; want a late request to wait at a lane that is not overloaded", len(refused), controller.Overloaded(now))
+	}
+	if arrive(controller, 200, now); !controller.Overloaded(now) || controller.Overloaded(now.Add(2*overloadEnd)) {
+		t.Error("the lane is not overloaded just while it refuses requests")
+	}
+}
+
 // TestNothingIsRefusedOnNoKnowledge reviews requests at a lane that has just started, at one that is not
 // full, and requests of nodes that do not tell when they end, or that may have run.
 func TestNothingIsRefusedOnNoKnowledge(t *testing.T) {
--- a/internal/core/overload/review.go
+++ b/internal/core/overload/review.go
@@ -102,6 +102,7 @@
 	}
 	if at, booked := r.book(request); booked {
 		r.counts.Booked++
+		r.lastRefused = r.now
 		refusal := r.refusal(at.Sub(r.now))
 		refusal.Expected = refusal.RetryAfter
 		return refusal, true
@@ -114,6 +115,7 @@
 		return grant.OverloadRefusal{}, false
 	}
 	r.counts.Refused++
+	r.lastRefused = r.now
 	after := r.spread.next(r.earliestReturn(request), r.usable(request))
 	r.told.add(request.Content, r.now.Add(after+toldFor))
 	return r.refusal(after), true
