--- a/internal/core/overload/overload_test.go
+++ b/internal/core/overload/overload_test.go
@@ -106,6 +106,7 @@
 	late := newRequest(1, now)
 	late.Deadline, late.InTime, late.LateOnly, late.Admitted = now.Add(-time.Second), false, true, true
 	controller.Arrived(late, now)
+	late.Again = true // it gets no place
 	if refused := controller.Review([]*grant.Waiting{late}, fullLane, now); len(refused) > 0 || controller.Overloaded(now) {
 		t.Errorf("%d requests refused, overloaded %t; want a late request to wait at a lane that is not overloaded", len(refused), controller.Overloaded(now))
 	}
