--- a/internal/core/grant/dispatcher.go
+++ b/internal/core/grant/dispatcher.go
@@ -52,9 +52,11 @@
 	lastSentAt time.Time // when its grant, or its stop, was last sent
 	confirmed  bool      // the node has reported it in flight
 	tenant     uint64    // tenant whose limit has counted it; 0 if none
-	owner      uint64    // Ask.Owner; 0 if unknown
+	admitOnly  bool      // Ask.AdmitOnly
 	preempted  bool      // its node is sent a stop; it is no longer counted at the engine
+	nodeLost   bool      // its node is no longer heard; when it ended is not known
 	suspect    Suspect
+	charge     *SlotCharge // what its tenant was charged; nil if this dispatcher granted no slot
 }
 
 // queuedAsk is a request in the dispatcher's queue.
@@ -75,6 +77,9 @@
 	attached       bool
 	inFlight       map[uint64]*inFlightRequest
 	queued         map[uint64]*queuedAsk
+	refused        map[uint64]*sentRefusal
+	refilled       bool // the time since its process started has been credited to the limits
+	counted        bool // Reply.Counted
 }
 
 // Dispatcher grants the slots of one lane.
@@ -87,15 +92,33 @@
 	startedAt    time.Time
 	busySince    time.Time // when the lane last stopped being idle
 	nodes        map[string]*nodeState
-	online       []*queuedAsk // sorted only in grantOnline; few
+	online       []*queuedAsk // sorted only in grantOnline
+	full         bool         // whether a request found no slot in the last pass of grantOnline
+	reviewed     bool         // whether the last review by the overload control had a queue
+	inTimeFull   bool         // no engine had room in the last pass at which a request can be in time
+	bounded      bool         // whether an overload control bounds the queue
+	lastReviewAt time.Time    // of the last review by the overload control
+	retryOnline  bool         // queued online requests may have become grantable
+	arrived      bool         // an online request has joined the queue since the last review
 	retryBatch   bool         // queued batch requests may have become grantable
 	replies      map[string]*Reply
 	firstTokens  firstTokenEstimator
 	limits       *quota.RateCounter // nil if no tenant has a limit that is counted here
 	liveNodes    int                // number of live nodes of the fleet; 0 if unknown
+	limitShare   float64            // part of every limit that is counted here
+	// countingSince is when limitShare was last zero.
+	countingSince time.Time
+	exchange      *UseExchange // nil: the use of the limits is not kept
+	notNewFleet   bool         // refillNewFleet has credited its time, or may not
+	limitReturns  limitReturns
 	// suspects holds the in-flight requests whose content is suspected of crashing
 	// engines.
 	suspects map[*inFlightRequest]bool
+	// slow holds the engines that are slower than usual.
+	slow         map[enginechoice.Incarnation]bool
+	speedChanges []SpeedChange // since the last SpeedChanges
+	// speedsReviewedAt is when the speeds were last reviewed.
+	speedsReviewedAt time.Time
 }
 
 // NewDispatcher returns a dispatcher of a lane that has no engines yet. Self is the name
@@ -104,13 +127,16 @@
 	return &Dispatcher{
 		config: config, policies: Policies{}.withDefaults(), lane: lane, engines: enginechoice.NewSet(self), engineByHash: make(map[uint64]enginechoice.Incarnation),
 		startedAt: now, nodes: make(map[string]*nodeState), replies: make(map[string]*Reply),
-		suspects: make(map[*inFlightRequest]bool),
+		suspects: make(map[*inFlightRequest]bool), slow: make(map[enginechoice.Incarnation]bool),
 	}
 }
 
 // UsePolicies sets the dispatcher's policies. It must be called before the first State is
 // applied.
-func (d *Dispatcher) UsePolicies(policies Policies) { d.policies = policies.withDefaults() }
+func (d *Dispatcher) UsePolicies(policies Policies) {
+	d.bounded = policies.Overload != nil
+	d.policies = policies.withDefaults()
+}
 
 // SetEngines replaces the lane's engines. Engines that are not listed are removed, and
 // entries of other pools or lanes are ignored.
@@ -161,6 +187,8 @@
 	engine, listed := d.engineByHash[hash]
 	if listed {
 		d.engines.Remove(engine, false, now)
+		d.policies.Speeds.Remove(engine)
+		delete(d.slow, engine)
 		delete(d.engineByHash, hash)
 	}
 	return listed
@@ -181,10 +209,19 @@
 	}
 	if d.limits == nil {
 		d.limits = quota.NewRateCounter(margin, now)
+		if d.exchange != nil {
+			d.limits.KeepUse()
+		}
 	}
 	d.limits.SetLimits(limits)
 }
 
+// SetTenants sets the parts by which tenants share the lane, keyed by TenantHash.
+func (d *Dispatcher) SetTenants(tenants map[uint64]TenantPart) {
+	d.policies.Order.SetTenants(tenants)
+	d.policies.BatchOrder.SetTenants(tenants)
+}
+
 // SetLive sets the number of live nodes. While it is 0 (unknown), the dispatcher's part
 // of every limit is zero.
 func (d *Dispatcher) SetLive(nodes int) { d.liveNodes = nodes }
@@ -198,6 +235,10 @@
 	if d.liveNodes > 0 {
 		share = float64(d.Attached(now)) / float64(d.liveNodes)
 	}
+	if d.limitShare == 0 {
+		d.countingSince = now
+	}
+	d.limitShare = share
 	d.limits.Advance(now, share)
 }
 
@@ -205,13 +246,18 @@
 func (d *Dispatcher) Attached(now time.Time) int {
 	attached := 0
 	for _, known := range d.nodes {
-		if known.attached && now.Sub(known.lastStateAt) <= d.config.AttachmentTimeout {
+		if d.isAttached(known, now) {
 			attached++
 		}
 	}
 	return attached
 }
 
+// isAttached reports whether a node counts as attached.
+func (d *Dispatcher) isAttached(known *nodeState, now time.Time) bool {
+	return known.attached && now.Sub(known.lastStateAt) <= d.config.AttachmentTimeout
+}
+
 // Idle reports whether no node has requests in the lane or is attached to it.
 func (d *Dispatcher) Idle() bool { return len(d.nodes) == 0 }
 
@@ -225,6 +271,17 @@
 	return inFlight, queued
 }
 
+// QueuedByOwner returns the numbers of waiting requests by their tenants' TenantHash.
+func (d *Dispatcher) QueuedByOwner() map[uint64]int {
+	queued := make(map[uint64]int)
+	for _, known := range d.nodes {
+		for _, entry := range known.queued {
+			queued[entry.Owner]++
+		}
+	}
+	return queued
+}
+
 // ApplyState applies a node's State. A State that is not newer than the last one of the same run
 // of the node is ignored. The resulting messages are returned by Replies.
 func (d *Dispatcher) ApplyState(from string, state State, now time.Time) {
@@ -237,42 +294,28 @@
 		if len(d.nodes) == 0 {
 			d.busySince = now
 		}
-		known = &nodeState{life: state.Life, inFlight: make(map[uint64]*inFlightRequest), queued: make(map[uint64]*queuedAsk)}
+		known = &nodeState{life: state.Life, inFlight: make(map[uint64]*inFlightRequest), queued: make(map[uint64]*queuedAsk), refused: make(map[uint64]*sentRefusal)}
 		d.nodes[from] = known
 	}
+	joined := state.Attached && !d.isAttached(known, now)
 	known.sequence, known.lastStateAt, known.zone, known.attached = state.Sequence, now, state.Zone, state.Attached
-	d.advanceLimits(now)
+	d.joinLimits(known, state, joined, now)
 	known.connected = make(map[enginechoice.Incarnation]bool, len(state.Connected))
 	for _, engine := range state.Connected {
 		known.connected[d.engineByHash[engine]] = true
 	}
 	d.updateInFlight(from, known, state, now)
-	d.observe(state, now)
+	d.observe(from, state, now)
 	d.updateQueue(from, known, state, now)
-	d.grantOnline(now)
+	d.grantChanged(now)
 	reply := d.reply(from)
 	reply.Life, reply.Sequence = state.Life, state.Sequence
+	known.counted = d.keepsLimits() && state.Attached && d.liveNodes > 0
 	if len(state.Held)+len(state.Waiting) == 0 && len(known.inFlight) == 0 && !state.Attached {
 		delete(d.nodes, from)
 	}
 }
 
-// observe records what a State tells of the engines.
-func (d *Dispatcher) observe(state State, now time.Time) {
-	for _, load := range state.Loads {
-		engine := d.engineByHash[load.Engine]
-		d.engines.RecordReport(engine, load.Running, load.Waiting, now)
-		d.policies.Speeds.ObserveLoad(engine, load, now)
-	}
-	for _, first := range state.Firsts {
-		d.firstTokens.observe(first)
-		d.policies.Speeds.ObserveFirstToken(d.engineByHash[first.Engine], first, now)
-	}
-	for _, pace := range state.Paces {
-		d.policies.Speeds.ObservePace(d.engineByHash[pace.Engine], pace, now)
-	}
-}
-
 // updateInFlight updates a node's in-flight requests from its State.
 func (d *Dispatcher) updateInFlight(from string, known *nodeState, state State, now time.Time) {
 	ended := make(map[uint64]Ended, len(state.Ended))
@@ -321,7 +364,9 @@
 	}
 	if held.Started {
 		d.engines.FirstToken(request.engine, request.work)
+		return
 	}
+	d.observeSilence(request, held.Engine, now)
 }
 
 // addReported counts a request that another dispatcher granted, or for which the node
@@ -347,16 +392,25 @@
 	if end.Refused {
 		d.engines.ConnectionRefused(request.engine, now)
 	}
-	if end.Unused && d.limits != nil {
+	if end.Unused && d.limits != nil && (!request.admitOnly || end.Result == returnedAdmission) {
 		d.limits.Undo(request.tenant)
 	}
 	delete(known.inFlight, request.id)
 	delete(d.suspects, request)
-	d.retryBatch = true
-	if !request.work.Batch {
-		d.policies.Overload.Finished(now)
-		d.policies.Order.Finished(request.owner, now.Sub(request.since), now)
+	d.retryBatch, d.retryOnline = true, true
+	if !request.work.Batch && request.hasHeldSlot(end) {
+		d.policies.Overload.Finished(now.Sub(request.since), now)
 	}
+	if request.charge != nil {
+		use := SlotUse{SlotCharge: *request.charge, Held: now.Sub(request.since), Complete: end.Result == enginechoice.Succeeded}
+		d.policies.orderOf(request.work.Batch).Finished(use, now)
+	}
+}
+
+// hasHeldSlot reports whether an ended request has held a slot since it was granted.
+func (r *inFlightRequest) hasHeldSlot(end Ended) bool {
+	ran := r.confirmed && !end.Unused && !end.Refused && end.Result != enginechoice.Shed
+	return ran && r.charge != nil && !r.nodeLost
 }
 
 // Tick does the periodic work: it removes nodes that have timed out, withdraws unconfirmed
@@ -364,6 +418,7 @@
 // requests.
 func (d *Dispatcher) Tick(now time.Time) {
 	d.advanceLimits(now)
+	d.limitReturns.expire(now)
 	for address, known := range d.nodes {
 		if now.Sub(known.lastStateAt) > d.config.NodeTimeout {
 			d.removeNode(address, now)
@@ -375,6 +430,7 @@
 			}
 		}
 	}
+	d.reviewSpeeds(now)
 	d.engines.UpdateOnlinePeaks(now)
 	for _, overcommit := range d.engines.Overcommitted(now) {
 		for range overcommit.Preempt {
@@ -407,6 +463,7 @@
 		return
 	}
 	for _, request := range known.inFlight {
+		request.nodeLost = true
 		d.finish(known, request, Ended{Result: enginechoice.Abandoned}, now)
 	}
 	for _, entry := range known.queued {
@@ -425,6 +482,7 @@
 	for address, reply := range d.replies {
 		if known := d.nodes[address]; known != nil {
 			reply.Life, reply.Sequence = known.life, known.sequence
+			reply.Counted = known.counted
 		}
 		reply.Queued = len(d.online)
 		replies[address] = *reply
--- a/internal/core/grant/queue.go
+++ b/internal/core/grant/queue.go
@@ -6,7 +6,6 @@
 	"time"
 
 	"ringstream.example/ringstream/internal/core/enginechoice"
-	"ringstream.example/ringstream/internal/core/ordering"
 )
 
 // updateQueue updates the node's requests in the queue from its State.
@@ -17,6 +16,10 @@
 			continue // granted already; the reply is still in transit
 		}
 		asked[ask.ID] = true
+		if known.refused[ask.ID] != nil {
+			d.resendRefusal(from, known.refused[ask.ID], now)
+			continue
+		}
 		entry := known.queued[ask.ID]
 		if entry == nil {
 			entry = d.admit(from, known, ask, now)
@@ -33,17 +36,49 @@
 			delete(known.queued, id)
 		}
 	}
+	for id := range known.refused {
+		if !asked[id] {
+			delete(known.refused, id)
+		}
+	}
+}
+
+// sentRefusal is a refusal of a request that its node still reports as waiting.
+type sentRefusal struct {
+	refusal    Refusal
+	decidedAt  time.Time
+	lastSentAt time.Time
+}
+
+// resendRefusal sends a refusal again that may have been lost. The time to come back has
+// become shorter meanwhile.
+func (d *Dispatcher) resendRefusal(node string, sent *sentRefusal, now time.Time) {
+	if now.Sub(sent.lastSentAt) < d.config.ResendInterval {
+		return
+	}
+	sent.lastSentAt = now
+	refusal := sent.refusal
+	refusal.Overload.RetryAfter = max(refusal.Overload.RetryAfter-now.Sub(sent.decidedAt), 0)
+	reply := d.reply(node)
+	reply.Refused = append(reply.Refused, refusal)
 }
 
 // updateEntry updates a queued request from the node's newest Ask.
 func (d *Dispatcher) updateEntry(entry *queuedAsk, ask Ask, now time.Time) {
 	entry.ask = ask
+	entry.TenantRank, entry.Rank = ask.TenantRank, ask.Rank
+	if ask.EndsIn > 0 { // the form of earlier builds has no owner
+		entry.Owner = ask.Owner
+	}
 	entry.Deadline = now.Add(ask.DueIn)
 	if ask.EndsIn > 0 {
 		entry.End = now.Add(ask.EndsIn)
 	}
-	entry.Place = ask.Place && (ask.MayHaveRun || d.policies.Overload.PlacesWhenFull())
-	entry.MayHaveRun = ask.MayHaveRun
+	// Builds before EndsIn do not tell whether the request may have run.
+	mayHaveRun := ask.MayHaveRun || ask.EndsIn == 0
+	place := ask.Place && (mayHaveRun || d.policies.Overload.PlacesWhenFull())
+	d.retryOnline = d.retryOnline || place != entry.Place
+	entry.Place, entry.MayHaveRun = place, entry.MayHaveRun || ask.MayHaveRun
 }
 
 // newEntry returns the entry of a request that joins the queue.
@@ -51,6 +86,7 @@
 	entry := &queuedAsk{ask: ask, Waiting: Waiting{
 		Node: from, ID: ask.ID, TenantRank: ask.TenantRank, Rank: ask.Rank, Owner: ask.Owner, Content: ask.Content,
 		PromptTokens: ask.promptTokens(), MemoryTokens: ask.MemoryTokens, Since: now,
+		Moved: ask.Queued, MayHaveRun: ask.MayHaveRun,
 	}}
 	entry.entry = entry
 	return entry
@@ -61,10 +97,9 @@
 func (d *Dispatcher) admit(from string, known *nodeState, ask Ask, now time.Time) *queuedAsk {
 	entry := newEntry(from, ask, now)
 	if ask.Tenant != 0 && d.limits != nil {
-		verdict := d.limits.Reserve(ask.Tenant)
+		verdict := d.reserve(ask, now)
 		if !verdict.Admitted {
-			reply := d.reply(from)
-			reply.Refused = append(reply.Refused, Refusal{ID: ask.ID, Verdict: verdict})
+			d.refuseByLimit(from, ask, verdict, now)
 			return nil
 		}
 		entry.reserved = true
@@ -76,6 +111,9 @@
 	known.queued[ask.ID] = entry
 	if !ask.Batch {
 		d.online = append(d.online, entry)
+		d.policies.Overload.Arrived(&entry.Waiting, now)
+		d.arrived = true
+		d.retryOnline = d.retryOnline || len(ask.Exclude) > 0 // others of the lane's engines may be full
 	}
 	return entry
 }
@@ -97,25 +135,93 @@
 // grantOnline grants queued online requests in the order of the policies, and refuses those
 // that the overload control does not let wait.
 func (d *Dispatcher) grantOnline(now time.Time) {
+	d.retryOnline = false
 	d.dropDequeued()
-	if len(d.online) == 0 {
+	if len(d.online) == 0 && !d.reviewed {
+		d.full, d.inTimeFull, d.arrived = false, false, false
 		return
 	}
 	queue := d.arrange(now)
-	full := false
+	var pass grantPass
 	for _, waiting := range queue {
 		entry := waiting.entry
 		if entry.ask.Queued && !entry.Place && now.Sub(d.busySince) < d.config.RequeuedStartDelay {
 			continue
 		}
-		if full && !entry.Place && len(entry.ask.Exclude) == 0 {
+		if pass.skips(entry) {
 			continue
 		}
-		granted := d.tryGrant(entry, now)
-		full = full || (!granted && entry.ask.Suspect.Content == 0)
+		d.record(&pass, entry, d.tryGrant(entry, now), now)
+	}
+	d.full, d.inTimeFull = pass.full && !pass.mayHaveRoom, pass.full || pass.tooSlow >= maxTooSlow
+	if d.reviewDue(now) {
+		d.refuseOverload(queue, now)
 	}
 	d.dropDequeued()
-	d.refuseOverload(now)
+}
+
+// grantPass is what one pass over the queue has found out.
+type grantPass struct {
+	full        bool // no engine has room for the requests that follow
+	mayHaveRoom bool // one has for requests that can use engines which others cannot
+	tooSlow     int  // requests in time for which only slow engines had room
+	noRoom      int  // requests that did not get an engine though some have room
+}
+
+// skips reports whether a request cannot get an engine in this pass. A slow engine may have
+// room for a late request where it has none for those in time.
+func (p *grantPass) skips(entry *queuedAsk) bool {
+	if entry.Place || len(entry.ask.Exclude) > 0 {
+		return false
+	}
+	return p.full || (entry.InTime && p.tooSlow >= maxTooSlow)
+}
+
+// record records the result of an attempt to grant a request an engine. Where the queue is
+// bounded, a request that finds no room at the engines that it may use, or that it prefers, does
+// not hold up the requests behind it while other engines have room.
+func (d *Dispatcher) record(pass *grantPass, entry *queuedAsk, result grantResult, now time.Time) {
+	switch {
+	case result == onlyTooSlow:
+		pass.tooSlow++
+	case result != notGranted || entry.ask.Suspect.Content != 0:
+	case !d.bounded:
+		pass.full = true
+		pass.mayHaveRoom = pass.mayHaveRoom || len(entry.ask.Exclude) > 0
+	case len(entry.ask.Exclude) > 0:
+		pass.mayHaveRoom = true
+	case pass.noRoom < maxNoRoom && d.engines.HasFreeSlot(d.lane.Pool, now):
+		pass.noRoom++
+		pass.mayHaveRoom = true
+	default:
+		pass.full = true
+	}
+}
+
+// maxNoRoom is the number of requests that may prefer an engine without room before the rest of
+// the queue is left to wait. It bounds the work of one pass.
+const maxNoRoom = 8
+
+// grantChanged grants queued online requests if anything has changed that allows a grant or
+// a refusal. While the lane is full, a request that has just arrived can only be refused, and
+// waits for others to be looked at with it, until the next Tick at most.
+func (d *Dispatcher) grantChanged(now time.Time) {
+	if d.retryOnline || (d.arrived && !d.full) || (d.arrived && d.bounded && d.reviewDue(now)) {
+		d.grantOnline(now)
+	}
+}
+
+// Intervals of the reviews by the overload control. A review takes as long as the queue is,
+// and a flood would cause one for each request.
+const (
+	minReviewInterval = 2 * time.Millisecond  // while requests arrive
+	maxReviewInterval = 10 * time.Millisecond // half of the time within which a refusal is to be sent
+)
+
+// reviewDue reports whether the overload control is to review the queue.
+func (d *Dispatcher) reviewDue(now time.Time) bool {
+	since := now.Sub(d.lastReviewAt)
+	return (d.arrived && since >= minReviewInterval) || since >= maxReviewInterval
 }
 
 // dropDequeued removes the requests that no longer wait.
@@ -128,51 +234,74 @@
 	queue := make([]*Waiting, 0, len(d.online))
 	for _, entry := range d.online {
 		entry.FirstToken = d.firstTokens.expected(entry.PromptTokens)
-		entry.InTime = !now.Add(entry.FirstToken).After(entry.Deadline)
+		entry.InTime = !entry.LateOnly && !now.Add(entry.FirstToken).After(entry.Deadline)
 		queue = append(queue, &entry.Waiting)
 	}
 	d.policies.Order.Arrange(queue, now)
+	for i, waiting := range queue {
+		d.online[i] = waiting.entry // the next sort finds them nearly in order
+	}
 	return queue
 }
 
-// refuseOverload refuses the requests that the overload control does not let wait.
-func (d *Dispatcher) refuseOverload(now time.Time) {
-	if len(d.online) == 0 {
-		return
-	}
-	for _, decision := range d.policies.Overload.Review(d.arrange(now), d.load(now), now) {
+// refuseOverload refuses the requests of an arranged queue that the overload control does not
+// let wait.
+func (d *Dispatcher) refuseOverload(queue []*Waiting, now time.Time) {
+	d.reviewed, d.arrived, d.lastReviewAt = len(queue) > 0, false, now
+	waiting := slices.DeleteFunc(queue, func(waiting *Waiting) bool { return !d.isQueued(waiting.entry) })
+	for _, decision := range d.policies.Overload.Review(waiting, d.load(now), now) {
 		entry := decision.Request.entry
 		if entry.MayHaveRun || !d.isQueued(entry) {
 			continue
 		}
 		d.releaseReservation(entry)
-		delete(d.nodes[entry.Node].queued, entry.ask.ID)
+		known := d.nodes[entry.Node]
+		delete(known.queued, entry.ask.ID)
+		refusal := Refusal{ID: entry.ask.ID, Reason: RefusedByOverload, Overload: decision.Refusal}
+		known.refused[entry.ask.ID] = &sentRefusal{refusal: refusal, decidedAt: now, lastSentAt: now}
 		reply := d.reply(entry.Node)
-		reply.Refused = append(reply.Refused, Refusal{ID: entry.ask.ID, Reason: RefusedByOverload, Overload: decision.Refusal})
+		reply.Refused = append(reply.Refused, refusal)
 	}
-	d.dropDequeued()
 }
 
 // load returns the load of the lane.
 func (d *Dispatcher) load(now time.Time) LaneLoad {
 	slots, online, batch := d.engines.Usage(d.lane.Pool, now)
-	return LaneLoad{Slots: slots, Online: online, Batch: batch}
+	return LaneLoad{Slots: slots, Online: online, Batch: batch, Full: d.inTimeFull}
 }
 
-// tryGrant grants an entry the best engine. It reports whether an engine could be
-// granted; an online request needs a free slot unless it asks for placement.
-func (d *Dispatcher) tryGrant(entry *queuedAsk, now time.Time) bool {
+// grantResult is the result of an attempt to grant a request an engine.
+type grantResult uint8
+
+const (
+	notGranted  grantResult = iota // no engine has room for it
+	onlyTooSlow                    // only engines at which it would be late have room for it
+	isGranted
+)
+
+// tryGrant grants an entry the best engine. An online request needs a free slot, at an engine
+// at which it can be in time if it can be at all, unless it asks for placement.
+func (d *Dispatcher) tryGrant(entry *queuedAsk, now time.Time) grantResult {
 	known := d.nodes[entry.Node]
-	choice, found := d.pick(entry, d.query(entry, known), now)
+	query := d.query(entry, known)
+	d.setTimes(&query, entry, now)
+	choice, found := d.pick(entry, query, now)
 	if !found || (!entry.ask.Batch && !entry.Place && !choice.HasSlot()) {
-		return false
+		return notGranted
+	}
+	if d.tooSlow(entry, query, choice) {
+		return onlyTooSlow
 	}
 	if choice.Preempts {
 		d.preemptNewestBatch(choice.Entry.Incarnation(), now)
 	}
 	d.engines.RecordPrompt(choice.Entry.Incarnation(), entry.ask.Shared, now)
 	d.commitGrant(known, entry, choice, now)
-	return true
+	d.policies.Speeds.Granted(choice.Entry.Incarnation(), now)
+	if d.slow[choice.Entry.Incarnation()] {
+		d.engines.SetSpeed(choice.Entry.Incarnation(), d.policies.Speeds.Speed(choice.Entry.Incarnation()))
+	}
+	return isGranted
 }
 
 // commitGrant grants an entry the chosen engine and counts the request there. The Choice
@@ -184,19 +313,22 @@
 		node: entry.Node, id: entry.ask.ID, engine: choice.Entry.Incarnation(), work: work, since: now,
 		grant: Grant{
 			ID: entry.ask.ID, Engine: EngineHash(choice.Entry.Incarnation()), PrefillTokens: choice.PrefillTokens,
-			InFlight: choice.InFlight, Score: choice.Score, Preempts: choice.Preempts, Waited: now.Sub(entry.Since),
+			InFlight: choice.InFlight, Score: choice.Score, Preempts: choice.Preempts, Waited: now.Sub(entry.Since), Slowness: choice.Slowness,
 		},
-		suspect: entry.ask.Suspect, owner: entry.ask.Owner,
+		suspect: entry.ask.Suspect, admitOnly: entry.ask.AdmitOnly,
 	}
 	d.trackSuspect(granted)
 	if !entry.ask.Batch && !entry.ask.AdmitOnly {
 		d.policies.Overload.Granted(&entry.Waiting, now)
-		d.policies.Order.Granted(&entry.Waiting, now)
+	}
+	if !entry.ask.AdmitOnly {
+		charge := d.policies.orderOf(entry.ask.Batch).Granted(&entry.Waiting, now)
+		granted.charge = &charge
 	}
 	if entry.reserved && d.limits != nil {
 		d.limits.Begin(entry.ask.Tenant)
 	}
-	if entry.reserved && !entry.ask.AdmitOnly {
+	if entry.reserved {
 		granted.tenant = entry.ask.Tenant
 	}
 	known.inFlight[granted.id] = granted
@@ -250,34 +382,37 @@
 	reply.Stops = append(reply.Stops, newest.id)
 }
 
-// grantBatch grants batch requests the capacity that online requests leave. Requests that
-// are not late come first, then the order is by tenant rank, route rank and deadline.
+// grantBatch grants batch requests the capacity that online requests leave.
 func (d *Dispatcher) grantBatch(now time.Time) {
-	if len(d.online) > 0 {
+	if len(d.online) > 0 || d.policies.Overload.Overloaded(now) {
 		return
 	}
 	d.retryBatch = false
-	var queue []*queuedAsk
-	for _, known := range d.nodes {
-		for _, entry := range known.queued {
-			if entry.ask.Batch {
-				queue = append(queue, entry)
-			}
-		}
-	}
-	slices.SortFunc(queue, func(a, b *queuedAsk) int {
-		return cmp.Or(
-			ordering.FalseFirst(a.ask.Late, b.ask.Late), cmp.Compare(a.ask.TenantRank, b.ask.TenantRank), cmp.Compare(a.ask.Rank, b.ask.Rank),
-			a.Deadline.Compare(b.Deadline), cmp.Compare(a.ask.ID, b.ask.ID),
-		)
-	})
+	queue := d.arrangeBatch(now)
 	if len(queue) == 0 {
 		return
 	}
-	capacity := d.engines.BatchCapacity(d.lane.Pool, queue[0].ask.RoomPercent, now)
-	for _, entry := range queue[:min(capacity, len(queue))] {
-		if !d.tryGrant(entry, now) && entry.ask.Suspect.Content == 0 {
+	capacity := d.engines.BatchCapacity(d.lane.Pool, queue[0].entry.ask.RoomPercent, now)
+	for _, waiting := range queue[:min(capacity, len(queue))] {
+		if d.tryGrant(waiting.entry, now) != isGranted && waiting.entry.ask.Suspect.Content == 0 {
 			return // keep the free capacity for the requests at the front
 		}
 	}
 }
+
+// arrangeBatch returns the batch requests in the order in which slots are granted. Requests that
+// are not late come first.
+func (d *Dispatcher) arrangeBatch(now time.Time) []*Waiting {
+	var queue []*Waiting
+	for _, known := range d.nodes {
+		for _, entry := range known.queued {
+			if entry.ask.Batch {
+				entry.InTime = !entry.ask.Late
+				queue = append(queue, &entry.Waiting)
+			}
+		}
+	}
+	slices.SortFunc(queue, func(a, b *Waiting) int { return cmp.Or(cmp.Compare(a.ID, b.ID), cmp.Compare(a.Node, b.Node)) })
+	d.policies.BatchOrder.Arrange(queue, now)
+	return queue
+}
--- a/internal/core/grant/requester.go
+++ b/internal/core/grant/requester.go
@@ -56,6 +56,9 @@
 // maxFirstTokens bounds the first tokens that one message reports.
 const maxFirstTokens = 16
 
+// maxPaces bounds the engines whose paces one message reports.
+const maxPaces = 32
+
 // pendingAsk is a request that waits for its grant.
 type pendingAsk struct {
 	ask           Ask
@@ -108,6 +111,7 @@
 	ended  []endedReport
 	loads  map[uint64]Load
 	firsts []FirstToken
+	paces  map[uint64]Pace // by engine; the sum of those not sent
 
 	sequence   uint64
 	unanswered []sentState // sent to current without a reply so far
@@ -116,6 +120,9 @@
 	nextSendAt time.Time   // when to send the next message; zero if nothing has changed
 	roundTrip  time.Duration
 	attached   bool
+	queued     int // Reply.Queued of the newest reply
+	// unusedSince is State.UnusedFor as a time; zero if it is not told, or no longer.
+	unusedSince time.Time
 	// suspendedSequence is the newest sequence from before the machine was suspended. The
 	// dispatcher has withdrawn the grants of replies to it.
 	suspendedSequence uint64
@@ -129,6 +136,7 @@
 	return &Requester{
 		config: config, life: life, zone: zone, backoffs: make(map[string]backoff),
 		asks: make(map[uint64]*pendingAsk), held: make(map[uint64]*heldRequest), loads: make(map[uint64]Load),
+		paces: make(map[uint64]Pace),
 	}
 }
 
@@ -164,6 +172,9 @@
 	if address == r.current {
 		return
 	}
+	if told := len(r.unanswered); told > 0 {
+		r.DelayUnusedSince(r.unanswered[told-1].at) // the former dispatcher may count the time until then
+	}
 	r.previous, r.current = r.current, address
 	r.unanswered, r.resent = nil, false
 	for _, pending := range r.asks {
@@ -186,9 +197,19 @@
 	r.attached = attached
 }
 
+// OtherCandidates returns the addresses of the candidates for the lane's dispatcher, without
+// the given one.
+func (r *Requester) OtherCandidates(self string) []string {
+	return slices.DeleteFunc(slices.Clone(r.ranking), func(address string) bool { return address == self })
+}
+
 // Attached reports whether the node stays attached while it has nothing in the lane.
 func (r *Requester) Attached() bool { return r.attached }
 
+// Queued returns the number of online requests of all nodes that waited for a slot when the
+// dispatcher last replied.
+func (r *Requester) Queued() int { return r.queued }
+
 // Idle reports whether the node has nothing in the lane.
 func (r *Requester) Idle() bool { return len(r.asks)+len(r.held)+len(r.ended) == 0 }
 
@@ -262,6 +283,15 @@
 // RecordReport records an engine's own count of its requests, to be sent with the next State.
 func (r *Requester) RecordReport(load Load) { r.loads[load.Engine] = load }
 
+// RecordPace records the pace of a request's events, to be sent with the next State.
+func (r *Requester) RecordPace(pace Pace) {
+	known, found := r.paces[pace.Engine]
+	if !found && len(r.paces) == maxPaces {
+		return
+	}
+	r.paces[pace.Engine] = Pace{Engine: pace.Engine, Events: known.Events + pace.Events, Elapsed: known.Elapsed + pace.Elapsed}
+}
+
 // scheduleSend schedules a message within SendDelay of a time.
 func (r *Requester) scheduleSend(now time.Time) {
 	if at := now.Add(r.config.SendDelay); r.nextSendAt.IsZero() || at.Before(r.nextSendAt) {
@@ -300,8 +330,15 @@
 	}
 	if from == r.current {
 		r.acknowledge(reply.Sequence, now)
+		r.queued = reply.Queued
+	}
+	if reply.Counted {
+		r.unusedSince = time.Time{}
 	}
 	for _, granted := range reply.Grants {
+		if asked := r.asks[granted.ID]; asked != nil && asked.ask.Tenant != 0 {
+			r.DelayUnusedSince(now)
+		}
 		switch {
 		case reply.Sequence <= r.suspendedSequence:
 			r.Decline(granted, now)
--- a/internal/passthrough/edge/edge.go
+++ b/internal/passthrough/edge/edge.go
@@ -25,6 +25,7 @@
 	"ringstream.example/ringstream/internal/passthrough/engineconn"
 	"ringstream.example/ringstream/internal/passthrough/guard"
 	"ringstream.example/ringstream/internal/passthrough/ingress"
+	"ringstream.example/ringstream/internal/passthrough/memorybudget"
 	"ringstream.example/ringstream/internal/passthrough/peerstore"
 	"ringstream.example/ringstream/internal/passthrough/relay"
 	"ringstream.example/ringstream/internal/passthrough/replicas"
@@ -135,13 +136,15 @@
 		follower.SetPaceFactor(node.storeSlowdown)
 	}
 	forward := relay.New(platform.Headers, node.engines, node.slots, node.pool, node.guard, node.logger, relay.NewMetrics(node.registry))
+	held := memorybudget.New(config.maxHeldBytes())
+	forward.SetMemoryBudget(held)
 	node.guard.OnBlocked(forward.StopContent)
 	node.engines.OnRestart(node.guard.Restarted)
 	node.watch = suspension.NewWatch(clockOrSystem(platform.Clock))
 	node.ingress = ingress.New(ingress.Config{Keys: config.Keys}, ingress.Dependencies{
 		Registerer: node.registry,
 		Headers:    platform.Headers, Format: platform.Format, Routes: node.routes, Batch: node.batch, Logger: node.logger,
-		Relay: forward, Watch: node.watch,
+		Relay: forward, Watch: node.watch, Held: held,
 	})
 	if config.PeerAddress != "" {
 		local := &sharer{node: node}
@@ -344,8 +347,17 @@
 	return serveEcho(ctx, server, n.config.MetricsAt)
 }
 
+// Time limits of a connection to the readiness check or the metrics. A client that goes silent would
+// keep its connection for ever otherwise.
+const (
+	probeReadTimeout  = 5 * time.Second  // for a whole request
+	probeWriteTimeout = 20 * time.Second // from the end of its header to the end of its answer
+	probeIdleTimeout  = 2 * time.Minute  // above the usual interval of a collector of metrics
+)
+
 func newEcho() *echo.Echo {
 	server := echo.New()
+	server.Server.ReadTimeout, server.Server.WriteTimeout, server.Server.IdleTimeout = probeReadTimeout, probeWriteTimeout, probeIdleTimeout
 	server.HideBanner = true
 	server.HidePort = true
 	return server
--- a/internal/passthrough/relay/attempt.go
+++ b/internal/passthrough/relay/attempt.go
@@ -6,7 +6,6 @@
 	"io"
 	"net/http"
 	"slices"
-	"strconv"
 	"strings"
 	"syscall"
 	"time"
@@ -33,12 +32,11 @@
 	body   []byte
 }
 
-func (r *bufferedResponse) write(to http.ResponseWriter) {
-	copyEndToEndHeaders(to.Header(), r.header)
-	to.Header().Set("Content-Length", strconv.Itoa(len(r.body)))
-	to.WriteHeader(r.status)
-	_, _ = to.Write(r.body) // the client may have left
-}
+// errAnswerTooLong means that a response cannot be buffered. A part of it is no answer.
+var errAnswerTooLong = errors.New("the answer is longer than the limit")
+
+// errClientTooFarBehind means that no more of an answer can be read ahead of its client.
+var errClientTooFarBehind = errors.New("the client is too far behind its answer")
 
 var errUnsigned = errors.New("the answer lacks the engine's signature")
 
@@ -52,6 +50,7 @@
 	e.currentAttempt.set(cancel)
 	defer e.currentAttempt.set(nil)
 	key := engineconn.Key{Engine: engine.Incarnation(), Address: engine.Address}
+	e.startPace(decision)
 	answer, err := e.pool.Do(ctx, key, e.request(decision.Choice, ctx, cancel))
 	outcome, status, interrupted := NotRun, 0, false
 	switch {
@@ -77,7 +76,12 @@
 		e.attempts++
 		e.mayHaveRun = true
 	}
+	if outcome == Failed && e.leftSlowEngine(err, interrupted) {
+		e.abandoned = append(e.abandoned, engine.Incarnation())
+	}
+	e.recordPace(outcome)
 	e.releaseSlot(decision.Slot, outcome, err, deadlineCtx)
+	e.slotTime += time.Since(started)
 	fields := []zap.Field{
 		zap.String("request", e.call.Demand.RequestID), zap.Stringer("engine", engine.Incarnation()), zap.Int("attempt", e.tries),
 		zap.Duration("elapsed", time.Since(started)), zap.Error(err),
@@ -127,25 +131,6 @@
 	}
 }
 
-// Silence timeouts. A repeatable stream whose engine sends nothing for this long is resumed at
-// another engine while attempts are left. Other requests wait until their deadline.
-const (
-	minSilenceTimeout      = 700 * time.Millisecond
-	silenceObjectiveFactor = 4 // multiple of the first-event objective, before the first event
-	silencePauseFactor     = 3 // multiple of the pause objective, between events
-)
-
-// silenceTimeout returns how long an engine may send nothing. Zero means until the deadline.
-func (e *exchange) silenceTimeout() time.Duration {
-	if !e.call.Route.Repeatable() || e.attempts+1 >= e.call.Route.Attempts {
-		return 0
-	}
-	if e.stream.Count() == 0 {
-		return max(minSilenceTimeout, silenceObjectiveFactor*e.call.Route.Objective)
-	}
-	return max(minSilenceTimeout, silencePauseFactor*e.call.Route.PauseObjective)
-}
-
 // engineLikelyFull reports whether the engine is believed to have no free slot. Its silence then
 // means that the request is queued there, and another engine would queue it as well.
 func (e *exchange) engineLikelyFull(choice enginechoice.Choice) (full bool) {
@@ -160,9 +145,7 @@
 	}
 	response := answer.Response
 	metadata := e.headers.Answer(response.StatusCode, response.Header)
-	if metadata.LoadKnown {
-		decision.Slot.RecordReport(metadata.Load.Running, metadata.Load.Waiting)
-	}
+	decision.Slot.RecordLoad(metadata)
 	if metadata.NotRun {
 		return e.discardRefusal(answer, decision.Choice)
 	}
@@ -187,10 +170,14 @@
 	return NotRun, err
 }
 
-// forwardBuffered reads the whole response before it sends any of it to the client.
+// forwardBuffered reads the whole response. It is sent to the client after the attempt's slot has ended,
+// so that a client that reads slowly holds no slot.
 func (e *exchange) forwardBuffered(answer *engineconn.Exchange, success bool) (Outcome, error) {
 	answer.SetReadDeadline(e.clock.currentDeadline())
-	body, err := io.ReadAll(io.LimitReader(answer, maxBufferedBytes))
+	body, err := io.ReadAll(io.LimitReader(answer, maxBufferedBytes+1))
+	if err == nil && len(body) > maxBufferedBytes {
+		err = errAnswerTooLong
+	}
 	if err != nil {
 		return Failed, err
 	}
@@ -199,8 +186,7 @@
 		e.lastFailure = buffered
 		return Failed, nil
 	}
-	e.status = buffered.status
-	buffered.write(e.to)
+	e.buffered = buffered
 	if !success {
 		e.attempts++
 	}
@@ -214,23 +200,35 @@
 // forwardStream sends each event to the client as soon as it is complete.
 func (e *exchange) forwardStream(answer *engineconn.Exchange, slot *slots.Slot) (Outcome, error) {
 	e.stream.Restart()
-	flusher := http.NewResponseController(e.to)
-	buffer := make([]byte, 16<<10)
+	reader := newReadAhead(answer, e.held, e.clock.earlierOf, func() { e.limitWrites(time.Now()) })
+	defer reader.close()
+	buffer := make([]byte, readChunkBytes)
+	var waited time.Duration  // for the events to come
+	var written time.Duration // time that the last write to the client took
+	heldUp := false           // the events to come may have waited for the client
 	for {
 		answer.SetReadDeadline(e.readDeadline())
-		count, err := answer.Read(buffer)
+		waitedFrom, before := time.Now(), e.stream.Count()
+		count, err := reader.Read(buffer)
+		waited += time.Since(waitedFrom)
+		heldUp = heldUp || written > maxWriteTime || reader.readFromAhead
 		whole, tooLong := e.stream.Add(buffer[:count])
 		if len(whole) > 0 {
 			e.recordFirstEvent(slot)
-			e.sendHead(answer.Response)
-			if _, failed := e.to.Write(whole); failed != nil {
-				return ClientGone, failed
+			if !heldUp {
+				e.recordEvents(e.stream.Count()-before, waited)
 			}
-			if failed := flusher.Flush(); failed != nil {
+			waited, heldUp = 0, false
+			e.sendHead(answer.Response)
+			writtenFrom := time.Now()
+			if failed := e.writeEvents(whole, reader); failed != nil {
 				return ClientGone, failed
 			}
+			written = time.Since(writtenFrom)
 		}
 		switch {
+		case errors.Is(err, errClientTooFarBehind):
+			return ClientGone, err
 		case tooLong != nil:
 			return Failed, tooLong
 		case errors.Is(err, io.EOF) && !e.stream.Pending():
@@ -241,20 +239,19 @@
 			return Failed, io.ErrUnexpectedEOF
 		case err != nil:
 			return Failed, err
+		case len(whole) > 0 && !reader.hasAhead() && e.missesObjective():
+			return Failed, errSlowEngine
 		}
 	}
 }
 
+// maxWriteTime is how long a write to the client takes at most if the events that come after it are
+// to tell the engine's pace. They gather meanwhile.
+const maxWriteTime = 5 * time.Millisecond
+
 // readDeadline returns the deadline of the next read: the silence timeout or the call's deadline,
 // whichever is earlier.
-func (e *exchange) readDeadline() time.Time {
-	if timeout := e.silenceTimeout(); timeout > 0 {
-		if until := time.Now().Add(timeout); until.Before(e.clock.currentDeadline()) {
-			return until
-		}
-	}
-	return e.clock.currentDeadline()
-}
+func (e *exchange) readDeadline() time.Time { return e.clock.earlierOf(e.silenceTimeout()) }
 
 // recordFirstEvent records that an attempt has produced an event, and the time of the call's
 // first event.
@@ -282,7 +279,7 @@
 func (e *exchange) releaseSlot(slot *slots.Slot, outcome Outcome, err error, deadlineCtx context.Context) {
 	result := enginechoice.Succeeded
 	switch {
-	case outcome == ClientGone || (outcome == Failed && deadlineCtx.Err() != nil):
+	case outcome == ClientGone || errors.Is(err, errSlowEngine) || (outcome == Failed && deadlineCtx.Err() != nil):
 		result = enginechoice.Abandoned
 	case outcome == NotRun && err == nil:
 		result = enginechoice.Shed
--- a/internal/passthrough/relay/outcome.go
+++ b/internal/passthrough/relay/outcome.go
@@ -69,19 +69,29 @@
 	RunFailed  = "failed"
 )
 
-// notRunRetryAfter is the Retry-After of a request that no engine ran, except where the tenant is
-// over its limit.
+// notRunRetryAfter is the least Retry-After of a request that no engine ran, except where the
+// tenant is over its limit.
 const notRunRetryAfter = 100 * time.Millisecond
 
+// usablePart is the part of the time left, as a divisor, within which clients come back.
+const usablePart = 3
+
+// retryAfterVain returns the Retry-After of a request that has waited in vain for something that
+// may take as long again: an engine that takes work, or a dispatcher that knows the limits.
+func retryAfterVain(waited, left time.Duration) time.Duration {
+	return max(min(waited, left/usablePart), notRunRetryAfter)
+}
+
 // giveUp ends the call at once. The response claims no more than is known about whether an engine
 // ran the request. A response whose head is sent is cut off.
 func (e *exchange) giveUp(why reason) Outcome {
 	if e.headSent {
 		return Cut
 	}
+	e.allowFinalAnswer()
 	if e.lastFailure != nil && why != timedOut {
 		e.status = e.lastFailure.status
-		e.lastFailure.write(e.to)
+		_ = e.lastFailure.write(e.to) // the client may have left
 		return Failed
 	}
 	if e.mayHaveRun {
@@ -93,8 +103,12 @@
 		return Failed
 	}
 	e.status = http.StatusServiceUnavailable
-	e.headers.SetRetryAfter(e.to.Header(), notRunRetryAfter)
-	events.RequestRefused.Log(e.logger, zap.String("request", e.call.Demand.RequestID), zap.String("reason", string(why)), zap.Duration("retry_after", notRunRetryAfter))
+	retryAfter := notRunRetryAfter
+	if e.slots.RefusesOverload() && (why == noEngine || why == limitNotKnown) {
+		retryAfter = retryAfterVain(time.Since(e.call.Received), e.clock.remaining())
+	}
+	e.headers.SetRetryAfter(e.to.Header(), retryAfter)
+	events.RequestRefused.Log(e.logger, zap.String("request", e.call.Demand.RequestID), zap.String("reason", string(why)), zap.Duration("retry_after", retryAfter))
 	WriteRefusal(e.to, e.status, Refusal{Code: string(why), Message: "no engine ran the request; it may be sent again", Run: RunNot})
 	return NotRun
 }
@@ -106,11 +120,12 @@
 	if e.headSent || e.mayHaveRun {
 		return e.giveUp(attemptsUsed)
 	}
+	e.allowFinalAnswer()
 	verdict := cause.Verdict
 	events.OverLimit.Log(e.logger, zap.String("request", e.call.Demand.RequestID), zap.String("tenant", e.call.TenantName()),
 		zap.Float64("per_second", verdict.Limit.PerSecond), zap.Float64("burst", verdict.Limit.Burst), zap.Float64("left", verdict.Left),
 		zap.Float64("share", verdict.Share), zap.String("dispatcher", cause.Dispatcher), zap.Int64("routes_version", e.call.Version),
-		zap.Duration("retry_after", verdict.RetryAfter))
+		zap.Duration("retry_after", verdict.RetryAfter), zap.Bool("use_known", cause.Start.Known), zap.Duration("use_age", cause.Start.Age))
 	e.status = http.StatusTooManyRequests
 	e.headers.SetRetryAfter(e.to.Header(), verdict.RetryAfter)
 	WriteRefusal(e.to, e.status, Refusal{Code: "tenant_over_limit", Message: "the tenant has used up what its limit allows now; no engine ran the request", Run: RunNot})
@@ -123,6 +138,7 @@
 	if e.headSent || e.mayHaveRun {
 		return e.giveUp(attemptsUsed)
 	}
+	e.allowFinalAnswer()
 	refusal := cause.Refusal
 	events.RequestRefused.Log(e.logger, zap.String("request", e.call.Demand.RequestID), zap.String("reason", string(overloaded)), zap.Duration("retry_after", refusal.RetryAfter),
 		zap.Int("queued", refusal.Queued), zap.Float64("per_second", refusal.PerSecond), zap.Duration("expected", refusal.Expected), zap.String("dispatcher", cause.Dispatcher))
@@ -139,6 +155,7 @@
 	if e.headSent {
 		return Cut
 	}
+	e.allowFinalAnswer()
 	retryAfter := time.Until(verdict.Until)
 	events.ContentRefused.Log(e.logger, zap.String("request", e.call.Demand.RequestID), zap.Stringer("content", e.content), zap.String("route", e.call.Route.Name),
 		zap.String("tenant", e.call.TenantName()), zap.Int("crashes", verdict.Crashes), zap.Float64("evidence", verdict.Evidence), zap.Bool("by_operator", verdict.Ordered), zap.Duration("retry_after", retryAfter))
--- a/internal/passthrough/relay/relay.go
+++ b/internal/passthrough/relay/relay.go
@@ -8,6 +8,7 @@
 	"context"
 	"errors"
 	"net/http"
+	"sync"
 	"time"
 
 	"go.uber.org/zap"
@@ -21,6 +22,7 @@
 	"ringstream.example/ringstream/internal/passthrough/catalog"
 	"ringstream.example/ringstream/internal/passthrough/engineconn"
 	"ringstream.example/ringstream/internal/passthrough/guard"
+	"ringstream.example/ringstream/internal/passthrough/memorybudget"
 	"ringstream.example/ringstream/internal/passthrough/slots"
 	"ringstream.example/ringstream/internal/suspension"
 	"ringstream.example/ringstream/internal/wait"
@@ -48,6 +50,14 @@
 	return c.Tenant.Name
 }
 
+// tenantRank returns the priority of the call's tenant; 0, the highest, if it has none.
+func (c *Call) tenantRank() int {
+	if c.Tenant == nil {
+		return 0
+	}
+	return c.Tenant.Priority
+}
+
 // content returns the parts of the call that are the same in a repeat of it.
 func (c *Call) content() quarantine.Content {
 	return quarantine.Content{Host: c.Request.Host, Target: c.Request.RequestURI, Caller: c.TenantName(), Body: c.Body}
@@ -63,9 +73,16 @@
 	logger  *zap.Logger
 	metrics *Metrics
 	active  *activeCalls
+	usual   *usualTimes
+	moves   *recentMoves
 	watch   *suspension.Watch
+	held    *memorybudget.Budget // counts what is read ahead of slow clients
 }
 
+// SetMemoryBudget sets the budget of what is read ahead of slow clients. It must be called before the first
+// Serve; without it there is no bound on the sum.
+func (r *Relay) SetMemoryBudget(held *memorybudget.Budget) { r.held = held }
+
 // SetSuspensionWatch sets the watch that the relay checks for suspensions of the machine before
 // each attempt. It must be called before the first Serve.
 func (r *Relay) SetSuspensionWatch(watch *suspension.Watch) {
@@ -75,7 +92,7 @@
 
 // New returns a relay.
 func New(headers passthrough.Headers, engines *catalog.Engines, slots *slots.Service, pool *engineconn.Pool, guard *guard.Service, logger *zap.Logger, metrics *Metrics) *Relay {
-	return &Relay{headers: headers, engines: engines, slots: slots, pool: pool, guard: guard, logger: logger, metrics: metrics, active: newActiveCalls()}
+	return &Relay{headers: headers, engines: engines, slots: slots, pool: pool, guard: guard, logger: logger, metrics: metrics, active: newActiveCalls(), usual: newUsualTimes(), moves: &recentMoves{}, held: memorybudget.New(0)}
 }
 
 // exchange is the state of one call across its attempts.
@@ -83,9 +100,11 @@
 	*Relay
 	call           *Call
 	to             http.ResponseWriter
+	control        *http.ResponseController // of to
 	currentAttempt attemptCanceler
 	clock          callClock // runs until the deadline of the client or the route, whichever is earlier
 	excluded       map[enginechoice.Incarnation]bool
+	abandoned      []enginechoice.Incarnation // excluded for being slow or silent
 
 	content      quarantine.Digest
 	attempts     int  // attempts in which an engine ran the request or may have
@@ -96,16 +115,22 @@
 	lastUnserved error // why the last acquisition of a slot failed; nil if it succeeded
 	stream       *Splitter
 	firstEvent   time.Duration
+	slotTime     time.Duration     // for which the call held slots at engines
 	lastFailure  *bufferedResponse // the last error response of an engine
+	buffered     *bufferedResponse // the response to send, unless it is a stream
 	status       int               // sent to the client
-	headTimer    *silenceTimer     // ends an attempt whose engine sends no response head
+	pace         attemptPace
+	headTimer    *silenceTimer // ends an attempt whose engine sends no response head
+
+	writeLimits      sync.Mutex // guards finalAnswerUntil and the order of limits
+	finalAnswerUntil time.Time  // end of finalAnswerTime; zero before a final answer
 }
 
 // Serve answers a call. For a stream that cannot be finished it panics with http.ErrAbortHandler,
 // which makes net/http close the connection, so that the stream does not look complete.
 func (r *Relay) Serve(ctx context.Context, to http.ResponseWriter, call *Call) {
 	state := &exchange{
-		Relay: r, call: call, to: to,
+		Relay: r, call: call, to: to, control: http.NewResponseController(to),
 		excluded: make(map[enginechoice.Incarnation]bool), stream: NewSplitter(call.Demand.LastEvent), content: call.content().Digest(),
 	}
 	deadlineCtx, cancel := context.WithDeadline(ctx, deadlineOf(call))
@@ -115,14 +140,16 @@
 	r.active.add(state)
 	defer r.active.remove(state)
 	state.clock.applySuspension(r.watch.Total()) // suspensions while the call was read
+	state.limitWritesToCall()
 	outcome := state.run(ctx, deadlineCtx)
 	r.metrics.record(call.Route.Name, outcome, time.Since(call.Received), state.firstEvent)
+	r.metrics.recordTenant(state, outcome, time.Now())
 	events.RequestDone.Log(r.logger,
 		zap.String("request", call.Demand.RequestID), zap.String("route", call.Route.Name),
 		zap.Int64("routes_version", call.Version), zap.Duration("routes_age", time.Since(call.Learned)),
 		zap.Stringer("outcome", outcome), zap.Int("status", state.status), zap.Int("attempts", state.attempts), zap.Int("tries", state.tries),
 		zap.Int("events", state.stream.Count()), zap.Duration("first_event", state.firstEvent), zap.Duration("objective", call.Route.Objective),
-		zap.Duration("elapsed", time.Since(call.Received)), zap.Stringer("content", state.content))
+		zap.Duration("elapsed", time.Since(call.Received)), zap.Stringer("content", state.content), zap.String("tenant", call.TenantName()), zap.Int("tenant_rank", call.tenantRank()))
 	if outcome == Cut || (outcome == ClientGone && state.headSent) {
 		panic(http.ErrAbortHandler)
 	}
@@ -166,6 +193,9 @@
 		if errors.Is(err, slots.ErrLimitNotKnown) {
 			return e.giveUp(limitNotKnown)
 		}
+		if e.readmitAbandoned(err) {
+			continue
+		}
 		if err != nil {
 			if len(e.excluded) == 0 && time.Now().After(slotDeadline) || !e.waitForRetry(deadlineCtx, slotDeadline) {
 				return e.concludeUnserved(clientCtx, deadlineCtx)
@@ -182,7 +212,9 @@
 		}
 		outcome := e.attempt(deadlineCtx, decision)
 		switch outcome {
-		case Completed, ClientGone:
+		case Completed:
+			return e.deliver()
+		case ClientGone:
 			return outcome
 		case NotRun:
 			e.excluded[decision.Choice.Entry.Incarnation()] = true
@@ -242,7 +274,8 @@
 	query.Exclude = e.excluded
 	request := slots.Request{
 		ID: e.call.Demand.RequestID, Query: query, Rank: e.call.Route.Priority, PlacementDeadline: slotDeadline, EndsAt: e.clock.currentDeadline(),
-		Owner: e.call.TenantName(), Content: e.content.Hash(), MayHaveRun: e.mayHaveRun, Suspect: e.guard.Suspect(e.content),
+		TenantRank: e.call.tenantRank(), Owner: e.call.TenantName(), Content: e.content.Hash(), MayHaveRun: e.mayHaveRun, Suspect: e.guard.Suspect(e.content),
+		PauseObjective: e.call.Route.PauseObjective,
 	}
 	if e.call.Route.Objective > 0 {
 		request.FirstTokenDeadline = e.call.Received.Add(e.call.Route.Objective)
@@ -250,9 +283,6 @@
 	if e.stream.Count() > 0 {
 		request.PlacementDeadline = e.call.Received // a resumed stream does not wait for a free slot
 	}
-	if e.call.Tenant != nil {
-		request.TenantRank = e.call.Tenant.Priority
-	}
 	if e.call.Tenant != nil && !e.limitCounted {
 		request.Tenant = e.call.Tenant.Name
 	}
--- a/internal/passthrough/slots/acquire.go
+++ b/internal/passthrough/slots/acquire.go
@@ -1,6 +1,7 @@
 package slots
 
 import (
+	"cmp"
 	"context"
 	"fmt"
 	"time"
@@ -38,6 +39,8 @@
 	// MayHaveRun reports that an engine ran the request or may have.
 	MayHaveRun bool
 	Suspect    grant.Suspect
+	// PauseObjective is the route's objective for the longest time between two events; zero: none.
+	PauseObjective time.Duration
 }
 
 // OverloadedError reports that the engines cannot serve a request in its time.
@@ -97,6 +100,7 @@
 func (s *Service) Acquire(ctx context.Context, request Request) (Decision, error) {
 	started := time.Now()
 	query := request.Query
+	var admission *receivedGrant // by the dispatcher that counts the tenant, if that grants no slot
 	for {
 		suspensions := s.watch.Count()
 		if !s.hasUsableEngine(query) {
@@ -104,13 +108,15 @@
 		}
 		ask := s.newRequestAsk(request, query)
 		lane := s.laneForAsk(query.Pool, ask)
-		if counted, err := s.countAgainstLimit(ctx, request, ask, lane); err != nil {
+		if counted, granted, err := s.countAgainstLimit(ctx, request, ask, lane); err != nil {
 			return Decision{}, err
 		} else if counted {
 			request.Tenant, ask.Tenant = "", 0
+			admission = cmp.Or(granted, admission)
 		}
 		result, err := s.waitForKnownMembers(ctx, request, lane, ask)
 		if err != nil {
+			s.returnAdmission(admission, err)
 			return Decision{}, err
 		}
 		if result.granted != nil && s.watch.Count() != suspensions { // the dispatcher may have revoked the grant
@@ -138,21 +144,21 @@
 
 // countAgainstLimit counts a request against its tenant's limit, if the dispatcher that counts
 // the tenant is not the one that grants the slot. It returns false if the request is still to be
-// counted, together with the ask for the slot.
-func (s *Service) countAgainstLimit(ctx context.Context, request Request, ask grant.Ask, lane grant.Lane) (bool, error) {
+// counted, together with the ask for the slot. The admission is nil if no dispatcher has granted it.
+func (s *Service) countAgainstLimit(ctx context.Context, request Request, ask grant.Ask, lane grant.Lane) (counted bool, admission *receivedGrant, err error) {
 	if request.Tenant == "" {
-		return true, nil
+		return true, nil, nil
 	}
 	s.mu.Lock()
 	_, limited := s.limits.byTenant[ask.Tenant]
 	home := s.limitLane(ask.Tenant)
 	s.mu.Unlock()
 	if !limited || home == lane {
-		return !limited, nil
+		return !limited, nil, nil
 	}
 	ask.ID, ask.AdmitOnly = s.NewID(), true
-	_, err := s.waitForKnownMembers(ctx, request, home, ask)
-	return err == nil, err
+	result, err := s.waitForKnownMembers(ctx, request, home, ask)
+	return err == nil, result.granted, err
 }
 
 // newRequestAsk returns the ask of an online request.
@@ -163,15 +169,28 @@
 	if s.config.Scheduling.RefuseOverload {
 		ask.Content = request.Content
 	}
-	if s.config.Scheduling.FairShares && request.Owner != "" {
-		ask.Owner = grant.TenantHash(request.Owner)
+	if s.LearnsSpeeds() {
+		ask.PauseObjective = request.PauseObjective
 	}
+	ask.Owner = s.ownerHash(request.Owner)
 	if request.Tenant != "" {
 		ask.Tenant = grant.TenantHash(request.Tenant)
 	}
 	return ask
 }
 
+// SharesAmongTenants reports whether the tenants of one priority share the engines.
+func (s *Service) SharesAmongTenants() bool { return s.config.Scheduling.FairShares }
+
+// ownerHash returns the hash of the tenant in whose share a request runs, or 0 if there are no
+// shares or it belongs to no tenant.
+func (s *Service) ownerHash(tenant string) uint64 {
+	if !s.config.Scheduling.FairShares || tenant == "" {
+		return 0
+	}
+	return grant.TenantHash(tenant)
+}
+
 // pickLocally returns the engine that this node chooses without a dispatcher.
 func (s *Service) pickLocally(query enginechoice.Query) (choice enginechoice.Choice, found bool) {
 	query.Zone = s.Zone
@@ -391,7 +410,7 @@
 	}
 	decision := Decision{Source: ByDispatcher, From: received.from, Choice: enginechoice.Choice{
 		Entry: listed.Entry, State: listed.State, Score: received.grant.Score, PrefillTokens: received.grant.PrefillTokens,
-		InFlight: received.grant.InFlight, Preempts: received.grant.Preempts,
+		InFlight: received.grant.InFlight, Preempts: received.grant.Preempts, Slowness: received.grant.Slowness,
 	}}
 	if received.from == s.Self {
 		decision.Source = ByLocalDispatcher
--- a/internal/passthrough/slots/config.go
+++ b/internal/passthrough/slots/config.go
@@ -4,7 +4,10 @@
 	"errors"
 
 	"ringstream.example/ringstream/internal/configcheck"
+	"ringstream.example/ringstream/internal/core/enginespeed"
+	"ringstream.example/ringstream/internal/core/fairshares"
 	"ringstream.example/ringstream/internal/core/grant"
+	"ringstream.example/ringstream/internal/core/overload"
 )
 
 // Config holds the settings of the service.
@@ -32,5 +35,15 @@
 
 // policies returns the policies of a new dispatcher.
 func (c SchedulingConfig) policies() grant.Policies {
-	return grant.Policies{}
+	var policies grant.Policies
+	if c.EngineSpeeds {
+		policies.Speeds = enginespeed.New()
+	}
+	if c.RefuseOverload {
+		policies.Overload = overload.New()
+	}
+	if c.FairShares {
+		policies.Order, policies.BatchOrder = fairshares.New(), fairshares.New()
+	}
+	return policies
 }
--- a/internal/passthrough/slots/tenants.go
+++ b/internal/passthrough/slots/tenants.go
@@ -42,7 +42,8 @@
 // OverLimitError reports that a request exceeds its tenant's limit.
 type OverLimitError struct {
 	Verdict    quota.Verdict
-	Dispatcher string // address of the dispatcher that counts the tenant's requests
+	Start      quota.Start // from what the dispatcher began to count
+	Dispatcher string      // address of the dispatcher that counts the tenant's requests
 }
 
 // Error implements error.
@@ -63,6 +64,10 @@
 // limits holds the tenants' limits of one version of the routes.
 type limits struct {
 	byTenant map[uint64]quota.RateLimit // by grant.TenantHash; only tenants with a limit
+	// parts are the tenants' parts in the slots of a lane, by grant.TenantHash; only tenants with
+	// a limit.
+	parts map[uint64]grant.TenantPart
+	names map[uint64]string // of all tenants, by grant.TenantHash
 	// pool is the pool whose dispatchers count the requests of all tenants, including requests
 	// that go to other pools.
 	pool string
@@ -70,24 +75,42 @@
 
 // limitsFromTable reads the tenants' limits from a table.
 func limitsFromTable(table *passroute.Table) limits {
-	read := limits{byTenant: make(map[uint64]quota.RateLimit), pool: table.BusiestPool()}
+	read := limits{byTenant: make(map[uint64]quota.RateLimit), names: make(map[uint64]string), pool: table.BusiestPool()}
 	table.Tenants().Directory.Each(func(known *tenant.Tenant) {
+		read.names[grant.TenantHash(known.Name)] = known.Name
 		if known.Limit.Limited() {
 			read.byTenant[grant.TenantHash(known.Name)] = quota.RateLimit{PerSecond: known.Limit.PerSecond, Burst: known.Limit.Burst}
 		}
 	})
+	read.parts = partsFromLimits(read.byTenant)
 	return read
 }
 
+// partsFromLimits returns the parts by which tenants share the engines. The weights are in
+// proportion to the limits and 1 in the mean, which is the weight of a tenant without a limit.
+func partsFromLimits(limits map[uint64]quota.RateLimit) map[uint64]grant.TenantPart {
+	total := 0.0
+	for _, limit := range limits {
+		total += limit.PerSecond
+	}
+	parts := make(map[uint64]grant.TenantPart, len(limits))
+	for tenant, limit := range limits {
+		parts[tenant] = grant.TenantPart{Weight: limit.PerSecond * float64(len(limits)) / total, Burst: limit.Burst}
+	}
+	return parts
+}
+
 // SetRoutes applies the tenants' limits of a new version of the routes.
 func (s *Service) SetRoutes(table *passroute.Table) {
 	now := time.Now()
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.limits = limitsFromTable(table)
+	s.noteLimitLanes(now)
 	s.localQuota.SetLimits(s.limits.byTenant)
 	for lane, dispatcher := range s.dispatchers {
 		dispatcher.SetLimits(s.config.Limits.margin(), s.limitsForLane(lane), now)
+		dispatcher.SetTenants(s.limits.parts)
 	}
 	s.scheduleWake(now)
 }
@@ -132,6 +155,20 @@
 	}
 }
 
+// noteLimitLanes delays the time since which this node has admitted no request when other lanes than
+// before count the tenants' requests: the dispatchers of the former lanes have admitted some until
+// now. A node that knows no engine has asked none of them. The caller holds mu.
+func (s *Service) noteLimitLanes(now time.Time) {
+	if len(s.limits.byTenant) == 0 || s.limits.pool == "" || len(s.engines.slotsByPool) == 0 {
+		return
+	}
+	first := s.limitLane(0)
+	if s.firstLimitLane != (grant.Lane{}) && first != s.firstLimitLane {
+		s.delayUnusedSince(now)
+	}
+	s.firstLimitLane = first
+}
+
 // keepsLimits reports whether a lane's dispatcher counts requests of tenants. The caller holds
 // mu.
 func (s *Service) keepsLimits(lane grant.Lane) bool {
@@ -161,7 +198,9 @@
 	if limited && s.liveNodeCount == 0 {
 		return errMembersNotKnown
 	}
-	s.localQuota.Advance(time.Now(), 1/float64(max(s.liveNodeCount, 1)))
+	now := time.Now()
+	s.delayUnusedSince(now)
+	s.localQuota.Advance(now, 1/float64(max(s.liveNodeCount, 1)))
 	if !s.localQuota.AdmitRandomly(tenant, rand.Float64()) {
 		return ErrLimitNotKnown
 	}
