slots: the overload control works where the online routes of a pool have one objective

Change: Table.OneObjective; a lane's dispatcher has an overload control only then, also after a change of the routes. Measured: TestOverloadControlNeedsOneObjective; go test of slots and passroute passes.

--- a/internal/core/grant/dispatcher.go
+++ b/internal/core/grant/dispatcher.go
@@ -138,6 +138,15 @@
 	d.policies = policies.withDefaults()
 }
 
+// SetOverloadControl replaces the overload control; nil bounds the queue no longer. The new one
+// knows nothing of the requests that wait.
+func (d *Dispatcher) SetOverloadControl(control OverloadControl) {
+	policies := d.policies
+	policies.Overload = control
+	d.UsePolicies(policies)
+	d.retryOnline = true
+}
+
 // SetEngines replaces the lane's engines. Engines that are not listed are removed, and
 // entries of other pools or lanes are ignored.
 func (d *Dispatcher) SetEngines(entries []enginechoice.Listed, now time.Time) {
--- a/internal/core/passroute/passroute.go
+++ b/internal/core/passroute/passroute.go
@@ -176,6 +176,29 @@
 	return busiest
 }
 
+// OneObjective reports whether all online routes that send to a pool have the same objective for
+// the first event. It is false if there is none.
+func (t *Table) OneObjective(pool string) bool {
+	objective := time.Duration(0)
+	for _, routes := range t.byHost {
+		for _, route := range routes {
+			if route.Kind == KindBatch || !route.sendsTo(pool) {
+				continue
+			}
+			if route.Objective <= 0 || (objective > 0 && route.Objective != objective) {
+				return false
+			}
+			objective = route.Objective
+		}
+	}
+	return objective > 0
+}
+
+// sendsTo reports whether a part of the route's requests goes to a pool.
+func (r *Route) sendsTo(pool string) bool {
+	return slices.ContainsFunc(r.Targets, func(target Target) bool { return target.Pool == pool && target.Weight > 0 })
+}
+
 // addWeights adds the fraction of one route's requests that each target gets.
 func addWeights(weights map[string]float64, targets []Target) {
 	total := 0.0
--- a/internal/passthrough/slots/config.go
+++ b/internal/passthrough/slots/config.go
@@ -7,7 +7,6 @@
 	"ringstream.example/ringstream/internal/core/enginespeed"
 	"ringstream.example/ringstream/internal/core/fairshares"
 	"ringstream.example/ringstream/internal/core/grant"
-	"ringstream.example/ringstream/internal/core/overload"
 )
 
 // Config holds the settings of the service.
@@ -24,7 +23,7 @@
 // SchedulingConfig selects how dispatchers schedule the requests of a lane. Every node of a fleet
 // should have the same settings, since any node may become a dispatcher.
 type SchedulingConfig struct {
-	RefuseOverload bool `koanf:"refuse_overload" usage:"whether requests that the engines cannot serve in their time are refused at once, with the time to come back"`
+	RefuseOverload bool `koanf:"refuse_overload" usage:"whether requests that the engines cannot serve in their time are refused at once, with the time to come back, at engines whose online routes have one objective"`
 	FairShares     bool `koanf:"fair_shares" usage:"whether the tenants of one priority share the engines, where the configuration has tenants"`
 	EngineSpeeds   bool `koanf:"engine_speeds" usage:"whether engines are chosen by the speed that was observed"`
 	KeepLimits     bool `koanf:"keep_limits" usage:"whether what tenants used of their limits is kept beyond the dispatcher that counted it"`
@@ -33,15 +32,12 @@
 // DefaultSchedulingConfig selects none of the policies.
 func DefaultSchedulingConfig() SchedulingConfig { return SchedulingConfig{} }
 
-// policies returns the policies of a new dispatcher.
+// policies returns the policies of a new dispatcher, but for the overload control.
 func (c SchedulingConfig) policies() grant.Policies {
 	var policies grant.Policies
 	if c.EngineSpeeds {
 		policies.Speeds = enginespeed.New()
 	}
-	if c.RefuseOverload {
-		policies.Overload = overload.New()
-	}
 	if c.FairShares {
 		policies.Order, policies.BatchOrder = fairshares.New(), fairshares.New()
 	}
--- a/internal/passthrough/slots/overload.go
+++ b/internal/passthrough/slots/overload.go
@@ -3,6 +3,7 @@
 import (
 	"github.com/prometheus/client_golang/prometheus"
 
+	"ringstream.example/ringstream/internal/core/grant"
 	"ringstream.example/ringstream/internal/core/overload"
 )
 
@@ -28,6 +29,23 @@
 	return []prometheus.Collector{m.refused, m.places, m.booked, m.queue}
 }
 
+// controlOverload gives a dispatcher an overload control, or takes it away. The control needs a
+// pool whose online routes have one objective: it decides by the requests that wait in front of a
+// request, and requests with a shorter objective that arrive later would go before it. The caller
+// holds mu.
+func (s *Service) controlOverload(lane grant.Lane, dispatcher *laneDispatcher) {
+	wanted := s.config.Scheduling.RefuseOverload && (s.routes == nil || s.routes.OneObjective(lane.Pool))
+	switch {
+	case wanted == (dispatcher.overload != nil):
+	case wanted:
+		dispatcher.overload = overload.New()
+		dispatcher.SetOverloadControl(dispatcher.overload)
+	default:
+		dispatcher.overload = nil
+		dispatcher.SetOverloadControl(nil)
+	}
+}
+
 // RefusesOverload reports whether requests that the engines cannot serve in their time are
 // refused.
 func (s *Service) RefusesOverload() bool { return s.config.Scheduling.RefuseOverload }
--- a/internal/passthrough/slots/overload_test.go
+++ b/internal/passthrough/slots/overload_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"testing"
 	"time"
 
@@ -10,6 +11,7 @@
 
 	"ringstream.example/ringstream/internal/core/enginechoice"
 	"ringstream.example/ringstream/internal/core/grant"
+	"ringstream.example/ringstream/internal/core/passroute"
 )
 
 // TestOverloadIsRefusedAcrossNodes fills the engines from one node until the dispatcher knows
@@ -92,12 +94,40 @@
 	return sum
 }
 
-// TestSchedulingSelectsTheOverloadControl checks that nothing is refused without the setting.
-func TestSchedulingSelectsTheOverloadControl(t *testing.T) {
+// TestOverloadControlNeedsOneObjective gives a dispatcher routes with one objective and with two, and
+// without the setting.
+func TestOverloadControlNeedsOneObjective(t *testing.T) {
+	table := func(objectives ...time.Duration) *passroute.Table {
+		var routes []passroute.Route
+		for _, objective := range objectives {
+			routes = append(routes, passroute.Route{Host: "h", PathPrefix: fmt.Sprintf("/%v/", objective), Objective: objective, Targets: []passroute.Target{{Pool: "p", Weight: 1}}})
+		}
+		routes = append(routes, passroute.Route{Host: "h", PathPrefix: "/b/", Kind: passroute.KindBatch, Objective: time.Minute, Targets: []passroute.Target{{Pool: "p", Weight: 1}}})
+		return passroute.NewTable(1, routes, nil, passroute.Limits{}, passroute.Tenants{})
+	}
 	if policies := DefaultSchedulingConfig().policies(); policies != (grant.Policies{}) {
 		t.Errorf("the default selects %+v", policies)
 	}
-	if policies := (SchedulingConfig{RefuseOverload: true}).policies(); policies.Overload == nil {
-		t.Error("refuse_overload selects no overload control")
-	}
+	runInBubble(t, func(t *testing.T, ctx context.Context) {
+		node := newFleet(ctx, 1, 1).nodes["n0"]
+		lane := grant.Lane{Pool: "p", Parts: 1}
+		for _, test := range []struct {
+			setting, want bool
+			routes        *passroute.Table
+		}{
+			{true, true, table(time.Second)},
+			{true, false, table(time.Second, 2*time.Second)},
+			{true, true, table(time.Second, time.Second)},
+			{true, false, table(0)},
+			{false, false, table(time.Second)},
+		} {
+			node.config.Scheduling.RefuseOverload = test.setting
+			node.SetRoutes(test.routes)
+			node.mu.Lock()
+			if got := node.dispatcherFor(lane, time.Now()).overload != nil; got != test.want {
+				t.Errorf("%+v: got %t", test, got)
+			}
+			node.mu.Unlock()
+		}
+	})
 }
--- a/internal/passthrough/slots/slots.go
+++ b/internal/passthrough/slots/slots.go
@@ -17,6 +17,7 @@
 	"ringstream.example/ringstream/internal/core/enginechoice"
 	"ringstream.example/ringstream/internal/core/grant"
 	"ringstream.example/ringstream/internal/core/overload"
+	"ringstream.example/ringstream/internal/core/passroute"
 	"ringstream.example/ringstream/internal/core/quota"
 	"ringstream.example/ringstream/internal/passthrough/catalog"
 	"ringstream.example/ringstream/internal/suspension"
@@ -108,6 +109,7 @@
 	engines          engineView
 	refreshedAt      time.Time
 	rankedCandidates []grant.Candidate // the candidates of the current dispatcher rankings
+	routes           *passroute.Table  // nil before the first SetRoutes
 	limits           limits
 	liveNodeCount    int                               // live nodes, including this one; 0: unknown
 	unreadableLoads  map[enginechoice.Incarnation]bool // engines whose unreadable load was logged
@@ -380,10 +382,9 @@
 func (s *Service) dispatcherFor(lane grant.Lane, now time.Time) *laneDispatcher {
 	dispatcher := s.dispatchers[lane]
 	if dispatcher == nil && len(s.dispatchers) < maxDispatcherLanes {
-		policies := s.config.Scheduling.policies()
 		dispatcher = &laneDispatcher{Dispatcher: grant.NewDispatcher(grant.DefaultDispatcherConfig(), lane, s.Name, now)}
-		dispatcher.overload, _ = policies.Overload.(*overload.Controller)
-		dispatcher.UsePolicies(policies)
+		dispatcher.UsePolicies(s.config.Scheduling.policies())
+		s.controlOverload(lane, dispatcher)
 		if s.config.Scheduling.KeepLimits {
 			dispatcher.KeepLimits(s.useExchange(lane, now))
 		}
--- a/internal/passthrough/slots/tenants.go
+++ b/internal/passthrough/slots/tenants.go
@@ -100,17 +100,20 @@
 	return parts
 }
 
-// SetRoutes applies the tenants' limits of a new version of the routes.
+// SetRoutes applies a new version of the routes: the tenants' limits, and which pools have one
+// objective.
 func (s *Service) SetRoutes(table *passroute.Table) {
 	now := time.Now()
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	s.routes = table
 	s.limits = limitsFromTable(table)
 	s.noteLimitLanes(now)
 	s.localQuota.SetLimits(s.limits.byTenant)
 	for lane, dispatcher := range s.dispatchers {
 		dispatcher.SetLimits(s.config.Limits.margin(), s.limitsForLane(lane), now)
 		dispatcher.SetTenants(s.limits.parts)
+		s.controlOverload(lane, dispatcher)
 	}
 	s.scheduleWake(now)
 }
