slots: engine speeds and overload control in pools whose streaming routes have one objective

Change: PoolsWithOneObjective looks at streaming routes only; LearnsSpeeds and the policies go by it.

--- a/internal/core/passroute/passroute.go
+++ b/internal/core/passroute/passroute.go
@@ -176,27 +176,24 @@
 	return busiest
 }
 
-// OneObjective reports whether all online routes that send to a pool have the same objective for
-// the first event. It is false if there is none.
-func (t *Table) OneObjective(pool string) bool {
-	objective := time.Duration(0)
+// PoolsWithOneObjective returns the pools whose streaming routes all have the same objective for the
+// first event.
+func (t *Table) PoolsWithOneObjective() map[string]bool {
+	objectives := make(map[string]time.Duration)
+	one := make(map[string]bool)
 	for _, routes := range t.byHost {
 		for _, route := range routes {
-			if route.Kind == KindBatch || !route.sendsTo(pool) {
+			if route.Kind != KindStream {
 				continue
 			}
-			if route.Objective <= 0 || (objective > 0 && route.Objective != objective) {
-				return false
+			for _, target := range route.Targets {
+				known, seen := objectives[target.Pool]
+				one[target.Pool] = route.Objective > 0 && (!seen || (one[target.Pool] && known == route.Objective))
+				objectives[target.Pool] = route.Objective
 			}
-			objective = route.Objective
 		}
 	}
-	return objective > 0
-}
-
-// sendsTo reports whether a part of the route's requests goes to a pool.
-func (r *Route) sendsTo(pool string) bool {
-	return slices.ContainsFunc(r.Targets, func(target Target) bool { return target.Pool == pool && target.Weight > 0 })
+	return one
 }
 
 // addWeights adds the fraction of one route's requests that each target gets.
--- a/internal/core/passroute/passroute_test.go
+++ b/internal/core/passroute/passroute_test.go
@@ -105,3 +105,23 @@
 		}
 	}
 }
+
+// TestPoolsWithOneObjective checks pools of streaming routes with equal, different and no objectives.
+func TestPoolsWithOneObjective(t *testing.T) {
+	route := func(kind Kind, objective time.Duration, pools ...string) Route {
+		route := Route{Host: "h", Kind: kind, Objective: objective}
+		for _, pool := range pools {
+			route.Targets = append(route.Targets, Target{Pool: pool, Weight: 1})
+		}
+		return route
+	}
+	table := NewTable(1, []Route{
+		route(KindStream, time.Second, "equal", "different"), route(KindStream, time.Second, "equal"), route(KindStream, 2*time.Second, "different"),
+		route(KindStream, 3*time.Second, "different"), route(KindStream, 0, "none"), route(KindSafe, time.Minute, "equal", "safe"),
+	}, nil, Limits{}, Tenants{})
+	for pool, want := range map[string]bool{"equal": true, "different": false, "none": false, "safe": false} {
+		if got := table.PoolsWithOneObjective()[pool]; got != want {
+			t.Errorf("%s: got %t", pool, got)
+		}
+	}
+}
--- a/internal/passthrough/batch/slow.go
+++ b/internal/passthrough/batch/slow.go
@@ -31,7 +31,7 @@
 // engine. Only engines that are known to be slow are left, and an item leaves one once: in a flood
 // all runs are slower than usual, and a move would cost the item its place and its prompt.
 func (s *Service) runsTooSlowly(r itemRun, pace runPace) bool {
-	if r.decision.Choice.Slowness <= 1 || !s.Slots.LearnsSpeeds() || pace.events < minForecastEvents {
+	if r.decision.Choice.Slowness <= 1 || !s.Slots.LearnsSpeeds(r.decision.Choice.Entry.Pool) || pace.events < minForecastEvents {
 		return false
 	}
 	storeNow, known := s.storeClock()
--- a/internal/passthrough/relay/move.go
+++ b/internal/passthrough/relay/move.go
@@ -135,7 +135,7 @@
 		MayMove: e.moreAttempts(), Started: e.stream.Count() > 0, Waited: e.pace.startedAt.Sub(e.call.Received),
 		Objective: route.Objective, PauseObjective: route.PauseObjective, Slowness: e.pace.decision.Choice.Slowness,
 	}
-	if attempt.MayMove && e.slots.LearnsSpeeds() {
+	if attempt.MayMove && e.slots.LearnsSpeeds(e.call.Pool) {
 		attempt.FirstEvent, attempt.Pace = e.pace.usual.FirstEvent(), e.pace.usual.Pace()
 		attempt.SpareAttempt = e.attempts+2 < route.Attempts
 		attempt.EngineSlow = attempt.Slowness > 1 || e.pace.slowWaits >= minSlowWaits
@@ -201,7 +201,7 @@
 
 // leftSlowEngine reports whether an attempt ended because its engine was slow or silent.
 func (e *exchange) leftSlowEngine(err error, interrupted bool) bool {
-	return e.slots.LearnsSpeeds() && (interrupted || errors.Is(err, errSlowEngine) || isTimeout(err))
+	return e.slots.LearnsSpeeds(e.call.Pool) && (interrupted || errors.Is(err, errSlowEngine) || isTimeout(err))
 }
 
 // readmitAbandoned allows the engines again that were left for being slow, once no other engine
@@ -223,7 +223,7 @@
 // missesObjective reports whether the stream should be moved to another engine after an event,
 // since it will miss its pause objective or its deadline at this one.
 func (e *exchange) missesObjective() bool {
-	if e.pace.events < minPaceEvents || !e.slots.LearnsSpeeds() {
+	if e.pace.events < minPaceEvents || !e.slots.LearnsSpeeds(e.call.Pool) {
 		return false
 	}
 	left := max(e.pace.usual.Events()-e.stream.Count(), 0)
--- a/internal/passthrough/slots/acquire.go
+++ b/internal/passthrough/slots/acquire.go
@@ -169,7 +169,7 @@
 	if s.config.Scheduling.RefuseOverload {
 		ask.Content = request.Content
 	}
-	if s.LearnsSpeeds() {
+	if s.LearnsSpeeds(query.Pool) {
 		ask.PauseObjective = request.PauseObjective
 	}
 	ask.Owner = s.ownerHash(request.Owner)
--- a/internal/passthrough/slots/config.go
+++ b/internal/passthrough/slots/config.go
@@ -23,9 +23,9 @@
 // SchedulingConfig selects how dispatchers schedule the requests of a lane. Every node of a fleet
 // should have the same settings, since any node may become a dispatcher.
 type SchedulingConfig struct {
-	RefuseOverload bool `koanf:"refuse_overload" usage:"whether requests that the engines cannot serve in their time are refused at once, with the time to come back, at engines whose online routes have one objective"`
+	RefuseOverload bool `koanf:"refuse_overload" usage:"whether requests that the engines cannot serve in their time are refused at once, with the time to come back, at engines whose streaming routes have one objective"`
 	FairShares     bool `koanf:"fair_shares" usage:"whether the tenants of one priority share the engines, where the configuration has tenants"`
-	EngineSpeeds   bool `koanf:"engine_speeds" usage:"whether engines are chosen by the speed that was observed"`
+	EngineSpeeds   bool `koanf:"engine_speeds" usage:"whether engines are chosen by the speed that was observed, in pools whose streaming routes have one objective"`
 	KeepLimits     bool `koanf:"keep_limits" usage:"whether what tenants used of their limits is kept beyond the dispatcher that counted it"`
 }
 
--- a/internal/passthrough/slots/overload.go
+++ b/internal/passthrough/slots/overload.go
@@ -30,11 +30,11 @@
 }
 
 // controlOverload gives a dispatcher an overload control, or takes it away. The control needs a
-// pool whose online routes have one objective: it decides by the requests that wait in front of a
+// pool whose streaming routes have one objective: it decides by the requests that wait in front of a
 // request, and requests with a shorter objective that arrive later would go before it. The caller
 // holds mu.
 func (s *Service) controlOverload(lane grant.Lane, dispatcher *laneDispatcher) {
-	wanted := s.config.Scheduling.RefuseOverload && (s.routes == nil || s.routes.OneObjective(lane.Pool))
+	wanted := s.config.Scheduling.RefuseOverload && s.hasOneObjective(lane.Pool)
 	switch {
 	case wanted == (dispatcher.overload != nil):
 	case wanted:
@@ -46,6 +46,13 @@
 	}
 }
 
+// hasOneObjective reports whether the streaming routes of a pool have one objective. It is true
+// before the routes are known.
+func (s *Service) hasOneObjective(pool string) bool {
+	pools := s.poolsWithOneObjective.Load()
+	return pools == nil || (*pools)[pool]
+}
+
 // RefusesOverload reports whether requests that the engines cannot serve in their time are
 // refused.
 func (s *Service) RefusesOverload() bool { return s.config.Scheduling.RefuseOverload }
--- a/internal/passthrough/slots/overload_test.go
+++ b/internal/passthrough/slots/overload_test.go
@@ -94,15 +94,17 @@
 	return sum
 }
 
-// TestOverloadControlNeedsOneObjective gives a dispatcher routes with one objective and with two, and
+// TestSchedulingNeedsOneObjective gives a dispatcher routes with one objective and with two, and
 // without the setting.
-func TestOverloadControlNeedsOneObjective(t *testing.T) {
+func TestSchedulingNeedsOneObjective(t *testing.T) {
 	table := func(objectives ...time.Duration) *passroute.Table {
 		var routes []passroute.Route
 		for _, objective := range objectives {
-			routes = append(routes, passroute.Route{Host: "h", PathPrefix: fmt.Sprintf("/%v/", objective), Objective: objective, Targets: []passroute.Target{{Pool: "p", Weight: 1}}})
+			routes = append(routes, passroute.Route{Host: "h", PathPrefix: fmt.Sprintf("/%v/", objective), Kind: passroute.KindStream, Objective: objective, Targets: []passroute.Target{{Pool: "p", Weight: 1}}})
+		}
+		for _, kind := range []passroute.Kind{passroute.KindBatch, passroute.KindSafe} {
+			routes = append(routes, passroute.Route{Host: "h", PathPrefix: "/" + kind.String() + "/", Kind: kind, Objective: time.Minute, Targets: []passroute.Target{{Pool: "p", Weight: 1}}})
 		}
-		routes = append(routes, passroute.Route{Host: "h", PathPrefix: "/b/", Kind: passroute.KindBatch, Objective: time.Minute, Targets: []passroute.Target{{Pool: "p", Weight: 1}}})
 		return passroute.NewTable(1, routes, nil, passroute.Limits{}, passroute.Tenants{})
 	}
 	if policies := DefaultSchedulingConfig().policies(); policies != (grant.Policies{}) {
@@ -121,8 +123,11 @@
 			{true, false, table(0)},
 			{false, false, table(time.Second)},
 		} {
-			node.config.Scheduling.RefuseOverload = test.setting
+			node.config.Scheduling.RefuseOverload, node.config.Scheduling.EngineSpeeds = test.setting, test.setting
 			node.SetRoutes(test.routes)
+			if got := node.LearnsSpeeds("p"); got != test.want {
+				t.Errorf("%+v: learns speeds: %t", test, got)
+			}
 			node.mu.Lock()
 			if got := node.dispatcherFor(lane, time.Now()).overload != nil; got != test.want {
 				t.Errorf("%+v: got %t", test, got)
--- a/internal/passthrough/slots/slots.go
+++ b/internal/passthrough/slots/slots.go
@@ -17,7 +17,6 @@
 	"ringstream.example/ringstream/internal/core/enginechoice"
 	"ringstream.example/ringstream/internal/core/grant"
 	"ringstream.example/ringstream/internal/core/overload"
-	"ringstream.example/ringstream/internal/core/passroute"
 	"ringstream.example/ringstream/internal/core/quota"
 	"ringstream.example/ringstream/internal/passthrough/catalog"
 	"ringstream.example/ringstream/internal/suspension"
@@ -99,6 +98,8 @@
 	watch     *suspension.Watch
 	wake      chan struct{}
 	lastAskID atomic.Uint64 // the most recently assigned ask id
+	// poolsWithOneObjective is nil before the first SetRoutes.
+	poolsWithOneObjective atomic.Pointer[map[string]bool]
 
 	mu               sync.Mutex // guards the fields below
 	requesters       map[grant.Lane]*laneRequester
@@ -109,7 +110,6 @@
 	engines          engineView
 	refreshedAt      time.Time
 	rankedCandidates []grant.Candidate // the candidates of the current dispatcher rankings
-	routes           *passroute.Table  // nil before the first SetRoutes
 	limits           limits
 	liveNodeCount    int                               // live nodes, including this one; 0: unknown
 	unreadableLoads  map[enginechoice.Incarnation]bool // engines whose unreadable load was logged
@@ -383,7 +383,7 @@
 	dispatcher := s.dispatchers[lane]
 	if dispatcher == nil && len(s.dispatchers) < maxDispatcherLanes {
 		dispatcher = &laneDispatcher{Dispatcher: grant.NewDispatcher(grant.DefaultDispatcherConfig(), lane, s.Name, now)}
-		dispatcher.UsePolicies(s.config.Scheduling.policies())
+		dispatcher.UsePolicies(s.policies(lane))
 		s.controlOverload(lane, dispatcher)
 		if s.config.Scheduling.KeepLimits {
 			dispatcher.KeepLimits(s.useExchange(lane, now))
--- a/internal/passthrough/slots/speeds.go
+++ b/internal/passthrough/slots/speeds.go
@@ -50,7 +50,7 @@
 // RecordEvents records the arrival of events of the request, and how long the engine was waited
 // for before them.
 func (s *Slot) RecordEvents(count int, waited time.Duration) {
-	if s.service.LearnsSpeeds() && s.pace.add(count, waited) {
+	if s.service.LearnsSpeeds(s.lane.Pool) && s.pace.add(count, waited) {
 		s.reportPace()
 	}
 }
@@ -126,7 +126,7 @@
 // updateSpeedMetrics counts the slow engines of the lanes for which this node is the dispatcher.
 // The caller holds mu.
 func (s *Service) updateSpeedMetrics() {
-	if !s.LearnsSpeeds() {
+	if !s.config.Scheduling.EngineSpeeds {
 		return
 	}
 	var all []float64
@@ -138,8 +138,21 @@
 	s.Metrics.setSlowness(all)
 }
 
-// LearnsSpeeds reports whether engines are chosen by the speed that was observed.
-func (s *Service) LearnsSpeeds() bool { return s.config.Scheduling.EngineSpeeds }
+// LearnsSpeeds reports whether the engines of a pool are chosen by the speed that was observed.
+// Where the streaming routes of a pool have several objectives, their prompts differ, and the long
+// ones slow down an engine for the others, so that its pace tells little of its speed.
+func (s *Service) LearnsSpeeds(pool string) bool {
+	return s.config.Scheduling.EngineSpeeds && s.hasOneObjective(pool)
+}
+
+// policies returns the policies of a lane's new dispatcher, but for the overload control.
+func (s *Service) policies(lane grant.Lane) grant.Policies {
+	policies := s.config.Scheduling.policies()
+	if !s.LearnsSpeeds(lane.Pool) {
+		policies.Speeds = nil
+	}
+	return policies
+}
 
 // LaneHasQueue reports whether online requests of the slot's lane waited for an engine when this
 // node last heard from the lane's dispatcher.
--- a/internal/passthrough/slots/tenants.go
+++ b/internal/passthrough/slots/tenants.go
@@ -106,7 +106,8 @@
 	now := time.Now()
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.routes = table
+	pools := table.PoolsWithOneObjective()
+	s.poolsWithOneObjective.Store(&pools)
 	s.limits = limitsFromTable(table)
 	s.noteLimitLanes(now)
 	s.localQuota.SetLimits(s.limits.byTenant)
