--- a/internal/core/passroute/passroute_test.go
+++ b/internal/core/passroute/passroute_test.go
@@ -5,6 +5,7 @@
 	"math"
 	"strings"
 	"testing"
+	"time"
 
 	"pgregory.net/rapid"
 
