--- a/internal/passthrough/ingress/ingress.go
+++ b/internal/passthrough/ingress/ingress.go
@@ -211,8 +211,14 @@
 	var body []byte
 	var err error
 	to.withBodyDeadline(func() bool {
-		body, err = to.readCounted(http.MaxBytesReader(to.ResponseWriter, request.Body, limit), min(request.ContentLength, limit))
-		return err == nil
+		limited := http.MaxBytesReader(to.ResponseWriter, request.Body, limit)
+		body, err = to.readCounted(limited, min(request.ContentLength, limit))
+		if !errors.Is(err, errMemoryFull) {
+			return err == nil
+		}
+		to.releaseBody()
+		_, discarded := io.Copy(io.Discard, limited) // a connection that is closed before may lose the answer
+		return discarded == nil
 	})
 	var tooLong *http.MaxBytesError
 	switch {
@@ -233,10 +239,8 @@
 // may have some.
 const memoryRetryAfter = 300 * time.Millisecond
 
-// refuseMemoryFull answers a request whose body the node cannot hold, and gives up what it has read of it.
+// refuseMemoryFull answers a request whose body the node cannot hold.
 func (s *Server) refuseMemoryFull(to *answerWriter, demand passthrough.Demand) {
-	to.releaseBody()
-	to.Header().Set("Connection", "close") // the rest of the body is not read
 	const reason = "memory_full"
 	events.RequestRefused.Log(s.Logger, zap.String("request", demand.RequestID), zap.String("reason", reason), zap.Duration("retry_after", memoryRetryAfter))
 	relay.RefuseNotRun(to, s.Headers, memoryRetryAfter, reason, "this node holds as many bytes for its clients as it may; no engine ran the request")
