batch: results of an active job are listed as the store has them

Cause: callers that had read n results of a job at one node were told fewer at another, with a next position below what they had. A node asked the store only for positions that its copy did not list; a list that was merely too short was answered from the copy. The owner's copy lists a result when the store has answered its write, and another node can have read it in the store before. The copy of any other node lags behind its feed, or lacks what the feed omits. Change: while a job is active, a read is answered by a store read that starts after it, shared with the other readers of the job as before. The store then has all that any node has returned. Where the store does not answer within 0.4 s, the results that the copy lists are returned; positions that it does not list are refused as before.

--- a/internal/passthrough/batch/read.go
+++ b/internal/passthrough/batch/read.go
@@ -25,6 +25,9 @@
 	maxAnswerBytes   = 900_000 // of text in one answer
 	maxAnswerResults = 400     // results in one answer
 	itemCacheSize    = 16
+	// listedConfirmTimeout bounds the store read before results that this node's copy lists are
+	// returned from the copy alone.
+	listedConfirmTimeout = 400 * time.Millisecond
 	// answerTime is how long an answer may be written, beyond the time of the call. A client that states
 	// how long it waits has that time instead.
 	answerTime = 5 * time.Second
@@ -99,9 +102,9 @@
 }
 
 // answerResults answers with the results from a position on. If there are none yet, it waits for
-// one up to the given time. That an active job has no further result is answered only after the
-// store has confirmed it. A job that has ended or has all its results listed gets no more of them,
-// so the copy is enough.
+// one up to the given time. The results of an active job are listed as the store has them, since
+// another node may have returned results that this node's copy lacks. A job that has ended or has
+// all its results listed gets no more of them, so the copy is enough.
 func (s *Service) answerResults(ctx context.Context, to http.ResponseWriter, call passthrough.JobCall, hold time.Duration, outcome *callOutcome) int {
 	received := time.Now()
 	known, found, err := s.findFor(ctx, call)
@@ -109,15 +112,10 @@
 		return s.refuseCall(to, found, err)
 	}
 	known = s.awaitResult(ctx, known, call.From, received.Add(hold))
-	if call.From >= known.record.Listed && known.record.Active() {
-		confirmed := s.confirmer.confirm(ctx, call.Job, time.Now())
-		outcome.evidence, outcome.evidenceAt = fromStore, confirmed.requestedAt
-		if confirmed.err != nil || !confirmed.found {
-			return s.refuseCall(to, confirmed.found, confirmed.err)
-		}
-		known = confirmed.entry
-		if call.From >= known.record.Listed {
-			s.metrics.denials.WithLabelValues(deniedResult).Inc()
+	if known.record.Active() {
+		known, found, err = s.confirmListed(ctx, known, call.From, outcome)
+		if err != nil || !found {
+			return s.refuseCall(to, found, err)
 		}
 	}
 	outcome.listed = known.record.Listed
@@ -137,6 +135,33 @@
 	return http.StatusOK
 }
 
+// confirmListed returns an active job as the store has it. The copy lags behind the feed, and even
+// the owner's copy lists a result only once the store has answered its write. If the store does not
+// answer in time, the job is returned as the copy has it, provided that this lists the position.
+func (s *Service) confirmListed(ctx context.Context, known jobEntry, position int, outcome *callOutcome) (confirmed jobEntry, found bool, err error) {
+	listed := position < known.record.Listed
+	if listed {
+		var cancel context.CancelFunc
+		ctx, cancel = context.WithTimeout(ctx, listedConfirmTimeout)
+		defer cancel()
+	}
+	answer := s.confirmer.confirm(ctx, known.record.ID, time.Now())
+	if answer.err != nil && listed {
+		return known, true, nil
+	}
+	outcome.evidence, outcome.evidenceAt = fromStore, answer.requestedAt
+	if answer.err != nil || !answer.found {
+		return jobEntry{}, answer.found, answer.err
+	}
+	if position >= answer.entry.record.Listed {
+		s.metrics.denials.WithLabelValues(deniedResult).Inc()
+	}
+	if answer.entry.version < known.version {
+		return known, true, nil
+	}
+	return answer.entry, true, nil
+}
+
 // awaitResult waits until a job has a result at a position, can have none, or the time is up.
 func (s *Service) awaitResult(ctx context.Context, known jobEntry, position int, until time.Time) jobEntry {
 	for position >= known.record.Listed && known.record.Active() && time.Now().Before(until) && ctx.Err() == nil {
