--- a/internal/core/fairshares/order.go
+++ b/internal/core/fairshares/order.go
@@ -76,8 +76,7 @@
 }
 
 // maxAheadRequests is the number of requests of mean cost by which a tenant with few waiting requests
-// may be ahead of its share. It is above the number that a tenant which sends less than its share at
-// random times sends within an objective, but for rare cases.
+// may be ahead of its share.
 const maxAheadRequests = 8
 
 // sortKey is what a request is sorted by.
