--- a/internal/passthrough/batch/read.go
+++ b/internal/passthrough/batch/read.go
@@ -135,7 +135,7 @@
 	return http.StatusOK
 }
 
-// confirmListed returns an active job as the store has it. The copy lags behind the feed, and even
+// confirmListed returns an active job as the store has it. The copy lags behind the store, and even
 // the owner's copy lists a result only once the store has answered its write. If the store does not
 // answer in time, the job is returned as the copy has it, provided that this lists the position.
 func (s *Service) confirmListed(ctx context.Context, known jobEntry, position int, outcome *callOutcome) (confirmed jobEntry, found bool, err error) {
