passthrough, platform: logs name the software version of each engine chosen

Cause: engines' entries were read without the version of their software, and no line named the request whose stream a client takes up, so the logs of a stream over two versions cannot tell an attempt within one answer from a client's later request. Change: EngineEntry and enginechoice.Entry hold the software version; events 8020, 8026, 8027, 8103 and 8320 log it, 8102 logs the client's Resumes, and explain includes the requests that resume a stream in its story.

--- a/internal/core/enginechoice/enginechoice.go
+++ b/internal/core/enginechoice/enginechoice.go
@@ -15,7 +15,8 @@
 // Entry is an engine as described by the engine list.
 type Entry struct {
 	ID, Pool, Address, Zone string
-	Born                    int64 // see Incarnation
+	Born                    int64  // see Incarnation
+	Software                string // version of the software that it runs
 	Slots                   int
 	MemoryTokens            int       // capacity of its memory in tokens; 0 if unknown
 	ColdUntil               time.Time // until when the engine counts as cold
--- a/internal/events/passthrough.go
+++ b/internal/events/passthrough.go
@@ -16,18 +16,18 @@
 	RoutesRefused = Define(Event{Number: 8011, Name: "routes refused", Level: zapcore.ErrorLevel, Fields: []string{"source", "reason", "error"}, Action: "The configuration document cannot be read; the version before stays in force. Correct the document."})
 
 	EnginesSeen = Define(Event{Number: 8028, Name: "many engine entries", Level: zapcore.InfoLevel, Fields: []string{"rows", "store_version", "engines"}})
-	EngineSeen  = Define(Event{Number: 8020, Name: "engine entry", Level: zapcore.InfoLevel, Fields: []string{"engine", "address", "state", "store_version"}})
+	EngineSeen  = Define(Event{Number: 8020, Name: "engine entry", Level: zapcore.InfoLevel, Fields: []string{"engine", "software", "address", "state", "store_version"}})
 	EngineGone  = Define(Event{Number: 8021, Name: "engine entry gone", Level: zapcore.InfoLevel, Fields: []string{"engine", "store_was_sick", "store_version"}})
 	// EngineRestarted and EngineEntryOutdated identify incarnations as id@start, with the
 	// start in Unix milliseconds.
-	EngineRestarted     = Define(Event{Number: 8026, Name: "engine started again under its id", Level: zapcore.InfoLevel, Fields: []string{"engine", "former", "address", "state", "store_version"}})
-	EngineEntryOutdated = Define(Event{Number: 8027, Name: "engine entry of a former incarnation ignored", Level: zapcore.InfoLevel, Fields: []string{"engine", "newest", "address", "state", "store_version"}})
+	EngineRestarted     = Define(Event{Number: 8026, Name: "engine started again under its id", Level: zapcore.InfoLevel, Fields: []string{"engine", "software", "former", "address", "state", "store_version"}})
+	EngineEntryOutdated = Define(Event{Number: 8027, Name: "engine entry of a former incarnation ignored", Level: zapcore.InfoLevel, Fields: []string{"engine", "software", "newest", "address", "state", "store_version"}})
 	EngineWithheld      = Define(Event{Number: 8022, Name: "engine entry names no engine to use", Level: zapcore.WarnLevel, Fields: []string{"engine", "reason", "store_version", "error"}, Action: "The engine gets no new request until its entry holds. Look at what wrote the entry; with reason unknown_service, at the configuration's services. At most some lines in ten seconds are written; ringstream_pass_documents_refused_total counts all."})
 
 	RequestAccepted  = Define(Event{Number: 8101, Name: "request taken", Level: zapcore.DebugLevel, Fields: []string{"request", "route", "tenant", "routes_version", "left"}})
 	KeyRefused       = Define(Event{Number: 8113, Name: "key refused", Level: zapcore.InfoLevel, Fields: []string{"request", "key", "verdict", "routes_version", "confirmed_age"}})
-	RequestDone      = Define(Event{Number: 8102, Name: "request ended", Level: zapcore.InfoLevel, Fields: []string{"request", "route", "routes_version", "routes_age", "outcome", "status", "attempts", "tries", "events", "first_event", "objective", "elapsed", "content", "tenant", "tenant_rank"}})
-	EngineChosen     = Define(Event{Number: 8103, Name: "engine chosen", Level: zapcore.InfoLevel, Fields: []string{"request", "engine", "attempt", "chosen_by", "dispatcher", "waited", "score_ms", "in_flight", "slots", "prefill_tokens", "makes_room", "state", "left", "last_event"}})
+	RequestDone      = Define(Event{Number: 8102, Name: "request ended", Level: zapcore.InfoLevel, Fields: []string{"request", "route", "routes_version", "routes_age", "outcome", "status", "attempts", "tries", "events", "first_event", "objective", "elapsed", "content", "tenant", "tenant_rank", "resumes"}})
+	EngineChosen     = Define(Event{Number: 8103, Name: "engine chosen", Level: zapcore.InfoLevel, Fields: []string{"request", "engine", "software", "attempt", "chosen_by", "dispatcher", "waited", "score_ms", "in_flight", "slots", "prefill_tokens", "makes_room", "state", "left", "last_event"}})
 	AttemptEnded     = Define(Event{Number: 8104, Name: "attempt ended", Level: zapcore.InfoLevel, Fields: []string{"request", "engine", "attempt", "outcome", "status", "events", "elapsed", "error", "content", "engine_ended"}})
 	EngineNotReached = Define(Event{Number: 8115, Name: "engine not reached", Level: zapcore.DebugLevel, Fields: []string{"request", "engine", "attempt", "elapsed", "error"}})
 	NoEngine         = Define(Event{Number: 8105, Name: "no engine can take the request", Level: zapcore.InfoLevel, Fields: []string{"request", "pool", "excluded", "error"}})
@@ -80,7 +80,7 @@
 	JobCollected        = Define(Event{Number: 8309, Name: "job collected", Level: zapcore.InfoLevel, Fields: []string{"job", "error"}})
 	JobCallAnswered     = Define(Event{Number: 8310, Name: "call about a job answered", Level: zapcore.InfoLevel, Fields: []string{"job", "tenant", "call", "status", "from", "listed", "row_version", "view_age", "evidence", "evidence_age", "elapsed"}})
 	ProgressLoaded      = Define(Event{Number: 8311, Name: "progress loaded", Level: zapcore.InfoLevel, Fields: []string{"job", "epoch", "items"}})
-	ItemStarted         = Define(Event{Number: 8320, Name: "item started", Level: zapcore.InfoLevel, Fields: []string{"job", "request", "epoch", "engine", "in_flight", "last_event", "chosen_by", "dispatcher", "waited", "routes_version", "routes_age"}})
+	ItemStarted         = Define(Event{Number: 8320, Name: "item started", Level: zapcore.InfoLevel, Fields: []string{"job", "request", "epoch", "engine", "software", "in_flight", "last_event", "chosen_by", "dispatcher", "waited", "routes_version", "routes_age"}})
 	ItemRunEnded        = Define(Event{Number: 8321, Name: "item run ended", Level: zapcore.InfoLevel, Fields: []string{"job", "request", "epoch", "engine", "outcome", "status", "events_kept", "elapsed", "error", "content", "engine_ended"}})
 	ItemFinished        = Define(Event{Number: 8322, Name: "item finished", Level: zapcore.InfoLevel, Fields: []string{"job", "request", "succeeded", "why"}})
 	ItemPreempted       = Define(Event{Number: 8323, Name: "item yields", Level: zapcore.InfoLevel, Fields: []string{"job", "request", "engine", "events_kept", "why"}})
--- a/internal/explain/explain.go
+++ b/internal/explain/explain.go
@@ -37,9 +37,10 @@
 	return (l.Number >= firstViewEvent && l.Number <= lastViewEvent) || (l.Number >= firstLifecycleEvent && l.Number <= lastLifecycleEvent)
 }
 
-// isAbout reports whether a line is about the request or job with the id.
+// isAbout reports whether a line is about the request or job with the id, or about a request that
+// resumes its stream.
 func (l Line) isAbout(id string) bool {
-	return l.Fields["request"] == id || l.Fields["job"] == id
+	return l.Fields["request"] == id || l.Fields["job"] == id || l.Fields["resumes"] == id
 }
 
 // Numbers of the events about engines that ended while they ran a request. The
--- a/internal/explain/explain_test.go
+++ b/internal/explain/explain_test.go
@@ -17,6 +17,18 @@
 {"ts":"when","event":1}
 `
 
+// The story of a stream goes on in the requests that resume it.
+func TestStoryOfAStreamIncludesTheRequestsThatResumeIt(t *testing.T) {
+	const later = `{"level":"info","ts":"2026-01-01T00:00:02Z","msg":"request ended","node":"n2","request":"r2","resumes":"r1","event":8102}`
+	lines, err := Read(strings.NewReader(logs + later))
+	if err != nil {
+		t.Fatal(err)
+	}
+	if text := Text(Timeline(lines, "r1", time.Second)); !strings.Contains(text, "request=r2") {
+		t.Errorf("the request that resumes the stream is missing in\n%s", text)
+	}
+}
+
 func TestStoryIsOrderedAndIncludesNodeState(t *testing.T) {
 	lines, err := Read(strings.NewReader(logs))
 	if err != nil || len(lines) != 6 {
--- a/internal/passthrough/batch/schedule.go
+++ b/internal/passthrough/batch/schedule.go
@@ -265,7 +265,7 @@
 	s.running.Add(1)
 	s.mu.Unlock()
 	events.ItemStarted.Log(s.Logger, zap.String("job", next.job.id), zap.String("request", item.ID), zap.Int64("epoch", next.job.epoch),
-		zap.Stringer("engine", decision.Choice.Entry.Incarnation()), zap.Int("in_flight", decision.Choice.InFlight), zap.String("last_event", lastEvent),
+		zap.Stringer("engine", decision.Choice.Entry.Incarnation()), zap.String("software", decision.Choice.Entry.Software), zap.Int("in_flight", decision.Choice.InFlight), zap.String("last_event", lastEvent),
 		zap.Stringer("chosen_by", decision.Source), zap.String("dispatcher", decision.From), zap.Duration("waited", decision.Waited),
 		zap.Int64("routes_version", routes.version), zap.Duration("routes_age", time.Since(routes.learned)))
 	go s.runItem(ctx, stop, itemRun{job: next.job, index: next.index, item: item, digest: next.job.digestOf(item), route: routes.route, decision: decision})
--- a/internal/passthrough/catalog/entries.go
+++ b/internal/passthrough/catalog/entries.go
@@ -22,7 +22,7 @@
 // evaluate uses an entry or withholds its engine. Each change of an unused entry is logged once.
 // The caller holds mu.
 func (e *Engines) evaluate(id string, next listedEntry) {
-	next.entry.Pool, next.entry.Zone = e.intern(next.entry.Pool), e.intern(next.entry.Zone)
+	next.entry.Pool, next.entry.Zone, next.entry.Software = e.intern(next.entry.Pool), e.intern(next.entry.Zone), e.intern(next.entry.Software)
 	next.refusal = e.refusalOf(next)
 	former, known := e.listed[id]
 	e.listed[id] = next
--- a/internal/passthrough/catalog/restarts.go
+++ b/internal/passthrough/catalog/restarts.go
@@ -14,7 +14,7 @@
 // recordNews logs what an entry changed, and records a restart. former is the newest incarnation
 // before the entry. The caller holds mu.
 func (e *Engines) recordNews(news enginechoice.UpsertResult, entry enginechoice.Entry, state enginechoice.State, former enginechoice.Incarnation, version int64) {
-	fields := []zap.Field{zap.Stringer("engine", entry.Incarnation()), zap.String("address", entry.Address), zap.Stringer("state", state), zap.Int64("store_version", version)}
+	fields := []zap.Field{zap.Stringer("engine", entry.Incarnation()), zap.String("software", entry.Software), zap.String("address", entry.Address), zap.Stringer("state", state), zap.Int64("store_version", version)}
 	switch news {
 	case enginechoice.Unchanged:
 	case enginechoice.Changed:
--- a/internal/passthrough/passthrough.go
+++ b/internal/passthrough/passthrough.go
@@ -25,6 +25,7 @@
 	OutputTokens int    // the maximum that the request generates
 	LengthHint   int    // the client's estimate of the output tokens; 0 if there is none
 	LastEvent    string // the stream continues after this event; empty: from its start
+	Resumes      string // id of the request that brought the stream's first event; empty if not stated
 	Wait         time.Duration
 	Key          string // the tenant's key in plain text; must not be logged or forwarded
 }
@@ -81,14 +82,15 @@
 
 // EngineEntry is one engine as the platform lists it.
 type EngineEntry struct {
-	ID      string // with BornMs it identifies the incarnation of the engine
-	Pool    string
-	Address string // host:port
-	Zone    string
-	Slots   int
-	State   EngineState
-	ColdFor time.Duration // remaining time for which the engine is slow after its start
-	BornMs  int64         // Unix time of the engine's start in milliseconds; 0 if not stated
+	ID       string // with BornMs it identifies the incarnation of the engine
+	Pool     string
+	Software string // version of the software that the engine runs
+	Address  string // host:port
+	Zone     string
+	Slots    int
+	State    EngineState
+	ColdFor  time.Duration // remaining time for which the engine is slow after its start
+	BornMs   int64         // Unix time of the engine's start in milliseconds; 0 if not stated
 }
 
 // Documents reads the platform's documents.
--- a/internal/passthrough/relay/relay.go
+++ b/internal/passthrough/relay/relay.go
@@ -149,7 +149,7 @@
 		zap.Int64("routes_version", call.Version), zap.Duration("routes_age", time.Since(call.Learned)),
 		zap.Stringer("outcome", outcome), zap.Int("status", state.status), zap.Int("attempts", state.attempts), zap.Int("tries", state.tries),
 		zap.Int("events", state.stream.Count()), zap.Duration("first_event", state.firstEvent), zap.Duration("objective", call.Route.Objective),
-		zap.Duration("elapsed", time.Since(call.Received)), zap.Stringer("content", state.content), zap.String("tenant", call.TenantName()), zap.Int("tenant_rank", call.tenantRank()))
+		zap.Duration("elapsed", time.Since(call.Received)), zap.Stringer("content", state.content), zap.String("tenant", call.TenantName()), zap.Int("tenant_rank", call.tenantRank()), zap.String("resumes", call.Demand.Resumes))
 	if outcome == Cut || (outcome == ClientGone && state.headSent) {
 		panic(http.ErrAbortHandler)
 	}
@@ -315,7 +315,7 @@
 func (e *exchange) logChoice(decision slots.Decision) {
 	choice := decision.Choice
 	events.EngineChosen.Log(e.logger,
-		zap.String("request", e.call.Demand.RequestID), zap.Stringer("engine", choice.Entry.Incarnation()), zap.Int("attempt", e.tries),
+		zap.String("request", e.call.Demand.RequestID), zap.Stringer("engine", choice.Entry.Incarnation()), zap.String("software", choice.Entry.Software), zap.Int("attempt", e.tries),
 		zap.Stringer("chosen_by", decision.Source), zap.String("dispatcher", decision.From), zap.Duration("waited", decision.Waited),
 		zap.Float64("score_ms", choice.Score), zap.Int("in_flight", choice.InFlight), zap.Int("slots", choice.Entry.Slots), zap.Int("prefill_tokens", choice.PrefillTokens),
 		zap.Bool("makes_room", choice.Preempts), zap.Stringer("state", choice.State), zap.Duration("left", e.clock.remaining()), zap.String("last_event", e.stream.Last()))
