enginechoice, slots, grant: a request may be limited to one software version

Cause: a stream has to go on at the version that began it, and no query could say so. Change: Query.Software; asks exclude the lane's engines of other versions, which dispatchers of all builds honor; the node checks what it is granted. A request that finds no room at the few engines it may use no longer holds up the queue behind it where the queue has no bound.

--- a/internal/core/enginechoice/enginechoice.go
+++ b/internal/core/enginechoice/enginechoice.go
@@ -277,6 +277,16 @@
 	return ids
 }
 
+// SoftwareVersions returns the software versions of a pool's engines, sorted, including those of
+// engines that accept no work any longer but may still run requests.
+func (s *Set) SoftwareVersions(pool string) []string {
+	versions := make(map[string]bool)
+	for _, known := range s.pools[pool] {
+		versions[known.entry.Software] = true
+	}
+	return slices.Sorted(maps.Keys(versions))
+}
+
 // Serving returns the number of engines of a pool that accept new work.
 func (s *Set) Serving(pool string) int {
 	count := 0
--- a/internal/core/enginechoice/enginechoice_test.go
+++ b/internal/core/enginechoice/enginechoice_test.go
@@ -104,6 +104,32 @@
 	}
 }
 
+// A query that names a software version gets engines of that version only, however full they are.
+func TestPickKeepsToTheSoftwareVersion(t *testing.T) {
+	set := NewSet("n1")
+	for i, software := range []string{"v1", "v1.1", "v1.1"} {
+		set.Upsert(Entry{ID: fmt.Sprintf("e%d", i), Pool: "p", Zone: "z1", Slots: 1, Software: software}, Ready, start)
+	}
+	query := Query{Pool: "p", Software: "v1"}
+	for range 5 {
+		choice, found := set.Pick(query, start)
+		if !found || choice.Entry.Software != "v1" {
+			t.Fatalf("picked %+v", choice)
+		}
+		set.Start(choice.Entry.Incarnation(), &Work{})
+	}
+	if set.CanPickFree(query, start) || !set.CanPickFree(Query{Pool: "p"}, start) {
+		t.Error("a free slot of another version counts for the query")
+	}
+	set.Remove(Incarnation{ID: "e0"}, false, start)
+	if set.CanPick(query, start) || !set.CanPick(Query{Pool: "p", Software: "v1.1"}, start) {
+		t.Error("an engine that leaves, or of another version, can be picked")
+	}
+	if versions := set.SoftwareVersions("p"); !slices.Equal(versions, []string{"v1", "v1.1"}) {
+		t.Errorf("versions while an engine leaves: %v", versions)
+	}
+}
+
 func TestPickGoesWhereThePromptIsKept(t *testing.T) {
 	set := newSet(3)
 	shared := []Part{{ID: "a", Tokens: 2000}, {ID: "b", Tokens: 3000}}
--- a/internal/core/enginechoice/pick.go
+++ b/internal/core/enginechoice/pick.go
@@ -23,6 +23,8 @@
 	// MaxBatchPercent bounds the batch requests at an engine, as a percentage of its slots.
 	MaxBatchPercent int
 	Exclude         map[Incarnation]bool
+	// Software is the only software version whose engines may be picked; empty if any will do.
+	Software string
 	// Zone is the zone of the node that sends the request; empty if any will do.
 	Zone string
 	// PreviousEngine is an engine that may have the whole prompt cached; the zero value if none.
@@ -46,6 +48,11 @@
 	return tokens
 }
 
+// allows reports whether an engine that accepts work may be picked for the query.
+func (q Query) allows(id Incarnation, known *engine) bool {
+	return known.usable() && !q.Exclude[id] && (q.Software == "" || q.Software == known.entry.Software)
+}
+
 // Choice is the picked engine and the reasons for it.
 type Choice struct {
 	Entry         Entry
@@ -100,7 +107,7 @@
 	preferred := s.preferred(query, now)
 	var best bestEngines
 	for id, known := range s.pools[query.Pool] {
-		if query.Exclude[id] || !known.usable() {
+		if !query.allows(id, known) {
 			continue
 		}
 		inFlight := known.inFlight(now)
@@ -128,7 +135,7 @@
 // engine that qualifies.
 func (s *Set) CanPick(query Query, now time.Time) bool {
 	for id, known := range s.pools[query.Pool] {
-		if query.Exclude[id] || !known.usable() {
+		if !query.allows(id, known) {
 			continue
 		}
 		if !query.Batch || known.acceptsBatch(query, known.inFlight(now), now) {
@@ -142,7 +149,7 @@
 // online request.
 func (s *Set) CanPickFree(query Query, now time.Time) bool {
 	for id, known := range s.pools[query.Pool] {
-		if query.Exclude[id] || !known.usable() || now.Before(known.unhealthyUntil) || now.Before(known.shedUntil) {
+		if !query.allows(id, known) || now.Before(known.unhealthyUntil) || now.Before(known.shedUntil) {
 			continue
 		}
 		if known.entry.Slots <= 0 || known.inFlight(now) < known.entry.Slots {
--- a/internal/core/grant/queue.go
+++ b/internal/core/grant/queue.go
@@ -177,19 +177,18 @@
 	return p.full || (entry.InTime && p.tooSlow >= maxTooSlow)
 }
 
-// record records the result of an attempt to grant a request an engine. Where the queue is
-// bounded, a request that finds no room at the engines that it may use, or that it prefers, does
-// not hold up the requests behind it while other engines have room.
+// record records the result of an attempt to grant a request an engine. A request that finds no
+// room at the only engines that it may use does not hold up the requests behind it. Where the queue
+// is bounded, neither does one that prefers an engine without room while others have some.
 func (d *Dispatcher) record(pass *grantPass, entry *queuedAsk, result grantResult, now time.Time) {
 	switch {
 	case result == onlyTooSlow:
 		pass.tooSlow++
 	case result != notGranted || entry.ask.Suspect.Content != 0:
-	case !d.bounded:
-		pass.full = true
-		pass.mayHaveRoom = pass.mayHaveRoom || len(entry.ask.Exclude) > 0
 	case len(entry.ask.Exclude) > 0:
 		pass.mayHaveRoom = true
+	case !d.bounded:
+		pass.full = true
 	case pass.noRoom < maxNoRoom && d.engines.HasFreeSlot(d.lane.Pool, now):
 		pass.noRoom++
 		pass.mayHaveRoom = true
--- a/internal/passthrough/passthrough.go
+++ b/internal/passthrough/passthrough.go
@@ -84,7 +84,7 @@
 type EngineEntry struct {
 	ID       string // with BornMs it identifies the incarnation of the engine
 	Pool     string
-	Software string // version of the software that the engine runs
+	Software string // version of the software that the engine runs; not empty
 	Address  string // host:port
 	Zone     string
 	Slots    int
--- a/internal/passthrough/slots/acquire.go
+++ b/internal/passthrough/slots/acquire.go
@@ -107,7 +107,8 @@
 			return Decision{}, ErrNoEngine // a dispatcher could grant nothing
 		}
 		ask := s.newRequestAsk(request, query)
-		lane := s.laneForAsk(query.Pool, ask)
+		lane := s.laneForAsk(query, ask)
+		s.excludeOtherSoftware(&ask, lane, query)
 		if counted, granted, err := s.countAgainstLimit(ctx, request, ask, lane); err != nil {
 			return Decision{}, err
 		} else if counted {
@@ -277,11 +278,11 @@
 	return ask
 }
 
-// laneForLocked returns the lane of a pool to which an ask is sent. Requests that share prompt
-// parts use the same lane, and so do requests with the same content if engines have ended while
-// they ran it. The caller holds mu.
-func (s *Service) laneForLocked(pool string, ask grant.Ask) grant.Lane {
-	lane := grant.Lane{Pool: pool, Parts: s.engines.laneCount(pool)}
+// laneForLocked returns the lane to which an ask is sent. Requests that share prompt parts use the
+// same lane, and so do requests with the same content if engines have ended while they ran it. If
+// the query names a software version, the lane has an engine of it if any lane has. The caller holds mu.
+func (s *Service) laneForLocked(query enginechoice.Query, ask grant.Ask) grant.Lane {
+	lane := grant.Lane{Pool: query.Pool, Parts: s.engines.laneCount(query.Pool)}
 	key := grant.LifeHash(s.Incarnation) + ask.ID
 	if ask.Suspect.Content != 0 {
 		key = ask.Suspect.Content // one dispatcher sees all runs of a content
@@ -289,14 +290,28 @@
 		key = grant.PartHash(ask.Shared[len(ask.Shared)-1].ID)
 	}
 	lane.Part = uint32(key) & (lane.Parts - 1) //nolint:gosec // the low bits are meant
+	if query.Software != "" {
+		lane = s.engines.laneWithSoftware(lane, query.Software)
+	}
 	return lane
 }
 
 // laneForAsk acquires mu and calls laneForLocked.
-func (s *Service) laneForAsk(pool string, ask grant.Ask) grant.Lane {
+func (s *Service) laneForAsk(query enginechoice.Query, ask grant.Ask) grant.Lane {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.laneForLocked(query, ask)
+}
+
+// excludeOtherSoftware adds the lane's engines of other software versions to those that the ask
+// excludes, if the query names a version. Dispatchers of all builds understand such an ask.
+func (s *Service) excludeOtherSoftware(ask *grant.Ask, lane grant.Lane, query enginechoice.Query) {
+	if query.Software == "" {
+		return
+	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.laneForLocked(pool, ask)
+	ask.Exclude = append(ask.Exclude, s.engines.otherSoftware(lane, query.Software)...)
 }
 
 // submitAsk adds an ask to the lane's requester and sends it.
@@ -398,13 +413,13 @@
 }
 
 // resolveGrant returns a decision for the engine that a grant names. It returns false if the
-// engine is unknown, unusable or excluded.
+// engine is unknown, unusable or excluded, or runs another software version than the query wants.
 func (s *Service) resolveGrant(received receivedGrant, query enginechoice.Query) (Decision, bool) {
 	engine := s.engineByHash(received.grant.Engine)
 	var listed enginechoice.Listed
 	found := false
 	s.Engines.Use(func(set *enginechoice.Set, _ time.Time) { listed, found = set.Find(engine) })
-	if !found || !listed.State.Usable() || query.Exclude[engine] {
+	if !found || !listed.State.Usable() || query.Exclude[engine] || (query.Software != "" && listed.Entry.Software != query.Software) {
 		events.GrantDeclined.Log(s.Logger, zap.Uint64("ask", received.grant.ID), zap.Stringer("engine", engine), zap.String("dispatcher", received.from), zap.Bool("known", found), zap.Stringer("state", listed.State))
 		return Decision{}, false
 	}
--- a/internal/passthrough/slots/batch.go
+++ b/internal/passthrough/slots/batch.go
@@ -70,10 +70,11 @@
 	s.mu.Lock()
 	lane, known := s.batchLanes[request.ID]
 	if !known {
-		lane = s.laneForLocked(request.Query.Pool, ask)
+		lane = s.laneForLocked(request.Query, ask)
 	}
 	s.batchRequests[request.ID], s.batchLanes[request.ID] = request, lane
 	s.mu.Unlock()
+	s.excludeOtherSoftware(&ask, lane, request.Query)
 	s.submitAsk(lane, ask, grant.Deadlines{Objective: request.Due})
 }
 
--- a/internal/passthrough/slots/engines.go
+++ b/internal/passthrough/slots/engines.go
@@ -79,6 +79,33 @@
 	return v.listed[hash].Entry.Incarnation()
 }
 
+// laneWithSoftware returns the lane if it has a usable engine of a software version, or else another
+// lane of the pool that has one, or else the lane itself.
+func (v *engineView) laneWithSoftware(lane grant.Lane, software string) grant.Lane {
+	other := lane
+	for hash, known := range v.listed {
+		if known.Entry.Pool != lane.Pool || known.Entry.Software != software || !known.State.Usable() {
+			continue
+		}
+		if lane.Holds(hash) {
+			return lane
+		}
+		other.Part = uint32(hash) & (lane.Parts - 1) //nolint:gosec // the low bits are meant
+	}
+	return other
+}
+
+// otherSoftware returns the hashes of a lane's usable engines of other software versions.
+func (v *engineView) otherSoftware(lane grant.Lane, software string) []uint64 {
+	var hashes []uint64
+	for hash, known := range v.listed {
+		if known.Entry.Pool == lane.Pool && known.Entry.Software != software && known.State.Usable() && lane.Holds(hash) {
+			hashes = append(hashes, hash)
+		}
+	}
+	return hashes
+}
+
 // laneCount returns the number of lanes of a pool.
 func (v *engineView) laneCount(pool string) uint32 { return grant.LaneCount(v.slotsByPool[pool]) }
 
