origins, relay: streams are resumed only at the software version that began them

Cause: an attempt was given any engine of the service, and a node knew nothing of streams that another node began; Resumes was not read. Change: a stream keeps the version of the engine that wrote its first event. The node that begins it tells two others, in different zones, while the engines run several versions; a node at which a client takes the stream up asks for the version, and refuses with 503 what no node knows or no engine of the version can go on with.

--- a/internal/events/passthrough.go
+++ b/internal/events/passthrough.go
@@ -27,7 +27,7 @@
 	RequestAccepted  = Define(Event{Number: 8101, Name: "request taken", Level: zapcore.DebugLevel, Fields: []string{"request", "route", "tenant", "routes_version", "left"}})
 	KeyRefused       = Define(Event{Number: 8113, Name: "key refused", Level: zapcore.InfoLevel, Fields: []string{"request", "key", "verdict", "routes_version", "confirmed_age"}})
 	RequestDone      = Define(Event{Number: 8102, Name: "request ended", Level: zapcore.InfoLevel, Fields: []string{"request", "route", "routes_version", "routes_age", "outcome", "status", "attempts", "tries", "events", "first_event", "objective", "elapsed", "content", "tenant", "tenant_rank", "resumes"}})
-	EngineChosen     = Define(Event{Number: 8103, Name: "engine chosen", Level: zapcore.InfoLevel, Fields: []string{"request", "engine", "software", "attempt", "chosen_by", "dispatcher", "waited", "score_ms", "in_flight", "slots", "prefill_tokens", "makes_room", "state", "left", "last_event"}})
+	EngineChosen     = Define(Event{Number: 8103, Name: "engine chosen", Level: zapcore.InfoLevel, Fields: []string{"request", "engine", "software", "attempt", "chosen_by", "dispatcher", "waited", "score_ms", "in_flight", "slots", "prefill_tokens", "makes_room", "state", "left", "last_event", "resumed_at"}})
 	AttemptEnded     = Define(Event{Number: 8104, Name: "attempt ended", Level: zapcore.InfoLevel, Fields: []string{"request", "engine", "attempt", "outcome", "status", "events", "elapsed", "error", "content", "engine_ended"}})
 	EngineNotReached = Define(Event{Number: 8115, Name: "engine not reached", Level: zapcore.DebugLevel, Fields: []string{"request", "engine", "attempt", "elapsed", "error"}})
 	NoEngine         = Define(Event{Number: 8105, Name: "no engine can take the request", Level: zapcore.InfoLevel, Fields: []string{"request", "pool", "excluded", "error"}})
@@ -36,6 +36,8 @@
 	NoRoute          = Define(Event{Number: 8107, Name: "no route", Level: zapcore.InfoLevel, Fields: []string{"request", "host", "path", "routes_version", "routes_age", "confirmed_age"}})
 	RequestTooBig    = Define(Event{Number: 8108, Name: "request body over the limit", Level: zapcore.InfoLevel, Fields: []string{"request", "limit", "confirmed_age"}})
 	NotReadable      = Define(Event{Number: 8109, Name: "request body not read", Level: zapcore.InfoLevel, Fields: []string{"request", "error"}})
+	OriginLookedUp   = Define(Event{Number: 8117, Name: "software version of a stream looked up", Level: zapcore.InfoLevel, Fields: []string{"request", "resumes", "pool", "software", "source", "from", "versions", "asked", "answered", "elapsed"}})
+	OriginsRepeated  = Define(Event{Number: 8118, Name: "origins of streams sent again", Level: zapcore.InfoLevel, Fields: []string{"pool", "versions", "records"}})
 	ClientNotReading = Define(Event{Number: 8116, Name: "client does not read its answer", Level: zapcore.InfoLevel, Fields: []string{"request", "client", "blocked", "bytes", "elapsed"}})
 	RequestRefused   = Define(Event{Number: 8110, Name: "request refused, not run", Level: zapcore.InfoLevel, Fields: []string{"request", "reason", "retry_after", "queued", "per_second", "expected", "dispatcher"}})
 
--- a/internal/passthrough/edge/edge.go
+++ b/internal/passthrough/edge/edge.go
@@ -26,6 +26,7 @@
 	"ringstream.example/ringstream/internal/passthrough/guard"
 	"ringstream.example/ringstream/internal/passthrough/ingress"
 	"ringstream.example/ringstream/internal/passthrough/memorybudget"
+	"ringstream.example/ringstream/internal/passthrough/origins"
 	"ringstream.example/ringstream/internal/passthrough/peerstore"
 	"ringstream.example/ringstream/internal/passthrough/relay"
 	"ringstream.example/ringstream/internal/passthrough/replicas"
@@ -73,6 +74,7 @@
 	replicas       *replicas.Service // nil without a peer address; the node then reads the store itself
 	slots          *slots.Service
 	guard          *guard.Service
+	origins        *origins.Service
 	watch          *suspension.Watch
 	batch          *batch.Service
 	ingress        *ingress.Server
@@ -117,6 +119,9 @@
 	node.guard = guard.New(quarantine.DefaultConfig(), guard.Dependencies{
 		Engines: node.engines, Pool: node.pool, Logger: node.logger, Metrics: guard.NewMetrics(node.registry), Self: node.incarnation, Peers: node.peerAddresses, Seeds: node.seeds,
 	})
+	node.origins = origins.New(origins.Dependencies{
+		Engines: node.engines, Logger: node.logger, Peers: node.originPeers, PeersKnown: node.hasNodeList, EnginesAge: node.enginesAge,
+	})
 	node.slots = slots.New(slots.Config{Limits: config.Limits, Scheduling: config.Scheduling}, slots.Dependencies{
 		Engines: node.engines, Logger: node.logger, Metrics: slots.NewMetrics(node.registry),
 		Self: node.peerName(), Name: identity.Name, Incarnation: node.incarnation, Zone: identity.Zone,
@@ -138,6 +143,7 @@
 	forward := relay.New(platform.Headers, node.engines, node.slots, node.pool, node.guard, node.logger, relay.NewMetrics(node.registry))
 	held := memorybudget.New(config.maxHeldBytes())
 	forward.SetMemoryBudget(held)
+	forward.SetOrigins(node.origins)
 	node.guard.OnBlocked(forward.StopContent)
 	node.engines.OnRestart(node.guard.Restarted)
 	node.watch = suspension.NewWatch(clockOrSystem(platform.Clock))
@@ -152,6 +158,8 @@
 		node.slots.UseTransport(node.share)
 		node.guard.UseTransport(node.share)
 		node.batch.UseTransport(node.share)
+		node.origins.UseTransport(node.share)
+		node.share.UseOrigins(node.origins)
 		node.store.UsePeers(storePeers{Share: node.share, local: local}, node.caughtUp)
 		node.shareStoreReads()
 	}
@@ -239,6 +247,7 @@
 	add(n.engines.Run)
 	add(n.slots.Run)
 	add(n.guard.Run)
+	add(n.origins.Run)
 	if n.share != nil {
 		add(n.share.Run)
 		add(n.replicas.Run)
--- a/internal/passthrough/edge/sharer.go
+++ b/internal/passthrough/edge/sharer.go
@@ -10,6 +10,7 @@
 	"go.uber.org/zap"
 
 	"ringstream.example/ringstream/internal/core/grant"
+	"ringstream.example/ringstream/internal/core/streamorigin"
 	"ringstream.example/ringstream/internal/events"
 	"ringstream.example/ringstream/internal/passthrough"
 	"ringstream.example/ringstream/internal/peer/sharing"
@@ -35,6 +36,19 @@
 	return addresses
 }
 
+// originPeers returns the other nodes that may be alive.
+func (n *Node) originPeers() []streamorigin.Node {
+	peers := n.batch.Peers()
+	nodes := make([]streamorigin.Node, 0, len(peers))
+	for _, peer := range peers {
+		nodes = append(nodes, streamorigin.Node{Address: peer.Address, Zone: peer.Zone})
+	}
+	return nodes
+}
+
+// enginesAge returns the time since the list of engines was last known to be complete.
+func (n *Node) enginesAge() time.Duration { return time.Since(n.engineFollower.Health().AsOf) }
+
 // Seeds implements sharing.Local.
 func (s *sharer) Seeds() []string { return s.node.seeds() }
 
--- /dev/null
+++ b/internal/passthrough/origins/lookup.go
@@ -0,0 +1,142 @@
+package origins
+
+import (
+	"context"
+	"time"
+
+	"go.uber.org/zap"
+
+	"ringstream.example/ringstream/internal/core/streamorigin"
+	"ringstream.example/ringstream/internal/events"
+)
+
+// Stream identifies a stream that a client takes up.
+type Stream struct {
+	Request string // id of the request that takes it up, for the log
+	Resumes string // id of the request that brought its first event; empty if the client does not say
+	Pool    string
+}
+
+// lookup is the state of one search for a stream's origin.
+type lookup struct {
+	streamorigin.Lookup
+	key      streamorigin.Key
+	from     string // the node that has the record; empty for this one
+	asked    []string
+	answered map[string]bool
+}
+
+// Find returns the software version at which a stream may be resumed. It returns ErrNotFound if no
+// node that answers knows it, or the error of ctx.
+func (s *Service) Find(ctx context.Context, stream Stream) (software string, err error) {
+	started := time.Now()
+	search := &lookup{answered: make(map[string]bool)}
+	if stream.Resumes != "" {
+		search.key = streamorigin.KeyOf(stream.Resumes)
+	}
+	search.Add(s.evidence(stream.Pool, search.key))
+	software, source := search.Result(false)
+	if source == streamorigin.Undecided {
+		s.askPeers(ctx, stream, search)
+		software, source = search.Result(true)
+		if source == streamorigin.OnlyVersion && !s.reliesOn(search) {
+			software, source = "", streamorigin.NotFound
+		}
+	}
+	events.OriginLookedUp.Log(s.Logger, zap.String("request", stream.Request), zap.String("resumes", stream.Resumes), zap.String("pool", stream.Pool),
+		zap.String("software", software), zap.Stringer("source", source), zap.String("from", search.from), zap.Strings("versions", search.Versions()),
+		zap.Int("asked", len(search.asked)), zap.Int("answered", len(search.answered)), zap.Duration("elapsed", time.Since(started)))
+	switch {
+	case ctx.Err() != nil:
+		return "", ctx.Err()
+	case source == streamorigin.NotFound:
+		return "", ErrNotFound
+	}
+	if stream.Resumes != "" {
+		s.Began(stream.Pool, stream.Resumes, software)
+	}
+	return software, nil
+}
+
+// reliesOn reports whether the evidence of a search covers the versions of all engines that may have
+// begun the stream. Another node's answer does, and so does a list of engines that this node has
+// known to be complete for as long as a stream lasts.
+func (s *Service) reliesOn(search *lookup) bool {
+	if len(search.answered) > 0 {
+		return true
+	}
+	if len(search.asked) == 0 {
+		return s.transport == nil || s.PeersKnown()
+	}
+	return s.EnginesAge() <= maxEnginesAge && time.Since(s.started) >= streamorigin.Retention
+}
+
+// askPeers asks the other nodes, and those again that do not answer, until the origin is known, all
+// have answered, or lookupTimeout has passed.
+func (s *Service) askPeers(ctx context.Context, stream Stream, search *lookup) {
+	if s.transport == nil {
+		return
+	}
+	search.asked = streamorigin.AskedFor(search.key, s.Peers())
+	if len(search.asked) == 0 {
+		return
+	}
+	id, replies := s.register(search)
+	defer s.unregister(id)
+	ctx, cancel := context.WithTimeout(ctx, lookupTimeout)
+	defer cancel()
+	question := streamorigin.Message{Question: &streamorigin.Question{ID: id, Key: search.key, Pool: stream.Pool}}
+	for ctx.Err() == nil {
+		for _, peer := range search.asked {
+			if !search.answered[peer] {
+				s.transport.SendOrigins(peer, question)
+			}
+		}
+		if search.await(ctx, replies) || search.onlyOneVersion() {
+			return
+		}
+	}
+}
+
+// onlyOneVersion reports whether all nodes that have answered know of one version only. A record is
+// of no use then.
+func (l *lookup) onlyOneVersion() bool { return len(l.answered) > 0 && len(l.Versions()) == 1 }
+
+// await collects answers for answerTimeout. It reports whether no further answer is needed.
+func (l *lookup) await(ctx context.Context, replies <-chan reply) (done bool) {
+	again := time.NewTimer(answerTimeout)
+	defer again.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return true
+		case <-again.C:
+			return false
+		case answer := <-replies:
+			l.answered[answer.from] = true
+			l.Add(answer.evidence)
+			if answer.evidence.Software != "" {
+				l.from = answer.from
+			}
+			if _, source := l.Result(false); source != streamorigin.Undecided || len(l.answered) >= len(l.asked) {
+				return true
+			}
+		}
+	}
+}
+
+// register returns the id of a new lookup and the channel of its answers.
+func (s *Service) register(search *lookup) (id uint64, replies <-chan reply) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.lastID++
+	pending := pendingLookup{key: search.key, replies: make(chan reply, len(search.asked))}
+	s.lookups[s.lastID] = pending
+	return s.lastID, pending.replies
+}
+
+func (s *Service) unregister(id uint64) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	delete(s.lookups, id)
+}
--- a/internal/passthrough/relay/attempt.go
+++ b/internal/passthrough/relay/attempt.go
@@ -154,7 +154,7 @@
 		return Failed, errUnsigned
 	}
 	if success && e.call.Route.Kind == passroute.KindStream {
-		return e.forwardStream(answer, decision.Slot)
+		return e.forwardStream(answer, decision)
 	}
 	return e.forwardBuffered(answer, success)
 }
@@ -198,7 +198,7 @@
 }
 
 // forwardStream sends each event to the client as soon as it is complete.
-func (e *exchange) forwardStream(answer *engineconn.Exchange, slot *slots.Slot) (Outcome, error) {
+func (e *exchange) forwardStream(answer *engineconn.Exchange, decision slots.Decision) (Outcome, error) {
 	e.stream.Restart()
 	reader := newReadAhead(answer, e.held, e.clock.earlierOf, func() { e.limitWrites(time.Now()) })
 	defer reader.close()
@@ -214,7 +214,7 @@
 		heldUp = heldUp || written > maxWriteTime || reader.readFromAhead
 		whole, tooLong := e.stream.Add(buffer[:count])
 		if len(whole) > 0 {
-			e.recordFirstEvent(slot)
+			e.recordFirstEvent(decision)
 			if !heldUp {
 				e.recordEvents(e.stream.Count()-before, waited)
 			}
@@ -253,13 +253,18 @@
 // whichever is earlier.
 func (e *exchange) readDeadline() time.Time { return e.clock.earlierOf(e.silenceTimeout()) }
 
-// recordFirstEvent records that an attempt has produced an event, and the time of the call's
-// first event.
-func (e *exchange) recordFirstEvent(slot *slots.Slot) {
+// recordFirstEvent records that an attempt has produced an event, the time of the call's first
+// event, and the software version that wrote it. It is called before the event is sent, since a
+// client that has the event may take the stream up at another node.
+func (e *exchange) recordFirstEvent(decision slots.Decision) {
 	if e.firstEvent == 0 {
 		e.firstEvent = time.Since(e.call.Received)
 	}
-	slot.Started()
+	if e.software == "" {
+		e.software = decision.Choice.Entry.Software
+		e.recordOrigin()
+	}
+	decision.Slot.Started()
 }
 
 // sendHead sends the status and headers of the first engine that responds. A resumed stream
--- a/internal/passthrough/relay/move.go
+++ b/internal/passthrough/relay/move.go
@@ -164,7 +164,7 @@
 	if !e.pace.decision.Choice.HasSlot() || e.pace.decision.Slot.LaneHasQueue() {
 		return false
 	}
-	query := Query(e.call.Pool, e.call.Demand)
+	query := e.query()
 	query.Exclude = maps.Clone(e.excluded)
 	query.Exclude[e.pace.decision.Choice.Entry.Incarnation()] = true
 	e.engines.Use(func(set *enginechoice.Set, now time.Time) { e.pace.freeElsewhere = set.CanPickFree(query, now) })
--- a/internal/passthrough/relay/outcome.go
+++ b/internal/passthrough/relay/outcome.go
@@ -53,6 +53,10 @@
 	limitNotKnown reason = "limit_not_known"
 	// overloaded means that the engines cannot serve the request in its time.
 	overloaded reason = "overloaded"
+	// softwareUnknown means that no node knows which software version began the stream.
+	softwareUnknown reason = "stream_software_unknown"
+	// softwareGone means that no engine of the version that began the stream accepts work.
+	softwareGone reason = "stream_software_gone"
 )
 
 // Refusal is the body of an error response that the gateway generates itself.
--- a/internal/passthrough/relay/relay.go
+++ b/internal/passthrough/relay/relay.go
@@ -23,6 +23,7 @@
 	"ringstream.example/ringstream/internal/passthrough/engineconn"
 	"ringstream.example/ringstream/internal/passthrough/guard"
 	"ringstream.example/ringstream/internal/passthrough/memorybudget"
+	"ringstream.example/ringstream/internal/passthrough/origins"
 	"ringstream.example/ringstream/internal/passthrough/slots"
 	"ringstream.example/ringstream/internal/suspension"
 	"ringstream.example/ringstream/internal/wait"
@@ -77,12 +78,24 @@
 	moves   *recentMoves
 	watch   *suspension.Watch
 	held    *memorybudget.Budget // counts what is read ahead of slow clients
+	origins Origins
 }
 
 // SetMemoryBudget sets the budget of what is read ahead of slow clients. It must be called before the first
 // Serve; without it there is no bound on the sum.
 func (r *Relay) SetMemoryBudget(held *memorybudget.Budget) { r.held = held }
 
+// Origins knows which software version began a stream.
+type Origins interface {
+	// Began records the version whose engine wrote a stream's first event.
+	Began(pool, requestID, software string)
+	// Find returns the version at which a stream may be resumed, or origins.ErrNotFound.
+	Find(ctx context.Context, stream origins.Stream) (software string, err error)
+}
+
+// SetOrigins sets what knows the streams that other nodes began. It must be called before the first Serve.
+func (r *Relay) SetOrigins(origins Origins) { r.origins = origins }
+
 // SetSuspensionWatch sets the watch that the relay checks for suspensions of the machine before
 // each attempt. It must be called before the first Serve.
 func (r *Relay) SetSuspensionWatch(watch *suspension.Watch) {
@@ -114,6 +127,8 @@
 	headSent     bool
 	lastUnserved error // why the last acquisition of a slot failed; nil if it succeeded
 	stream       *Splitter
+	software     string // version that wrote the stream's first event; empty before it is known
+	readmitted   bool   // excluded engines were allowed again for want of others of this version
 	firstEvent   time.Duration
 	slotTime     time.Duration     // for which the call held slots at engines
 	lastFailure  *bufferedResponse // the last error response of an engine
@@ -172,6 +187,9 @@
 // run makes attempts until one succeeds or no further attempt is allowed.
 func (e *exchange) run(clientCtx, deadlineCtx context.Context) Outcome {
 	slotDeadline := e.call.Received.Add(slotWaitOf(e.call))
+	if outcome, resumable := e.findOrigin(deadlineCtx); !resumable {
+		return outcome
+	}
 	for {
 		if clientCtx.Err() != nil {
 			return ClientGone
@@ -193,7 +211,7 @@
 		if errors.Is(err, slots.ErrLimitNotKnown) {
 			return e.giveUp(limitNotKnown)
 		}
-		if e.readmitAbandoned(err) {
+		if e.readmitAbandoned(err) || e.readmitForSoftware(deadlineCtx, err) {
 			continue
 		}
 		if err != nil {
@@ -270,7 +288,7 @@
 // acquireSlot acquires a slot at an engine. It waits for a free slot until slotDeadline. After
 // that the request is placed at an engine, however many requests are queued there.
 func (e *exchange) acquireSlot(deadlineCtx context.Context, slotDeadline time.Time) (slots.Decision, error) {
-	query := Query(e.call.Pool, e.call.Demand)
+	query := e.query()
 	query.Exclude = e.excluded
 	request := slots.Request{
 		ID: e.call.Demand.RequestID, Query: query, Rank: e.call.Route.Priority, PlacementDeadline: slotDeadline, EndsAt: e.clock.currentDeadline(),
@@ -318,7 +336,7 @@
 		zap.String("request", e.call.Demand.RequestID), zap.Stringer("engine", choice.Entry.Incarnation()), zap.String("software", choice.Entry.Software), zap.Int("attempt", e.tries),
 		zap.Stringer("chosen_by", decision.Source), zap.String("dispatcher", decision.From), zap.Duration("waited", decision.Waited),
 		zap.Float64("score_ms", choice.Score), zap.Int("in_flight", choice.InFlight), zap.Int("slots", choice.Entry.Slots), zap.Int("prefill_tokens", choice.PrefillTokens),
-		zap.Bool("makes_room", choice.Preempts), zap.Stringer("state", choice.State), zap.Duration("left", e.clock.remaining()), zap.String("last_event", e.stream.Last()))
+		zap.Bool("makes_room", choice.Preempts), zap.Stringer("state", choice.State), zap.Duration("left", e.clock.remaining()), zap.String("last_event", e.stream.Last()), zap.String("resumed_at", e.software))
 }
 
 // Query translates a request's demand into a query for an engine. The last part of the prompt
--- a/internal/peer/sharing/datagrams.go
+++ b/internal/peer/sharing/datagrams.go
@@ -11,6 +11,7 @@
 	"ringstream.example/ringstream/internal/core/grant"
 	"ringstream.example/ringstream/internal/core/liveness"
 	"ringstream.example/ringstream/internal/core/quarantine"
+	"ringstream.example/ringstream/internal/core/streamorigin"
 	"ringstream.example/ringstream/internal/events"
 	released "ringstream.example/ringstream/internal/peer/sharing/released/grant"
 )
@@ -57,6 +58,12 @@
 	s.sendDatagram(s.livenessCodec.Write(msg), to)
 }
 
+// SendOrigins sends a node a message about the origins of streams. Like liveness messages, it has a
+// type of its own, and earlier builds drop it.
+func (s *Share) SendOrigins(to string, msg streamorigin.Message) {
+	s.sendDatagram(s.originsCodec.Write(msg), to)
+}
+
 // sendReleased sends a message in the form that earlier builds read.
 func (s *Share) sendReleased(msg released.Message, to string) {
 	s.sendDatagram(s.releasedCodec.Write(msg), to)
@@ -94,7 +101,7 @@
 	}
 }
 
-// handleDatagram decodes a datagram, a liveness message or a message about slots or crashes, and handles it.
+// handleDatagram decodes a datagram, a message about liveness, origins, slots or crashes, and handles it.
 func (s *Share) handleDatagram(from string, datagram []byte) error {
 	if livenessMsg, err := s.livenessCodec.Read(datagram); err == nil {
 		s.watchers.HandleLiveness(from, livenessMsg)
@@ -104,6 +111,10 @@
 		s.upgraded.heard(from, time.Now())
 		return s.handleMessage(from, msg)
 	}
+	if originsMsg, err := s.originsCodec.Read(datagram); err == nil {
+		s.origins.HandleMessage(from, originsMsg)
+		return nil
+	}
 	earlier, err := s.releasedCodec.Read(datagram)
 	if err != nil {
 		return err
--- a/internal/peer/sharing/golden_test.go
+++ b/internal/peer/sharing/golden_test.go
@@ -9,6 +9,7 @@
 
 	"ringstream.example/ringstream/internal/core/grant"
 	"ringstream.example/ringstream/internal/core/liveness"
+	"ringstream.example/ringstream/internal/core/streamorigin"
 	released "ringstream.example/ringstream/internal/peer/sharing/released/grant"
 )
 
@@ -18,6 +19,7 @@
 	releasedCodec = newCodec[released.Message]()
 	_             = newCodec[liveness.Message]()
 	currentCodec  = newCodec[message]()
+	originsCodec  = newCodec[streamorigin.Message]()
 )
 
 // During a rolling upgrade, nodes of two builds run side by side and exchange datagrams about the slots
@@ -64,3 +66,30 @@
 		t.Error(difference)
 	}
 }
+
+// TestDatagramsAboutOriginsAreKept decodes datagrams about the origins of streams and checks that this
+// build encodes the same messages to the same bytes. Nodes of two builds that do not read each other's
+// refuse streams that they could resume.
+func TestDatagramsAboutOriginsAreKept(t *testing.T) {
+	key := streamorigin.Key{1, 2, 3}
+	for name, example := range map[string]streamorigin.Message{
+		"records":  {Records: []streamorigin.Record{{Key: key, Software: "v1.1"}}},
+		"question": {Question: &streamorigin.Question{ID: 7, Key: key, Pool: "p"}},
+		"answer":   {Answer: &streamorigin.Answer{ID: 7, Key: key, Evidence: streamorigin.Evidence{Software: "v1", Versions: []string{"v1", "v2"}}}},
+	} {
+		kept, err := os.ReadFile("testdata/origins-" + name + ".datagram")
+		if err != nil {
+			t.Fatal(err)
+		}
+		decoded, err := originsCodec.Read(kept)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if difference := cmp.Diff(example, decoded); difference != "" {
+			t.Errorf("%s: %s", name, difference)
+		}
+		if difference := cmp.Diff(kept, originsCodec.Write(example)); difference != "" {
+			t.Errorf("%s: %s", name, difference)
+		}
+	}
+}
--- a/internal/peer/sharing/sharing.go
+++ b/internal/peer/sharing/sharing.go
@@ -23,6 +23,7 @@
 	"ringstream.example/ringstream/internal/core/grant"
 	"ringstream.example/ringstream/internal/core/liveness"
 	"ringstream.example/ringstream/internal/core/quarantine"
+	"ringstream.example/ringstream/internal/core/streamorigin"
 	"ringstream.example/ringstream/internal/events"
 	"ringstream.example/ringstream/internal/passthrough"
 	released "ringstream.example/ringstream/internal/peer/sharing/released/grant"
@@ -102,6 +103,17 @@
 	HandleLiveness(from string, message liveness.Message)
 }
 
+// Origins receives the messages of other nodes about the origins of streams.
+type Origins interface {
+	HandleMessage(from string, message streamorigin.Message)
+}
+
+// noOrigins drops all messages.
+type noOrigins struct{}
+
+// HandleMessage implements Origins.
+func (noOrigins) HandleMessage(string, streamorigin.Message) {}
+
 // Config sets the address of a node and the interval of its questions.
 type Config struct {
 	Address  string        // IP:port, for both UDP and TCP
@@ -126,10 +138,12 @@
 	slots             Slots
 	crashes           Crashes
 	watchers          Watchers
+	origins           Origins
 	logger            *zap.Logger
 	releasedCodec     *codec[released.Message]
 	livenessCodec     *codec[liveness.Message]
 	messageCodec      *codec[message]
+	originsCodec      *codec[streamorigin.Message]
 	upgraded          upgradedPeers
 	tables            Tables // nil if this node does not answer from its copies
 	followConnections connectionPool
@@ -142,16 +156,20 @@
 	datagrams atomic.Pointer[net.PacketConn] // nil before Run
 }
 
+// UseOrigins sets the receiver of messages about the origins of streams. It must be called before Run.
+func (s *Share) UseOrigins(origins Origins) { s.origins = origins }
+
 // New creates the share of a node, for one run of its process.
 func New(config Config, local Local, slots Slots, crashes Crashes, watchers Watchers, logger *zap.Logger) *Share {
 	share := &Share{
-		config: config, local: local, slots: slots, crashes: crashes, watchers: watchers, logger: logger,
+		config: config, local: local, slots: slots, crashes: crashes, watchers: watchers, origins: noOrigins{}, logger: logger,
 		upgraded: upgradedPeers{lastHeard: make(map[string]time.Time)},
 	}
 	// The order is that in which earlier builds created theirs, see newCodec.
 	share.releasedCodec = newCodec[released.Message]()
 	share.livenessCodec = newCodec[liveness.Message]()
 	share.messageCodec = newCodec[message]()
+	share.originsCodec = newCodec[streamorigin.Message]()
 	return share
 }
 
