batch: items go on only at the software version that began their text

What callers saw: texts of items that hold events of two software versions. Cause: an item that resumes, at the same owner or at the next one, was given any engine of the service; its saved text did not name the version. Change: the text and its rows keep the version of the engines that wrote it. An item whose version has no engine that accepts work, while another one has, starts anew; rows from before that are not joined. Rows of earlier builds name no version: with one version serving it is that one, else the item starts anew.

--- a/internal/passthrough/batch/progress.go
+++ b/internal/passthrough/batch/progress.go
@@ -25,6 +25,8 @@
 	pieces    []string // the data of each event
 	events    int
 	lastEvent string
+	software  string // version of the engines that wrote it; empty if an earlier build saved it
+	restarts  int    // how often the item has started anew
 }
 
 func (p *progress) add(lastEvent, data string) {
@@ -41,6 +43,8 @@
 	LastEvent string   `json:"last_event"`
 	Pieces    []string `json:"pieces"` // consecutive, starting with number First
 	First     int      `json:"first"`  // number of the first piece
+	Software  string   `json:"software,omitempty"`
+	Restarts  int      `json:"restarts,omitempty"`
 }
 
 // maxPartialBytes is the size of text at which a row is full.
@@ -61,7 +65,7 @@
 			size += len(work.text.pieces[last]) + 1
 			last++
 		}
-		piece := partial{Pieces: slices.Clone(work.text.pieces[first:last]), First: first}
+		piece := partial{Pieces: slices.Clone(work.text.pieces[first:last]), First: first, Software: work.text.software, Restarts: work.text.restarts}
 		if last == work.text.events {
 			piece.LastEvent = work.text.lastEvent
 		}
@@ -120,8 +124,11 @@
 		return // the item resumes from the rows before it, or starts again
 	}
 	text := kept[index]
-	if piece.First != text.events {
-		return // from a run whose rows another owner has replaced
+	if text.events == 0 {
+		text.software, text.restarts = piece.Software, piece.Restarts
+	}
+	if piece.First != text.events || piece.Software != text.software || piece.Restarts != text.restarts {
+		return // from a run whose rows another owner has replaced, or from before the item started anew
 	}
 	text.pieces = append(text.pieces, piece.Pieces...)
 	text.events += len(piece.Pieces)
@@ -184,17 +191,28 @@
 	s.mu.Lock()
 	job.writing = false
 	if err == nil && result.Applied {
-		for index, count := range saved {
-			job.work[index].savedEvents = max(job.work[index].savedEvents, count)
+		for index, text := range saved {
+			job.work[index].recordSaved(text)
 		}
 	}
 	s.mu.Unlock()
 	s.flush(job)
 }
 
+// savedText is how much of an item's text a transaction saves.
+type savedText struct{ events, restarts int }
+
+// recordSaved records that a transaction has saved text, unless the item has started anew since. The
+// caller holds Service.mu.
+func (w *itemWork) recordSaved(text savedText) {
+	if text.restarts == w.text.restarts {
+		w.savedEvents = max(w.savedEvents, text.events)
+	}
+}
+
 // gatherProgress collects unsaved rows. The caller holds Service.mu.
-func (s *Service) gatherProgress(job *ownedJob, minEvents int) (rows []passthrough.Row, saved map[int]int) {
-	saved = make(map[int]int)
+func (s *Service) gatherProgress(job *ownedJob, minEvents int) (rows []passthrough.Row, saved map[int]savedText) {
+	saved = make(map[int]savedText)
 	size := 0
 	for index := range job.work {
 		work := &job.work[index]
@@ -209,7 +227,7 @@
 			break
 		}
 		rows = append(rows, unsaved...)
-		saved[index] = work.text.events
+		saved[index] = savedText{events: work.text.events, restarts: work.text.restarts}
 	}
 	return rows, saved
 }
--- a/internal/passthrough/batch/run.go
+++ b/internal/passthrough/batch/run.go
@@ -290,8 +290,10 @@
 	if r.job.ctx.Err() != nil {
 		return // the job was dropped
 	}
+	text := &r.job.work[r.index].text
+	text.software = r.decision.Choice.Entry.Software
 	for _, event := range relay.Events(whole) {
 		id, _ := relay.EventID(event)
-		r.job.work[r.index].text.add(id, relay.EventData(event))
+		text.add(id, relay.EventData(event))
 	}
 }
--- a/internal/passthrough/batch/schedule.go
+++ b/internal/passthrough/batch/schedule.go
@@ -159,6 +159,7 @@
 	query := relay.Query(s.Routes.Pool(route), s.Headers.Demand(item.Header))
 	query.Batch, query.PreviousEngine = true, next.lastEngine
 	query.MaxBatchPercent = s.config.MaxEnginePercent
+	query.Software = s.softwareOf(next, query.Pool)
 	s.avoidSlowEngine(&query, next)
 	s.mu.Lock()
 	defer s.mu.Unlock()
--- a/internal/passthrough/batch/slow.go
+++ b/internal/passthrough/batch/slow.go
@@ -47,7 +47,7 @@
 	}
 	engine := r.decision.Choice.Entry.Incarnation()
 	if !s.canRun(enginechoice.Query{
-		Pool: r.decision.Choice.Entry.Pool, Batch: true, MaxBatchPercent: s.config.MaxEnginePercent, Exclude: map[enginechoice.Incarnation]bool{engine: true},
+		Pool: r.decision.Choice.Entry.Pool, Software: r.decision.Choice.Entry.Software, Batch: true, MaxBatchPercent: s.config.MaxEnginePercent, Exclude: map[enginechoice.Incarnation]bool{engine: true},
 	}) {
 		return false
 	}
--- /dev/null
+++ b/internal/passthrough/batch/software.go
@@ -0,0 +1,48 @@
+package batch
+
+import (
+	"time"
+
+	"go.uber.org/zap"
+
+	"ringstream.example/ringstream/internal/core/enginechoice"
+	"ringstream.example/ringstream/internal/events"
+)
+
+// softwareOf returns the software version at which an item that has text goes on, or an empty string
+// if it may start at any. The item starts anew if its version is not known, or if no engine of it
+// accepts work while one of another version does.
+func (s *Service) softwareOf(next candidate, pool string) string {
+	s.mu.Lock()
+	text := next.job.work[next.index].text
+	s.mu.Unlock()
+	if text.events == 0 {
+		return ""
+	}
+	software := text.software
+	var goesOn, startsElsewhere bool
+	s.Engines.Use(func(set *enginechoice.Set, now time.Time) {
+		if versions := set.SoftwareVersions(pool); software == "" && len(versions) == 1 {
+			software = versions[0]
+		}
+		goesOn = software != "" && set.CanPick(enginechoice.Query{Pool: pool, Software: software}, now)
+		startsElsewhere = set.CanPick(enginechoice.Query{Pool: pool}, now)
+	})
+	if goesOn || (software != "" && !startsElsewhere) {
+		return software
+	}
+	s.startAnew(next, software)
+	return ""
+}
+
+// startAnew discards the text of an item that does not run.
+func (s *Service) startAnew(next candidate, software string) {
+	s.mu.Lock()
+	work := &next.job.work[next.index]
+	discarded := work.text.events
+	work.text = progress{restarts: work.text.restarts + 1}
+	work.savedEvents, work.slotRequestID = 0, 0
+	s.mu.Unlock()
+	events.ItemStartedAnew.Log(s.Logger, zap.String("job", next.job.id), zap.String("request", next.job.items[next.index].ID), zap.Int64("epoch", next.job.epoch),
+		zap.String("software", software), zap.Int("events_discarded", discarded))
+}
--- /dev/null
+++ b/internal/passthrough/batch/software_test.go
@@ -0,0 +1,50 @@
+package batch
+
+import (
+	"encoding/json"
+	"testing"
+
+	"github.com/google/go-cmp/cmp"
+
+	"ringstream.example/ringstream/internal/passthrough"
+)
+
+func partialRow(t *testing.T, index int, piece partial) passthrough.Row {
+	t.Helper()
+	value, err := json.Marshal(piece)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return passthrough.Row{Table: tablePartial, Key: partialKey("job1", index, piece.First), Value: value}
+}
+
+// Guards against texts that join rows from before and after an item started anew.
+func TestRowsFromBeforeAnItemStartedAnewAreNotJoined(t *testing.T) {
+	first := partial{LastEvent: "2", Pieces: []string{"a", "b"}, Software: "v2", Restarts: 1}
+	for name, next := range map[string]partial{
+		"another version":  {LastEvent: "4", Pieces: []string{"c", "d"}, First: 2, Software: "v1", Restarts: 1},
+		"an earlier start": {LastEvent: "4", Pieces: []string{"c", "d"}, First: 2, Software: "v2"},
+		"an earlier build": {LastEvent: "4", Pieces: []string{"c", "d"}, First: 2},
+	} {
+		kept := make(map[int]progress)
+		addPartial(kept, partialRow(t, 0, first), 1)
+		addPartial(kept, partialRow(t, 0, next), 1)
+		want := progress{pieces: []string{"a", "b"}, events: 2, lastEvent: "2", software: "v2", restarts: 1}
+		if difference := cmp.Diff(want, kept[0], cmp.AllowUnexported(progress{})); difference != "" {
+			t.Errorf("%s: %s", name, difference)
+		}
+	}
+}
+
+// Guards against rows that begin after events which the store does not have.
+func TestTextSavedBeforeAnItemStartedAnewDoesNotCount(t *testing.T) {
+	work := itemWork{text: progress{restarts: 1}}
+	work.recordSaved(savedText{events: 70})
+	if work.savedEvents != 0 {
+		t.Errorf("%d events count as saved", work.savedEvents)
+	}
+	work.recordSaved(savedText{events: 60, restarts: 1})
+	if work.savedEvents != 60 {
+		t.Errorf("%d events count as saved, want 60", work.savedEvents)
+	}
+}
