soak: engines of several software versions, streams that callers take up

Cause: the soak's engines ran one version, no caller took a stream up, and no judge asked which engine wrote an event. Change: versions, streams that engines break off, callers that go on at other nodes, and two judges, each tested with planted breaches.

--- a/internal/bench/soak/judge.go
+++ b/internal/bench/soak/judge.go
@@ -30,6 +30,9 @@
 	id    string
 	route string
 	reply platformtest.Reply
+	after int // the last event that the caller had before it took the stream up; 0 for a new request
+	// earlierBuild reports that the node ran an earlier build than the one under test.
+	earlierBuild bool
 }
 
 // jobRecord is one job and what its callers saw.
@@ -50,6 +53,8 @@
 type judge struct {
 	started time.Time
 	events  int // in each engine's answer
+	// judgeItemVersions is false while nodes of an earlier build run items at any version.
+	judgeItemVersions bool
 
 	mu              sync.Mutex // guards the rest
 	violations      []Violation
@@ -68,6 +73,7 @@
 	firstChosen map[string]time.Time
 	// restartsReport is filled in at the end.
 	restartsReport RestartsReport
+	streams        StreamsReport
 }
 
 func newJudge(events int) *judge {
@@ -75,6 +81,7 @@
 		started: time.Now(), events: events, violationCounts: make(map[string]int), statuses: make(map[string]int), cutEarly: make(map[string]string), deadly: newDeadlyRecords(),
 		tenants:     TenantsReport{Statuses: make(map[string]int), PressedStatuses: make(map[string]int)},
 		firstChosen: make(map[string]time.Time),
+		streams:     StreamsReport{TakenUp: make(map[string]int)},
 	}
 }
 
@@ -112,11 +119,15 @@
 // judgeAnswer judges a reply by itself. The caller holds mu.
 func (j *judge) judgeAnswer(record requestRecord) {
 	reply := record.reply
+	body, versions := platformtest.SplitSoftware(reply.Body)
+	if len(versions) > 1 && !record.earlierBuild {
+		j.recordViolationLocked("streams_keep_their_version", record.id, fmt.Sprintf("%s: events of %v in one answer", record.route, versions))
+	}
 	switch {
 	case reply.Err != nil:
 	case strings.Contains(reply.Body, blockedCode):
 		j.recordViolationLocked("innocent_requests_are_not_blocked", record.id, fmt.Sprintf("%s: %.120q", record.route, reply.Body))
-	case reply.Status == http.StatusOK && reply.Body != platformtest.Stream(record.id, j.events):
+	case reply.Status == http.StatusOK && body != platformtest.StreamAfter(record.id, record.after, j.events):
 		j.recordViolationLocked("whole_answer", record.id, fmt.Sprintf("%s: a success with another body: %.120q", record.route, reply.Body))
 	case record.route == platformtest.RouteKeyed: // the expected status depends on the key
 	case reply.Status >= http.StatusBadRequest && reply.Status < http.StatusInternalServerError && !promisesNotRun(reply.Status):
@@ -195,8 +206,9 @@
 
 // engineRun is one run and the engine that ran it.
 type engineRun struct {
-	engine string
-	run    platformtest.Run
+	engine   string
+	software string
+	run      platformtest.Run
 }
 
 // conclude compares what callers saw with the engines' runs, and checks that each job that was
@@ -221,7 +233,7 @@
 }
 
 func (j *judge) concludeRequest(request requestRecord, runs []engineRun) {
-	repeatable := request.route == routeSafe || request.route == routeResumable
+	repeatable := slices.Contains([]string{routeSafe, routeResumable, routeHandover}, request.route)
 	if !repeatable && len(runs) > 1 {
 		j.recordViolationLocked("at_most_once", request.id, fmt.Sprintf("%s ran %d times", request.route, len(runs)))
 	}
@@ -251,6 +263,9 @@
 		j.recordViolationLocked("taken_jobs_are_done", job.id, fmt.Sprintf("%d of %d items", done, len(job.items)))
 	}
 	for _, item := range job.items {
+		if j.judgeItemVersions {
+			j.concludeItemVersions(item, byID[item])
+		}
 		for _, run := range byID[item] {
 			switch {
 			case job.refused:
--- a/internal/bench/soak/judge_test.go
+++ b/internal/bench/soak/judge_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"errors"
+	"fmt"
+	"strings"
 	"testing"
 	"time"
 
@@ -32,50 +34,50 @@
 		plant   func(j *judge) []engineRun
 	}{
 		"clean": {"", func(j *judge) []engineRun {
-			j.addAnswer(requestRecord{"r-1", routeUnsafe, wholeAnswer("r-1")})
-			j.addAnswer(requestRecord{"r-2", routeOnce, platformtest.Reply{Status: 503, Sent: true}})
-			j.addAnswer(requestRecord{"r-3", routeSafe, wholeAnswer("r-3")})
+			j.addAnswer(requestRecord{id: "r-1", route: routeUnsafe, reply: wholeAnswer("r-1")})
+			j.addAnswer(requestRecord{id: "r-2", route: routeOnce, reply: platformtest.Reply{Status: 503, Sent: true}})
+			j.addAnswer(requestRecord{id: "r-3", route: routeSafe, reply: wholeAnswer("r-3")})
 			job := &jobRecord{id: "j-1", items: []string{"i-1"}, accepted: true}
 			j.addJob(job)
 			j.addResults(job, 0, platformtest.Results{Total: 1, Results: []platformtest.Result{succeeded(j, "i-1")}})
 			return []engineRun{run("e1", "r-1", now), run("e1", "r-3", now), run("e2", "r-3", now), run("e1", "i-1", now), run("e2", "i-1", now)}
 		}},
 		"half an answer": {"whole_answer", func(j *judge) []engineRun {
-			j.addAnswer(requestRecord{"r-1", routeSafe, platformtest.Reply{Status: 200, Body: "id: 1\n", Sent: true}})
+			j.addAnswer(requestRecord{id: "r-1", route: routeSafe, reply: platformtest.Reply{Status: 200, Body: "id: 1\n", Sent: true}})
 			return nil
 		}},
 		"an answer that breaks off is none": {"", func(j *judge) []engineRun {
-			j.addAnswer(requestRecord{"r-1", routeSafe, platformtest.Reply{Status: 200, Body: "id: 1\n", Sent: true, Err: errors.New("reset")}})
+			j.addAnswer(requestRecord{id: "r-1", route: routeSafe, reply: platformtest.Reply{Status: 200, Body: "id: 1\n", Sent: true, Err: errors.New("reset")}})
 			return nil
 		}},
 		"another's answer": {"whole_answer", func(j *judge) []engineRun {
-			j.addAnswer(requestRecord{"r-1", routeSafe, wholeAnswer("r-2")})
+			j.addAnswer(requestRecord{id: "r-1", route: routeSafe, reply: wholeAnswer("r-2")})
 			return nil
 		}},
 		"a proper request is denied": {"proper_requests_are_served", func(j *judge) []engineRun {
-			j.addAnswer(requestRecord{"r-1", routeSafe, platformtest.Reply{Status: 404, Sent: true}})
+			j.addAnswer(requestRecord{id: "r-1", route: routeSafe, reply: platformtest.Reply{Status: 404, Sent: true}})
 			return nil
 		}},
 		"twice": {"at_most_once", func(j *judge) []engineRun {
-			j.addAnswer(requestRecord{"r-1", routeUnsafe, wholeAnswer("r-1")})
+			j.addAnswer(requestRecord{id: "r-1", route: routeUnsafe, reply: wholeAnswer("r-1")})
 			return []engineRun{run("e1", "r-1", now), run("e2", "r-1", now)}
 		}},
 		"refused and run": {"not_run_is_true", func(j *judge) []engineRun {
-			j.addAnswer(requestRecord{"r-1", routeOnce, platformtest.Reply{Status: 503, Sent: true}})
+			j.addAnswer(requestRecord{id: "r-1", route: routeOnce, reply: platformtest.Reply{Status: 503, Sent: true}})
 			return []engineRun{run("e1", "r-1", now)}
 		}},
 		"too many engines": {"attempts_are_bounded", func(j *judge) []engineRun {
-			j.addAnswer(requestRecord{"r-1", routeSafe, wholeAnswer("r-1")})
+			j.addAnswer(requestRecord{id: "r-1", route: routeSafe, reply: wholeAnswer("r-1")})
 			return []engineRun{run("e1", "r-1", now), run("e2", "r-1", now), run("e3", "r-1", now)}
 		}},
 		"nobody asked": {"nothing_runs_unasked", func(*judge) []engineRun { return []engineRun{run("e1", "r-9", now)} }},
 		"a stop cut what an engine had": {"planned_stop_cuts_nothing", func(j *judge) []engineRun {
-			j.addAnswer(requestRecord{"r-1", routeUnsafe, platformtest.Reply{Sent: true, Err: errors.New("reset")}})
+			j.addAnswer(requestRecord{id: "r-1", route: routeUnsafe, reply: platformtest.Reply{Sent: true, Err: errors.New("reset")}})
 			j.addCut("r-1", false, "")
 			return []engineRun{run("e1", "r-1", now)}
 		}},
 		"a stop cut what nobody had read": {"", func(j *judge) []engineRun {
-			j.addAnswer(requestRecord{"r-1", routeUnsafe, platformtest.Reply{Sent: true, Err: errors.New("reset")}})
+			j.addAnswer(requestRecord{id: "r-1", route: routeUnsafe, reply: platformtest.Reply{Sent: true, Err: errors.New("reset")}})
 			j.addCut("r-1", false, "")
 			return nil
 		}},
@@ -152,3 +154,77 @@
 		t.Errorf("violation counts are %v", judge.violationCounts)
 	}
 }
+
+func versionedStream(id string, after int, versions ...string) string {
+	var body strings.Builder
+	for i, version := range versions {
+		fmt.Fprintf(&body, ":software %s\nid: %d\ndata: %s:%d\n\n", version, after+i+1, id, after+i+1)
+	}
+	return body.String()
+}
+
+// TestJudgeSeesStreamsOverSeveralVersions plants streams in one answer, over a caller's attempts, and in
+// the runs of an item.
+func TestJudgeSeesStreamsOverSeveralVersions(t *testing.T) {
+	now := time.Now()
+	itemRun := func(software, lastEvent string, after time.Duration) engineRun {
+		return engineRun{engine: "e", software: software, run: platformtest.Run{ID: "i-1", LastEvent: lastEvent, Began: now.Add(after)}}
+	}
+	takenUp := func(j *judge, current bool, first, second string) {
+		stream := resumableStream{id: "r-1", route: routeHandover, current: current}
+		stream.takes(platformtest.Reply{Status: 200, Body: versionedStream("r-1", 0, first), Err: errors.New("reset")})
+		stream.takes(platformtest.Reply{Status: 200, Body: versionedStream("r-2", 1, second, second)})
+		j.addStream(stream, true)
+	}
+	for name, test := range map[string]struct {
+		broken bool
+		plant  func(j *judge)
+	}{
+		"one answer": {false, func(j *judge) {
+			j.addAnswer(requestRecord{id: "r-1", route: routeSafe, reply: platformtest.Reply{Status: 200, Body: versionedStream("r-1", 0, "v1", "v1", "v1")}})
+		}},
+		"two in an answer": {true, func(j *judge) {
+			j.addAnswer(requestRecord{id: "r-1", route: routeSafe, reply: platformtest.Reply{Status: 200, Body: versionedStream("r-1", 0, "v1", "v2", "v2")}})
+		}},
+		"the rest of a stream": {false, func(j *judge) {
+			j.addAnswer(requestRecord{id: "r-1", route: routeHandover, after: 1, reply: platformtest.Reply{Status: 200, Body: versionedStream("r-1", 1, "v2", "v2")}})
+		}},
+		"attempts":            {false, func(j *judge) { takenUp(j, true, "v2", "v2") }},
+		"two over attempts":   {true, func(j *judge) { takenUp(j, true, "v1", "v2") }},
+		"at an earlier build": {false, func(j *judge) { takenUp(j, false, "v1", "v2") }},
+		"an item": {false, func(j *judge) {
+			j.concludeItemVersions("i-1", []engineRun{itemRun("v1", "2", 2), itemRun("v1", "", 1)})
+		}},
+		"an item starts anew": {false, func(j *judge) { j.concludeItemVersions("i-1", []engineRun{itemRun("v1", "", 1), itemRun("v2", "", 2)}) }},
+		"an item over two": {true, func(j *judge) {
+			j.concludeItemVersions("i-1", []engineRun{itemRun("v1", "", 1), itemRun("v2", "3", 2)})
+		}},
+	} {
+		j := newJudge(testEvents)
+		test.plant(j)
+		if found := j.violationCounts["streams_keep_their_version"] > 0; found != test.broken || len(j.violationCounts) > 1 {
+			t.Errorf("%s: violations %v", name, j.violationCounts)
+		}
+	}
+}
+
+// TestJudgeSeesThatTooFewStreamsGoOn plants shares of streams that go on and of new ones that begin.
+func TestJudgeSeesThatTooFewStreamsGoOn(t *testing.T) {
+	for name, test := range map[string]struct {
+		takenUp, goneOn, fresh, begun int
+		broken                        bool
+	}{
+		"half of the new ones": {20, 9, 20, 18, false},
+		"under half":           {20, 8, 20, 18, true},
+		"few, as new ones":     {20, 3, 20, 5, false},
+		"too few to be judged": {11, 0, 20, 20, false},
+		"none was taken up":    {0, 0, 20, 20, false},
+	} {
+		j := newJudge(testEvents)
+		j.streams.InTouch, j.streams.InTouchGoneOn, j.streams.FreshInTouch, j.streams.FreshBegun = test.takenUp, test.goneOn, test.fresh, test.begun
+		j.concludeStreams()
+		if found := j.violationCounts["streams_go_on"] > 0; found != test.broken {
+			t.Errorf("%s: violations %v", name, j.violationCounts)
+		}
+	}
+}
--- a/internal/bench/soak/process.go
+++ b/internal/bench/soak/process.go
@@ -45,18 +45,21 @@
 	// control is held by the fault that sends signals to the process.
 	control sync.Mutex
 	binary  string // binary of the next start; guarded by control once the node has started
-
-	mu           sync.Mutex // guards the rest
-	command      *exec.Cmd
-	ended        chan struct{} // closed when the process has ended
-	state        nodeState
-	incarnation  int       // increases with each start
-	started      time.Time // when this incarnation started
-	disturbed    time.Time // when a fault last affected the process or its links
-	activeFaults int       // number of active faults of its links
-	stopSentAt   time.Time
-	pausedAt     time.Time
-	pausedFor    time.Duration
+	// currentBinary is the binary of the build under test.
+	currentBinary string
+
+	mu            sync.Mutex // guards the rest
+	command       *exec.Cmd
+	ended         chan struct{} // closed when the process has ended
+	state         nodeState
+	incarnation   int       // increases with each start
+	startedBinary string    // binary of this incarnation
+	started       time.Time // when this incarnation started
+	disturbed     time.Time // when a fault last affected the process or its links
+	activeFaults  int       // number of active faults of its links
+	stopSentAt    time.Time
+	pausedAt      time.Time
+	pausedFor     time.Duration
 }
 
 // loopbackHost returns a loopback address derived from the process id, so that concurrent soaks do
@@ -114,7 +117,7 @@
 // newNode creates a node and writes its settings. It does not start the process.
 func (s *soak) newNode(number int, seed string) (*nodeProcess, error) {
 	node := &nodeProcess{
-		name: fmt.Sprintf("n%d", number), zone: fmt.Sprintf("z%d", number%2), binary: cmp.Or(s.options.PreviousBinary, s.options.Binary),
+		name: fmt.Sprintf("n%d", number), zone: fmt.Sprintf("z%d", number%2), binary: cmp.Or(s.options.PreviousBinary, s.options.Binary), currentBinary: s.options.Binary,
 		folder: s.options.Folder, judge: s.judge, state: nodeDead,
 	}
 	for _, address := range []*string{&node.callerAddress, &node.readyAddress, &node.peerAddress} {
@@ -164,12 +167,20 @@
 	n.command, n.ended, n.state, n.disturbed = command, ended, nodeRunning, time.Now()
 	n.started, n.pausedFor = n.disturbed, 0
 	n.incarnation++
+	n.startedBinary = n.binary
 	incarnation := n.incarnation
 	n.mu.Unlock()
 	go n.watch(command, ended, incarnation)
 	return nil
 }
 
+// runsCurrentBuild reports whether the process runs the build under test.
+func (n *nodeProcess) runsCurrentBuild() bool {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.startedBinary == n.currentBinary
+}
+
 // signalSetupTime is how long a process may run before it handles signals. A signal before that
 // ends the process at once, when it has not served any request.
 const signalSetupTime = 500 * time.Millisecond
--- a/internal/bench/soak/soak.go
+++ b/internal/bench/soak/soak.go
@@ -73,6 +73,7 @@
 	Rereads         RereadsReport  `json:"read_again"`
 	Tenants         TenantsReport  `json:"tenants"`
 	Restarts        RestartsReport `json:"engine_restarts"`
+	Streams         StreamsReport  `json:"streams"`
 	ViolationCounts map[string]int `json:"broken"`     // number of violations by promise
 	Violations      []Violation    `json:"violations"` // the first violations of each promise
 }
@@ -135,6 +136,7 @@
 		options: options, store: platformtest.NewStore(), judge: newJudge(eventsPerAnswer), keys: newKeyring(),
 		addresses: addresses{used: make(map[string]bool)}, counts: make(map[string]int),
 	}
+	s.judge.judgeItemVersions = options.PreviousBinary == ""
 	defer s.close()
 	if err := s.build(); err != nil {
 		return Report{}, err
@@ -198,6 +200,7 @@
 	s.lastEngineNumber++
 	engine := platformtest.NewEngine(fmt.Sprintf("e%d", s.lastEngineNumber), eventsPerAnswer)
 	engine.Pace(eventInterval)
+	engine.Software = s.softwareVersion(s.lastEngineNumber)
 	engine.StartedAtMs = time.Now().UnixMilli()
 	link, err := newProxy(engine.Address())
 	if err != nil {
@@ -301,6 +304,7 @@
 	series.Go(func() { s.injectStalls(ctx) })
 	series.Go(func() { s.injectTenantFaults(ctx) })
 	series.Go(func() { s.injectRestarts(ctx) })
+	series.Go(func() { s.injectBrokenStreams(ctx) })
 	series.Go(func() { s.rollBuilds(ctx) })
 	s.injectRandomFaults(ctx)
 	series.Wait()
@@ -316,11 +320,12 @@
 	for _, engine := range s.engineList() {
 		for _, run := range engine.Runs() {
 			if len(run.ID) > 0 && run.ID[0] != 'p' { // runs of probes are ignored
-				runs = append(runs, engineRun{engine: engine.ID, run: run})
+				runs = append(runs, engineRun{engine: engine.ID, software: engine.Software, run: run})
 			}
 		}
 	}
 	s.counts["engine_runs"] = len(runs)
+	s.judge.concludeStreams()
 	s.judge.conclude(s.judge.concludeKeyed(s.judge.concludeDeadly(runs), s.keys))
 }
 
@@ -375,7 +380,7 @@
 	report := Report{
 		Seed: s.options.Seed, Faults: make(map[string]int), Requests: len(j.requests), Statuses: j.statuses, Jobs: len(j.jobs),
 		Runs: s.counts["engine_runs"], Recovery: time.Duration(s.counts["recovery_ms"]) * time.Millisecond, ViolationCounts: j.violationCounts, Violations: j.violations,
-		Deadly: j.deadly.report, Rereads: j.rereads, Tenants: j.tenants, Restarts: j.restartsReport,
+		Deadly: j.deadly.report, Rereads: j.rereads, Tenants: j.tenants, Restarts: j.restartsReport, Streams: j.streams,
 	}
 	for name, count := range s.counts {
 		if name != "engine_runs" && name != "recovery_ms" {
--- a/internal/bench/soak/workload.go
+++ b/internal/bench/soak/workload.go
@@ -21,7 +21,7 @@
 	routeOnce      = "once"
 )
 
-var onlineRoutes = []string{routeSafe, routeUnsafe, routeResumable, routeOnce}
+var onlineRoutes = []string{routeSafe, routeUnsafe, routeResumable, routeOnce, routeHandover}
 
 const (
 	onlineDeadline = 6 * time.Second
@@ -55,14 +55,23 @@
 		node := s.nodes[random.IntN(len(s.nodes))]
 		route := onlineRoutes[random.IntN(len(onlineRoutes))]
 		id := s.ids.next("r")
+		before, sent := node.condition(), time.Now()
+		var record requestRecord
 		s.judgePlannedStop(node, id, func() platformtest.Reply {
 			// The call continues after the end of the soak, so that its outcome is judged too.
 			reply := platformtest.Send(context.WithoutCancel(ctx), platformtest.Call{
 				Node: node.callerLink.address(), Method: http.MethodPost, Path: "/" + route + "/x", ID: id, Body: "prompt of " + id, Deadline: onlineDeadline, Transport: transport,
 			})
-			s.judge.addAnswer(requestRecord{id: id, route: route, reply: reply})
+			record = requestRecord{id: id, route: route, reply: reply, earlierBuild: !node.runsCurrentBuild()}
+			s.judge.addAnswer(record)
+			if route == routeHandover {
+				s.judge.addFresh(reply, s.undisturbedThroughout(node, before, sent))
+			}
 			return reply
 		})
+		if brokeOff(record.reply) && (route == routeResumable || route == routeHandover) {
+			s.takeUp(ctx, random, record, node)
+		}
 	}
 }
 
