quarantine, guard: lines of engines that ended under a request name its parts

Cause: the crashed engines of the incident can't be compared by the parts of the prompts that they ran. Change: digests of parts, which no digest of a content equals; a run has an identity of content and parts, and 8140 lists the latter. Measured: go test ./internal/passthrough/... ./internal/core/quarantine: pass.

--- a/internal/core/quarantine/digest.go
+++ b/internal/core/quarantine/digest.go
@@ -56,5 +56,9 @@
 		_, _ = sum.Write(length[:]) // a hash never returns an error
 		_, _ = sum.Write(part)
 	}
-	return Digest(sum.Sum(nil)[:len(Digest{})])
+	digest := Digest(sum.Sum(nil)[:len(Digest{})])
+	if digest.IsPart() {
+		digest[0] = ^digest[0]
+	}
+	return digest
 }
--- a/internal/events/passthrough.go
+++ b/internal/events/passthrough.go
@@ -41,7 +41,7 @@
 	ClientNotReading = Define(Event{Number: 8116, Name: "client does not read its answer", Level: zapcore.InfoLevel, Fields: []string{"request", "client", "blocked", "bytes", "elapsed"}})
 	RequestRefused   = Define(Event{Number: 8110, Name: "request refused, not run", Level: zapcore.InfoLevel, Fields: []string{"request", "reason", "retry_after", "queued", "per_second", "expected", "dispatcher"}})
 
-	EngineEnded    = Define(Event{Number: 8140, Name: "engine ended under a request", Level: zapcore.InfoLevel, Fields: []string{"request", "content", "engine", "crashes", "evidence", "blocked"}})
+	EngineEnded    = Define(Event{Number: 8140, Name: "engine ended under a request", Level: zapcore.InfoLevel, Fields: []string{"request", "content", "engine", "parts", "crashes", "evidence", "blocked"}})
 	EngineLeft     = Define(Event{Number: 8141, Name: "engine that was leaving ended under a request", Level: zapcore.InfoLevel, Fields: []string{"request", "content", "engine"}})
 	ContentBlocked = Define(Event{Number: 8142, Name: "content blocked", Level: zapcore.WarnLevel, Fields: []string{"content", "crashes", "evidence", "for", "source"}, Action: "Engines ended each time they ran a request with this content; requests with it are refused. See docs/operations/quarantine.md: find the caller by content in 8102 and keep the request for who looks after the engines' software. The block ends by itself; `ringstream quarantine` shows, lifts and sets blocks, those with source=operator too."})
 	ContentRefused = Define(Event{Number: 8143, Name: "request refused, its content is blocked", Level: zapcore.InfoLevel, Fields: []string{"request", "content", "route", "tenant", "crashes", "evidence", "by_operator", "retry_after"}})
--- a/internal/passthrough/batch/run.go
+++ b/internal/passthrough/batch/run.go
@@ -27,15 +27,16 @@
 	job      *ownedJob
 	index    int
 	item     passthrough.Item
-	digest   quarantine.Digest // of the item's content
+	identity quarantine.Identity
 	route    *passroute.Route
 	decision slots.Decision
 }
 
-// digestOf returns the digest that all runs of an item, and of requests with the same content, have
-// in common.
-func (j *ownedJob) digestOf(item passthrough.Item) quarantine.Digest {
-	return quarantine.Content{Host: j.host, Target: item.Path, Caller: j.tenant, Body: item.Body}.Digest()
+// identityOf returns what identifies an item in the quarantine. It is the same for a request with the
+// same content.
+func (s *Service) identityOf(job *ownedJob, item passthrough.Item) quarantine.Identity {
+	content := quarantine.Content{Host: job.host, Target: item.Path, Caller: job.tenant, Body: item.Body}
+	return quarantine.Identity{Content: content.Digest(), Parts: relay.SharedParts(job.host, s.Headers.Demand(item.Header).Parts)}
 }
 
 func (r itemRun) engineKey() engineconn.Key {
@@ -89,7 +90,7 @@
 	end, status, err := s.sendItem(ctx, r)
 	ended := false
 	if end == runInterrupted && ctx.Err() == nil && engineconn.BrokenByEngine(err) {
-		ended = s.Guard.CheckBrokenRun(ctx, guard.Run{Request: r.item.ID, Content: r.digest, Engine: r.engineKey()})
+		ended = s.Guard.CheckBrokenRun(ctx, guard.Run{Request: r.item.ID, Identity: r.identity, Engine: r.engineKey()})
 	}
 	switch {
 	case end == runCompleted || end == runFailed || end == runRejected:
@@ -105,12 +106,12 @@
 	s.mu.Unlock()
 	s.forecast.observeRun(kept-before, time.Since(started), r.decision.Choice.Slowness)
 	if end == runCompleted {
-		s.Guard.RecordSuccess(r.item.ID, r.digest)
+		s.Guard.RecordSuccess(r.item.ID, r.identity.Content)
 		s.forecast.observeItem(kept)
 	}
 	events.ItemRunEnded.Log(s.Logger, zap.String("job", r.job.id), zap.String("request", r.item.ID), zap.Int64("epoch", r.job.epoch),
 		zap.Stringer("engine", r.decision.Choice.Entry.Incarnation()), zap.Stringer("outcome", end), zap.Int("status", status), zap.Int("events_kept", kept),
-		zap.Duration("elapsed", time.Since(started)), zap.Error(err), zap.Stringer("content", r.digest), zap.Bool("engine_ended", ended))
+		zap.Duration("elapsed", time.Since(started)), zap.Error(err), zap.Stringer("content", r.identity.Content), zap.Bool("engine_ended", ended))
 	s.updateItem(r, end)
 	s.wakeScheduler()
 }
--- a/internal/passthrough/batch/schedule.go
+++ b/internal/passthrough/batch/schedule.go
@@ -131,8 +131,8 @@
 // engines. A held item stays open until its job expires or the block ends.
 func (s *Service) holdIfBlocked(next candidate) bool {
 	item := next.job.items[next.index]
-	digest := next.job.digestOf(item)
-	verdict := s.Guard.Verdict(digest)
+	identity := s.identityOf(next.job, item)
+	verdict := s.Guard.Verdict(identity.Content)
 	if !verdict.Blocked {
 		return false
 	}
@@ -143,7 +143,7 @@
 	work.held = true
 	s.mu.Unlock()
 	if first {
-		events.ItemHeld.Log(s.Logger, zap.String("job", next.job.id), zap.String("request", item.ID), zap.Stringer("content", digest),
+		events.ItemHeld.Log(s.Logger, zap.String("job", next.job.id), zap.String("request", item.ID), zap.Stringer("content", identity.Content),
 			zap.Int("crashes", verdict.Crashes), zap.Float64("evidence", verdict.Evidence), zap.Duration("for", time.Until(verdict.Until)))
 	}
 	return true
@@ -155,7 +155,7 @@
 // slotRequest builds the slot request of an item. The item keeps its request id while it waits.
 func (s *Service) slotRequest(next candidate, route *passroute.Route, due time.Time, routes resolvedRoute) slots.BatchRequest {
 	item := next.job.items[next.index]
-	suspect := s.Guard.Suspect(next.job.digestOf(item))
+	suspect := s.Guard.Suspect(s.identityOf(next.job, item).Content)
 	query := relay.Query(s.Routes.Pool(route), s.Headers.Demand(item.Header))
 	query.Batch, query.PreviousEngine = true, next.lastEngine
 	query.MaxBatchPercent = s.config.MaxEnginePercent
@@ -269,7 +269,7 @@
 		zap.Stringer("engine", decision.Choice.Entry.Incarnation()), zap.String("software", decision.Choice.Entry.Software), zap.Int("in_flight", decision.Choice.InFlight), zap.String("last_event", lastEvent),
 		zap.Stringer("chosen_by", decision.Source), zap.String("dispatcher", decision.From), zap.Duration("waited", decision.Waited),
 		zap.Int64("routes_version", routes.version), zap.Duration("routes_age", time.Since(routes.learned)))
-	go s.runItem(ctx, stop, itemRun{job: next.job, index: next.index, item: item, digest: next.job.digestOf(item), route: routes.route, decision: decision})
+	go s.runItem(ctx, stop, itemRun{job: next.job, index: next.index, item: item, identity: s.identityOf(next.job, item), route: routes.route, decision: decision})
 	return true
 }
 
--- a/internal/passthrough/guard/guard.go
+++ b/internal/passthrough/guard/guard.go
@@ -113,9 +113,9 @@
 
 // Run is one run of a request at an engine.
 type Run struct {
-	Request string
-	Content quarantine.Digest
-	Engine  engineconn.Key
+	Request  string
+	Identity quarantine.Identity
+	Engine   engineconn.Key
 }
 
 // CheckBrokenRun checks whether the engine of a broken run has ended, and if so records the end as a crash
@@ -138,10 +138,10 @@
 // planned, and no crash is recorded.
 func (s *Service) recordEngineEnd(run Run) {
 	if s.engineState(run.Engine.Engine) == enginechoice.Leaving {
-		events.EngineLeft.Log(s.Logger, zap.String("request", run.Request), zap.Stringer("content", run.Content), zap.Stringer("engine", run.Engine.Engine))
+		events.EngineLeft.Log(s.Logger, zap.String("request", run.Request), zap.Stringer("content", run.Identity.Content), zap.Stringer("engine", run.Engine.Engine))
 		return
 	}
-	crash := quarantine.Crash{Content: run.Content, Engine: grant.EngineHash(run.Engine.Engine)}
+	crash := quarantine.Crash{Content: run.Identity.Content, Engine: grant.EngineHash(run.Engine.Engine)}
 	now := time.Now()
 	s.mu.Lock()
 	isNew := s.recordCrash(crash, now)
@@ -149,17 +149,17 @@
 		s.unsent = append(s.unsent, crash)
 	}
 	s.recordOwnCrash(crash)
-	verdict := s.ledger.Verdict(run.Content, now)
+	verdict := s.ledger.Verdict(run.Identity.Content, now)
 	if verdict.Crashes >= minPersistedCrashes {
-		s.unpersisted[run.Content] = true
+		s.unpersisted[run.Identity.Content] = true
 	}
-	newlyBlocked := s.markBlocked(run.Content, verdict)
+	newlyBlocked := s.markBlocked(run.Identity.Content, verdict)
 	s.mu.Unlock()
 	s.signalBoth()
 	s.Metrics.crashed()
-	events.EngineEnded.Log(s.Logger, zap.String("request", run.Request), zap.Stringer("content", run.Content), zap.Stringer("engine", run.Engine.Engine),
+	events.EngineEnded.Log(s.Logger, zap.String("request", run.Request), zap.Stringer("content", run.Identity.Content), zap.Stringer("engine", run.Engine.Engine), zap.Stringers("parts", run.Identity.Parts),
 		zap.Int("crashes", verdict.Crashes), zap.Float64("evidence", verdict.Evidence), zap.Bool("blocked", verdict.Blocked))
-	s.reportBlocked(newlyBlocked, run.Content, verdict, "own run")
+	s.reportBlocked(newlyBlocked, run.Identity.Content, verdict, "own run")
 }
 
 // RecordSuccess records that a run of a content completed.
--- a/internal/passthrough/guard/restarts_test.go
+++ b/internal/passthrough/guard/restarts_test.go
@@ -28,7 +28,7 @@
 		s := New(quarantine.DefaultConfig(), Dependencies{Engines: engines, Logger: zap.NewNop(), Metrics: NewMetrics(nil)})
 		addRun := func(body string, engine enginechoice.Incarnation) quarantine.Digest {
 			content := quarantine.Content{Host: "h", Body: []byte(body)}.Digest()
-			s.addBrokenRun(Run{Request: body, Content: content, Engine: engineconn.Key{Engine: engine}})
+			s.addBrokenRun(Run{Request: body, Identity: quarantine.Identity{Content: content}, Engine: engineconn.Key{Engine: engine}})
 			return content
 		}
 		early := addRun("early", former)
--- a/internal/passthrough/relay/attempt.go
+++ b/internal/passthrough/relay/attempt.go
@@ -67,10 +67,10 @@
 	}
 	engineEnded := false
 	if outcome == Failed && !interrupted && engineconn.BrokenByEngine(err) {
-		engineEnded = e.guard.CheckBrokenRun(deadlineCtx, guard.Run{Request: e.call.Demand.RequestID, Content: e.content, Engine: key})
+		engineEnded = e.guard.CheckBrokenRun(deadlineCtx, guard.Run{Request: e.call.Demand.RequestID, Identity: e.identity, Engine: key})
 	}
 	if outcome == Completed {
-		e.guard.RecordSuccess(e.call.Demand.RequestID, e.content)
+		e.guard.RecordSuccess(e.call.Demand.RequestID, e.identity.Content)
 	}
 	if outcome == Failed {
 		e.attempts++
@@ -94,7 +94,7 @@
 		e.logChoice(decision)
 	}
 	events.AttemptEnded.Log(e.logger, append(fields, zap.Stringer("outcome", outcome), zap.Int("status", status),
-		zap.Int("events", e.stream.Count()-before), zap.Stringer("content", e.content), zap.Bool("engine_ended", engineEnded))...)
+		zap.Int("events", e.stream.Count()-before), zap.Stringer("content", e.identity.Content), zap.Bool("engine_ended", engineEnded))...)
 	return outcome
 }
 
--- a/internal/passthrough/relay/outcome.go
+++ b/internal/passthrough/relay/outcome.go
@@ -161,7 +161,7 @@
 	}
 	e.allowFinalAnswer()
 	retryAfter := time.Until(verdict.Until)
-	events.ContentRefused.Log(e.logger, zap.String("request", e.call.Demand.RequestID), zap.Stringer("content", e.content), zap.String("route", e.call.Route.Name),
+	events.ContentRefused.Log(e.logger, zap.String("request", e.call.Demand.RequestID), zap.Stringer("content", e.identity.Content), zap.String("route", e.call.Route.Name),
 		zap.String("tenant", e.call.TenantName()), zap.Int("crashes", verdict.Crashes), zap.Float64("evidence", verdict.Evidence), zap.Bool("by_operator", verdict.Ordered), zap.Duration("retry_after", retryAfter))
 	e.guard.Metrics.Refused(e.call.Route.Name)
 	e.status = http.StatusBadGateway
--- a/internal/passthrough/relay/relay.go
+++ b/internal/passthrough/relay/relay.go
@@ -59,9 +59,20 @@
 	return c.Tenant.Priority
 }
 
-// content returns the parts of the call that are the same in a repeat of it.
-func (c *Call) content() quarantine.Content {
-	return quarantine.Content{Host: c.Request.Host, Target: c.Request.RequestURI, Caller: c.TenantName(), Body: c.Body}
+// identity returns what identifies the call in the quarantine. It is the same in a repeat of the call.
+func (c *Call) identity() quarantine.Identity {
+	content := quarantine.Content{Host: c.Request.Host, Target: c.Request.RequestURI, Caller: c.TenantName(), Body: c.Body}
+	return quarantine.Identity{Content: content.Digest(), Parts: SharedParts(c.Request.Host, c.Demand.Parts)}
+}
+
+// SharedParts returns the digests of the parts of a prompt that other requests share, which are all but
+// the last.
+func SharedParts(host string, parts []passthrough.PromptPart) []quarantine.Digest {
+	var digests []quarantine.Digest
+	for i := range len(parts) - 1 {
+		digests = append(digests, quarantine.Part{Host: host, ID: parts[i].ID}.Digest())
+	}
+	return digests
 }
 
 // Relay serves calls. It is safe for concurrent use.
@@ -119,7 +130,7 @@
 	excluded       map[enginechoice.Incarnation]bool
 	abandoned      []enginechoice.Incarnation // excluded for being slow or silent
 
-	content      quarantine.Digest
+	identity     quarantine.Identity
 	attempts     int  // attempts in which an engine ran the request or may have
 	tries        int  // requests sent, including those that no engine ran
 	mayHaveRun   bool // an engine ran the request or may have
@@ -146,7 +157,7 @@
 func (r *Relay) Serve(ctx context.Context, to http.ResponseWriter, call *Call) {
 	state := &exchange{
 		Relay: r, call: call, to: to, control: http.NewResponseController(to),
-		excluded: make(map[enginechoice.Incarnation]bool), stream: NewSplitter(call.Demand.LastEvent), content: call.content().Digest(),
+		excluded: make(map[enginechoice.Incarnation]bool), stream: NewSplitter(call.Demand.LastEvent), identity: call.identity(),
 	}
 	deadlineCtx, cancel := context.WithDeadline(ctx, deadlineOf(call))
 	defer cancel()
@@ -164,7 +175,7 @@
 		zap.Int64("routes_version", call.Version), zap.Duration("routes_age", time.Since(call.Learned)),
 		zap.Stringer("outcome", outcome), zap.Int("status", state.status), zap.Int("attempts", state.attempts), zap.Int("tries", state.tries),
 		zap.Int("events", state.stream.Count()), zap.Duration("first_event", state.firstEvent), zap.Duration("objective", call.Route.Objective),
-		zap.Duration("elapsed", time.Since(call.Received)), zap.Stringer("content", state.content), zap.String("tenant", call.TenantName()), zap.Int("tenant_rank", call.tenantRank()), zap.String("resumes", call.Demand.Resumes))
+		zap.Duration("elapsed", time.Since(call.Received)), zap.Stringer("content", state.identity.Content), zap.String("tenant", call.TenantName()), zap.Int("tenant_rank", call.tenantRank()), zap.String("resumes", call.Demand.Resumes))
 	if outcome == Cut || (outcome == ClientGone && state.headSent) {
 		panic(http.ErrAbortHandler)
 	}
@@ -198,7 +209,7 @@
 		if deadlineCtx.Err() != nil || e.clock.remaining() <= 0 {
 			return e.giveUp(timedOut)
 		}
-		if verdict := e.guard.Verdict(e.content); verdict.Blocked {
+		if verdict := e.guard.Verdict(e.identity.Content); verdict.Blocked {
 			return e.refuseBlocked(verdict)
 		}
 		decision, err := e.acquireSlot(deadlineCtx, slotDeadline)
@@ -220,7 +231,7 @@
 			}
 			continue
 		}
-		if verdict := e.guard.Verdict(e.content); verdict.Blocked { // the content may have been blocked during the wait
+		if verdict := e.guard.Verdict(e.identity.Content); verdict.Blocked { // the content may have been blocked during the wait
 			decision.Slot.End(enginechoice.Abandoned, false)
 			return e.refuseBlocked(verdict)
 		}
@@ -292,7 +303,7 @@
 	query.Exclude = e.excluded
 	request := slots.Request{
 		ID: e.call.Demand.RequestID, Query: query, Rank: e.call.Route.Priority, PlacementDeadline: slotDeadline, EndsAt: e.clock.currentDeadline(),
-		TenantRank: e.call.tenantRank(), Owner: e.call.TenantName(), Content: e.content.Hash(), MayHaveRun: e.mayHaveRun, Suspect: e.guard.Suspect(e.content),
+		TenantRank: e.call.tenantRank(), Owner: e.call.TenantName(), Content: e.identity.Content.Hash(), MayHaveRun: e.mayHaveRun, Suspect: e.guard.Suspect(e.identity.Content),
 		PauseObjective: e.call.Route.PauseObjective,
 	}
 	if e.call.Route.Objective > 0 {
--- a/internal/passthrough/relay/running.go
+++ b/internal/passthrough/relay/running.go
@@ -53,7 +53,7 @@
 // their engines then crash none of them.
 func (r *Relay) StopContent(content quarantine.Digest) {
 	r.active.each(func(call *exchange) {
-		if call.content == content {
+		if call.identity.Content == content {
 			call.currentAttempt.stop()
 		}
 	})
