quarantine, guard: parts of prompts that crash engines stop reaching them

Cause: crashes were counted by the content of a whole request. Requests that share a part and differ otherwise had one to three crashes each. Change: crashes count against the shared parts of prompts too. Lines, list, lift and block by an operator, items of jobs and explain know parts. Why it works: the part is in each crash, and it never completes; what shares its crashes completes elsewhere.

--- a/cmd/ringstream/quarantine.go
+++ b/cmd/ringstream/quarantine.go
@@ -181,12 +181,16 @@
 
 func newQuarantineDigest() *cobra.Command {
 	var content quarantine.Content
-	var body string
+	var body, part string
 	command := &cobra.Command{
 		Use:   "digest",
-		Short: "Give the digest of a request's content, to block it before it runs",
+		Short: "Give the digest of a request's content, or of a part of prompts, to block it before it runs",
 		Args:  exactArguments(),
 		RunE: func(command *cobra.Command, _ []string) error {
+			if part != "" {
+				_, err := fmt.Fprintln(command.OutOrStdout(), quarantine.Part{Host: content.Host, ID: part}.Digest().Key())
+				return err
+			}
 			if body != "" {
 				read, err := os.ReadFile(body)
 				if err != nil {
@@ -202,5 +206,6 @@
 	command.Flags().StringVar(&content.Target, "target", "", "its path and query, as sent")
 	command.Flags().StringVar(&content.Caller, "tenant", "", "the tenant's name; empty: none")
 	command.Flags().StringVar(&body, "body", "", "file with its body; empty: it has none")
+	command.Flags().StringVar(&part, "part", "", "id of a part of prompts instead, as requests to the host name it")
 	return command
 }
--- a/cmd/ringstream/quarantine_test.go
+++ b/cmd/ringstream/quarantine_test.go
@@ -31,6 +31,10 @@
 	if digest := strings.TrimSpace(out); code != exitOK || digest != want {
 		t.Fatalf("digest: exit code %d, output %s, want %s", code, out, want)
 	}
+	code, out = run("digest", "--host", "host", "--part", "5c1e07a2")
+	if digest := strings.TrimSpace(out); code != exitOK || digest != (quarantine.Part{Host: "host", ID: "5c1e07a2"}).Digest().Key() {
+		t.Fatalf("digest of a part: exit code %d, output %s", code, out)
+	}
 	list := func() []contentEntry {
 		t.Helper()
 		var shown []contentEntry
--- a/internal/core/quarantine/order.go
+++ b/internal/core/quarantine/order.go
@@ -21,6 +21,9 @@
 
 // Order applies an operator's order and reports whether it was newer than the one known.
 func (l *Ledger) Order(order Order, now time.Time) bool {
+	if l.judgesParts(order.Content) {
+		return l.parts.Order(order, now)
+	}
 	if order.Version <= l.orders[order.Content].version {
 		return false
 	}
--- a/internal/core/quarantine/quarantine.go
+++ b/internal/core/quarantine/quarantine.go
@@ -90,23 +90,29 @@
 	contents map[Digest]bool
 }
 
-// Ledger holds the known crashes and operators' orders. It is not safe for concurrent use.
+// Ledger holds the known crashes of contents and of parts, and operators' orders. It is not safe for concurrent use.
 type Ledger struct {
 	config    Config
 	contents  map[Digest]*contentRecord
 	engines   map[uint64]*engineRecord
 	orders    map[Digest]orderRecord // orders of operators
 	evaluated *evaluation            // nil after a change
+	parts     *partLedger            // of the parts of prompts; nil in their own ledger
 }
 
 // NewLedger returns an empty ledger.
 func NewLedger(config Config) *Ledger {
-	return &Ledger{config: config, contents: make(map[Digest]*contentRecord), engines: make(map[uint64]*engineRecord), orders: make(map[Digest]orderRecord)}
+	ledger := &Ledger{config: config, contents: make(map[Digest]*contentRecord), engines: make(map[uint64]*engineRecord), orders: make(map[Digest]orderRecord)}
+	ledger.parts = newPartLedger(ledger)
+	return ledger
 }
 
 // RecordCrash records a crash that this node observed or another node reported. It returns whether
 // the crash, or its excuse, was new. A crash older than Retention is ignored.
 func (l *Ledger) RecordCrash(crash Crash, now time.Time) bool {
+	if l.judgesParts(crash.Content) {
+		return l.parts.recordCrash(crash, now)
+	}
 	at := now.Add(-crash.Age)
 	if crash.Age > l.config.Retention {
 		return false
@@ -138,6 +144,9 @@
 // Excuse marks all crashes of a content as excused, since the content has completed at an
 // engine. It returns the crashes that no longer count against it, or nil if there were none.
 func (l *Ledger) Excuse(content Digest, now time.Time) []Crash {
+	if l.judgesParts(content) {
+		return l.parts.excuse(content, now)
+	}
 	record := l.contents[content]
 	if record == nil {
 		return nil
@@ -160,6 +169,9 @@
 
 // Crashes returns the known crashes of a content, ordered by engine.
 func (l *Ledger) Crashes(content Digest, now time.Time) []Crash {
+	if l.judgesParts(content) {
+		return l.parts.Crashes(content, now)
+	}
 	record := l.contents[content]
 	if record == nil {
 		return nil
@@ -171,8 +183,8 @@
 	return crashes
 }
 
-// MostFrequentCrashes returns the crashes of contents that have two or more crashes which are not
-// excused, contents with the most crashes first. It returns at most `most` crashes and leaves
+// MostFrequentCrashes returns the crashes of parts and contents that have two or more crashes which
+// are not excused, those with the most crashes first. Half of them at most are of parts. It returns at most `most` crashes and leaves
 // out contents whose newest crash is older than `oldest`.
 func (l *Ledger) MostFrequentCrashes(most int, oldest time.Duration, now time.Time) []Crash {
 	var repeated []Digest
@@ -181,10 +193,13 @@
 			repeated = append(repeated, content)
 		}
 	}
+	var crashes []Crash
+	if l.parts != nil {
+		crashes = l.parts.MostFrequentCrashes(most/2, oldest, now)
+	}
 	slices.SortFunc(repeated, func(a, b Digest) int {
 		return cmp.Or(cmp.Compare(l.contents[b].unexcusedCrashes(), l.contents[a].unexcusedCrashes()), slices.Compare(a[:], b[:]))
 	})
-	var crashes []Crash
 	for _, content := range repeated {
 		if len(crashes) >= most {
 			break
@@ -195,10 +210,20 @@
 }
 
 // Knows reports whether a crash of a content is known.
-func (l *Ledger) Knows(content Digest) bool { return l.contents[content] != nil }
+func (l *Ledger) Knows(content Digest) bool {
+	if l.judgesParts(content) {
+		return l.parts.Knows(content)
+	}
+	return l.contents[content] != nil
+}
+
+// judgesParts reports whether a digest belongs in the ledger of parts.
+func (l *Ledger) judgesParts(digest Digest) bool { return l.parts != nil && digest.IsPart() }
 
 // Empty reports whether the ledger holds no crashes and no orders.
-func (l *Ledger) Empty() bool { return len(l.contents)+len(l.orders) == 0 }
+func (l *Ledger) Empty() bool {
+	return len(l.contents)+len(l.orders) == 0 && (l.parts == nil || l.parts.Empty())
+}
 
 // Sizes returns the numbers of contents and engines that are remembered.
 func (l *Ledger) Sizes() (contents, engines int) { return len(l.contents), len(l.engines) }
@@ -212,6 +237,9 @@
 		}
 	}
 	l.expireOrders(now)
+	if l.parts != nil {
+		l.parts.Expire(now)
+	}
 }
 
 func (l *Ledger) remove(content Digest) {
--- a/internal/core/quarantine/verdict.go
+++ b/internal/core/quarantine/verdict.go
@@ -22,6 +22,9 @@
 
 // Verdict returns the verdict on a content, from its crashes and from operators' orders.
 func (l *Ledger) Verdict(content Digest, now time.Time) Verdict {
+	if l.judgesParts(content) {
+		return l.parts.applyOrder(content, l.parts.verdict(content, now), now)
+	}
 	return l.applyOrder(content, l.crashVerdict(content, now), now)
 }
 
@@ -52,7 +55,51 @@
 	Crashes []Crash
 }
 
-// Blocked returns the contents that are blocked, ordered by digest.
+// IdentityVerdict returns the verdict on a request: that on its content, unless a part of its prompt
+// is blocked and the content is not. It also returns the digest that the verdict is on.
+func (l *Ledger) IdentityVerdict(identity Identity, now time.Time) (Verdict, Digest) {
+	verdict := l.Verdict(identity.Content, now)
+	if verdict.Blocked {
+		return verdict, identity.Content
+	}
+	for _, part := range identity.Parts {
+		if ofPart := l.Verdict(part, now); ofPart.Blocked {
+			return ofPart, part
+		}
+	}
+	return verdict, identity.Content
+}
+
+// SuspectPart returns the part of a request whose next runs show whether it crashes engines, and the
+// number of engines that it may have crashed. It returns false if there is none.
+func (l *Ledger) SuspectPart(identity Identity, now time.Time) (part Digest, crashes int, found bool) {
+	for _, candidate := range identity.Parts {
+		if count, suspected := l.parts.suspect(candidate, now); suspected && count > crashes {
+			part, crashes, found = candidate, count, true
+		}
+	}
+	return part, crashes, found
+}
+
+// blockedParts returns the parts that are blocked, in unspecified order.
+func (l *Ledger) blockedParts(now time.Time) []BlockedContent {
+	known := make(map[Digest]bool)
+	for part := range l.parts.Ledger.contents {
+		known[part] = true
+	}
+	for part := range l.parts.orders {
+		known[part] = true
+	}
+	var blocked []BlockedContent
+	for part := range known {
+		if verdict := l.Verdict(part, now); verdict.Blocked {
+			blocked = append(blocked, BlockedContent{Content: part, Verdict: verdict, Crashes: l.Crashes(part, now)})
+		}
+	}
+	return blocked
+}
+
+// Blocked returns the contents and parts that are blocked, ordered by digest.
 func (l *Ledger) Blocked(now time.Time) []BlockedContent {
 	known := make(map[Digest]bool, len(l.contents))
 	for content := range l.contents {
@@ -67,6 +114,9 @@
 			blocked = append(blocked, BlockedContent{Content: content, Verdict: verdict, Crashes: l.Crashes(content, now)})
 		}
 	}
+	if l.parts != nil {
+		blocked = append(blocked, l.blockedParts(now)...)
+	}
 	slices.SortFunc(blocked, func(a, b BlockedContent) int { return slices.Compare(a.Content[:], b.Content[:]) })
 	return blocked
 }
--- a/internal/explain/explain.go
+++ b/internal/explain/explain.go
@@ -44,14 +44,20 @@
 }
 
 // Numbers of the events about engines that ended while they ran a request. The
-// field content of these events identifies what the request contained.
+// fields content and parts of these events identify what the request contained.
 const firstCrashEvent, lastCrashEvent = 8140, 8146
 
 // reportsCrashUnder reports whether a line is about engines that ended while they
-// ran a request with one of the contents.
+// ran a request with one of the contents, or a part of its prompt.
 func (l Line) reportsCrashUnder(contents map[string]bool) bool {
-	content, _ := l.Fields["content"].(string)
-	return l.Number >= firstCrashEvent && l.Number <= lastCrashEvent && contents[content]
+	if l.Number < firstCrashEvent || l.Number > lastCrashEvent {
+		return false
+	}
+	parts, _ := l.Fields["parts"].([]any)
+	return slices.ContainsFunc(append(parts, l.Fields["content"]), func(digest any) bool {
+		text, _ := digest.(string)
+		return contents[text]
+	})
 }
 
 // maxLineBytes is the length limit of a line. Read fails at a longer one.
@@ -96,7 +102,8 @@
 
 // Timeline returns the lines about an id in order of time, together with their
 // context. The context is the state changes of the same nodes and the lines of any
-// node about engines that ended while they ran a request with the same content. State
+// node about engines that ended while they ran a request with the same content, or with
+// the part of its prompt that is blocked. State
 // changes are included from the duration given by the parameter before ahead of the
 // first line about the id. The context ends with the last line about the id. Timeline
 // returns nil if no line is about the id.
@@ -107,8 +114,10 @@
 		if line.isAbout(id) {
 			ownLines = append(ownLines, line)
 			nodes[line.Node] = true
-			if content, present := line.Fields["content"].(string); present {
-				contents[content] = true
+			for _, field := range []string{"content", "blocked"} {
+				if content, present := line.Fields[field].(string); present {
+					contents[content] = true
+				}
 			}
 		}
 	}
--- a/internal/explain/explain_test.go
+++ b/internal/explain/explain_test.go
@@ -29,6 +29,19 @@
 	}
 }
 
+// The story of a request that is refused for a part of its prompt has the engines that ended under it.
+func TestStoryOfABlockedPartIncludesTheEnginesThatEnded(t *testing.T) {
+	const blocked = `{"level":"info","ts":"2026-01-01T00:00:01Z","msg":"engine ended under a request","node":"n2","request":"r7","content":"c7","parts":["p1","p2"],"engine":"e9","event":8140}
+{"level":"info","ts":"2026-01-01T00:00:02Z","msg":"request refused, its content is blocked","node":"n1","request":"r8","content":"c8","blocked":"p2","event":8143}`
+	lines, err := Read(strings.NewReader(blocked))
+	if err != nil {
+		t.Fatal(err)
+	}
+	if text := Text(Timeline(lines, "r8", time.Second)); !strings.Contains(text, "engine=e9") {
+		t.Errorf("the engine that ended is missing in\n%s", text)
+	}
+}
+
 func TestStoryIsOrderedAndIncludesNodeState(t *testing.T) {
 	lines, err := Read(strings.NewReader(logs))
 	if err != nil || len(lines) != 6 {
--- a/internal/passthrough/batch/run.go
+++ b/internal/passthrough/batch/run.go
@@ -106,7 +106,7 @@
 	s.mu.Unlock()
 	s.forecast.observeRun(kept-before, time.Since(started), r.decision.Choice.Slowness)
 	if end == runCompleted {
-		s.Guard.RecordSuccess(r.item.ID, r.identity.Content)
+		s.Guard.RecordSuccess(r.item.ID, r.identity)
 		s.forecast.observeItem(kept)
 	}
 	events.ItemRunEnded.Log(s.Logger, zap.String("job", r.job.id), zap.String("request", r.item.ID), zap.Int64("epoch", r.job.epoch),
--- a/internal/passthrough/batch/schedule.go
+++ b/internal/passthrough/batch/schedule.go
@@ -132,7 +132,7 @@
 func (s *Service) holdIfBlocked(next candidate) bool {
 	item := next.job.items[next.index]
 	identity := s.identityOf(next.job, item)
-	verdict := s.Guard.Verdict(identity.Content)
+	verdict, on := s.Guard.Verdict(identity)
 	if !verdict.Blocked {
 		return false
 	}
@@ -143,7 +143,7 @@
 	work.held = true
 	s.mu.Unlock()
 	if first {
-		events.ItemHeld.Log(s.Logger, zap.String("job", next.job.id), zap.String("request", item.ID), zap.Stringer("content", identity.Content),
+		events.ItemHeld.Log(s.Logger, zap.String("job", next.job.id), zap.String("request", item.ID), zap.Stringer("content", identity.Content), zap.Stringer("blocked", on),
 			zap.Int("crashes", verdict.Crashes), zap.Float64("evidence", verdict.Evidence), zap.Duration("for", time.Until(verdict.Until)))
 	}
 	return true
@@ -155,7 +155,7 @@
 // slotRequest builds the slot request of an item. The item keeps its request id while it waits.
 func (s *Service) slotRequest(next candidate, route *passroute.Route, due time.Time, routes resolvedRoute) slots.BatchRequest {
 	item := next.job.items[next.index]
-	suspect := s.Guard.Suspect(s.identityOf(next.job, item).Content)
+	suspect := s.Guard.Suspect(s.identityOf(next.job, item))
 	query := relay.Query(s.Routes.Pool(route), s.Headers.Demand(item.Header))
 	query.Batch, query.PreviousEngine = true, next.lastEngine
 	query.MaxBatchPercent = s.config.MaxEnginePercent
--- a/internal/passthrough/edge/inspect.go
+++ b/internal/passthrough/edge/inspect.go
@@ -98,7 +98,8 @@
 // CrashesOf returns the number of engines known to this node to have crashed while they ran a
 // content.
 func (n *Node) CrashesOf(content quarantine.Content) int {
-	return n.guard.Verdict(content.Digest()).Crashes
+	verdict, _ := n.guard.Verdict(quarantine.Identity{Content: content.Digest()})
+	return verdict.Crashes
 }
 
 // BlockedContents returns the number of contents known to this node that must not be sent to any
--- a/internal/passthrough/guard/guard.go
+++ b/internal/passthrough/guard/guard.go
@@ -90,25 +90,38 @@
 // UseKeeper sets the keeper that stores crashes. It must be called before Run.
 func (s *Service) UseKeeper(keeper Keeper) { s.keeper = keeper }
 
-// Verdict returns the verdict on a content. While no crash and no operator's block is known it
-// costs one atomic load.
-func (s *Service) Verdict(content quarantine.Digest) quarantine.Verdict {
+// Verdict returns the verdict on a request, and the digest of the content or part that it is on. While
+// no crash and no operator's block is known it costs one atomic load.
+func (s *Service) Verdict(identity quarantine.Identity) (verdict quarantine.Verdict, on quarantine.Digest) {
 	if !s.hasRecords.Load() {
-		return quarantine.Verdict{}
+		return quarantine.Verdict{}, identity.Content
 	}
 	now := time.Now()
 	s.mu.Lock()
-	defer s.mu.Unlock()
-	return s.ledger.Verdict(content, now)
+	verdict, on = s.ledger.IdentityVerdict(identity, now)
+	newlyBlocked := s.markBlocked(on, verdict) // a part is also blocked by what becomes known of other parts
+	s.mu.Unlock()
+	s.reportBlocked(newlyBlocked, on, verdict, "request")
+	return verdict, on
 }
 
-// Suspect returns what a dispatcher must know about a content.
-func (s *Service) Suspect(content quarantine.Digest) grant.Suspect {
-	verdict := s.Verdict(content)
+// Suspect returns what a dispatcher must know about a request: the part of its prompt, or else the
+// content, that may crash engines.
+func (s *Service) Suspect(identity quarantine.Identity) grant.Suspect {
+	if !s.hasRecords.Load() {
+		return grant.Suspect{}
+	}
+	now := time.Now()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if part, crashes, found := s.ledger.SuspectPart(identity, now); found {
+		return grant.Suspect{Content: part.Hash(), Crashes: crashes}
+	}
+	verdict := s.ledger.Verdict(identity.Content, now)
 	if verdict.Crashes == 0 {
 		return grant.Suspect{}
 	}
-	return grant.Suspect{Content: content.Hash(), Crashes: verdict.Crashes}
+	return grant.Suspect{Content: identity.Content.Hash(), Crashes: verdict.Crashes}
 }
 
 // Run is one run of a request at an engine.
@@ -119,7 +132,7 @@
 }
 
 // CheckBrokenRun checks whether the engine of a broken run has ended, and if so records the end as a crash
-// of the run's content. An engine that still listens may have restarted; its next entry shows
+// of the run's content and of the parts of its prompt. An engine that still listens may have restarted; its next entry shows
 // this (see Restarted).
 func (s *Service) CheckBrokenRun(ctx context.Context, run Run) (ended bool) {
 	if s.Pool.ProcessEnded(ctx, run.Engine) {
@@ -141,50 +154,83 @@
 		events.EngineLeft.Log(s.Logger, zap.String("request", run.Request), zap.Stringer("content", run.Identity.Content), zap.Stringer("engine", run.Engine.Engine))
 		return
 	}
-	crash := quarantine.Crash{Content: run.Identity.Content, Engine: grant.EngineHash(run.Engine.Engine)}
 	now := time.Now()
+	newlyBlocked := make(map[quarantine.Digest]quarantine.Verdict)
 	s.mu.Lock()
-	isNew := s.recordCrash(crash, now)
-	if isNew {
-		s.unsent = append(s.unsent, crash)
+	for _, digest := range run.Identity.Digests() {
+		crash := quarantine.Crash{Content: digest, Engine: grant.EngineHash(run.Engine.Engine)}
+		if s.recordCrash(crash, now) {
+			s.unsent = append(s.unsent, crash)
+		}
+		s.recordOwnCrash(crash)
 	}
-	s.recordOwnCrash(crash)
-	verdict := s.ledger.Verdict(run.Identity.Content, now)
-	if verdict.Crashes >= minPersistedCrashes {
-		s.unpersisted[run.Identity.Content] = true
+	for _, digest := range run.Identity.Digests() {
+		known := s.ledger.Verdict(digest, now)
+		if known.Crashes >= minPersisted(digest) {
+			s.unpersisted[digest] = true
+		}
+		if s.markBlocked(digest, known) {
+			newlyBlocked[digest] = known
+		}
 	}
-	newlyBlocked := s.markBlocked(run.Identity.Content, verdict)
+	verdict := s.ledger.Verdict(run.Identity.Content, now)
 	s.mu.Unlock()
 	s.signalBoth()
 	s.Metrics.crashed()
 	events.EngineEnded.Log(s.Logger, zap.String("request", run.Request), zap.Stringer("content", run.Identity.Content), zap.Stringer("engine", run.Engine.Engine), zap.Stringers("parts", run.Identity.Parts),
 		zap.Int("crashes", verdict.Crashes), zap.Float64("evidence", verdict.Evidence), zap.Bool("blocked", verdict.Blocked))
-	s.reportBlocked(newlyBlocked, run.Identity.Content, verdict, "own run")
+	for digest, known := range newlyBlocked {
+		s.reportBlocked(true, digest, known, "own run")
+	}
 }
 
-// RecordSuccess records that a run of a content completed.
-func (s *Service) RecordSuccess(request string, content quarantine.Digest) {
-	if !s.hasRecords.Load() {
+// RecordSuccess records that a run of a request completed.
+func (s *Service) RecordSuccess(request string, identity quarantine.Identity) {
+	if len(identity.Parts) == 0 && !s.hasRecords.Load() {
 		return
 	}
 	now := time.Now()
+	cleared := make(map[quarantine.Digest]int)
 	s.mu.Lock()
-	excused := s.ledger.Excuse(content, now)
-	s.unsent = append(s.unsent, excused...)
-	if len(excused) >= minPersistedCrashes {
-		s.unpersisted[content] = true
+	for _, digest := range identity.Digests() {
+		excused := s.ledger.Excuse(digest, now)
+		if len(excused) >= minToldExcuses(digest) {
+			s.unsent = append(s.unsent, excused...)
+			cleared[digest] = len(excused)
+		}
+		if len(excused) >= minPersisted(digest) {
+			s.unpersisted[digest] = true
+		}
+		delete(s.loggedBlocked, digest)
 	}
-	delete(s.loggedBlocked, content)
 	s.mu.Unlock()
-	if len(excused) > 0 {
+	if len(cleared) > 0 {
 		s.signalBoth()
-		events.ContentExcused.Log(s.Logger, zap.String("request", request), zap.Stringer("content", content), zap.Int("crashes", len(excused)))
+	}
+	for digest, crashes := range cleared {
+		events.ContentExcused.Log(s.Logger, zap.String("request", request), zap.Stringer("content", digest), zap.Bool("part", digest.IsPart()), zap.Int("crashes", crashes))
 	}
 }
 
+// minToldExcuses returns the least number of crashes of which the other nodes are told that they are
+// excused. A part that many requests share completes at each node after each crash.
+func minToldExcuses(digest quarantine.Digest) int {
+	if digest.IsPart() {
+		return 2
+	}
+	return 1
+}
+
 // AddPeerCrashes records crashes that another node reports.
 func (s *Service) AddPeerCrashes(from string, crashes []quarantine.Crash) {
 	s.applyCrashes(crashes, "peer "+from)
+	now := time.Now()
+	s.mu.Lock()
+	excused := s.ledger.ExcusedHere(crashes, now)
+	s.mu.Unlock()
+	if len(excused) > 0 {
+		s.sendCrashes(from, excused)
+	}
 }
 
 // StartupReports returns the crashes that a node must know after its start.
@@ -210,7 +256,7 @@
 	newlyBlocked := make(map[quarantine.Digest]quarantine.Verdict)
 	for content := range changed {
 		verdict := s.ledger.Verdict(content, now)
-		if verdict.Crashes >= minPersistedCrashes && len(s.ownCrashes[content]) > 0 {
+		if verdict.Crashes >= minPersisted(content) && len(s.ownCrashes[content]) > 0 {
 			s.unpersisted[content] = true
 		}
 		if s.markBlocked(content, verdict) {
@@ -281,7 +327,7 @@
 func (s *Service) reportBlocked(newlyBlocked bool, content quarantine.Digest, verdict quarantine.Verdict, source string) {
 	if newlyBlocked {
 		defer s.onBlocked(content)
-		events.ContentBlocked.Log(s.Logger, zap.Stringer("content", content), zap.Int("crashes", verdict.Crashes), zap.Float64("evidence", verdict.Evidence),
+		events.ContentBlocked.Log(s.Logger, zap.Stringer("content", content), zap.Bool("part", content.IsPart()), zap.Int("crashes", verdict.Crashes), zap.Float64("evidence", verdict.Evidence),
 			zap.Duration("for", time.Until(verdict.Until)), zap.String("source", source))
 	}
 }
--- a/internal/passthrough/guard/restarts_test.go
+++ b/internal/passthrough/guard/restarts_test.go
@@ -16,6 +16,11 @@
 // TestRunThatBrokeLongBeforeARestartCountsForNothing breaks runs at engines that still listen. A
 // run that broke just before its engine is known to have restarted counts once as a crash. A run
 // from long before, a run at another incarnation and a run at a leaving engine do not count.
+func crashesOf(s *Service, content quarantine.Digest) int {
+	verdict, _ := s.Verdict(quarantine.Identity{Content: content})
+	return verdict.Crashes
+}
+
 func TestRunThatBrokeLongBeforeARestartCountsForNothing(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		former, next := enginechoice.Incarnation{ID: "e0", Born: 1000}, enginechoice.Incarnation{ID: "e0", Born: 2000}
@@ -47,7 +52,7 @@
 			content quarantine.Digest
 			want    int
 		}{"early": {early, 0}, "late": {late, 1}, "elsewhere": {elsewhere, 0}, "planned": {planned, 0}} {
-			if got := s.Verdict(test.content).Crashes; got != test.want {
+			if got := crashesOf(s, test.content); got != test.want {
 				t.Errorf("%s: %d crashes recorded, want %d", name, got, test.want)
 			}
 		}
--- a/internal/passthrough/guard/spread.go
+++ b/internal/passthrough/guard/spread.go
@@ -209,6 +209,16 @@
 // survive a restart.
 const minPersistedCrashes = 2
 
+// minPersistedPartCrashes is the same for the parts of prompts, of which there are more.
+const minPersistedPartCrashes = 3
+
+func minPersisted(digest quarantine.Digest) int {
+	if digest.IsPart() {
+		return minPersistedPartCrashes
+	}
+	return minPersistedCrashes
+}
+
 // persistTimeout bounds one write. A failed write is retried.
 const persistTimeout = 1500 * time.Millisecond
 
--- a/internal/passthrough/relay/attempt.go
+++ b/internal/passthrough/relay/attempt.go
@@ -14,6 +14,7 @@
 
 	"ringstream.example/ringstream/internal/core/enginechoice"
 	"ringstream.example/ringstream/internal/core/passroute"
+	"ringstream.example/ringstream/internal/core/quarantine"
 	"ringstream.example/ringstream/internal/events"
 	"ringstream.example/ringstream/internal/passthrough"
 	"ringstream.example/ringstream/internal/passthrough/engineconn"
@@ -70,7 +71,7 @@
 		engineEnded = e.guard.CheckBrokenRun(deadlineCtx, guard.Run{Request: e.call.Demand.RequestID, Identity: e.identity, Engine: key})
 	}
 	if outcome == Completed {
-		e.guard.RecordSuccess(e.call.Demand.RequestID, e.identity.Content)
+		e.guard.RecordSuccess(e.call.Demand.RequestID, e.completedIdentity(status))
 	}
 	if outcome == Failed {
 		e.attempts++
@@ -98,6 +99,15 @@
 	return outcome
 }
 
+// completedIdentity returns what a complete answer shows to be harmless. An engine may have answered an
+// error before it read the prompt.
+func (e *exchange) completedIdentity(status int) quarantine.Identity {
+	if status >= http.StatusMultipleChoices {
+		return quarantine.Identity{Content: e.identity.Content}
+	}
+	return e.identity
+}
+
 // maxLoggedTries limits how many tries that no engine ran are logged for one call. With all
 // engines of a pool down, calls made up to 53 tries, and their lines were 90% of a node's log.
 const maxLoggedTries = 4
--- a/internal/passthrough/relay/outcome.go
+++ b/internal/passthrough/relay/outcome.go
@@ -152,16 +152,16 @@
 	return NotRun
 }
 
-// refuseBlocked answers 502 because engines crashed while they ran the request's content, or
-// because an operator has blocked it. Retry-After tells when the request may be sent again. The
+// refuseBlocked answers 502 because engines crashed while they ran the request's content or a part of
+// its prompt, or because an operator has blocked it. Retry-After tells when the request may be sent again. The
 // response does not claim that no engine ran the request.
-func (e *exchange) refuseBlocked(verdict quarantine.Verdict) Outcome {
+func (e *exchange) refuseBlocked(verdict quarantine.Verdict, on quarantine.Digest) Outcome {
 	if e.headSent {
 		return Cut
 	}
 	e.allowFinalAnswer()
 	retryAfter := time.Until(verdict.Until)
-	events.ContentRefused.Log(e.logger, zap.String("request", e.call.Demand.RequestID), zap.Stringer("content", e.identity.Content), zap.String("route", e.call.Route.Name),
+	events.ContentRefused.Log(e.logger, zap.String("request", e.call.Demand.RequestID), zap.Stringer("content", e.identity.Content), zap.Stringer("blocked", on), zap.String("route", e.call.Route.Name),
 		zap.String("tenant", e.call.TenantName()), zap.Int("crashes", verdict.Crashes), zap.Float64("evidence", verdict.Evidence), zap.Bool("by_operator", verdict.Ordered), zap.Duration("retry_after", retryAfter))
 	e.guard.Metrics.Refused(e.call.Route.Name)
 	e.status = http.StatusBadGateway
@@ -170,6 +170,10 @@
 		Code: "request_ends_engines", Run: RunFailed,
 		Message: fmt.Sprintf("%d engines ended while they ran this request; it is not sent to more of them", verdict.Crashes),
 	}
+	if on.IsPart() {
+		refusal.Run = e.runState()
+		refusal.Message = fmt.Sprintf("%d engines ended while they ran requests with a part of this prompt; it is sent to no more of them", verdict.Crashes)
+	}
 	if verdict.Ordered {
 		refusal = Refusal{Code: "content_blocked", Run: RunUnknown, Message: "an operator has blocked this request; it is sent to no engine"}
 	}
@@ -177,6 +181,14 @@
 	return Failed
 }
 
+// runState returns whether an engine ran the request, as far as this node knows.
+func (e *exchange) runState() string {
+	if e.mayHaveRun {
+		return RunFailed
+	}
+	return RunUnknown
+}
+
 // RefuseNotRun answers 503 with a Retry-After for a request that was sent to no engine.
 func RefuseNotRun(to http.ResponseWriter, headers passthrough.Headers, after time.Duration, code, message string) {
 	headers.SetRetryAfter(to.Header(), after)
--- a/internal/passthrough/relay/outcome_test.go
+++ b/internal/passthrough/relay/outcome_test.go
@@ -94,7 +94,7 @@
 	for name, refuse := range map[string]func(*exchange){
 		"over limit": func(e *exchange) { e.refuseOverLimit(&slots.OverLimitError{}) },
 		"overloaded": func(e *exchange) { e.refuseOverloaded(&slots.OverloadedError{}) },
-		"blocked":    func(e *exchange) { e.refuseBlocked(quarantine.Verdict{}) },
+		"blocked":    func(e *exchange) { e.refuseBlocked(quarantine.Verdict{}, quarantine.Digest{}) },
 		"no engine":  func(e *exchange) { e.giveUp(noEngine) },
 	} {
 		synctest.Test(t, func(t *testing.T) {
--- a/internal/passthrough/relay/relay.go
+++ b/internal/passthrough/relay/relay.go
@@ -209,8 +209,8 @@
 		if deadlineCtx.Err() != nil || e.clock.remaining() <= 0 {
 			return e.giveUp(timedOut)
 		}
-		if verdict := e.guard.Verdict(e.identity.Content); verdict.Blocked {
-			return e.refuseBlocked(verdict)
+		if verdict, on := e.guard.Verdict(e.identity); verdict.Blocked {
+			return e.refuseBlocked(verdict, on)
 		}
 		decision, err := e.acquireSlot(deadlineCtx, slotDeadline)
 		if overLimit := (*slots.OverLimitError)(nil); errors.As(err, &overLimit) {
@@ -231,9 +231,9 @@
 			}
 			continue
 		}
-		if verdict := e.guard.Verdict(e.identity.Content); verdict.Blocked { // the content may have been blocked during the wait
+		if verdict, on := e.guard.Verdict(e.identity); verdict.Blocked { // it may have been blocked during the wait
 			decision.Slot.End(enginechoice.Abandoned, false)
-			return e.refuseBlocked(verdict)
+			return e.refuseBlocked(verdict, on)
 		}
 		if e.watch.Check(); e.clock.remaining() <= 0 {
 			decision.Slot.End(enginechoice.Abandoned, false)
@@ -303,7 +303,7 @@
 	query.Exclude = e.excluded
 	request := slots.Request{
 		ID: e.call.Demand.RequestID, Query: query, Rank: e.call.Route.Priority, PlacementDeadline: slotDeadline, EndsAt: e.clock.currentDeadline(),
-		TenantRank: e.call.tenantRank(), Owner: e.call.TenantName(), Content: e.identity.Content.Hash(), MayHaveRun: e.mayHaveRun, Suspect: e.guard.Suspect(e.identity.Content),
+		TenantRank: e.call.tenantRank(), Owner: e.call.TenantName(), Content: e.identity.Content.Hash(), MayHaveRun: e.mayHaveRun, Suspect: e.guard.Suspect(e.identity),
 		PauseObjective: e.call.Route.PauseObjective,
 	}
 	if e.call.Route.Objective > 0 {
--- a/internal/passthrough/relay/running.go
+++ b/internal/passthrough/relay/running.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
 	"time"
 
@@ -49,11 +50,11 @@
 	})
 }
 
-// StopContent cancels the attempts of a content that is blocked. Requests that are still queued at
+// StopContent cancels the attempts of a content, or of requests with a part, that is blocked. Requests that are still queued at
 // their engines then crash none of them.
 func (r *Relay) StopContent(content quarantine.Digest) {
 	r.active.each(func(call *exchange) {
-		if call.identity.Content == content {
+		if slices.Contains(call.identity.Digests(), content) {
 			call.currentAttempt.stop()
 		}
 	})
