relay, batch: an answer that ends with its connection before its first event broke off

What callers saw: a whole, empty stream, and an item whose text is empty, where the engine had closed its connection before the first event. Cause: an answer without a length or chunks ends with its connection, and such an end counted as the end of the stream unless it fell inside an event. Change: without any event the attempt has failed, and the request goes on at another engine where it may. Stand-ins of engines answer without length or chunks: whole, ended inside an event, before the first one, and with a reset.

--- a/internal/passthrough/batch/run.go
+++ b/internal/passthrough/batch/run.go
@@ -272,7 +272,7 @@
 		switch {
 		case tooLong != nil:
 			return runInterrupted, tooLong
-		case errors.Is(err, io.EOF) && !splitter.Pending():
+		case errors.Is(err, io.EOF) && !splitter.Pending() && (hasEvents(splitter) || response.BodyDelimited()):
 			return runCompleted, nil
 		case errors.Is(err, io.EOF):
 			return runInterrupted, io.ErrUnexpectedEOF
@@ -284,6 +284,10 @@
 	}
 }
 
+// hasEvents reports whether a text has any event, from this run or an earlier one. Without one, the end
+// of an answer that ends with its connection cannot be told from a break.
+func hasEvents(splitter *relay.Splitter) bool { return splitter.Count() > 0 || splitter.Last() != "" }
+
 func (s *Service) keepEvents(r itemRun, whole []byte) {
 	r.decision.Slot.Started()
 	s.mu.Lock()
--- a/internal/passthrough/engineconn/conn.go
+++ b/internal/passthrough/engineconn/conn.go
@@ -132,7 +132,7 @@
 // engine drop the request.
 func (e *Exchange) Close() {
 	active := e.stop()
-	keep := active && e.bodyRead && !e.Response.Close && e.bodyDelimited() && e.requestWritten()
+	keep := active && e.bodyRead && !e.Response.Close && e.BodyDelimited() && e.requestWritten()
 	if !keep || e.conn.reader.Buffered() > 0 {
 		e.conn.close()
 		return
@@ -159,9 +159,9 @@
 	}
 }
 
-// bodyDelimited reports whether the response marks the end of its body by a length or a transfer
+// BodyDelimited reports whether the response marks the end of its body by a length or a transfer
 // encoding, and not by closing the connection.
-func (e *Exchange) bodyDelimited() bool {
+func (e *Exchange) BodyDelimited() bool {
 	return e.Response.ContentLength >= 0 || len(e.Response.TransferEncoding) > 0
 }
 
--- a/internal/passthrough/relay/attempt.go
+++ b/internal/passthrough/relay/attempt.go
@@ -241,7 +241,7 @@
 			return ClientGone, err
 		case tooLong != nil:
 			return Failed, tooLong
-		case errors.Is(err, io.EOF) && !e.stream.Pending():
+		case errors.Is(err, io.EOF) && !e.stream.Pending() && !e.endsBeforeItsStart(answer):
 			e.sendHead(answer.Response)
 			e.attempts++
 			return Completed, nil
@@ -255,6 +255,12 @@
 	}
 }
 
+// endsBeforeItsStart reports whether an answer that ends with its connection has brought no event. No
+// event is complete then by which the end of the stream can be told from a break.
+func (e *exchange) endsBeforeItsStart(answer *engineconn.Exchange) bool {
+	return e.stream.Count() == 0 && e.call.Demand.LastEvent == "" && !answer.BodyDelimited()
+}
+
 // maxWriteTime is how long a write to the client takes at most if the events that come after it are
 // to tell the engine's pace. They gather meanwhile.
 const maxWriteTime = 5 * time.Millisecond
