soak: prompt parts that end engines, connections that go to one node

Cause: no caller of the soak sent prompts with parts, and connections were spread evenly. Change: requests with a part that ends engines beside others that share all other parts, nine in ten connections to one node, and three judges.

--- a/internal/bench/soak/judge.go
+++ b/internal/bench/soak/judge.go
@@ -74,6 +74,9 @@
 	// restartsReport is filled in at the end.
 	restartsReport RestartsReport
 	streams        StreamsReport
+	parts          map[string]*partRecord // by id
+	partsReport    PartsReport
+	concentration  ConcentrationReport
 }
 
 func newJudge(events int) *judge {
@@ -82,6 +85,7 @@
 		tenants:     TenantsReport{Statuses: make(map[string]int), PressedStatuses: make(map[string]int)},
 		firstChosen: make(map[string]time.Time),
 		streams:     StreamsReport{TakenUp: make(map[string]int)},
+		parts:       make(map[string]*partRecord),
 	}
 }
 
--- a/internal/bench/soak/restarts.go
+++ b/internal/bench/soak/restarts.go
@@ -54,9 +54,11 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	former.CrashOn("", nil) // the next incarnation uses the same link
+	former.CrashOnPart("", nil)
 	next := &engineLink{Engine: former.Restart(time.Now().UnixMilli()), link: former.link, zone: former.zone}
 	next.Pace(eventInterval)
 	next.CrashOn(deadlyBodyPrefix, func() { s.engineEnded(next) })
+	next.CrashOnPart(deadlyPartPrefix, func() { s.engineEnded(next) })
 	s.engines = append(s.engines, next)
 	return next
 }
--- a/internal/bench/soak/soak.go
+++ b/internal/bench/soak/soak.go
@@ -60,22 +60,25 @@
 
 // Report is the result of a soak.
 type Report struct {
-	Seed            uint64         `json:"seed"`
-	Faults          map[string]int `json:"faults"`
-	Requests        int            `json:"requests"`
-	Statuses        map[string]int `json:"statuses"`
-	Jobs            int            `json:"jobs"`
-	JobsAccepted    int            `json:"jobs_taken"`
-	Runs            int            `json:"engine_runs"`
-	ProcessStarts   int            `json:"process_lives"`
-	Recovery        time.Duration  `json:"recovery_ns"` // from the last fault until all nodes were ready
-	Deadly          DeadlyReport   `json:"deadly"`
-	Rereads         RereadsReport  `json:"read_again"`
-	Tenants         TenantsReport  `json:"tenants"`
-	Restarts        RestartsReport `json:"engine_restarts"`
-	Streams         StreamsReport  `json:"streams"`
-	ViolationCounts map[string]int `json:"broken"`     // number of violations by promise
-	Violations      []Violation    `json:"violations"` // the first violations of each promise
+	Seed          uint64         `json:"seed"`
+	Faults        map[string]int `json:"faults"`
+	Requests      int            `json:"requests"`
+	Statuses      map[string]int `json:"statuses"`
+	Jobs          int            `json:"jobs"`
+	JobsAccepted  int            `json:"jobs_taken"`
+	Runs          int            `json:"engine_runs"`
+	ProcessStarts int            `json:"process_lives"`
+	Recovery      time.Duration  `json:"recovery_ns"` // from the last fault until all nodes were ready
+	Deadly        DeadlyReport   `json:"deadly"`
+	Rereads       RereadsReport  `json:"read_again"`
+	Tenants       TenantsReport  `json:"tenants"`
+	Restarts      RestartsReport `json:"engine_restarts"`
+	Streams       StreamsReport  `json:"streams"`
+	Parts         PartsReport    `json:"prompt_parts"`
+	// Concentration counts the requests while most new connections go to one node.
+	Concentration   ConcentrationReport `json:"connections_to_one"`
+	ViolationCounts map[string]int      `json:"broken"`     // number of violations by promise
+	Violations      []Violation         `json:"violations"` // the first violations of each promise
 }
 
 // eventsPerAnswer is the number of events in each engine's answer, and eventInterval is the delay
@@ -116,6 +119,8 @@
 	storeFaults      int       // number of active faults of the store
 	counts           map[string]int
 	lastEngineNumber int
+	concentratedOn   *nodeProcess // node that most new connections go to; nil if none
+	concentratedAt   time.Time
 }
 
 // engineLink is an engine behind a proxy.
@@ -209,6 +214,7 @@
 	engine.AdvertisedAddress = link.address()
 	linked := &engineLink{Engine: engine, link: link, zone: fmt.Sprintf("z%d", s.lastEngineNumber%2)}
 	engine.CrashOn(deadlyBodyPrefix, func() { s.engineEnded(linked) })
+	engine.CrashOnPart(deadlyPartPrefix, func() { s.engineEnded(linked) })
 	s.engines = append(s.engines, linked)
 	s.store.List(engine, linked.zone, "ready")
 	return nil
@@ -305,6 +311,8 @@
 	series.Go(func() { s.injectTenantFaults(ctx) })
 	series.Go(func() { s.injectRestarts(ctx) })
 	series.Go(func() { s.injectBrokenStreams(ctx) })
+	series.Go(func() { s.injectDeadlyParts(ctx) })
+	series.Go(func() { s.injectConcentration(ctx) })
 	series.Go(func() { s.rollBuilds(ctx) })
 	s.injectRandomFaults(ctx)
 	series.Wait()
@@ -326,7 +334,8 @@
 	}
 	s.counts["engine_runs"] = len(runs)
 	s.judge.concludeStreams()
-	s.judge.conclude(s.judge.concludeKeyed(s.judge.concludeDeadly(runs), s.keys))
+	s.judge.concludeConcentration()
+	s.judge.conclude(s.judge.concludeKeyed(s.judge.concludeDeadly(s.judge.concludeParts(runs)), s.keys))
 }
 
 // awaitRecovery waits until all nodes are ready after the last fault, and records a violation if
@@ -380,7 +389,7 @@
 	report := Report{
 		Seed: s.options.Seed, Faults: make(map[string]int), Requests: len(j.requests), Statuses: j.statuses, Jobs: len(j.jobs),
 		Runs: s.counts["engine_runs"], Recovery: time.Duration(s.counts["recovery_ms"]) * time.Millisecond, ViolationCounts: j.violationCounts, Violations: j.violations,
-		Deadly: j.deadly.report, Rereads: j.rereads, Tenants: j.tenants, Restarts: j.restartsReport, Streams: j.streams,
+		Deadly: j.deadly.report, Rereads: j.rereads, Tenants: j.tenants, Restarts: j.restartsReport, Streams: j.streams, Parts: j.partsReport, Concentration: j.concentration,
 	}
 	for name, count := range s.counts {
 		if name != "engine_runs" && name != "recovery_ms" {
--- a/internal/bench/soak/workload.go
+++ b/internal/bench/soak/workload.go
@@ -52,7 +52,7 @@
 
 func (s *soak) callOver(ctx context.Context, random *rand.Rand, transport *http.Transport) {
 	for wait.For(ctx, callerPause) {
-		node := s.nodes[random.IntN(len(s.nodes))]
+		node := s.pickNode(random, transport == nil)
 		route := onlineRoutes[random.IntN(len(onlineRoutes))]
 		id := s.ids.next("r")
 		before, sent := node.condition(), time.Now()
@@ -64,6 +64,7 @@
 			})
 			record = requestRecord{id: id, route: route, reply: reply, earlierBuild: !node.runsCurrentBuild()}
 			s.judge.addAnswer(record)
+			s.judgeConcentration(node, record, before, sent)
 			if route == routeHandover {
 				s.judge.addFresh(reply, s.undisturbedThroughout(node, before, sent))
 			}
