origins: a node that knows no other one yet asks those of its settings

Measured: TestNodeThatHasNotListedTheOthersFindsAnOrigin, go test -race -count=2 ./internal/passthrough/origins: pass.

--- a/internal/passthrough/origins/lookup.go
+++ b/internal/passthrough/origins/lookup.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"go.uber.org/zap"
@@ -77,16 +78,16 @@
 	if s.transport == nil {
 		return
 	}
-	search.asked = streamorigin.AskedFor(search.key, s.Peers())
-	if len(search.asked) == 0 {
-		return
-	}
 	id, replies := s.register(search)
 	defer s.unregister(id)
 	ctx, cancel := context.WithTimeout(ctx, lookupTimeout)
 	defer cancel()
 	question := streamorigin.Message{Question: &streamorigin.Question{ID: id, Key: search.key, Pool: stream.Pool}}
 	for ctx.Err() == nil {
+		search.addPeers(streamorigin.AskedFor(search.key, s.askable()))
+		if len(search.asked) == 0 && s.PeersKnown() {
+			return // there is no other node
+		}
 		for _, peer := range search.asked {
 			if !search.answered[peer] {
 				s.transport.SendOrigins(peer, question)
@@ -98,6 +99,32 @@
 	}
 }
 
+// allAnswered reports whether each node that was asked has answered.
+func (l *lookup) allAnswered() bool {
+	return !slices.ContainsFunc(l.asked, func(address string) bool { return !l.answered[address] })
+}
+
+// askable returns the other nodes, or those that the settings name while this node knows none.
+func (s *Service) askable() []streamorigin.Node {
+	nodes := s.Peers()
+	if len(nodes) > 0 {
+		return nodes
+	}
+	for _, seed := range s.Seeds() {
+		nodes = append(nodes, streamorigin.Node{Address: seed})
+	}
+	return nodes
+}
+
+// addPeers adds nodes that have not been asked yet.
+func (l *lookup) addPeers(addresses []string) {
+	for _, address := range addresses {
+		if !slices.Contains(l.asked, address) {
+			l.asked = append(l.asked, address)
+		}
+	}
+}
+
 // onlyOneVersion reports whether all nodes that have answered know of one version only. A record is
 // of no use then.
 func (l *lookup) onlyOneVersion() bool { return len(l.answered) > 0 && len(l.Versions()) == 1 }
@@ -118,19 +145,23 @@
 			if answer.evidence.Software != "" {
 				l.from = answer.from
 			}
-			if _, source := l.Result(false); source != streamorigin.Undecided || len(l.answered) >= len(l.asked) {
+			if _, source := l.Result(false); source != streamorigin.Undecided || l.allAnswered() {
 				return true
 			}
 		}
 	}
 }
 
+// maxPendingAnswers bounds the answers of one lookup that wait to be read. Later ones are dropped, and
+// their nodes are asked again.
+const maxPendingAnswers = 64
+
 // register returns the id of a new lookup and the channel of its answers.
 func (s *Service) register(search *lookup) (id uint64, replies <-chan reply) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.lastID++
-	pending := pendingLookup{key: search.key, replies: make(chan reply, len(search.asked))}
+	pending := pendingLookup{key: search.key, replies: make(chan reply, maxPendingAnswers)}
 	s.lookups[s.lastID] = pending
 	return s.lastID, pending.replies
 }
--- a/internal/passthrough/origins/origins.go
+++ b/internal/passthrough/origins/origins.go
@@ -31,6 +31,8 @@
 	Logger  *zap.Logger
 	// Peers returns the other nodes that may be alive.
 	Peers func() []streamorigin.Node
+	// Seeds returns the addresses to ask while no other node is known.
+	Seeds func() []string
 	// PeersKnown reports whether Peers covers the whole fleet.
 	PeersKnown func() bool
 	// EnginesAge returns the time since the list of engines was last known to be complete.
@@ -70,7 +72,7 @@
 // pendingLookup is a lookup that awaits answers.
 type pendingLookup struct {
 	key     streamorigin.Key
-	replies chan reply // with room for an answer of each node that was asked
+	replies chan reply
 }
 
 // reply is the answer of a node to a lookup.
--- a/internal/passthrough/origins/origins_test.go
+++ b/internal/passthrough/origins/origins_test.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -48,6 +49,7 @@
 	network    *network
 	name       string
 	enginesAge time.Duration
+	listsPeers atomic.Bool // the node has listed the others
 }
 
 // SendOrigins implements Transport.
@@ -69,9 +71,15 @@
 		node := &testNode{network: made, name: fmt.Sprint("n", i)}
 		engines := catalog.NewEngines(node.name, nil, nil, zap.NewNop())
 		node.Service = New(Dependencies{
-			Engines: engines, Logger: zap.NewNop(), Peers: func() []streamorigin.Node { return made.othersOf(node.name) },
-			PeersKnown: func() bool { return true }, EnginesAge: func() time.Duration { return node.enginesAge },
+			Engines: engines, Logger: zap.NewNop(), Peers: func() []streamorigin.Node {
+				if !node.listsPeers.Load() {
+					return nil
+				}
+				return made.othersOf(node.name)
+			},
+			Seeds: func() []string { return []string{"n0"} }, PeersKnown: node.listsPeers.Load, EnginesAge: func() time.Duration { return node.enginesAge },
 		})
+		node.listsPeers.Store(true)
 		node.UseTransport(node)
 		made.nodes[node.name] = node
 		node.list(software...)
@@ -199,6 +207,26 @@
 	})
 }
 
+// Guards against refusals by a node that has just started: it asks the nodes of its settings, and the
+// others as soon as it has listed them.
+func TestNodeThatHasNotListedTheOthersFindsAnOrigin(t *testing.T) {
+	runInBubble(t, func(t *testing.T, ctx context.Context) {
+		n := newNetwork(ctx, 6, "v1", "v2")
+		n.nodes["n0"].Began(pool, "r", "v1")
+		time.Sleep(2 * datagramDelay)
+		n.nodes["n1"].listsPeers.Store(false)
+		if found, _, err := n.nodes["n1"].find(ctx, "r"); err != nil || found != "v1" {
+			t.Errorf("by a seed: got %q, %v", found, err)
+		}
+		n.setSilent("n0", true)
+		n.nodes["n2"].listsPeers.Store(false)
+		time.AfterFunc(answerTimeout, func() { n.nodes["n2"].listsPeers.Store(true) })
+		if found, _, err := n.nodes["n2"].find(ctx, "r"); err != nil || found != "v1" {
+			t.Errorf("by a node that is listed meanwhile: got %q, %v", found, err)
+		}
+	})
+}
+
 // A node that hears no other one relies on its own list only while that is fresh, and covers the time
 // that a stream lasts.
 func TestNodeThatNobodyAnswersReliesOnAFreshListOnly(t *testing.T) {
