grant: an item for full engines holds up no other item

Cause: where the first batch item in the queue finds no engine, the pass ends, to keep free slots for the items in front. An item that goes on at one software version, or that has left a slow engine, may use few engines, and held up all others while these were full. Change: the pass goes on behind an item that excludes engines, as behind a suspect.

--- a/internal/bench/soak/judge_test.go
+++ b/internal/bench/soak/judge_test.go
@@ -228,3 +228,64 @@
 		}
 	}
 }
+
+// TestJudgeSeesRequestsWithADeadlyPart plants runs of requests with a part that ends engines, and replies
+// to requests beside them.
+func TestJudgeSeesRequestsWithADeadlyPart(t *testing.T) {
+	now := time.Now()
+	const bound = deadlyAgreementTime
+	for name, test := range map[string]struct {
+		late        int // requests later than the bound after the fifth engine
+		undisturbed bool
+		served      int // of 20 sound requests
+		want        string
+	}{
+		"within the bounds":          {3, true, 10, ""},
+		"too many late":              {4, true, 10, "parts_end_few_engines"},
+		"late at nodes out of touch": {4, false, 10, ""},
+		"too few sound ones served":  {0, true, 9, "sound_requests_are_served"},
+	} {
+		j := newJudge(testEvents)
+		j.streams.FreshInTouch, j.streams.FreshBegun = 10, 10
+		j.addPart("p")
+		var runs []engineRun
+		for i := range deadlyPartThreshold + test.late {
+			id, at := fmt.Sprint("g", i), now
+			if i >= deadlyPartThreshold {
+				at = now.Add(bound + time.Second)
+			}
+			j.addPartReply("p", id, platformtest.Reply{Status: 502}, test.undisturbed)
+			runs = append(runs, run(fmt.Sprint("e", i), id, at))
+		}
+		j.parts["p"].endedAt = now.Add(time.Minute)
+		for i := range minJudgedSound {
+			j.addSound("p", soundReply{sent: now.Add(2 * bound), served: i < test.served, undisturbed: true})
+		}
+		j.addSound("p", soundReply{sent: now, undisturbed: true}) // too early to count
+		if left := j.concludeParts(append(runs, run("e", "r-1", now))); len(left) != 1 {
+			t.Errorf("%s: %d other runs", name, len(left))
+		}
+		if total := len(j.violationCounts); (test.want == "") != (total == 0) || (test.want != "" && j.violationCounts[test.want] != 1) {
+			t.Errorf("%s: violations %v, want %q", name, j.violationCounts, test.want)
+		}
+	}
+}
+
+// TestJudgeSeesThatOneNodeServesTooFew plants shares of requests served with and without concentration.
+func TestJudgeSeesThatOneNodeServesTooFew(t *testing.T) {
+	for name, test := range map[string]struct {
+		during, served int
+		broken         bool
+	}{
+		"three quarters":       {40, 30, false},
+		"under three quarters": {40, 29, true},
+		"too few to be judged": {39, 0, false},
+	} {
+		j := newJudge(testEvents)
+		j.concentration = ConcentrationReport{Before: 100, BeforeServed: 100, During: test.during, DuringServed: test.served}
+		j.concludeConcentration()
+		if found := j.violationCounts["one_node_takes_most_connections"] > 0; found != test.broken {
+			t.Errorf("%s: violations %v", name, j.violationCounts)
+		}
+	}
+}
--- a/internal/core/grant/queue.go
+++ b/internal/core/grant/queue.go
@@ -393,7 +393,8 @@
 	}
 	capacity := d.engines.BatchCapacity(d.lane.Pool, queue[0].entry.ask.RoomPercent, now)
 	for _, waiting := range queue[:min(capacity, len(queue))] {
-		if d.tryGrant(waiting.entry, now) != isGranted && waiting.entry.ask.Suspect.Content == 0 {
+		ask := waiting.entry.ask
+		if d.tryGrant(waiting.entry, now) != isGranted && ask.Suspect.Content == 0 && len(ask.Exclude) == 0 {
 			return // keep the free capacity for the requests at the front
 		}
 	}
