quarantine, guard: waves and long runs count against no part of their prompts

Cause: two moments over a second apart sufficed, and items run for seconds, so that none with these parts was complete between two waves. Change: a moment counts only if all engines that ended with it ran the part, once all nodes have told theirs. A run that has written for a second shows that its parts are harmless, like a complete answer. Three spread moments are needed instead of two. A block stops only attempts whose answer has not begun, so that what is complete can lift a wrong one.

--- a/internal/core/quarantine/partledger.go
+++ b/internal/core/quarantine/partledger.go
@@ -16,7 +16,7 @@
 	momentsToBlock = 4
 	// spreadMomentsToBlock is the same for moments of which the first and the last are spreadToBlock
 	// apart. An innocent part has completed elsewhere in that time.
-	spreadMomentsToBlock = 2
+	spreadMomentsToBlock = 3
 	spreadToBlock        = time.Second
 	// tiedMomentsToBlock is the same for parts of which none has more against it.
 	tiedMomentsToBlock = 8
@@ -28,13 +28,18 @@
 	partCrashesToSuspect = 4
 )
 
+// HarmlessAfter is the time from the first event of a run from which on its parts are not what crashed its
+// engine. A part that does so crashes the engine as soon as it begins to write.
+const HarmlessAfter = time.Second
+
 // partLedger holds the crashes of parts.
 type partLedger struct {
 	*Ledger     // their crashes and orders
 	contents    *Ledger
 	completions completions
-	cachedFor   *evaluation // the state of the crashes that strengths belongs to
+	cachedFor   uint64 // number of changes up to which strengths is right
 	strengths   map[Digest]partStrength
+	ends        []engineEnd // of all engines, by time
 }
 
 func newPartLedger(contents *Ledger) *partLedger {
@@ -55,7 +60,7 @@
 // excuse marks the crashes of a part as excused, since a run with it is complete.
 func (l *partLedger) excuse(part Digest, now time.Time) []Crash {
 	l.completions.record(part, now)
-	l.cachedFor = nil
+	l.strengths = nil
 	return l.Excuse(part, now)
 }
 
@@ -69,7 +74,7 @@
 	if verdict.Crashes < partCrashesToBlock || !now.Before(verdict.Until) {
 		return verdict
 	}
-	moments, tied := l.momentsAsCause(part)
+	moments, tied := l.momentsAsCause(part, now)
 	verdict.Evidence = float64(max(len(moments)-l.allowance(part), 0))
 	verdict.Blocked = isEnough(moments, l.allowance(part), tied) && !l.explainedByContent(part)
 	return verdict
@@ -138,27 +143,68 @@
 	if crashes < partCrashesToSuspect {
 		return 0, false
 	}
-	moments, _ := l.momentsAsCause(part)
+	moments, _ := l.momentsAsCause(part, now)
 	return crashes, len(moments) > 0
 }
 
 // momentsAsCause returns the moments at which engines ended that no other part is a likelier cause of,
-// and whether another part is as likely a cause of any of them.
-func (l *partLedger) momentsAsCause(part Digest) (moments []time.Time, tied bool) {
+// and whether another part is as likely a cause of any of them. Moments are left out until all nodes have
+// told which engines ended with them.
+func (l *partLedger) momentsAsCause(part Digest, now time.Time) (moments []time.Time, tied bool) {
 	var ended []time.Time
 	for engine, known := range l.Ledger.contents[part].crashes {
-		if known.excused {
+		at := l.engines[engine].endedAt
+		if known.excused || now.Sub(at) < l.config.WaveWindow+tellingTime || !l.ranAtAllNear(part, at) {
 			continue
 		}
 		likeliest, equal := l.compareAt(part, engine)
 		if likeliest {
-			ended = append(ended, l.engines[engine].endedAt)
+			ended = append(ended, at)
 			tied = tied || equal
 		}
 	}
 	return l.separate(ended), tied
 }
 
+// tellingTime is how long it takes until all nodes know of a crash.
+const tellingTime = 50 * time.Millisecond
+
+// ranAtAllNear reports whether a part ran at all engines that ended within WaveWindow of a time. Engines
+// that end together while only some ran the part have another cause.
+func (l *partLedger) ranAtAllNear(part Digest, at time.Time) bool {
+	l.refresh()
+	crashes := l.Ledger.contents[part].crashes
+	first, _ := slices.BinarySearchFunc(l.ends, at.Add(-l.config.WaveWindow), func(end engineEnd, from time.Time) int { return end.at.Compare(from) })
+	for _, end := range l.ends[first:] {
+		if end.at.Sub(at) > l.config.WaveWindow {
+			break
+		}
+		if _, ran := crashes[end.engine]; !ran {
+			return false
+		}
+	}
+	return true
+}
+
+// engineEnd is the end of an engine under any request.
+type engineEnd struct {
+	at     time.Time
+	engine uint64
+}
+
+// refresh discards what is cached if crashes have changed.
+func (l *partLedger) refresh() {
+	changes := l.changes + l.contents.changes
+	if l.strengths != nil && l.cachedFor == changes {
+		return
+	}
+	l.cachedFor, l.strengths, l.ends = changes, make(map[Digest]partStrength), l.ends[:0]
+	for engine, record := range l.contents.engines {
+		l.ends = append(l.ends, engineEnd{at: record.endedAt, engine: engine})
+	}
+	slices.SortFunc(l.ends, func(a, b engineEnd) int { return a.at.Compare(b.at) })
+}
+
 // compareAt compares a part with the other parts that ran at an engine: by the moments at which engines
 // ended, and where these are as many, by the engines.
 func (l *partLedger) compareAt(part Digest, engine uint64) (likeliest, tied bool) {
@@ -188,18 +234,13 @@
 
 // strength returns what counts against a part.
 func (l *partLedger) strength(part Digest) partStrength {
-	if l.evaluated == nil {
-		l.evaluated = newEvaluation(l.Ledger)
-	}
-	if l.cachedFor != l.evaluated {
-		l.cachedFor, l.strengths = l.evaluated, make(map[Digest]partStrength)
-	}
+	l.refresh()
 	known, cached := l.strengths[part]
 	if !cached {
 		var ended []time.Time
 		for engine, crash := range l.Ledger.contents[part].crashes {
-			if !crash.excused {
-				ended = append(ended, l.engines[engine].endedAt)
+			if at := l.engines[engine].endedAt; !crash.excused && l.ranAtAllNear(part, at) {
+				ended = append(ended, at)
 			}
 		}
 		known = partStrength{moments: len(l.separate(ended)) - l.allowance(part), engines: len(ended)}
--- a/internal/core/quarantine/partmodel_test.go
+++ b/internal/core/quarantine/partmodel_test.go
@@ -8,13 +8,15 @@
 )
 
 // The model of parts simulates a pool of engines that run requests with a first part in common, one of
-// several middle parts, and a content of their own. Requests with one more part, the guilty one, crash
+// several middle parts, and a content of their own. Some run long, as items of jobs do, have parts that
+// only these have, and come back until they are done. Requests with one more part, the guilty one, crash
 // their engine. Nodes tell each other of crashes as package guard does; messages are lost, nodes restart
 // and are isolated, and engines also end in waves.
 
 const (
 	partModelDuration  = 20 * time.Second
 	partModelMiddles   = 12
+	partModelJobs      = 5 // parts of long requests only
 	toleratedCrashes   = 5
 	maxLateGuilty      = 3
 	partModelAgreement = 2 * time.Second // after the fifth crash
@@ -22,7 +24,7 @@
 
 type partRequest struct {
 	identity       Identity
-	guilty         bool
+	guilty, long   bool
 	node, attempts int
 	sentAt, endsAt time.Time
 }
@@ -75,6 +77,7 @@
 	first       Digest
 	guilty      Digest
 	guiltyRate  float64 // requests a second
+	longRate    float64 // long requests a second
 	soundRate   float64
 	waves       map[time.Time]bool
 	disturbedAt []time.Time
@@ -83,6 +86,7 @@
 
 	crashes                   []time.Time // ends of engines under the guilty part
 	guiltySent                []guiltySend
+	refusedAt                 []time.Time
 	soundServed, soundRefused int
 }
 
@@ -91,13 +95,14 @@
 	undisturbed bool
 }
 
-func newPartModel(seed uint64, withGuilty bool, newDetector func() partDetector) *partModel {
+func newPartModel(seed uint64, way partModelWay, newDetector func() partDetector) *partModel {
 	random := rand.New(rand.NewPCG(seed, 7))
 	m := &partModel{
 		random: random, start: time.Unix(0, 0), now: time.Unix(0, 0), newDetector: newDetector, waves: make(map[time.Time]bool), isolated: -1,
 		first: Part{ID: "first"}.Digest(), guilty: Part{ID: "guilty"}.Digest(), soundRate: 10 * float64(uint(1)<<random.IntN(5)), disturbedAt: make([]time.Time, modelNodes),
 	}
-	if withGuilty {
+	m.longRate = way.longRate
+	if way.guilty {
 		m.guiltyRate = 0.4 * float64(uint(1)<<random.IntN(6))
 	}
 	for range modelEngines {
@@ -147,8 +152,12 @@
 	m.lastRequest++
 	middle := Part{ID: fmt.Sprint("middle", int(float64(partModelMiddles)*m.random.Float64()*m.random.Float64()))}
 	request := &partRequest{guilty: guilty, node: m.random.IntN(modelNodes), identity: Identity{Content: contentNamed(fmt.Sprint(m.lastRequest)), Parts: []Digest{m.first, middle.Digest()}}}
-	if guilty {
+	switch {
+	case guilty:
 		request.identity.Parts = append(request.identity.Parts, m.guilty)
+	case m.random.Float64() < m.longRate/m.soundRate:
+		request.long = true
+		request.identity.Parts[1] = Part{ID: fmt.Sprint("job", m.random.IntN(partModelJobs))}.Digest()
 	}
 	m.waiting = append(m.waiting, request)
 }
@@ -179,17 +188,32 @@
 	engine.running = nil
 	for _, request := range running {
 		for _, digest := range request.identity.Digests() {
+			if digest.IsPart() && m.now.Sub(request.sentAt) >= HarmlessAfter {
+				m.excuse(request.node, digest)
+				continue
+			}
 			crash := Crash{Content: digest, Engine: engine.id}
 			if m.detectors[request.node].RecordCrash(crash, m.now) {
 				m.tell(request.node, crash)
 			}
 		}
-		if request.attempts++; request.attempts < modelAttempts {
+		if request.attempts++; request.attempts < modelAttempts || request.long {
 			m.waiting = append(m.waiting, request)
 		}
 	}
 }
 
+// excuse has a node excuse the crashes of a content or part, and tell the others.
+func (m *partModel) excuse(node int, digest Digest) {
+	excused := m.detectors[node].Excuse(digest, m.now)
+	if len(excused) < 2 && digest.IsPart() {
+		return
+	}
+	for _, crash := range excused {
+		m.tell(node, crash)
+	}
+}
+
 // tell sends a crash to all other nodes, three times.
 func (m *partModel) tell(from int, crash Crash) {
 	for to := range modelNodes {
@@ -271,13 +295,7 @@
 		default:
 			m.soundServed++
 			for _, digest := range request.identity.Digests() {
-				excused := m.detectors[request.node].Excuse(digest, m.now)
-				if len(excused) < 2 && digest.IsPart() {
-					continue
-				}
-				for _, crash := range excused {
-					m.tell(request.node, crash)
-				}
+				m.excuse(request.node, digest)
 			}
 		}
 	}
@@ -288,10 +306,11 @@
 	waiting := m.waiting
 	m.waiting = nil
 	for _, request := range waiting {
-		verdict, _ := m.detectors[request.node].IdentityVerdict(request.identity, m.now)
+		verdict, on := m.detectors[request.node].IdentityVerdict(request.identity, m.now)
 		switch {
-		case verdict.Blocked && !request.guilty:
+		case verdict.Blocked && !request.guilty && on.IsPart():
 			m.soundRefused++
+			m.refusedAt = append(m.refusedAt, m.now)
 		case verdict.Blocked:
 		default:
 			m.place(request)
@@ -312,6 +331,9 @@
 	}
 	request.sentAt = m.now
 	request.endsAt = m.now.Add(time.Duration(60+m.random.IntN(400)) * time.Millisecond)
+	if request.long {
+		request.endsAt = m.now.Add(time.Duration(2000+m.random.IntN(4000)) * time.Millisecond)
+	}
 	if request.guilty {
 		request.endsAt = m.now.Add(time.Duration(40+m.random.IntN(80)) * time.Millisecond)
 		m.guiltySent = append(m.guiltySent, guiltySend{at: m.now, undisturbed: m.now.Sub(m.disturbedAt[request.node]) > partModelAgreement})
@@ -331,6 +353,22 @@
 	return late
 }
 
+// refusedAfterAgreement counts the refusals of sound requests later than twice partModelAgreement after the
+// fifth crash, or the last if there are fewer.
+func (m *partModel) refusedAfterAgreement() int {
+	if len(m.crashes) == 0 {
+		return m.soundRefused
+	}
+	from := m.crashes[min(toleratedCrashes, len(m.crashes))-1].Add(2 * partModelAgreement)
+	late := 0
+	for _, at := range m.refusedAt {
+		if at.After(from) {
+			late++
+		}
+	}
+	return late
+}
+
 func newPartLedgerDetector() partDetector { return NewLedger(DefaultConfig()) }
 
 func newNaivePartDetector() partDetector {
@@ -338,15 +376,24 @@
 }
 
 // partModelResult sums up runs of the model.
-type partModelResult struct{ served, refused, late, mostLate, mostCrashes, worstSeed int }
+type partModelResult struct {
+	served, refused, refusedLate, late, mostLate, mostCrashes, worstSeed int
+}
+
+// partModelWay selects what the model plays.
+type partModelWay struct {
+	guilty   bool
+	longRate float64 // long requests a second
+}
 
-func runPartModels(runs int, withGuilty bool, newDetector func() partDetector) partModelResult {
+func runPartModels(runs int, way partModelWay, newDetector func() partDetector) partModelResult {
 	var sum partModelResult
 	for seed := range runs {
-		m := newPartModel(uint64(seed), withGuilty, newDetector) //nolint:gosec // counts up from 0
+		m := newPartModel(uint64(seed), way, newDetector) //nolint:gosec // counts up from 0
 		m.run()
 		sum.served += m.soundServed
 		sum.refused += m.soundRefused
+		sum.refusedLate += m.refusedAfterAgreement()
 		late := m.lateGuilty()
 		sum.late += late
 		if late > sum.mostLate {
@@ -358,19 +405,31 @@
 }
 
 // TestBoundOnPartsHoldsInTheModel checks that few guilty requests are sent later than the bound, and that
-// no sound request is refused, with a guilty part and without one. A naive count over all nodes must
-// refuse sound requests, as a check of the model.
+// no sound request is refused for a part. The model of contents checks refusals for contents. Beside a
+// guilty part, another may have run at each crashed engine and not completed yet, so that nothing tells
+// the two apart; they must be told apart by twice the agreement time. A naive
+// count over all nodes must refuse sound requests, as a check of the model.
 func TestBoundOnPartsHoldsInTheModel(t *testing.T) {
 	const runs = 100
-	for _, withGuilty := range []bool{true, false} {
-		got := runPartModels(runs, withGuilty, newPartLedgerDetector)
-		t.Logf("guilty part %v: %+v", withGuilty, got)
-		if got.mostLate > maxLateGuilty || got.refused > 0 {
-			t.Errorf("guilty part %v: %d late sends with seed %d, want %d at most; %d sound requests refused of %d, want none",
-				withGuilty, got.mostLate, got.worstSeed, maxLateGuilty, got.refused, got.served+got.refused)
+	for name, way := range map[string]partModelWay{
+		"guilty part":                    {guilty: true},
+		"long requests":                  {longRate: 6},
+		"guilty part, long requests too": {guilty: true, longRate: 6},
+	} {
+		got := runPartModels(runs, way, newPartLedgerDetector)
+		t.Logf("%s: %+v", name, got)
+		if got.mostLate > maxLateGuilty {
+			t.Errorf("%s: %d late sends with seed %d, want %d at most", name, got.mostLate, got.worstSeed, maxLateGuilty)
+		}
+		refused := got.refused
+		if way.guilty {
+			refused = got.refusedLate
+		}
+		if refused > 0 {
+			t.Errorf("%s: %d sound requests refused of %d, want none", name, refused, got.served+got.refused)
 		}
 	}
-	if naive := runPartModels(10, true, newNaivePartDetector); naive.refused == 0 {
+	if naive := runPartModels(10, partModelWay{guilty: true}, newNaivePartDetector); naive.refused == 0 {
 		t.Error("a naive count refuses no sound request, so the model does not exercise that case")
 	}
 }
--- a/internal/core/quarantine/quarantine.go
+++ b/internal/core/quarantine/quarantine.go
@@ -97,6 +97,7 @@
 	engines   map[uint64]*engineRecord
 	orders    map[Digest]orderRecord // orders of operators
 	evaluated *evaluation            // nil after a change
+	changes   uint64                 // number of changes so far
 	parts     *partLedger            // of the parts of prompts; nil in their own ledger
 }
 
@@ -135,12 +136,18 @@
 		record.newest = at
 	}
 	engine.contents[crash.Content] = true
-	l.evaluated = nil
+	l.changed()
 	known, found := record.crashes[crash.Engine]
 	record.crashes[crash.Engine] = crashRecord{excused: known.excused || crash.Excused}
 	return !found || (crash.Excused && !known.excused)
 }
 
+// changed records that crashes have changed.
+func (l *Ledger) changed() {
+	l.evaluated = nil
+	l.changes++
+}
+
 // Excuse marks all crashes of a content as excused, since the content has completed at an
 // engine. It returns the crashes that no longer count against it, or nil if there were none.
 func (l *Ledger) Excuse(content Digest, now time.Time) []Crash {
@@ -151,7 +158,7 @@
 	if record == nil {
 		return nil
 	}
-	l.evaluated = nil
+	l.changed()
 	var excused []Crash
 	for engine, known := range record.crashes {
 		if !known.excused {
@@ -243,7 +250,7 @@
 }
 
 func (l *Ledger) remove(content Digest) {
-	l.evaluated = nil
+	l.changed()
 	for engine := range l.contents[content].crashes {
 		known := l.engines[engine]
 		delete(known.contents, content)
--- a/internal/passthrough/batch/owned.go
+++ b/internal/passthrough/batch/owned.go
@@ -24,6 +24,7 @@
 	slot           *slots.Slot              // of the current run
 	cancelRun      context.CancelFunc       // preempts the current run; nil: none can be preempted
 	preemptedAt    time.Time                // when the last run was preempted
+	firstEventAt   time.Time                // of the current run; zero before it
 	notBefore      time.Time                // earliest start of the next run
 	leftSlow       enginechoice.Incarnation // engine whose run was stopped since it is slow; zero: none
 	refusals       int                      // consecutive runs that no engine started
--- a/internal/passthrough/batch/run.go
+++ b/internal/passthrough/batch/run.go
@@ -88,9 +88,10 @@
 	before := work.text.events
 	s.mu.Unlock()
 	end, status, err := s.sendItem(ctx, r)
+	wrote := s.writingTime(r)
 	ended := false
 	if end == runInterrupted && ctx.Err() == nil && engineconn.BrokenByEngine(err) {
-		ended = s.Guard.CheckBrokenRun(ctx, guard.Run{Request: r.item.ID, Identity: r.identity, Engine: r.engineKey()})
+		ended = s.Guard.CheckBrokenRun(ctx, guard.Run{Request: r.item.ID, Identity: r.identity, Engine: r.engineKey(), Wrote: wrote})
 	}
 	switch {
 	case end == runCompleted || end == runFailed || end == runRejected:
@@ -116,6 +117,17 @@
 	s.wakeScheduler()
 }
 
+// writingTime returns the time since the first event of an item's run; 0 if there is none.
+func (s *Service) writingTime(r itemRun) time.Duration {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	first := r.job.work[r.index].firstEventAt
+	if first.IsZero() {
+		return 0
+	}
+	return time.Since(first)
+}
+
 // updateItem updates the item after a run with the given outcome.
 func (s *Service) updateItem(r itemRun, end runOutcome) {
 	s.mu.Lock()
@@ -297,6 +309,9 @@
 	}
 	text := &r.job.work[r.index].text
 	text.software = r.decision.Choice.Entry.Software
+	if work := &r.job.work[r.index]; work.firstEventAt.IsZero() {
+		work.firstEventAt = time.Now()
+	}
 	for _, event := range relay.Events(whole) {
 		id, _ := relay.EventID(event)
 		text.add(id, relay.EventData(event))
--- a/internal/passthrough/batch/schedule.go
+++ b/internal/passthrough/batch/schedule.go
@@ -262,6 +262,7 @@
 	}
 	ctx, stop := context.WithCancel(next.job.runContext)
 	work.running, work.slotRequestID, work.slot, work.engine, work.cancelRun = true, 0, decision.Slot, decision.Choice.Entry.Incarnation(), stop
+	work.firstEventAt = time.Time{}
 	lastEvent := work.text.lastEvent
 	s.running.Add(1)
 	s.mu.Unlock()
--- a/internal/passthrough/guard/guard.go
+++ b/internal/passthrough/guard/guard.go
@@ -129,6 +129,8 @@
 	Request  string
 	Identity quarantine.Identity
 	Engine   engineconn.Key
+	// Wrote is the time from the run's first event until it broke; 0 if there was none.
+	Wrote time.Duration
 }
 
 // CheckBrokenRun checks whether the engine of a broken run has ended, and if so records the end as a crash
@@ -157,14 +159,21 @@
 	now := time.Now()
 	newlyBlocked := make(map[quarantine.Digest]quarantine.Verdict)
 	s.mu.Lock()
-	for _, digest := range run.Identity.Digests() {
+	suspects := run.Identity.Digests()
+	if run.Wrote >= quarantine.HarmlessAfter {
+		suspects = suspects[:1]
+		for _, part := range run.Identity.Parts {
+			s.excuse(part, now)
+		}
+	}
+	for _, digest := range suspects {
 		crash := quarantine.Crash{Content: digest, Engine: grant.EngineHash(run.Engine.Engine)}
 		if s.recordCrash(crash, now) {
 			s.unsent = append(s.unsent, crash)
 		}
 		s.recordOwnCrash(crash)
 	}
-	for _, digest := range run.Identity.Digests() {
+	for _, digest := range suspects {
 		known := s.ledger.Verdict(digest, now)
 		if known.Crashes >= minPersisted(digest) {
 			s.unpersisted[digest] = true
@@ -193,15 +202,9 @@
 	cleared := make(map[quarantine.Digest]int)
 	s.mu.Lock()
 	for _, digest := range identity.Digests() {
-		excused := s.ledger.Excuse(digest, now)
-		if len(excused) >= minToldExcuses(digest) {
-			s.unsent = append(s.unsent, excused...)
-			cleared[digest] = len(excused)
-		}
-		if len(excused) >= minPersisted(digest) {
-			s.unpersisted[digest] = true
+		if crashes := s.excuse(digest, now); crashes > 0 {
+			cleared[digest] = crashes
 		}
-		delete(s.loggedBlocked, digest)
 	}
 	s.mu.Unlock()
 	if len(cleared) > 0 {
@@ -212,6 +215,21 @@
 	}
 }
 
+// excuse excuses the crashes of a content or part. It returns their number if other nodes are told. The
+// caller holds mu.
+func (s *Service) excuse(digest quarantine.Digest, now time.Time) (told int) {
+	excused := s.ledger.Excuse(digest, now)
+	if len(excused) >= minPersisted(digest) {
+		s.unpersisted[digest] = true
+	}
+	delete(s.loggedBlocked, digest)
+	if len(excused) < minToldExcuses(digest) {
+		return 0
+	}
+	s.unsent = append(s.unsent, excused...)
+	return len(excused)
+}
+
 // minToldExcuses returns the least number of crashes of which the other nodes are told that they are
 // excused. A part that many requests share completes at each node after each crash.
 func minToldExcuses(digest quarantine.Digest) int {
--- a/internal/passthrough/guard/parts_test.go
+++ b/internal/passthrough/guard/parts_test.go
@@ -132,3 +132,26 @@
 func (f transportFunc) SendCrashes(_ string, crashes []quarantine.Crash) { f(crashes) }
 
 func (transportFunc) AskCrashes(string) {}
+
+// Guards against the refusal of parts that only long runs have, when engines end in waves before any of
+// these is complete.
+func TestPartsOfLongRunsOutliveWaves(t *testing.T) {
+	for _, wrote := range []time.Duration{0, quarantine.HarmlessAfter} {
+		synctest.Test(t, func(t *testing.T) {
+			s := newPartsService(24)
+			for wave := range 4 {
+				for engine := range 6 {
+					identity := promptOf(fmt.Sprint(wave, engine), "first")
+					if engine%2 == 0 {
+						identity = promptOf(fmt.Sprint(wave, engine), "job")
+					}
+					s.recordEngineEnd(Run{Identity: identity, Wrote: wrote, Engine: engineconn.Key{Engine: enginechoice.Incarnation{ID: fmt.Sprint("e", 6*wave+engine)}}})
+				}
+				time.Sleep(3 * time.Second)
+				if s.blocks(promptOf("new", "job")) {
+					t.Errorf("wrote %v: blocked after wave %d", wrote, wave)
+				}
+			}
+		})
+	}
+}
--- a/internal/passthrough/relay/attempt.go
+++ b/internal/passthrough/relay/attempt.go
@@ -68,7 +68,7 @@
 	}
 	engineEnded := false
 	if outcome == Failed && !interrupted && engineconn.BrokenByEngine(err) {
-		engineEnded = e.guard.CheckBrokenRun(deadlineCtx, guard.Run{Request: e.call.Demand.RequestID, Identity: e.identity, Engine: key})
+		engineEnded = e.guard.CheckBrokenRun(deadlineCtx, guard.Run{Request: e.call.Demand.RequestID, Identity: e.identity, Engine: key, Wrote: e.pace.wrote()})
 	}
 	if outcome == Completed {
 		e.guard.RecordSuccess(e.call.Demand.RequestID, e.completedIdentity(status))
@@ -276,6 +276,10 @@
 	if e.firstEvent == 0 {
 		e.firstEvent = time.Since(e.call.Received)
 	}
+	if e.pace.firstEventAt.IsZero() {
+		e.pace.firstEventAt = time.Now()
+		e.currentAttempt.markBegun()
+	}
 	if e.software == "" {
 		e.software = decision.Choice.Entry.Software
 		e.recordOrigin()
--- a/internal/passthrough/relay/move.go
+++ b/internal/passthrough/relay/move.go
@@ -55,20 +55,29 @@
 
 // attemptPace is the pace of the attempt in flight.
 type attemptPace struct {
-	startedAt time.Time
-	usual     enginespeed.UsualTimes // of the route, when the attempt started
-	decision  slots.Decision
-	events    int           // events of this attempt after its first
-	waited    time.Duration // for these events
-	recent    time.Duration // smoothed time between two events
-	longest   time.Duration // longest wait for events
-	slowWaits int           // consecutive waits for events that were unusually long
+	startedAt    time.Time
+	firstEventAt time.Time              // zero before the attempt's first event
+	usual        enginespeed.UsualTimes // of the route, when the attempt started
+	decision     slots.Decision
+	events       int           // events of this attempt after its first
+	waited       time.Duration // for these events
+	recent       time.Duration // smoothed time between two events
+	longest      time.Duration // longest wait for events
+	slowWaits    int           // consecutive waits for events that were unusually long
 	// freeElsewhere is whether another engine had a free slot at checkedAt.
 	freeElsewhere bool
 	checkedAt     time.Time
 	hasEvent      bool
 }
 
+// wrote returns the time since the attempt's first event; 0 if there is none.
+func (p *attemptPace) wrote() time.Duration {
+	if p.firstEventAt.IsZero() {
+		return 0
+	}
+	return time.Since(p.firstEventAt)
+}
+
 // recentWeight is the weight of the newest event in the smoothed pace.
 const recentWeight = 0.4
 
--- a/internal/passthrough/relay/running.go
+++ b/internal/passthrough/relay/running.go
@@ -50,12 +50,16 @@
 	})
 }
 
-// StopContent cancels the attempts of a content, or of requests with a part, that is blocked. Requests that are still queued at
+// StopContent cancels the attempts of a content that is blocked, and those of requests with a blocked
+// part whose answer has not begun: a part that crashes engines does so when an answer begins. Requests that are still queued at
 // their engines then crash none of them.
 func (r *Relay) StopContent(content quarantine.Digest) {
 	r.active.each(func(call *exchange) {
-		if slices.Contains(call.identity.Digests(), content) {
+		switch {
+		case call.identity.Content == content:
 			call.currentAttempt.stop()
+		case slices.Contains(call.identity.Parts, content):
+			call.currentAttempt.stopUnlessBegun()
 		}
 	})
 }
@@ -124,12 +128,29 @@
 type attemptCanceler struct {
 	mu     sync.Mutex
 	cancel context.CancelFunc // nil while no attempt is in flight
+	begun  bool               // the attempt's first event has arrived
 }
 
 func (a *attemptCanceler) set(cancel context.CancelFunc) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	a.cancel = cancel
+	a.cancel, a.begun = cancel, false
+}
+
+// markBegun records the attempt's first event.
+func (a *attemptCanceler) markBegun() {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.begun = true
+}
+
+// stopUnlessBegun cancels the attempt if its first event has not arrived.
+func (a *attemptCanceler) stopUnlessBegun() {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if a.cancel != nil && !a.begun {
+		a.cancel()
+	}
 }
 
 func (a *attemptCanceler) stop() {
