relay: a stream whose version's engines have left is refused at once

Cause: such a stream was held for 300 ms, the time that a late entry may take, also where the node knew the version's engines and that none accepts work. Change: the wait is for versions of which the node has listed no engine. Measured: go test -run 'Software|StreamOutlives' ./platform: pass.

--- a/internal/passthrough/relay/resume.go
+++ b/internal/passthrough/relay/resume.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"net/http"
+	"slices"
 	"time"
 
 	"go.uber.org/zap"
@@ -59,13 +60,17 @@
 )
 
 // awaitSoftware reports whether an engine of the stream's version accepts work. It waits for one for
-// softwareListingTime.
-func (e *exchange) awaitSoftware(ctx context.Context) (listed bool) {
+// softwareListingTime if this node has listed none of the version yet.
+func (e *exchange) awaitSoftware(ctx context.Context) (usable bool) {
 	deadline := time.Now().Add(softwareListingTime)
 	for {
-		e.engines.Use(func(set *enginechoice.Set, now time.Time) { listed = set.CanPick(e.query(), now) })
-		if listed || time.Now().After(deadline) || !wait.For(ctx, softwareListingCheck) {
-			return listed
+		listed := false
+		e.engines.Use(func(set *enginechoice.Set, now time.Time) {
+			usable = set.CanPick(e.query(), now)
+			listed = slices.Contains(set.SoftwareVersions(e.call.Pool), e.software)
+		})
+		if usable || listed || time.Now().After(deadline) || !wait.For(ctx, softwareListingCheck) {
+			return usable
 		}
 	}
 }
