--- a/internal/bench/soak/restarts.go
+++ b/internal/bench/soak/restarts.go
@@ -16,6 +16,7 @@
 
 	logevents "ringstream.example/ringstream/internal/events"
 	"ringstream.example/ringstream/internal/wait"
+	"ringstream.example/ringstream/platform/platformtest"
 )
 
 // restartStream is the random stream of engine restarts in place.
@@ -55,10 +56,12 @@
 	defer s.mu.Unlock()
 	former.CrashOn("", nil) // the next incarnation uses the same link
 	former.CrashOnPart("", nil)
-	next := &engineLink{Engine: former.Restart(time.Now().UnixMilli()), link: former.link, zone: former.zone}
-	next.Pace(eventInterval)
-	next.CrashOn(deadlyBodyPrefix, func() { s.engineEnded(next) })
-	next.CrashOnPart(deadlyPartPrefix, func() { s.engineEnded(next) })
+	next := &engineLink{link: former.link, zone: former.zone}
+	next.Engine = former.Restart(time.Now().UnixMilli(), func(prepared *platformtest.Engine) {
+		prepared.Pace(eventInterval)
+		prepared.CrashOn(deadlyBodyPrefix, func() { s.engineEnded(next) })
+		prepared.CrashOnPart(deadlyPartPrefix, func() { s.engineEnded(next) })
+	})
 	s.engines = append(s.engines, next)
 	return next
 }
