--- a/internal/bench/soak/promptparts.go
+++ b/internal/bench/soak/promptparts.go
@@ -95,9 +95,9 @@
 	node, id := s.anyNode(random), s.ids.next("g")
 	call := s.partCall(node, id, prompt(random, id, part+":4"))
 	calls.Go(func() {
-		before, sent := node.condition(), time.Now()
+		before, sent, current := node.condition(), time.Now(), node.runsCurrentBuild()
 		reply := platformtest.Send(context.WithoutCancel(ctx), call)
-		s.judge.addPartReply(part, id, reply, node.runsCurrentBuild() && s.undisturbedThroughout(node, before, sent))
+		s.judge.addPartReply(part, id, reply, current && s.undisturbedThroughout(node, before, sent))
 	})
 }
 
@@ -105,10 +105,10 @@
 	node, id := s.anyNode(random), s.ids.next("r")
 	call := s.partCall(node, id, prompt(random, id))
 	calls.Go(func() {
-		before, sent := node.condition(), time.Now()
+		before, sent, current := node.condition(), time.Now(), node.runsCurrentBuild()
 		reply := platformtest.Send(context.WithoutCancel(ctx), call)
-		s.judge.addAnswer(requestRecord{id: id, route: routeResumable, reply: reply, earlierBuild: !node.runsCurrentBuild()})
-		s.judge.addSound(part, soundReply{sent: sent, served: reply.Status == http.StatusOK, undisturbed: node.runsCurrentBuild() && s.undisturbedThroughout(node, before, sent)})
+		s.judge.addAnswer(requestRecord{id: id, route: routeResumable, reply: reply, earlierBuild: !current})
+		s.judge.addSound(part, soundReply{sent: sent, served: reply.Status == http.StatusOK, undisturbed: current && s.undisturbedThroughout(node, before, sent)})
 	})
 }
 
--- a/internal/bench/soak/streams.go
+++ b/internal/bench/soak/streams.go
@@ -88,8 +88,8 @@
 
 // takeUp takes up a stream that has broken off, at other nodes, until it is whole or the attempts are
 // used up.
-func (s *soak) takeUp(ctx context.Context, random *rand.Rand, first requestRecord, node *nodeProcess) {
-	stream := resumableStream{id: first.id, route: first.route, current: node.runsCurrentBuild()}
+func (s *soak) takeUp(ctx context.Context, random *rand.Rand, first requestRecord) {
+	stream := resumableStream{id: first.id, route: first.route, current: !first.earlierBuild}
 	stream.takes(first.reply)
 	whole := false
 	for range maxTakeUps {
--- a/internal/bench/soak/workload.go
+++ b/internal/bench/soak/workload.go
@@ -55,14 +55,14 @@
 		node := s.pickNode(random, transport == nil)
 		route := onlineRoutes[random.IntN(len(onlineRoutes))]
 		id := s.ids.next("r")
-		before, sent := node.condition(), time.Now()
+		before, sent, current := node.condition(), time.Now(), node.runsCurrentBuild()
 		var record requestRecord
 		s.judgePlannedStop(node, id, func() platformtest.Reply {
 			// The call continues after the end of the soak, so that its outcome is judged too.
 			reply := platformtest.Send(context.WithoutCancel(ctx), platformtest.Call{
 				Node: node.callerLink.address(), Method: http.MethodPost, Path: "/" + route + "/x", ID: id, Body: "prompt of " + id, Deadline: onlineDeadline, Transport: transport,
 			})
-			record = requestRecord{id: id, route: route, reply: reply, earlierBuild: !node.runsCurrentBuild()}
+			record = requestRecord{id: id, route: route, reply: reply, earlierBuild: !current}
 			s.judge.addAnswer(record)
 			s.judgeConcentration(node, record, before, sent)
 			if route == routeHandover {
@@ -71,7 +71,7 @@
 			return reply
 		})
 		if brokeOff(record.reply) && (route == routeResumable || route == routeHandover) {
-			s.takeUp(ctx, random, record, node)
+			s.takeUp(ctx, random, record)
 		}
 	}
 }
