review: silent connections to engines keep items from them past finish_s

Cause: the pool of connections to an engine hands out its other idle connections, newest first, after one of them turned out to be silent (engineconn/pool.go), and an item waits 6 s on each (batch/run.go).

Nothing is fixed.

--- a/review/standins/main.go
+++ b/review/standins/main.go
@@ -17,8 +17,10 @@
 const limit = 110 * time.Second
 
 var cases = map[string]func(ctx context.Context, f *fleet, trouble bool) error{
-	"oversized":   oversized,
-	"moved-route": movedRoute,
+	"silent-engines": silentEngines,
+	"mass-loss":      massLoss,
+	"oversized":      oversized,
+	"moved-route":    movedRoute,
 }
 
 func main() { os.Exit(play()) }
