review: two software versions in a stream after a restart of all nodes

The player starts the nodes again where a case asks for it. The stand-ins hold the nodes' ports until these start: two nodes had drawn one port.

--- a/review/play.sh
+++ b/review/play.sh
@@ -28,10 +28,21 @@
   kill -0 "$standins" 2>/dev/null || exit 2
   sleep 0.05
 done
-for settings in "$folder"/*.yaml; do
-  RINGSTREAM_SETTINGS="$settings" target/ringstream node > "${settings%.yaml}.log" 2>&1 &
-  started+=("$!")
-  echo "$!" > "${settings%.yaml}.pid"
+start_nodes() {
+  for settings in "$folder"/*.yaml; do
+    RINGSTREAM_SETTINGS="$settings" target/ringstream node >> "${settings%.yaml}.log" 2>&1 &
+    started+=("$!")
+    echo "$!" > "${settings%.yaml}.pid"
+  done
+}
+start_nodes
+while kill -0 "$standins" 2>/dev/null; do
+  if [ -e "$folder/restart" ]; then # the stand-ins have ended all nodes
+    rm "$folder/restart"
+    sleep 0.3
+    start_nodes
+  fi
+  sleep 0.1
 done
 wait "$standins"
 exit $?
--- a/review/standins/fleet.go
+++ b/review/standins/fleet.go
@@ -1,6 +1,7 @@
 package main
 
 import (
+	"cmp"
 	"context"
 	"encoding/json"
 	"fmt"
@@ -101,6 +102,7 @@
 	storeLink *proxy
 	nodes     []*node
 	engines   []*engine
+	reserved  []net.Listener // of the nodes' addresses, until the nodes start
 }
 
 const (
@@ -151,8 +153,8 @@
 
 // list writes an engine's entry.
 func (f *fleet) list(listed *engine, state string) {
-	f.store.Put("servers", "", listed.ID, fmt.Appendf(nil, `{"service":%q,"address":%q,"zone":%q,"version":"v1","slots":%d,"state":%q,"cold_ms":0,"call_seq":1}`,
-		listed.service, listed.link.address(), listed.zone, slotsPerEngine, state))
+	f.store.Put("servers", "", listed.ID, fmt.Appendf(nil, `{"service":%q,"address":%q,"zone":%q,"version":%q,"slots":%d,"state":%q,"cold_ms":0,"call_seq":1}`,
+		listed.service, listed.link.address(), listed.zone, cmp.Or(listed.Software, "v1"), slotsPerEngine, state))
 }
 
 // route is a route of the configuration.
@@ -215,7 +217,7 @@
 			return err
 		}
 		*address = listener.Addr().String()
-		defer listener.Close() //nolint:errcheck // it has only reserved the port
+		f.reserved = append(f.reserved, listener)
 	}
 	f.nodes = append(f.nodes, made)
 	text := fmt.Sprintf(settings, made.name, made.zone, made.address, made.ready, made.metrics, made.peerAddr, f.storeLink.address(), f.nodes[0].peerAddr)
@@ -224,6 +226,9 @@
 
 // awaitReady tells the script to start the nodes, and waits until all are ready.
 func (f *fleet) awaitReady(ctx context.Context) error {
+	for _, listener := range f.reserved {
+		_ = listener.Close()
+	}
 	if err := os.WriteFile(filepath.Join(f.folder, "start"), nil, 0o600); err != nil {
 		return err
 	}
--- a/review/standins/main.go
+++ b/review/standins/main.go
@@ -19,6 +19,7 @@
 var cases = map[string]func(ctx context.Context, f *fleet, trouble bool) error{
 	"silent-engines": silentEngines,
 	"mass-loss":      massLoss,
+	"two-versions":   twoVersions,
 	"oversized":      oversized,
 	"moved-route":    movedRoute,
 }
