--- a/internal/core/enginechoice/room.go
+++ b/internal/core/enginechoice/room.go
@@ -55,6 +55,22 @@
 	return max(slots*percent/100-used-reserved, 0)
 }
 
+// LargestMemory returns the largest memory of an engine of a pool that accepts work, in tokens. It
+// is 0 if there is no such engine, or if the memory of one is unknown.
+func (s *Set) LargestMemory(pool string) int {
+	largest := 0
+	for _, known := range s.pools[pool] {
+		if !known.usable() {
+			continue
+		}
+		if known.entry.MemoryTokens == 0 {
+			return 0
+		}
+		largest = max(largest, known.entry.MemoryTokens)
+	}
+	return largest
+}
+
 // Usage returns the slots of the engines of a pool that take work, and the requests in
 // flight there.
 func (s *Set) Usage(pool string, now time.Time) (slots, online, batch int) {
--- a/internal/core/grant/dispatcher.go
+++ b/internal/core/grant/dispatcher.go
@@ -117,6 +117,7 @@
 	// slow holds the engines that are slower than usual.
 	slow         map[enginechoice.Incarnation]bool
 	speedChanges []SpeedChange // since the last SpeedChanges
+	batchStalls  batchStalls
 	// speedsReviewedAt is when the speeds were last reviewed.
 	speedsReviewedAt time.Time
 }
@@ -450,6 +451,7 @@
 	if d.retryBatch && now.Sub(d.startedAt) >= d.config.BatchStartDelay {
 		d.grantBatch(now)
 	}
+	d.reviewBatchStall(now)
 }
 
 // AdjustForSuspension accounts for a suspension of this node's machine. It ages all received
--- a/internal/events/passthrough.go
+++ b/internal/events/passthrough.go
@@ -52,6 +52,7 @@
 
 	EngineSlow           = Define(Event{Number: 8160, Name: "engine is slow", Level: zapcore.InfoLevel, Fields: []string{"pool", "part", "engine", "slowness", "observations", "newest", "oldest"}, Action: "Work takes slowness times as long at this engine as at the others of its lane, by its last observations, the newest and oldest of these ages. It gets work only where that is better than waiting. See docs/operations/routing.md."})
 	EngineUsualSpeed     = Define(Event{Number: 8161, Name: "engine has the usual speed again", Level: zapcore.InfoLevel, Fields: []string{"pool", "part", "engine", "slow_for", "observations", "newest", "oldest"}})
+	BatchStalled         = Define(Event{Number: 8163, Name: "batch requests get no engine", Level: zapcore.InfoLevel, Fields: []string{"pool", "part", "reason", "for", "queued", "slots", "first_node", "first_ask", "first_memory", "first_waited", "largest_memory"}})
 	EngineLoadUnreadable = Define(Event{Number: 8162, Name: "load of an engine not readable", Level: zapcore.InfoLevel, Fields: []string{"engine"}, Action: "The header with the engine's load has neither three nor four figures; it is ignored. Logged once for each engine."})
 
 	PeerUnanswered          = Define(Event{Number: 8030, Name: "peer did not answer", Level: zapcore.DebugLevel, Fields: []string{"peer", "error"}})
--- a/internal/passthrough/slots/batch.go
+++ b/internal/passthrough/slots/batch.go
@@ -3,8 +3,11 @@
 import (
 	"time"
 
+	"go.uber.org/zap"
+
 	"ringstream.example/ringstream/internal/core/enginechoice"
 	"ringstream.example/ringstream/internal/core/grant"
+	"ringstream.example/ringstream/internal/events"
 )
 
 // BatchRequest is a batch item that waits for a slot.
@@ -104,6 +107,20 @@
 	return true
 }
 
+// batchStall is a lane whose batch requests get no engine.
+type batchStall struct {
+	lane  grant.Lane
+	stall grant.BatchStall
+}
+
+// logBatchStall logs why the batch requests of a lane get no engine.
+func (s *Service) logBatchStall(known batchStall) {
+	stall := known.stall
+	events.BatchStalled.Log(s.Logger, zap.String("pool", known.lane.Pool), zap.Uint32("part", known.lane.Part), zap.Stringer("reason", stall.Reason), zap.Duration("for", stall.For),
+		zap.Int("queued", stall.Queued), zap.Int("slots", stall.Slots), zap.String("first_node", stall.Node), zap.Uint64("first_ask", stall.ID), zap.Int("first_memory", stall.MemoryTokens),
+		zap.Duration("first_waited", stall.Waited), zap.Int("largest_memory", stall.LargestMemory))
+}
+
 // Load is the load of a lane as seen by its dispatcher on this node.
 type Load struct {
 	Lane             grant.Lane
--- a/internal/passthrough/slots/messages.go
+++ b/internal/passthrough/slots/messages.go
@@ -20,6 +20,7 @@
 	stops             []uint64 // ask ids of this node's batch runs to stop
 	dispatcherChanges []dispatcherChange
 	speedChanges      []speedChange
+	batchStalls       []batchStall
 	limitUses         []outgoingLimitUse
 }
 
@@ -153,6 +154,9 @@
 	for _, change := range out.speedChanges {
 		s.logSpeedChange(change)
 	}
+	for _, known := range out.batchStalls {
+		s.logBatchStall(known)
+	}
 	s.sendLimitUses(out.limitUses)
 	for _, message := range out.states {
 		s.transport.SendState(message.to, message.lane, message.state)
--- a/internal/passthrough/slots/slots.go
+++ b/internal/passthrough/slots/slots.go
@@ -205,6 +205,9 @@
 			for _, change := range dispatcher.SpeedChanges() {
 				out.speedChanges = append(out.speedChanges, speedChange{lane: lane, change: change})
 			}
+			for _, stall := range dispatcher.BatchStalls() {
+				out.batchStalls = append(out.batchStalls, batchStall{lane: lane, stall: stall})
+			}
 			s.collectReplies(lane, dispatcher, now, out)
 		}
 	}
