--- a/internal/core/enginechoice/enginechoice.go
+++ b/internal/core/enginechoice/enginechoice.go
@@ -27,6 +27,8 @@
 	Online, Batch int
 	PrefillTokens int // prompt tokens of the requests whose first token has not arrived
 	MemoryTokens  int // memory that the requests will use at their end, in tokens
+	// BatchMemoryTokens is the part of MemoryTokens that batch requests use.
+	BatchMemoryTokens int
 }
 
 // Work is one request at an engine, as counted from Start to Finish.
@@ -359,6 +361,7 @@
 func (c *Counts) add(work *Work, sign int) {
 	if work.Batch {
 		c.Batch += sign
+		c.BatchMemoryTokens += sign * work.MemoryTokens
 	} else {
 		c.Online += sign
 	}
--- a/internal/core/enginechoice/enginechoice_test.go
+++ b/internal/core/enginechoice/enginechoice_test.go
@@ -61,6 +61,9 @@
 					counts.Online++
 				}
 				counts.MemoryTokens += 20
+				if next.work.Batch {
+					counts.BatchMemoryTokens += 20
+				}
 				if !next.work.started {
 					counts.PrefillTokens += 10
 				}
--- a/internal/core/enginechoice/pick.go
+++ b/internal/core/enginechoice/pick.go
@@ -1,6 +1,7 @@
 package enginechoice
 
 import (
+	"math"
 	"slices"
 	"time"
 
@@ -23,6 +24,9 @@
 	// MaxBatchPercent bounds the batch requests at an engine, as a percentage of its slots.
 	MaxBatchPercent int
 	Exclude         map[Incarnation]bool
+	// Reserved is an engine that is kept for another batch request; the zero value if none. No batch
+	// request may pick it, and online requests avoid it.
+	Reserved Incarnation
 	// Software is the only software version whose engines may be picked; empty if any will do.
 	Software string
 	// Zone is the zone of the node that sends the request; empty if any will do.
@@ -50,6 +54,9 @@
 
 // allows reports whether an engine that accepts work may be picked for the query.
 func (q Query) allows(id Incarnation, known *engine) bool {
+	if q.Batch && id == q.Reserved {
+		return false
+	}
 	return known.usable() && !q.Exclude[id] && (q.Software == "" || q.Software == known.entry.Software)
 }
 
@@ -120,6 +127,9 @@
 		if query.Zone != "" && known.entry.Zone != query.Zone {
 			score += msOtherZone
 		}
+		if id == query.Reserved {
+			score += msNoMemory
+		}
 		if !query.Connected[id] {
 			score += msConnect
 		}
@@ -161,15 +171,25 @@
 
 // acceptsBatch reports whether the engine can accept a batch request.
 func (e *engine) acceptsBatch(query Query, inFlight int, now time.Time) bool {
+	return e.takesBatch(query, inFlight, now) && query.MemoryTokens <= e.batchRoom(e.own.MemoryTokens)
+}
+
+// takesBatch reports whether the engine can accept a batch request that needs no memory.
+func (e *engine) takesBatch(query Query, inFlight int, now time.Time) bool {
 	if now.Before(e.unhealthyUntil) || now.Before(e.shedUntil) {
 		return false
 	}
 	slots := max(e.entry.Slots, 1)
-	if e.own.Batch >= max(slots*query.MaxBatchPercent/100, 1) || inFlight >= slots {
-		return false
+	return e.own.Batch < max(slots*query.MaxBatchPercent/100, 1) && inFlight < slots
+}
+
+// batchRoom returns the largest memory, in tokens, of a batch request that the engine has room for while
+// other requests use the given memory.
+func (e *engine) batchRoom(used int) int {
+	if e.entry.MemoryTokens == 0 {
+		return math.MaxInt
 	}
-	memory := e.entry.MemoryTokens
-	return memory == 0 || e.own.MemoryTokens+query.MemoryTokens <= memory*batchMemoryPercent/100
+	return e.entry.MemoryTokens*batchMemoryPercent/100 - used
 }
 
 func (e *engine) online() int { return e.own.Online }
--- a/internal/core/enginechoice/room.go
+++ b/internal/core/enginechoice/room.go
@@ -1,7 +1,9 @@
 package enginechoice
 
 import (
+	"cmp"
 	"math"
+	"slices"
 	"time"
 )
 
@@ -55,6 +57,35 @@
 	return max(slots*percent/100-used-reserved, 0)
 }
 
+// BatchRoom returns the largest memory, in tokens, of a batch request that an engine accepts now for a
+// query; the query's own memory does not matter. It returns false if no engine accepts any.
+func (s *Set) BatchRoom(query Query, now time.Time) (tokens int, found bool) {
+	for id, known := range s.pools[query.Pool] {
+		if query.allows(id, known) && known.takesBatch(query, known.inFlight(now), now) {
+			tokens, found = max(tokens, known.batchRoom(known.own.MemoryTokens)), true
+		}
+	}
+	return tokens, found
+}
+
+// FirstToDrain returns the engine that needs to complete the least batch work, by memory, to have room
+// for a batch request. It returns false if no engine has room even without its batch work.
+func (s *Set) FirstToDrain(query Query, now time.Time) (Incarnation, bool) {
+	var candidates []Incarnation
+	for id, known := range s.pools[query.Pool] {
+		withoutBatch := known.own.MemoryTokens - known.own.BatchMemoryTokens
+		if query.allows(id, known) && !now.Before(known.unhealthyUntil) && query.MemoryTokens <= known.batchRoom(withoutBatch) {
+			candidates = append(candidates, id)
+		}
+	}
+	if len(candidates) == 0 {
+		return Incarnation{}, false
+	}
+	return slices.MinFunc(candidates, func(a, b Incarnation) int {
+		return cmp.Or(cmp.Compare(s.engines[a].own.BatchMemoryTokens, s.engines[b].own.BatchMemoryTokens), cmp.Compare(a.ID, b.ID))
+	}), true
+}
+
 // LargestMemory returns the largest memory of an engine of a pool that accepts work, in tokens. It
 // is 0 if there is no such engine, or if the memory of one is unknown.
 func (s *Set) LargestMemory(pool string) int {
--- a/internal/core/grant/batchqueue.go
+++ b/internal/core/grant/batchqueue.go
@@ -6,7 +6,8 @@
 	"time"
 )
 
-// grantBatch grants batch requests the capacity that online requests leave.
+// grantBatch grants batch requests the capacity that online requests leave. A request that no engine
+// accepts does not hold up the requests behind it, however many there are.
 func (d *Dispatcher) grantBatch(now time.Time) {
 	if len(d.online) > 0 {
 		d.batchStalls.ungranted(BatchWaitsForOnline, 0)
@@ -17,26 +18,95 @@
 		return
 	}
 	d.retryBatch = false
+	d.dropStaleReservation()
 	queue := d.arrangeBatch(now)
 	if len(queue) == 0 {
 		d.batchStalls.granted(now)
 		return
 	}
-	capacity := d.engines.BatchCapacity(d.lane.Pool, queue[0].entry.ask.RoomPercent, now)
-	if capacity == 0 {
-		d.batchStalls.ungranted(BatchWaitsForSlot, capacity)
+	pass := batchPass{slots: d.engines.BatchCapacity(d.lane.Pool, queue[0].entry.ask.RoomPercent, now), blocked: make(map[uint64]int)}
+	if pass.slots == 0 {
+		d.batchStalls.ungranted(BatchWaitsForSlot, 0)
+		return
 	}
-	for _, waiting := range queue[:min(capacity, len(queue))] {
-		ask := waiting.entry.ask
-		if d.tryGrant(waiting.entry, now) == isGranted {
-			d.batchStalls.granted(now)
-			continue
+	d.tryReserved(&pass, now)
+	for _, waiting := range queue {
+		if pass.slots == 0 || !d.tryGrantBatch(&pass, waiting.entry, now) {
+			break
 		}
-		d.batchStalls.ungranted(BatchWaitsForEngine, capacity)
-		if ask.Suspect.Content == 0 && len(ask.Exclude) == 0 {
-			return // keep the free capacity for the requests at the front
+	}
+	d.reserveForBlocked(&pass, now)
+}
+
+// batchPass is what one pass over the batch requests has found out.
+type batchPass struct {
+	slots int // that batch requests may still use
+	// blocked holds, by exclusionKey, the least memory of a request that no engine accepts; 0 if the
+	// engines have no slot for one.
+	blocked map[uint64]int
+	// lackMemory holds the requests, in the order of the queue, for which no engine has the memory now.
+	lackMemory []*queuedAsk
+	passedOver bool // a request behind the first of lackMemory has been granted an engine
+}
+
+// skips reports whether no engine accepts a request, since none accepted one that needs least tokens of
+// memory, which is no more.
+func (p *batchPass) skips(entry *queuedAsk) (least int, skipped bool) {
+	least, known := p.blocked[exclusionKey(entry.ask.Exclude)]
+	return least, known && entry.MemoryTokens >= least && entry.ask.Suspect.Content == 0
+}
+
+// tryGrantBatch grants a batch request an engine if one accepts it. It returns false if no engine
+// accepts any further batch request.
+func (d *Dispatcher) tryGrantBatch(pass *batchPass, entry *queuedAsk, now time.Time) bool {
+	if !d.isQueued(entry) || d.reservation.holder == entry {
+		return true // tryReserved has tried it
+	}
+	if least, skipped := pass.skips(entry); skipped {
+		if least > 0 {
+			pass.lackMemory = append(pass.lackMemory, entry)
 		}
+		return true
+	}
+	if d.tryGrant(entry, now) == isGranted {
+		pass.slots--
+		pass.passedOver = len(pass.lackMemory) > 0
+		d.batchStalls.granted(now)
+		return true
+	}
+	d.batchStalls.ungranted(BatchWaitsForEngine, pass.slots)
+	if entry.ask.Suspect.Content != 0 {
+		return true // whether it may run depends on the other suspects
+	}
+	return d.recordBlocked(pass, entry, now)
+}
+
+// recordBlocked records a request that no engine accepts. It returns false if no engine accepts any
+// further batch request.
+func (d *Dispatcher) recordBlocked(pass *batchPass, entry *queuedAsk, now time.Time) bool {
+	key := exclusionKey(entry.ask.Exclude)
+	room, found := d.engines.BatchRoom(d.query(entry, d.nodes[entry.Node]), now)
+	switch {
+	case !found:
+		pass.blocked[key] = 0
+		return len(entry.ask.Exclude) > 0 // other engines may accept the requests that follow
+	case entry.MemoryTokens > room:
+		pass.blocked[key] = max(room+1, 1)
+		pass.lackMemory = append(pass.lackMemory, entry)
+	default:
+		pass.blocked[key] = entry.MemoryTokens
+	}
+	return true
+}
+
+// exclusionKey returns a key that is the same for all orders of the excluded engines. It is 0 if there
+// are none.
+func exclusionKey(exclude []uint64) uint64 {
+	key := uint64(0)
+	for _, engine := range exclude {
+		key ^= engine
 	}
+	return key
 }
 
 // arrangeBatch returns the batch requests in the order in which slots are granted. Requests that
--- a/internal/core/grant/dispatcher.go
+++ b/internal/core/grant/dispatcher.go
@@ -118,6 +118,7 @@
 	slow         map[enginechoice.Incarnation]bool
 	speedChanges []SpeedChange // since the last SpeedChanges
 	batchStalls  batchStalls
+	reservation  engineReservation
 	// speedsReviewedAt is when the speeds were last reviewed.
 	speedsReviewedAt time.Time
 }
--- a/internal/core/grant/queue.go
+++ b/internal/core/grant/queue.go
@@ -338,7 +338,7 @@
 	ask := entry.ask
 	query := enginechoice.Query{
 		Pool: d.lane.Pool, Zone: known.zone, Shared: ask.Shared, OwnTokens: ask.OwnTokens, MemoryTokens: ask.MemoryTokens,
-		Batch: ask.Batch, MaxBatchPercent: ask.BatchPercent,
+		Batch: ask.Batch, MaxBatchPercent: ask.BatchPercent, Reserved: d.reservation.keptFrom(entry),
 		PreviousEngine: d.engineByHash[ask.Former], Connected: known.connected,
 	}
 	if len(ask.Exclude) > 0 {
