--- a/internal/core/enginechoice/room.go
+++ b/internal/core/enginechoice/room.go
@@ -86,12 +86,12 @@
 	}), true
 }
 
-// LargestMemory returns the largest memory of an engine of a pool that accepts work, in tokens. It
-// is 0 if there is no such engine, or if the memory of one is unknown.
-func (s *Set) LargestMemory(pool string) int {
+// LargestMemory returns the largest memory, in tokens, of an engine that may be picked for a query; the
+// query's own tokens do not matter. It is 0 if there is no such engine, or if the memory of one is unknown.
+func (s *Set) LargestMemory(query Query) int {
 	largest := 0
-	for _, known := range s.pools[pool] {
-		if !known.usable() {
+	for id, known := range s.pools[query.Pool] {
+		if !query.allows(id, known) {
 			continue
 		}
 		if known.entry.MemoryTokens == 0 {
--- a/internal/core/grant/batchstall.go
+++ b/internal/core/grant/batchstall.go
@@ -3,6 +3,8 @@
 import (
 	"slices"
 	"time"
+
+	"ringstream.example/ringstream/internal/core/enginechoice"
 )
 
 // BatchWaitReason tells why no batch request of a lane has been granted an engine.
@@ -89,7 +91,7 @@
 	stalls.reports = append(stalls.reports, BatchStall{
 		Reason: stalls.reason, For: now.Sub(stalls.since), Queued: len(queue), Slots: stalls.slots,
 		Node: first.Node, ID: first.ID, MemoryTokens: first.MemoryTokens, Waited: now.Sub(first.Since),
-		LargestMemory: d.engines.LargestMemory(d.lane.Pool),
+		LargestMemory: d.engines.LargestMemory(enginechoice.Query{Pool: d.lane.Pool}),
 	})
 }
 
--- a/internal/core/grant/reservation.go
+++ b/internal/core/grant/reservation.go
@@ -69,7 +69,7 @@
 	}
 	candidates := pass.lackMemory
 	if !pass.passedOver {
-		large := d.engines.LargestMemory(d.lane.Pool) * largeRequestPercent / 100
+		large := d.engines.LargestMemory(enginechoice.Query{Pool: d.lane.Pool}) * largeRequestPercent / 100
 		candidates = slices.DeleteFunc(candidates, func(entry *queuedAsk) bool { return entry.MemoryTokens <= large })
 		slices.SortStableFunc(candidates, func(a, b *queuedAsk) int { return a.Since.Compare(b.Since) })
 	}
--- a/internal/events/passthrough.go
+++ b/internal/events/passthrough.go
@@ -89,6 +89,7 @@
 	ItemPreempted       = Define(Event{Number: 8323, Name: "item yields", Level: zapcore.InfoLevel, Fields: []string{"job", "request", "engine", "events_kept", "why"}})
 	NothingToPreempt    = Define(Event{Number: 8324, Name: "no run left to preempt", Level: zapcore.InfoLevel, Fields: []string{"ask"}})
 	ItemStartedAnew     = Define(Event{Number: 8325, Name: "item starts anew", Level: zapcore.InfoLevel, Fields: []string{"job", "request", "epoch", "software", "events_discarded"}})
+	ItemExceedsMemory   = Define(Event{Number: 8326, Name: "prompt of an item against the engines' memory", Level: zapcore.InfoLevel, Fields: []string{"job", "request", "epoch", "exceeds", "prompt_tokens", "largest_memory", "pool", "software"}})
 	HeartbeatNotWritten = Define(Event{Number: 8330, Name: "sign of life not written", Level: zapcore.WarnLevel, Fields: []string{"count", "error"}, Action: "The store did not take this node's sign of life. After batch.dead_after the others take its jobs over; look at the store and the way to it."})
 	TransactionRefused  = Define(Event{Number: 8331, Name: "transaction refused as malformed", Level: zapcore.ErrorLevel, Fields: []string{"entries", "value_bytes", "longest_key", "longest_value", "error"}, Action: "The store will not take this write as it is; what it holds stays unwritten. Compare its sizes with the store's bounds, and report it."})
 	NodeSuspected       = Define(Event{Number: 8332, Name: "node suspected", Level: zapcore.InfoLevel, Fields: []string{"peer", "asked"}})
--- a/internal/passthrough/batch/owned.go
+++ b/internal/passthrough/batch/owned.go
@@ -20,6 +20,7 @@
 type itemWork struct {
 	running        bool
 	slotRequestID  uint64                   // of the pending slot request; 0: none
+	slotPool       string                   // pool of the pending slot request; empty: none
 	engine         enginechoice.Incarnation // runs the item, or ran it last
 	slot           *slots.Slot              // of the current run
 	cancelRun      context.CancelFunc       // preempts the current run; nil: none can be preempted
@@ -31,6 +32,7 @@
 	text           progress
 	savedEvents    int  // number of events of text that the store has
 	held           bool // its content is blocked, and this was logged
+	exceedsMemory  bool // its prompt is larger than the memory of each engine, and this was logged
 	failurePending bool // a failure is not written yet; the item does not run before it is
 	// finished is the final state of the item, not necessarily written yet; Open until then.
 	finished passjob.ItemState
--- a/internal/passthrough/batch/schedule.go
+++ b/internal/passthrough/batch/schedule.go
@@ -15,7 +15,6 @@
 	"ringstream.example/ringstream/internal/core/tenant"
 	"ringstream.example/ringstream/internal/events"
 	"ringstream.example/ringstream/internal/passthrough/catalog"
-	"ringstream.example/ringstream/internal/passthrough/relay"
 	"ringstream.example/ringstream/internal/passthrough/slots"
 )
 
@@ -38,6 +37,7 @@
 	rank     int           // priority of its tenant; 0 is the highest
 	deadline time.Duration // on the store's clock
 	late     bool          // it is forecast to miss its deadline
+	hasText  bool          // it goes on after the events of earlier runs
 	// lastEngine is the engine that last ran the item and may still keep its prompt.
 	lastEngine enginechoice.Incarnation
 }
@@ -84,38 +84,6 @@
 // lane for itself.
 func (s *Service) settled(now time.Time) bool { return now.Sub(s.started) >= s.config.StartupDelay }
 
-// maxSlotRequests bounds the items of this node that wait at the dispatcher at a time. It is more
-// than the dispatcher grants a node between two scheduling passes.
-const maxSlotRequests = 16
-
-// requestSlots requests slots for the items with the earliest deadlines. Items that will miss their
-// deadline come last.
-func (s *Service) requestSlots() {
-	known := s.Routes.Known()
-	if known.Table == nil {
-		return
-	}
-	tenants := known.Table.Tenants().Directory
-	waiting := s.candidates(tenants)
-	if s.Slots.SharesAmongTenants() {
-		takeTurns(waiting)
-	}
-	storeNow, _ := s.storeClock()
-	now := time.Now()
-	requests := make([]slots.BatchRequest, 0, maxSlotRequests)
-	for _, next := range waiting {
-		if len(requests) == maxSlotRequests {
-			break
-		}
-		route, found := s.routeOf(known, next)
-		if !found || s.holdIfBlocked(next) {
-			continue
-		}
-		requests = append(requests, s.slotRequest(next, route, now.Add(next.deadline-storeNow), resolvedRoute{route: route, version: known.Table.Version(), learned: known.Learned}))
-	}
-	s.Slots.SetBatchRequests(requests)
-}
-
 // routeOf returns the route of an item. An item without a route becomes a dead letter, but only if
 // the routes were current at a time at which this node already had the job: the node that accepted
 // the job may have known newer routes.
@@ -152,27 +120,6 @@
 // heldRecheckInterval is the pause between two checks whether a held item may run.
 const heldRecheckInterval = time.Second
 
-// slotRequest builds the slot request of an item. The item keeps its request id while it waits.
-func (s *Service) slotRequest(next candidate, route *passroute.Route, due time.Time, routes resolvedRoute) slots.BatchRequest {
-	item := next.job.items[next.index]
-	suspect := s.Guard.Suspect(s.identityOf(next.job, item))
-	query := relay.Query(s.Routes.Pool(route), s.Headers.Demand(item.Header))
-	query.Batch, query.PreviousEngine = true, next.lastEngine
-	query.MaxBatchPercent = s.config.MaxEnginePercent
-	query.Software = s.softwareOf(next, query.Pool)
-	s.avoidSlowEngine(&query, next)
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	work := &next.job.work[next.index]
-	if work.slotRequestID == 0 {
-		work.slotRequestID = s.Slots.NewID()
-	}
-	id := work.slotRequestID
-	return slots.BatchRequest{ID: id, Query: query, RoomPercent: s.config.MaxUsePercent, TenantRank: next.rank, Rank: route.Priority, Owner: next.job.tenant, Due: due, Late: next.late, Suspect: suspect, Start: func(decision slots.Decision) bool {
-		return s.startItem(next, id, decision, routes)
-	}}
-}
-
 // candidates returns the items that can run. Items on time come before late ones; within each group
 // they are ordered by tenant priority, deadline and position in the job.
 func (s *Service) candidates(tenants *tenant.Directory) []candidate {
@@ -191,7 +138,7 @@
 		for index := range job.work {
 			work := &job.work[index]
 			if job.record.Items[index].State == passjob.Open && work.finished == passjob.Open && !work.running && !work.failurePending && !now.Before(work.notBefore) {
-				next := candidate{job: job, index: index, rank: rank, deadline: job.deadline(), late: job.missesDeadline(storeNow, s.forecast.remainingWithMargin(work.text.events))}
+				next := candidate{job: job, index: index, rank: rank, deadline: job.deadline(), hasText: work.text.events > 0, late: job.missesDeadline(storeNow, s.forecast.remainingWithMargin(work.text.events))}
 				if now.Sub(work.preemptedAt) < promptRetention {
 					next.lastEngine = work.engine
 				}
@@ -261,7 +208,7 @@
 		return false
 	}
 	ctx, stop := context.WithCancel(next.job.runContext)
-	work.running, work.slotRequestID, work.slot, work.engine, work.cancelRun = true, 0, decision.Slot, decision.Choice.Entry.Incarnation(), stop
+	work.running, work.slotRequestID, work.slotPool, work.slot, work.engine, work.cancelRun = true, 0, "", decision.Slot, decision.Choice.Entry.Incarnation(), stop
 	work.firstEventAt = time.Time{}
 	lastEvent := work.text.lastEvent
 	s.running.Add(1)
--- a/internal/passthrough/batch/software.go
+++ b/internal/passthrough/batch/software.go
@@ -41,7 +41,7 @@
 	work := &next.job.work[next.index]
 	discarded := work.text.events
 	work.text = progress{restarts: work.text.restarts + 1}
-	work.savedEvents, work.slotRequestID = 0, 0
+	work.savedEvents, work.slotRequestID, work.slotPool = 0, 0, ""
 	s.mu.Unlock()
 	events.ItemStartedAnew.Log(s.Logger, zap.String("job", next.job.id), zap.String("request", next.job.items[next.index].ID), zap.Int64("epoch", next.job.epoch),
 		zap.String("software", software), zap.Int("events_discarded", discarded))
