--- a/internal/core/enginechoice/pick.go
+++ b/internal/core/enginechoice/pick.go
@@ -171,7 +171,13 @@
 
 // acceptsBatch reports whether the engine can accept a batch request.
 func (e *engine) acceptsBatch(query Query, inFlight int, now time.Time) bool {
-	return e.takesBatch(query, inFlight, now) && query.MemoryTokens <= e.batchRoom(e.own.MemoryTokens)
+	return e.takesBatch(query, inFlight, now) && e.canHold(query) && query.MemoryTokens <= e.batchRoom(e.own.MemoryTokens)
+}
+
+// canHold reports whether the engine's memory is large enough for the prompt. The expected output does not
+// count, since it is a forecast.
+func (e *engine) canHold(query Query) bool {
+	return e.entry.MemoryTokens == 0 || query.PromptTokens() <= e.entry.MemoryTokens
 }
 
 // takesBatch reports whether the engine can accept a batch request that needs no memory.
@@ -184,18 +190,25 @@
 }
 
 // batchRoom returns the largest memory, in tokens, of a batch request that the engine has room for while
-// other requests use the given memory.
+// other requests use the given memory. One batch request may exceed batchMemoryPercent where little else
+// runs, or else no engine would ever accept it. An engine with nothing else decides by itself, since the
+// output may be shorter than the request allows.
 func (e *engine) batchRoom(used int) int {
-	if e.entry.MemoryTokens == 0 {
+	memory := e.entry.MemoryTokens
+	if memory == 0 || used == 0 {
 		return math.MaxInt
 	}
-	return e.entry.MemoryTokens*batchMemoryPercent/100 - used
+	share, free := memory*batchMemoryPercent/100, memory-used
+	if free > share {
+		return free
+	}
+	return share - used
 }
 
 func (e *engine) online() int { return e.own.Online }
 
 // batchMemoryPercent is the percentage of an engine's memory up to which batch requests are
-// added.
+// added to others.
 const batchMemoryPercent = 70
 
 // inFlight estimates the requests at the engine: those that this Set counts, plus those that
--- a/internal/core/enginechoice/room.go
+++ b/internal/core/enginechoice/room.go
@@ -57,15 +57,29 @@
 	return max(slots*percent/100-used-reserved, 0)
 }
 
-// BatchRoom returns the largest memory, in tokens, of a batch request that an engine accepts now for a
-// query; the query's own memory does not matter. It returns false if no engine accepts any.
-func (s *Set) BatchRoom(query Query, now time.Time) (tokens int, found bool) {
+// BatchRoom is the largest memory, in tokens, of a batch request that engines accept now.
+type BatchRoom struct {
+	Open bool // an engine accepts a batch request
+	// Tokens is over all engines that may be picked, and HoldingTokens over those that can hold the
+	// prompt; it is negative if none of these accepts a batch request.
+	Tokens, HoldingTokens int
+}
+
+// BatchRoom returns the room that engines have for batch requests. Of the query's own tokens, only the
+// prompt matters.
+func (s *Set) BatchRoom(query Query, now time.Time) BatchRoom {
+	room := BatchRoom{HoldingTokens: -1}
 	for id, known := range s.pools[query.Pool] {
-		if query.allows(id, known) && known.takesBatch(query, known.inFlight(now), now) {
-			tokens, found = max(tokens, known.batchRoom(known.own.MemoryTokens)), true
+		if !query.allows(id, known) || !known.takesBatch(query, known.inFlight(now), now) {
+			continue
+		}
+		tokens := known.batchRoom(known.own.MemoryTokens)
+		room.Open, room.Tokens = true, max(room.Tokens, tokens)
+		if known.canHold(query) {
+			room.HoldingTokens = max(room.HoldingTokens, tokens)
 		}
 	}
-	return tokens, found
+	return room
 }
 
 // FirstToDrain returns the engine that needs to complete the least batch work, by memory, to have room
@@ -74,7 +88,7 @@
 	var candidates []Incarnation
 	for id, known := range s.pools[query.Pool] {
 		withoutBatch := known.own.MemoryTokens - known.own.BatchMemoryTokens
-		if query.allows(id, known) && !now.Before(known.unhealthyUntil) && query.MemoryTokens <= known.batchRoom(withoutBatch) {
+		if query.allows(id, known) && known.canHold(query) && !now.Before(known.unhealthyUntil) && query.MemoryTokens <= known.batchRoom(withoutBatch) {
 			candidates = append(candidates, id)
 		}
 	}
--- a/internal/core/grant/batchqueue.go
+++ b/internal/core/grant/batchqueue.go
@@ -85,16 +85,16 @@
 // further batch request.
 func (d *Dispatcher) recordBlocked(pass *batchPass, entry *queuedAsk, now time.Time) bool {
 	key := exclusionKey(entry.ask.Exclude)
-	room, found := d.engines.BatchRoom(d.query(entry, d.nodes[entry.Node]), now)
-	switch {
-	case !found:
+	room := d.engines.BatchRoom(d.query(entry, d.nodes[entry.Node]), now)
+	if !room.Open {
 		pass.blocked[key] = 0
 		return len(entry.ask.Exclude) > 0 // other engines may accept the requests that follow
-	case entry.MemoryTokens > room:
-		pass.blocked[key] = max(room+1, 1)
+	}
+	if entry.MemoryTokens > room.Tokens {
+		pass.blocked[key] = max(room.Tokens+1, 1)
+	}
+	if entry.MemoryTokens > room.HoldingTokens {
 		pass.lackMemory = append(pass.lackMemory, entry)
-	default:
-		pass.blocked[key] = entry.MemoryTokens
 	}
 	return true
 }
