--- a/internal/core/grant/reservation.go
+++ b/internal/core/grant/reservation.go
@@ -61,6 +61,12 @@
 // large. The memory that a few other requests free does not suffice for it.
 const largeRequestPercent = 35
 
+// IsLarge reports whether a batch request is large for an engine, both given by their memory in tokens. No
+// request is large for an engine whose memory is unknown (0).
+func IsLarge(request, engine int) bool {
+	return engine > 0 && request > engine*largeRequestPercent/100
+}
+
 // reserveForBlocked reserves an engine for a request that lacks memory: the first one if others have
 // been granted engines behind it, or else the large one that has waited longest.
 func (d *Dispatcher) reserveForBlocked(pass *batchPass, now time.Time) {
@@ -69,8 +75,8 @@
 	}
 	candidates := pass.lackMemory
 	if !pass.passedOver {
-		large := d.engines.LargestMemory(enginechoice.Query{Pool: d.lane.Pool}) * largeRequestPercent / 100
-		candidates = slices.DeleteFunc(candidates, func(entry *queuedAsk) bool { return entry.MemoryTokens <= large })
+		largest := d.engines.LargestMemory(enginechoice.Query{Pool: d.lane.Pool})
+		candidates = slices.DeleteFunc(candidates, func(entry *queuedAsk) bool { return !IsLarge(entry.MemoryTokens, largest) })
 		slices.SortStableFunc(candidates, func(a, b *queuedAsk) int { return a.Since.Compare(b.Since) })
 	}
 	tooLarge := make(map[uint64]int) // by exclusionKey: the least memory for which no engine has room
--- a/internal/passthrough/batch/requests.go
+++ b/internal/passthrough/batch/requests.go
@@ -25,6 +25,7 @@
 	pool     string
 	software string // the only version that may run the items; empty if any will do
 	suspect  bool   // their content may crash engines, so that they run apart from each other
+	large    bool   // grant.IsLarge: they wait for an engine that is nearly idle
 }
 
 // requestSlots requests slots for the items with the earliest deadlines. Items that will miss their
@@ -104,7 +105,7 @@
 		return
 	}
 	suspect := s.Guard.Suspect(s.identityOf(next.job, next.job.items[next.index]))
-	group.suspect = suspect.Content != 0
+	group.suspect, group.large = suspect.Content != 0, grant.IsLarge(query.MemoryTokens, s.largestMemory(pass, query))
 	if pass.taken[group] >= maxSlotRequests {
 		return
 	}
@@ -125,15 +126,21 @@
 	return s.Routes.Pool(route)
 }
 
-// exceedsMemory reports whether the prompt of an item is larger than the memory of each engine that may
-// run it. The item stays open, since an engine with more memory may come before its job expires.
-func (s *Service) exceedsMemory(pass *requestPass, next candidate, query enginechoice.Query) bool {
+// largestMemory returns the largest memory of an engine that may run an item, in tokens; 0 if unknown.
+func (s *Service) largestMemory(pass *requestPass, query enginechoice.Query) int {
 	group := requestGroup{pool: query.Pool, software: query.Software}
 	largest, known := pass.memory[group]
 	if !known {
 		s.Engines.Use(func(set *enginechoice.Set, _ time.Time) { largest = set.LargestMemory(query) })
 		pass.memory[group] = largest
 	}
+	return largest
+}
+
+// exceedsMemory reports whether the prompt of an item is larger than the memory of each engine that may
+// run it. The item stays open, since an engine with more memory may come before its job expires.
+func (s *Service) exceedsMemory(pass *requestPass, next candidate, query enginechoice.Query) bool {
+	largest := s.largestMemory(pass, query)
 	exceeds := largest > 0 && query.PromptTokens() > largest
 	s.mu.Lock()
 	work := &next.job.work[next.index]
--- a/internal/passthrough/batch/requests_test.go
+++ b/internal/passthrough/batch/requests_test.go
@@ -113,6 +113,17 @@
 	}
 }
 
+// Guards against items that wait for a nearly idle engine and take the slot requests of small ones, which
+// could run beside others.
+func TestLargeItemsDoNotTakeAllSlotRequests(t *testing.T) {
+	test := newRequestTest(t)
+	test.addItems("large", "p", 2*maxSlotRequests, testEngineMemory*6/10)
+	test.addItems("small", "p", 5, 20)
+	if requested := test.requested(); requested["large"] != maxSlotRequests || requested["small"] != 5 {
+		t.Errorf("requested %v, want %d large items and 5 small ones", requested, maxSlotRequests)
+	}
+}
+
 // Guards against items of a pool without free engines that take the slot requests of other pools.
 func TestEachPoolHasItsSlotRequests(t *testing.T) {
 	test := newRequestTest(t)
