--- a/internal/passthrough/catalog/engines.go
+++ b/internal/passthrough/catalog/engines.go
@@ -178,10 +178,7 @@
 	if entry.State == passthrough.EngineDraining {
 		state = enginechoice.Leaving
 	}
-	known := enginechoice.Entry{ID: entry.ID, Pool: entry.Pool, Address: entry.Address, Zone: entry.Zone, Slots: entry.Slots, Born: entry.BornMs, Software: entry.Software}
-	if table, _ := e.routes.Table(); table != nil {
-		known.MemoryTokens = table.Pool(entry.Pool).MemoryTokens
-	}
+	known := enginechoice.Entry{ID: entry.ID, Pool: entry.Pool, Address: entry.Address, Zone: entry.Zone, Slots: entry.Slots, Born: entry.BornMs, Software: entry.Software, MemoryTokens: e.memoryOf(entry.Pool)}
 	if entry.ColdFor > 0 {
 		known.ColdUntil = now.Add(entry.ColdFor)
 	}
--- a/internal/passthrough/catalog/entries.go
+++ b/internal/passthrough/catalog/entries.go
@@ -80,12 +80,36 @@
 	e.checkedAgainst = table
 	for id, listed := range e.listed {
 		used := listed.refusal == nil
-		if listed.readErr == nil && used != (e.refusalOf(listed) == nil) {
+		switch {
+		case listed.readErr == nil && used != (e.refusalOf(listed) == nil):
 			e.evaluate(id, listed)
+		case used:
+			e.updateMemory(id, listed.entry.Pool)
 		}
 	}
 }
 
+// updateMemory sets the memory of an engine that is in use to that of the routes in force. An entry may
+// arrive before the routes that tell it, and later routes may change it. The caller holds mu.
+func (e *Engines) updateMemory(id, pool string) {
+	engine, _ := e.set.Newest(id)
+	known, found := e.set.Find(engine)
+	memory := e.memoryOf(pool)
+	if !found || known.Entry.MemoryTokens == memory {
+		return
+	}
+	known.Entry.MemoryTokens = memory
+	e.set.Upsert(known.Entry, known.State, time.Now())
+}
+
+// memoryOf returns the memory of a pool's engines in tokens; 0 if it is not known. The caller holds mu.
+func (e *Engines) memoryOf(pool string) int {
+	if e.checkedAgainst == nil {
+		return 0
+	}
+	return e.checkedAgainst.Pool(pool).MemoryTokens
+}
+
 func (e *Engines) tableInForce() *passroute.Table {
 	if e.routes == nil {
 		return nil
--- a/internal/passthrough/catalog/entries_test.go
+++ b/internal/passthrough/catalog/entries_test.go
@@ -19,7 +19,7 @@
 )
 
 // textDocuments reads entries of the form "POOL STATE" and configurations of the form "VERSION
-// POOL...". It refuses other documents.
+// POOL...", where a pool may have the form NAME:MEMORY. It refuses other documents.
 type textDocuments struct{}
 
 func (textDocuments) Places() passthrough.Places { return passthrough.Places{RoutesKey: "routes"} }
@@ -34,8 +34,10 @@
 		return nil, &passthrough.DocumentError{Reason: passthrough.DocumentWrongType, Field: "version", Detail: err.Error()}
 	}
 	var pools []passroute.Pool
-	for _, name := range words[1:] {
-		pools = append(pools, passroute.Pool{Name: name})
+	for _, word := range words[1:] {
+		name, memory, _ := strings.Cut(word, ":")
+		tokens, _ := strconv.Atoi(memory) // 0 if it is not told
+		pools = append(pools, passroute.Pool{Name: name, MemoryTokens: tokens})
 	}
 	return passroute.NewTable(version, nil, pools, passroute.Limits{}, passroute.Tenants{}), nil
 }
@@ -257,3 +259,30 @@
 		t.Errorf("%d log lines", lines)
 	}
 }
+
+// Guards against engines whose memory counts as unknown since their entries came before the first routes, or
+// as what former routes told.
+func TestMemoryOfEnginesFollowsTheRoutes(t *testing.T) {
+	l := newEngineList(t)
+	l.put("e1", "llm ready")
+	memory := func() (tokens int) {
+		l.engines.Use(func(set *enginechoice.Set, _ time.Time) { tokens = set.LargestMemory(enginechoice.Query{Pool: "llm"}) })
+		return tokens
+	}
+	for _, test := range []struct {
+		routes string
+		want   int
+	}{{"1 llm:1000", 1000}, {"2 llm:2000", 2000}, {"3 llm", 0}, {"4 other:5", 0}, {"5 llm:3000 other:5", 3000}} {
+		l.routes.Take([]byte(test.routes), "test")
+		if got := memory(); got != test.want {
+			t.Errorf("routes %q: memory %d, want %d", test.routes, got, test.want)
+		}
+	}
+	l.put("e1", "llm draining")
+	l.routes.Take([]byte("6 llm:4000"), "test")
+	l.engines.Use(func(set *enginechoice.Set, _ time.Time) {
+		if known, _ := set.Find(enginechoice.Incarnation{ID: "e1"}); known.State != enginechoice.Leaving || known.Entry.MemoryTokens != 4000 {
+			t.Errorf("a draining engine became %+v", known)
+		}
+	})
+}
