--- a/internal/core/enginechoice/pick.go
+++ b/internal/core/enginechoice/pick.go
@@ -112,9 +112,10 @@
 // accept the request.
 func (s *Set) Pick(query Query, now time.Time) (Choice, bool) {
 	preferred := s.preferred(query, now)
+	promptTokens := query.PromptTokens()
 	var best bestEngines
 	for id, known := range s.pools[query.Pool] {
-		if !query.allows(id, known) {
+		if !query.allows(id, known) || !known.canHold(promptTokens) {
 			continue
 		}
 		inFlight := known.inFlight(now)
@@ -144,8 +145,9 @@
 // CanPick reports whether Pick would find an engine for the request. It stops at the first
 // engine that qualifies.
 func (s *Set) CanPick(query Query, now time.Time) bool {
+	promptTokens := query.PromptTokens()
 	for id, known := range s.pools[query.Pool] {
-		if !query.allows(id, known) {
+		if !query.allows(id, known) || !known.canHold(promptTokens) {
 			continue
 		}
 		if !query.Batch || known.acceptsBatch(query, known.inFlight(now), now) {
@@ -158,8 +160,9 @@
 // CanPickFree reports whether an engine that does not fail or shed work has a free slot for the
 // online request.
 func (s *Set) CanPickFree(query Query, now time.Time) bool {
+	promptTokens := query.PromptTokens()
 	for id, known := range s.pools[query.Pool] {
-		if !query.allows(id, known) || now.Before(known.unhealthyUntil) || now.Before(known.shedUntil) {
+		if !query.allows(id, known) || !known.canHold(promptTokens) || now.Before(known.unhealthyUntil) || now.Before(known.shedUntil) {
 			continue
 		}
 		if known.entry.Slots <= 0 || known.inFlight(now) < known.entry.Slots {
@@ -171,13 +174,13 @@
 
 // acceptsBatch reports whether the engine can accept a batch request.
 func (e *engine) acceptsBatch(query Query, inFlight int, now time.Time) bool {
-	return e.takesBatch(query, inFlight, now) && e.canHold(query) && query.MemoryTokens <= e.batchRoom(e.own.MemoryTokens)
+	return e.takesBatch(query, inFlight, now) && query.MemoryTokens <= e.batchRoom(e.own.MemoryTokens)
 }
 
-// canHold reports whether the engine's memory is large enough for the prompt. The expected output does not
+// canHold reports whether the engine's memory is large enough for a prompt. The expected output does not
 // count, since it is a forecast.
-func (e *engine) canHold(query Query) bool {
-	return e.entry.MemoryTokens == 0 || query.PromptTokens() <= e.entry.MemoryTokens
+func (e *engine) canHold(promptTokens int) bool {
+	return e.entry.MemoryTokens == 0 || promptTokens <= e.entry.MemoryTokens
 }
 
 // takesBatch reports whether the engine can accept a batch request that needs no memory.
--- a/internal/core/enginechoice/room.go
+++ b/internal/core/enginechoice/room.go
@@ -69,13 +69,14 @@
 // prompt matters.
 func (s *Set) BatchRoom(query Query, now time.Time) BatchRoom {
 	room := BatchRoom{HoldingTokens: -1}
+	promptTokens := query.PromptTokens()
 	for id, known := range s.pools[query.Pool] {
 		if !query.allows(id, known) || !known.takesBatch(query, known.inFlight(now), now) {
 			continue
 		}
 		tokens := known.batchRoom(known.own.MemoryTokens)
 		room.Open, room.Tokens = true, max(room.Tokens, tokens)
-		if known.canHold(query) {
+		if known.canHold(promptTokens) {
 			room.HoldingTokens = max(room.HoldingTokens, tokens)
 		}
 	}
@@ -86,9 +87,11 @@
 // for a batch request. It returns false if no engine has room even without its batch work.
 func (s *Set) FirstToDrain(query Query, now time.Time) (Incarnation, bool) {
 	var candidates []Incarnation
+	promptTokens := query.PromptTokens()
 	for id, known := range s.pools[query.Pool] {
 		withoutBatch := known.own.MemoryTokens - known.own.BatchMemoryTokens
-		if query.allows(id, known) && known.canHold(query) && !now.Before(known.unhealthyUntil) && query.MemoryTokens <= known.batchRoom(withoutBatch) {
+		if query.allows(id, known) && known.canHold(promptTokens) && !now.Before(known.unhealthyUntil) &&
+			query.MemoryTokens <= known.batchRoom(withoutBatch) {
 			candidates = append(candidates, id)
 		}
 	}
@@ -100,6 +103,20 @@
 	}), true
 }
 
+// CanHold reports whether some, and whether all, of the engines that may be picked for a query have memory
+// for its prompt.
+func (s *Set) CanHold(query Query) (some, all bool) {
+	promptTokens := query.PromptTokens()
+	all = true
+	for id, known := range s.pools[query.Pool] {
+		if query.allows(id, known) {
+			holds := known.canHold(promptTokens)
+			some, all = some || holds, all && holds
+		}
+	}
+	return some, all
+}
+
 // LargestMemory returns the largest memory, in tokens, of an engine that may be picked for a query; the
 // query's own tokens do not matter. It is 0 if there is no such engine, or if the memory of one is unknown.
 func (s *Set) LargestMemory(query Query) int {
--- a/internal/core/grant/queue.go
+++ b/internal/core/grant/queue.go
@@ -177,13 +177,20 @@
 }
 
 // record records the result of an attempt to grant a request an engine. A request that finds no
-// room at the only engines that it may use does not hold up the requests behind it. Where the queue
-// is bounded, neither does one that prefers an engine without room while others have some.
+// room at the only engines that it may use, or that can hold its prompt, does not hold up the requests
+// behind it. Where the queue is bounded, neither does one that prefers an engine without room while
+// others have some.
 func (d *Dispatcher) record(pass *grantPass, entry *queuedAsk, result grantResult, now time.Time) {
-	switch {
-	case result == onlyTooSlow:
+	if result == onlyTooSlow {
 		pass.tooSlow++
-	case result != notGranted || entry.ask.Suspect.Content != 0:
+	}
+	if result != notGranted || entry.ask.Suspect.Content != 0 {
+		return
+	}
+	some, all := d.engines.CanHold(enginechoice.Query{Pool: d.lane.Pool, OwnTokens: entry.PromptTokens})
+	switch {
+	case !all:
+		pass.mayHaveRoom = pass.mayHaveRoom || some
 	case len(entry.ask.Exclude) > 0:
 		pass.mayHaveRoom = true
 	case !d.bounded:
