--- a/internal/core/enginechoice/room.go
+++ b/internal/core/enginechoice/room.go
@@ -150,9 +150,20 @@
 // HasFreeSlot reports whether an engine of a pool that takes work has a free slot.
 func (s *Set) HasFreeSlot(pool string, now time.Time) bool {
 	for _, known := range s.pools[pool] {
-		if known.usable() && !now.Before(known.unhealthyUntil) && known.inFlight(now) < known.entry.Slots {
+		if known.hasFreeSlot(now) {
 			return true
 		}
 	}
 	return false
 }
+
+// HasFreeSlotAt reports whether an engine that takes work has a free slot.
+func (s *Set) HasFreeSlotAt(engine Incarnation, now time.Time) bool {
+	known := s.engines[engine]
+	return known != nil && known.hasFreeSlot(now)
+}
+
+// hasFreeSlot reports whether the engine takes work and has a free slot.
+func (e *engine) hasFreeSlot(now time.Time) bool {
+	return e.usable() && !now.Before(e.unhealthyUntil) && e.inFlight(now) < e.entry.Slots
+}
--- a/internal/core/grant/dispatcher.go
+++ b/internal/core/grant/dispatcher.go
@@ -63,6 +63,11 @@
 type queuedAsk struct {
 	Waiting
 	ask Ask
+	// chosen is the engine without a free slot that the last try chose; the zero value if none.
+	chosen enginechoice.Incarnation
+	// preferred is chosen while others had free slots, at preferredAt; the zero value if none had.
+	preferred   enginechoice.Incarnation
+	preferredAt time.Time
 	// reserved reports that the tenant's limit has admitted the request and counts it
 	// when it is granted.
 	reserved bool
--- a/internal/core/grant/memory_test.go
+++ b/internal/core/grant/memory_test.go
@@ -7,8 +7,11 @@
 	"time"
 )
 
-// onlineGrants returns the requests of one node that a dispatcher of two engines grants, of which the second
-// has twice the memory and no free slot.
+// onlineGrantTime is how long a dispatcher has for a request whose engine is free.
+const onlineGrantTime = 50 * time.Millisecond
+
+// onlineGrants returns the requests of one node that a dispatcher of two engines grants in onlineGrantTime. The
+// second engine has twice the memory and no free slot.
 func onlineGrants(t *testing.T, memory int, bounded bool, asks ...Ask) []uint64 {
 	t.Helper()
 	engines := sizedEntries(2, memory)
@@ -24,8 +27,11 @@
 	}
 	d.ApplyState("n1", State{Life: 1, Sequence: 1, Held: held, Waiting: asks}, start)
 	granted := make(map[uint64]bool)
-	for _, grant := range d.Replies()["n1"].Grants {
-		granted[grant.ID] = true
+	for at := time.Duration(0); at <= onlineGrantTime; at += 10 * time.Millisecond {
+		d.Tick(start.Add(at))
+		for _, grant := range d.Replies()["n1"].Grants {
+			granted[grant.ID] = true
+		}
 	}
 	return slices.Sorted(maps.Keys(granted))
 }
@@ -46,3 +52,20 @@
 		}
 	}
 }
+
+// Guards against requests that wait for a full engine which has their prompt cached, and keep free slots at
+// others from the requests behind them.
+func TestRequestsThatPreferAFullEngineHoldUpNoOther(t *testing.T) {
+	for _, bounded := range []bool{false, true} {
+		for _, waiting := range []uint64{1, 4 * maxNoRoom} {
+			var asks []Ask
+			for id := range waiting {
+				asks = append(asks, Ask{ID: id, OwnTokens: 50 * engineMemory, Former: EngineHash(entries(2)[1].Entry.Incarnation()), DueIn: time.Second})
+			}
+			asks = append(asks, Ask{ID: 100, OwnTokens: 10, DueIn: 2 * time.Second})
+			if granted := onlineGrants(t, 100*engineMemory, bounded, asks...); !slices.Contains(granted, 100) {
+				t.Errorf("%d requests, bounded %t: granted %v, want 100 among them", waiting, bounded, granted)
+			}
+		}
+	}
+}
--- a/internal/core/grant/queue.go
+++ b/internal/core/grant/queue.go
@@ -147,7 +147,7 @@
 		if entry.ask.Queued && !entry.Place && now.Sub(d.busySince) < d.config.RequeuedStartDelay {
 			continue
 		}
-		if pass.skips(entry) {
+		if pass.skips(entry) || d.waitsForPreferred(&pass, entry, now) {
 			continue
 		}
 		d.record(&pass, entry, d.tryGrant(entry, now), now)
@@ -159,54 +159,6 @@
 	d.dropDequeued()
 }
 
-// grantPass is what one pass over the queue has found out.
-type grantPass struct {
-	full        bool // no engine has room for the requests that follow
-	mayHaveRoom bool // one has for requests that can use engines which others cannot
-	tooSlow     int  // requests in time for which only slow engines had room
-	noRoom      int  // requests that did not get an engine though some have room
-}
-
-// skips reports whether a request cannot get an engine in this pass. A slow engine may have
-// room for a late request where it has none for those in time.
-func (p *grantPass) skips(entry *queuedAsk) bool {
-	if entry.Place || len(entry.ask.Exclude) > 0 {
-		return false
-	}
-	return p.full || (entry.InTime && p.tooSlow >= maxTooSlow)
-}
-
-// record records the result of an attempt to grant a request an engine. A request that finds no
-// room at the only engines that it may use, or that can hold its prompt, does not hold up the requests
-// behind it. Where the queue is bounded, neither does one that prefers an engine without room while
-// others have some.
-func (d *Dispatcher) record(pass *grantPass, entry *queuedAsk, result grantResult, now time.Time) {
-	if result == onlyTooSlow {
-		pass.tooSlow++
-	}
-	if result != notGranted || entry.ask.Suspect.Content != 0 {
-		return
-	}
-	some, all := d.engines.CanHold(enginechoice.Query{Pool: d.lane.Pool, OwnTokens: entry.PromptTokens})
-	switch {
-	case !all:
-		pass.mayHaveRoom = pass.mayHaveRoom || some
-	case len(entry.ask.Exclude) > 0:
-		pass.mayHaveRoom = true
-	case !d.bounded:
-		pass.full = true
-	case pass.noRoom < maxNoRoom && d.engines.HasFreeSlot(d.lane.Pool, now):
-		pass.noRoom++
-		pass.mayHaveRoom = true
-	default:
-		pass.full = true
-	}
-}
-
-// maxNoRoom is the number of requests that may prefer an engine without room before the rest of
-// the queue is left to wait. It bounds the work of one pass.
-const maxNoRoom = 8
-
 // grantChanged grants queued online requests if anything has changed that allows a grant or
 // a refusal. While the lane is full, a request that has just arrived can only be refused, and
 // waits for others to be looked at with it, until the next Tick at most.
@@ -292,6 +244,7 @@
 	d.setTimes(&query, entry, now)
 	choice, found := d.pick(entry, query, now)
 	if !found || (!entry.ask.Batch && !entry.Place && !choice.HasSlot()) {
+		entry.chosen = choice.Entry.Incarnation()
 		return notGranted
 	}
 	if d.tooSlow(entry, query, choice) {
