--- a/internal/core/enginechoice/enginechoice.go
+++ b/internal/core/enginechoice/enginechoice.go
@@ -22,6 +22,19 @@
 	ColdUntil               time.Time // until when the engine counts as cold
 }
 
+// MayExceed reports whether a request of the given length may be larger than the engine's memory. Length is
+// that of the prompt and of the longest output. The engine then rejects it as if it were full.
+func (e Entry) MayExceed(length int) bool { return e.MemoryTokens > 0 && length > e.MemoryTokens }
+
+// RejectionResult returns the result of a request that the engine rejected without running it. If the request
+// may be too large for the engine, its rejection tells nothing of other requests there.
+func (e Entry) RejectionResult(length int) Result {
+	if e.MayExceed(length) {
+		return Abandoned
+	}
+	return Shed
+}
+
 // Counts is the work in flight at an engine.
 type Counts struct {
 	Online, Batch int
--- a/internal/core/enginechoice/room_test.go
+++ b/internal/core/enginechoice/room_test.go
@@ -87,3 +87,20 @@
 		t.Errorf("got %v for a prompt that no engine can hold", engine)
 	}
 }
+
+// Guards against one request's rejection for its size that keeps the engine from all others.
+func TestRejectionForSizeTellsNothingOfTheEngine(t *testing.T) {
+	for length, wantFound := range map[int]bool{10000: false, 10001: true} { // of 10000 tokens of memory
+		set := newSet(1)
+		choice, _ := set.Pick(Query{Pool: "p"}, start)
+		work := &Work{}
+		set.Start(named("e0"), work)
+		set.Finish(named("e0"), work, choice.Entry.RejectionResult(length), start)
+		if _, found := set.Pick(Query{Pool: "p", Batch: true, MaxBatchPercent: 100}, start); found != wantFound {
+			t.Errorf("after the rejection of %d tokens the engine accepts batch requests: %t, want %t", length, found, wantFound)
+		}
+	}
+	if (Entry{}).MayExceed(1 << 30) {
+		t.Error("a request exceeds unknown memory")
+	}
+}
--- a/internal/passthrough/batch/requests_test.go
+++ b/internal/passthrough/batch/requests_test.go
@@ -163,3 +163,21 @@
 		t.Errorf("requested %v, want %d suspects and 5 others", requested, maxSlotRequests)
 	}
 }
+
+// Guards against an item that takes an idle engine again and again, though each engine rejects it since its
+// output may not fit.
+func TestItemThatMayExceedTheMemoryPausesLonger(t *testing.T) {
+	service := newRequestTest(t).service
+	rejected := func(promptTokens, refusals int) time.Duration {
+		return service.notStartedPause(itemRun{
+			item:     passthrough.Item{Header: http.Header{promptHeader: {strconv.Itoa(promptTokens)}}},
+			decision: slots.Decision{Choice: enginechoice.Choice{Entry: enginechoice.Entry{MemoryTokens: testEngineMemory}}},
+		}, refusals)
+	}
+	if first, last := rejected(testEngineMemory, 0), rejected(testEngineMemory, 20); first != notStartedPause || last != maxNotStartedPause {
+		t.Errorf("an item that fits pauses %v to %v", first, last)
+	}
+	if first, last := rejected(testEngineMemory+1, 0), rejected(testEngineMemory+1, 20); first != notStartedPause || last != maxSizeRejectedPause {
+		t.Errorf("an item that may not fit pauses %v to %v", first, last)
+	}
+}
--- a/internal/passthrough/batch/run.go
+++ b/internal/passthrough/batch/run.go
@@ -73,9 +73,13 @@
 const (
 	notStartedPause    = 60 * time.Millisecond
 	maxNotStartedPause = time.Second
-	interruptedPause   = 50 * time.Millisecond
-	failedPause        = 100 * time.Millisecond
-	preemptedPause     = 300 * time.Millisecond
+	// maxSizeRejectedPause applies to items that may be larger than the engine's memory. Each try needs an
+	// engine with nothing else.
+	maxSizeRejectedPause = 10 * time.Second
+	maxPauseDoublings    = 8
+	interruptedPause     = 50 * time.Millisecond
+	failedPause          = 100 * time.Millisecond
+	preemptedPause       = 300 * time.Millisecond
 )
 
 // runItem runs an item until the run or ctx ends. The stop function ends ctx.
@@ -149,7 +153,7 @@
 			state, why = passjob.DeadLetter, "all attempts failed"
 		}
 	case runNotStarted:
-		work.notBefore = now.Add(min(notStartedPause<<min(work.refusals, 5), maxNotStartedPause))
+		work.notBefore = now.Add(s.notStartedPause(r, work.refusals))
 		work.refusals++
 	case runInterrupted:
 		work.notBefore = now.Add(interruptedPause)
@@ -171,11 +175,23 @@
 	}
 }
 
+// notStartedPause returns the pause after an engine did not start an item, by the number of times before.
+func (s *Service) notStartedPause(r itemRun, refusals int) time.Duration {
+	longest := maxNotStartedPause
+	if r.decision.Choice.Entry.MayExceed(s.maxTokens(r)) {
+		longest = maxSizeRejectedPause
+	}
+	return min(notStartedPause<<min(refusals, maxPauseDoublings), longest)
+}
+
+// maxTokens returns the length of an item's prompt and of its longest output.
+func (s *Service) maxTokens(r itemRun) int { return s.Headers.Demand(r.item.Header).MaxTokens() }
+
 func (s *Service) endSlot(r itemRun, end runOutcome, err error) {
 	result := enginechoice.Succeeded
 	switch end {
 	case runNotStarted:
-		result = enginechoice.Shed
+		result = r.decision.Choice.Entry.RejectionResult(s.maxTokens(r))
 		if err != nil {
 			result = enginechoice.Failed
 		}
--- a/internal/passthrough/passthrough.go
+++ b/internal/passthrough/passthrough.go
@@ -30,6 +30,9 @@
 	Key          string // the tenant's key in plain text; must not be logged or forwarded
 }
 
+// MaxTokens returns the length of the prompt and of the longest output.
+func (d Demand) MaxTokens() int { return d.PromptTokens + d.OutputTokens }
+
 // EngineRequest is what the gateway adds to a request that it sends to an engine.
 type EngineRequest struct {
 	TimeLeft  time.Duration // how long the engine may work; 0 if not stated
--- a/internal/passthrough/relay/attempt.go
+++ b/internal/passthrough/relay/attempt.go
@@ -73,6 +73,9 @@
 	if outcome == Completed {
 		e.guard.RecordSuccess(e.call.Demand.RequestID, e.completedIdentity(status))
 	}
+	if outcome == NotRun && err == nil && engine.MayExceed(e.call.Demand.MaxTokens()) {
+		e.sizeRejections++
+	}
 	if outcome == Failed {
 		e.attempts++
 		e.mayHaveRun = true
@@ -81,7 +84,7 @@
 		e.abandoned = append(e.abandoned, engine.Incarnation())
 	}
 	e.recordPace(outcome)
-	e.releaseSlot(decision.Slot, outcome, err, deadlineCtx)
+	e.releaseSlot(decision, outcome, err, deadlineCtx)
 	e.slotTime += time.Since(started)
 	fields := []zap.Field{
 		zap.String("request", e.call.Demand.RequestID), zap.Stringer("engine", engine.Incarnation()), zap.Int("attempt", e.tries),
@@ -301,18 +304,18 @@
 }
 
 // releaseSlot ends the attempt's slot and reports how the attempt ended.
-func (e *exchange) releaseSlot(slot *slots.Slot, outcome Outcome, err error, deadlineCtx context.Context) {
+func (e *exchange) releaseSlot(decision slots.Decision, outcome Outcome, err error, deadlineCtx context.Context) {
 	result := enginechoice.Succeeded
 	switch {
 	case outcome == ClientGone || errors.Is(err, errSlowEngine) || (outcome == Failed && deadlineCtx.Err() != nil):
 		result = enginechoice.Abandoned
 	case outcome == NotRun && err == nil:
-		result = enginechoice.Shed
+		result = decision.Choice.Entry.RejectionResult(e.call.Demand.MaxTokens())
 	case outcome != Completed:
 		result = enginechoice.Failed
 	}
 	refused := errors.Is(err, engineconn.ErrNotSent) && (errors.Is(err, syscall.ECONNREFUSED) || isTimeout(err))
-	slot.End(result, refused)
+	decision.Slot.End(result, refused)
 }
 
 func isTimeout(err error) bool {
--- a/internal/passthrough/relay/relay.go
+++ b/internal/passthrough/relay/relay.go
@@ -149,6 +149,8 @@
 	pace         attemptPace
 	headTimer    *silenceTimer // ends an attempt whose engine sends no response head
 
+	sizeRejections int // rejections by engines whose memory the request may exceed
+
 	writeLimits      sync.Mutex // guards finalAnswerUntil and the order of limits
 	finalAnswerUntil time.Time  // end of finalAnswerTime; zero before a final answer
 }
@@ -250,6 +252,9 @@
 		case ClientGone:
 			return outcome
 		case NotRun:
+			if e.sizeRejections >= maxSizeRejections && !e.mayHaveRun {
+				return e.giveUp(noEngine)
+			}
 			e.excluded[decision.Choice.Entry.Incarnation()] = true
 			continue
 		}
@@ -263,6 +268,10 @@
 	}
 }
 
+// maxSizeRejections is the number of rejections after which a request that may be larger than an engine's memory
+// is given up. Whether its size is the reason is not certain, since engines reject it as if they were full.
+const maxSizeRejections = 3
+
 // Bounds of the wait for a free slot while the engines are full. A refusal that comes later than
 // this share of the remaining time is of no use to the client.
 const (
