--- a/internal/core/grant/batchqueue.go
+++ b/internal/core/grant/batchqueue.go
@@ -9,7 +9,7 @@
 // grantBatch grants batch requests the capacity that online requests leave. A request that no engine
 // accepts does not hold up the requests behind it, however many there are.
 func (d *Dispatcher) grantBatch(now time.Time) {
-	if len(d.online) > 0 {
+	if d.anyEngineAwaited {
 		d.batchStalls.ungranted(BatchWaitsForOnline, 0)
 		return
 	}
--- a/internal/core/grant/dispatcher.go
+++ b/internal/core/grant/dispatcher.go
@@ -101,16 +101,19 @@
 	full         bool         // whether a request found no slot in the last pass of grantOnline
 	reviewed     bool         // whether the last review by the overload control had a queue
 	inTimeFull   bool         // no engine had room in the last pass at which a request can be in time
-	bounded      bool         // whether an overload control bounds the queue
-	lastReviewAt time.Time    // of the last review by the overload control
-	retryOnline  bool         // queued online requests may have become grantable
-	arrived      bool         // an online request has joined the queue since the last review
-	retryBatch   bool         // queued batch requests may have become grantable
-	replies      map[string]*Reply
-	firstTokens  firstTokenEstimator
-	limits       *quota.RateCounter // nil if no tenant has a limit that is counted here
-	liveNodes    int                // number of live nodes of the fleet; 0 if unknown
-	limitShare   float64            // part of every limit that is counted here
+	// anyEngineAwaited reports that an online request waits that may use any engine, so that no batch
+	// request is started. Those that wait for certain engines don't need the others.
+	anyEngineAwaited bool
+	bounded          bool      // whether an overload control bounds the queue
+	lastReviewAt     time.Time // of the last review by the overload control
+	retryOnline      bool      // queued online requests may have become grantable
+	arrived          bool      // an online request has joined the queue since the last review
+	retryBatch       bool      // queued batch requests may have become grantable
+	replies          map[string]*Reply
+	firstTokens      firstTokenEstimator
+	limits           *quota.RateCounter // nil if no tenant has a limit that is counted here
+	liveNodes        int                // number of live nodes of the fleet; 0 if unknown
+	limitShare       float64            // part of every limit that is counted here
 	// countingSince is when limitShare was last zero.
 	countingSince time.Time
 	exchange      *UseExchange // nil: the use of the limits is not kept
--- a/internal/core/grant/onlinepass.go
+++ b/internal/core/grant/onlinepass.go
@@ -15,6 +15,8 @@
 	untried     int  // such requests beyond the first maxNoRoom that were tried for the first time
 	retried     int  // such requests beyond the first maxNoRoom that were tried again
 	freeSlot    freeSlot
+	// anyEngineAwaited reports that a request waits that may use any engine.
+	anyEngineAwaited bool
 }
 
 // freeSlot tells whether an engine of the lane has a free slot. It is looked up once in a pass.
--- a/internal/core/grant/queue.go
+++ b/internal/core/grant/queue.go
@@ -137,7 +137,7 @@
 	d.retryOnline = false
 	d.dropDequeued()
 	if len(d.online) == 0 && !d.reviewed {
-		d.full, d.inTimeFull, d.arrived = false, false, false
+		d.full, d.inTimeFull, d.arrived, d.anyEngineAwaited = false, false, false, false
 		return
 	}
 	queue := d.arrange(now)
@@ -145,6 +145,7 @@
 	for _, waiting := range queue {
 		entry := waiting.entry
 		if entry.ask.Queued && !entry.Place && now.Sub(d.busySince) < d.config.RequeuedStartDelay {
+			pass.anyEngineAwaited = true
 			continue
 		}
 		if pass.skips(entry) || d.waitsForPreferred(&pass, entry, now) {
@@ -153,6 +154,7 @@
 		d.record(&pass, entry, d.tryGrant(entry, now), now)
 	}
 	d.full, d.inTimeFull = pass.full && !pass.mayHaveRoom, pass.full || pass.tooSlow >= maxTooSlow
+	d.anyEngineAwaited = pass.anyEngineAwaited || pass.full || pass.tooSlow > 0
 	if d.reviewDue(now) {
 		d.refuseOverload(queue, now)
 	}
