--- a/internal/passthrough/batch/progress.go
+++ b/internal/passthrough/batch/progress.go
@@ -220,12 +220,14 @@
 			continue
 		}
 		unsaved := s.unsavedRows(job, index)
+		added := 0
 		for _, row := range unsaved {
-			size += len(row.Value)
+			added += len(row.Value)
 		}
-		if len(rows)+len(unsaved) > maxSaveRows || size > maxSaveBytes {
-			break
+		if len(rows)+len(unsaved) > maxSaveRows || size+added > maxSaveBytes {
+			continue // those behind it may fit
 		}
+		size += added
 		rows = append(rows, unsaved...)
 		saved[index] = savedText{events: work.text.events, restarts: work.text.restarts}
 	}
