soak: events name the run that wrote them, and engines the process

Nothing in an answer told which process' engine had written it, and an engine of another process could have the same id.

Change: ids of the soak's engines hold the process and the seed, and the data of each event names the incarnation and the run.

--- a/internal/bench/soak/judge.go
+++ b/internal/bench/soak/judge.go
@@ -55,6 +55,8 @@
 	events  int // in each engine's answer
 	// judgeItemVersions is false while nodes of an earlier build run items at any version.
 	judgeItemVersions bool
+	// judgeWriters is true if the engines sign their events.
+	judgeWriters bool
 
 	mu              sync.Mutex // guards the rest
 	violations      []Violation
@@ -123,7 +125,7 @@
 // judgeAnswer judges a reply by itself. The caller holds mu.
 func (j *judge) judgeAnswer(record requestRecord) {
 	reply := record.reply
-	body, versions := platformtest.SplitSoftware(reply.Body)
+	body, versions := platformtest.SplitSoftware(platformtest.WithoutWriters(reply.Body))
 	if len(versions) > 1 && !record.earlierBuild {
 		j.recordViolationLocked("streams_keep_their_version", record.id, fmt.Sprintf("%s: events of %v in one answer", record.route, versions))
 	}
@@ -195,7 +197,7 @@
 	if !slices.Contains(job.items, result.ID) {
 		j.recordViolationLocked("own_items_only", result.ID, job.id)
 	}
-	if result.Succeeded() && result.Text != j.expectedText(result.ID) {
+	if result.Succeeded() && platformtest.WithoutWriters(result.Text) != j.expectedText(result.ID) {
 		j.recordViolationLocked("whole_text", result.ID, fmt.Sprintf("%.120q", result.Text))
 	}
 }
@@ -224,6 +226,9 @@
 	}
 	j.mu.Lock()
 	defer j.mu.Unlock()
+	if j.judgeWriters {
+		j.concludeWriters(byID)
+	}
 	for _, request := range j.requests {
 		j.concludeRequest(request, byID[request.id])
 		delete(byID, request.id)
--- a/internal/bench/soak/soak.go
+++ b/internal/bench/soak/soak.go
@@ -12,6 +12,7 @@
 	"errors"
 	"fmt"
 	"math/rand/v2"
+	"os"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -142,6 +143,7 @@
 		addresses: addresses{used: make(map[string]bool)}, counts: make(map[string]int),
 	}
 	s.judge.judgeItemVersions = options.PreviousBinary == ""
+	s.judge.judgeWriters = true
 	defer s.close()
 	if err := s.build(); err != nil {
 		return Report{}, err
@@ -199,12 +201,19 @@
 	}
 }
 
+// engineID returns an id that no engine of another process or soak has. One of those may listen at an address
+// that was free for a moment.
+func (s *soak) engineID(number int) string {
+	return fmt.Sprintf("e%d-%d-%d", number, os.Getpid(), s.options.Seed)
+}
+
 func (s *soak) addEngine() error {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.lastEngineNumber++
-	engine := platformtest.NewEngine(fmt.Sprintf("e%d", s.lastEngineNumber), eventsPerAnswer)
+	engine := platformtest.NewEngine(s.engineID(s.lastEngineNumber), eventsPerAnswer)
 	engine.Pace(eventInterval)
+	engine.SignsEvents = true
 	engine.Software = s.softwareVersion(s.lastEngineNumber)
 	engine.StartedAtMs = time.Now().UnixMilli()
 	link, err := newProxy(engine.Address())
