batch: rows of a former owner are not joined to a later one's text

Cause: a save of an item's text that the store lands late shortens a row, and leaves rows behind it that the next owner doesn't load. When that owner has written up to where such a row begins, and dies, the one after it joined the row to its text: the events of a run that wasn't asked to go on there. The same followed when two owners both began the item anew, since both counted one restart, and behind a row without a last event.

Change: a row names the epoch of its owner, and a row of an earlier epoch than the row before it is left out. Rows of earlier builds name none.

--- a/internal/passthrough/batch/progress.go
+++ b/internal/passthrough/batch/progress.go
@@ -27,6 +27,7 @@
 	lastEvent string
 	software  string // version of the engines that wrote it; empty if an earlier build saved it
 	restarts  int    // how often the item has started anew
+	epoch     int64  // of the owner that saved its last loaded row; 0 if an earlier build saved it
 }
 
 func (p *progress) add(lastEvent, data string) {
@@ -45,6 +46,7 @@
 	First     int      `json:"first"`  // number of the first piece
 	Software  string   `json:"software,omitempty"`
 	Restarts  int      `json:"restarts,omitempty"`
+	Epoch     int64    `json:"epoch,omitempty"` // of the owner that saved it
 }
 
 // maxPartialBytes is the size of text at which a row is full.
@@ -65,7 +67,7 @@
 			size += len(work.text.pieces[last]) + 1
 			last++
 		}
-		piece := partial{Pieces: slices.Clone(work.text.pieces[first:last]), First: first, Software: work.text.software, Restarts: work.text.restarts}
+		piece := partial{Pieces: slices.Clone(work.text.pieces[first:last]), First: first, Software: work.text.software, Restarts: work.text.restarts, Epoch: job.epoch}
 		if last == work.text.events {
 			piece.LastEvent = work.text.lastEvent
 		}
@@ -127,9 +129,10 @@
 	if text.events == 0 {
 		text.software, text.restarts = piece.Software, piece.Restarts
 	}
-	if piece.First != text.events || piece.Software != text.software || piece.Restarts != text.restarts {
-		return // from a run whose rows another owner has replaced, or from before the item started anew
+	if piece.First != text.events || piece.Software != text.software || piece.Restarts != text.restarts || piece.Epoch < text.epoch {
+		return // from a run whose rows a later owner has replaced, or from before the item started anew
 	}
+	text.epoch = piece.Epoch
 	text.pieces = append(text.pieces, piece.Pieces...)
 	text.events += len(piece.Pieces)
 	text.lastEvent = piece.LastEvent
