events, relay, batch: lines of runs tell how an answer was delimited

Cause: the lines of an attempt's end (8104) and of an item's run (8321) looked the same for a whole answer and for one cut short, so that nobody could tell from a log whether a node had taken the end of a connection for the end of an answer. Change: both lines have delimited_by: length, chunked or connection, and nothing where no answer came. engineconn.Exchange.Framing takes the place of BodyDelimited; a body that is always empty, as to HEAD, counts as of a known length. Measured: go test of relay, batch, engineconn, events and platform: pass. Conclusion: what confirmed the end of an answer by its connection comes with the check that confirms it.

--- a/internal/passthrough/batch/run.go
+++ b/internal/passthrough/batch/run.go
@@ -91,7 +91,7 @@
 	work := &r.job.work[r.index]
 	before := work.text.events
 	s.mu.Unlock()
-	end, status, err := s.sendItem(ctx, r)
+	end, received, err := s.sendItem(ctx, r)
 	wrote := s.writingTime(r)
 	ended := false
 	if end == runInterrupted && ctx.Err() == nil && engineconn.BrokenByEngine(err) {
@@ -115,8 +115,9 @@
 		s.forecast.observeItem(kept)
 	}
 	events.ItemRunEnded.Log(s.Logger, zap.String("job", r.job.id), zap.String("request", r.item.ID), zap.Int64("epoch", r.job.epoch),
-		zap.Stringer("engine", r.decision.Choice.Entry.Incarnation()), zap.Stringer("outcome", end), zap.Int("status", status), zap.Int("events_kept", kept),
-		zap.Duration("elapsed", time.Since(started)), zap.Error(err), zap.Stringer("content", r.identity.Content), zap.Bool("engine_ended", ended))
+		zap.Stringer("engine", r.decision.Choice.Entry.Incarnation()), zap.Stringer("outcome", end), zap.Int("status", received.status), zap.Int("events_kept", kept),
+		zap.Duration("elapsed", time.Since(started)), zap.Error(err), zap.Stringer("content", r.identity.Content), zap.Bool("engine_ended", ended),
+		zap.String("delimited_by", received.framing))
 	s.updateItem(r, end)
 	s.wakeScheduler()
 }
@@ -207,26 +208,33 @@
 	r.decision.Slot.End(result, refused)
 }
 
+// receivedAnswer is what the log tells of the answer to a run. It is zero without an answer.
+type receivedAnswer struct {
+	status  int
+	framing string
+}
+
 // sendItem sends the item to the engine and keeps the events that it receives.
-func (s *Service) sendItem(parent context.Context, r itemRun) (end runOutcome, status int, err error) {
+func (s *Service) sendItem(parent context.Context, r itemRun) (end runOutcome, received receivedAnswer, err error) {
 	ctx, cancel := context.WithCancel(parent)
 	defer cancel()
 	silence := time.AfterFunc(headerTimeout, cancel)
 	defer silence.Stop()
 	answer, err := s.Pool.Do(ctx, r.engineKey(), s.itemRequest(r))
 	if errors.Is(err, engineconn.ErrNotSent) {
-		return runNotStarted, 0, err
+		return runNotStarted, received, err
 	}
 	if err != nil {
-		return runInterrupted, 0, err
+		return runInterrupted, received, err
 	}
 	silence.Stop()
+	received = receivedAnswer{status: answer.Response.StatusCode, framing: answer.Framing().String()}
 	end, err = s.readItem(r, answer)
 	if end != runCompleted {
 		cancel() // makes the engine drop the run
 	}
 	answer.Close()
-	return end, answer.Response.StatusCode, err
+	return end, received, err
 }
 
 func (s *Service) itemRequest(r itemRun) engineconn.Request {
@@ -300,7 +308,7 @@
 		switch {
 		case tooLong != nil:
 			return runInterrupted, tooLong
-		case errors.Is(err, io.EOF) && !splitter.Pending() && (hasEvents(splitter) || response.BodyDelimited()):
+		case errors.Is(err, io.EOF) && !splitter.Pending() && (hasEvents(splitter) || response.Framing() != engineconn.FramedByConnection):
 			return runCompleted, nil
 		case errors.Is(err, io.EOF):
 			return runInterrupted, io.ErrUnexpectedEOF
--- a/internal/passthrough/engineconn/conn.go
+++ b/internal/passthrough/engineconn/conn.go
@@ -132,7 +132,7 @@
 // engine drop the request.
 func (e *Exchange) Close() {
 	active := e.stop()
-	keep := active && e.bodyRead && !e.Response.Close && e.BodyDelimited() && e.requestWritten()
+	keep := active && e.bodyRead && !e.Response.Close && e.Framing() != FramedByConnection && e.requestWritten()
 	if !keep || e.conn.reader.Buffered() > 0 {
 		e.conn.close()
 		return
@@ -159,10 +159,31 @@
 	}
 }
 
-// BodyDelimited reports whether the response marks the end of its body by a length or a transfer
-// encoding, and not by closing the connection.
-func (e *Exchange) BodyDelimited() bool {
-	return e.Response.ContentLength >= 0 || len(e.Response.TransferEncoding) > 0
+// Framing is how the end of a response's body is marked.
+type Framing uint8
+
+// The ways to mark the end of a body.
+const (
+	FramedByLength     Framing = iota // by a length, which includes bodies that are always empty
+	FramedByChunks                    // by a transfer encoding
+	FramedByConnection                // by the end of the connection, which also ends when the engine does
+)
+
+// String returns the name for logs.
+func (f Framing) String() string {
+	return [...]string{"length", "chunked", "connection"}[f]
+}
+
+// Framing returns how the response marks the end of its body.
+func (e *Exchange) Framing() Framing {
+	switch {
+	case len(e.Response.TransferEncoding) > 0:
+		return FramedByChunks
+	case e.Response.ContentLength >= 0 || e.Response.Body == http.NoBody:
+		return FramedByLength
+	default:
+		return FramedByConnection
+	}
 }
 
 // Bounds of the time that an idle connection is kept. It is shorter than the timeout that the engine
--- a/internal/passthrough/relay/attempt.go
+++ b/internal/passthrough/relay/attempt.go
@@ -53,10 +53,10 @@
 	key := engineconn.Key{Engine: engine.Incarnation(), Address: engine.Address}
 	e.startPace(decision)
 	answer, err := e.pool.Do(ctx, key, e.request(decision.Choice, ctx, cancel))
-	outcome, status, interrupted := NotRun, 0, false
+	outcome, status, framing, interrupted := NotRun, 0, "", false
 	switch {
 	case err == nil:
-		status = answer.Response.StatusCode
+		status, framing = answer.Response.StatusCode, answer.Framing().String()
 		outcome, err = e.forward(answer, decision)
 		interrupted = ctx.Err() != nil
 		if outcome != Completed {
@@ -98,7 +98,8 @@
 		e.logChoice(decision)
 	}
 	events.AttemptEnded.Log(e.logger, append(fields, zap.Stringer("outcome", outcome), zap.Int("status", status),
-		zap.Int("events", e.stream.Count()-before), zap.Stringer("content", e.identity.Content), zap.Bool("engine_ended", engineEnded))...)
+		zap.Int("events", e.stream.Count()-before), zap.Stringer("content", e.identity.Content), zap.Bool("engine_ended", engineEnded),
+		zap.String("delimited_by", framing))...)
 	return outcome
 }
 
@@ -261,7 +262,7 @@
 // endsBeforeItsStart reports whether an answer that ends with its connection has brought no event. No
 // event is complete then by which the end of the stream can be told from a break.
 func (e *exchange) endsBeforeItsStart(answer *engineconn.Exchange) bool {
-	return e.stream.Count() == 0 && e.call.Demand.LastEvent == "" && !answer.BodyDelimited()
+	return e.stream.Count() == 0 && e.call.Demand.LastEvent == "" && answer.Framing() == engineconn.FramedByConnection
 }
 
 // maxWriteTime is how long a write to the client takes at most if the events that come after it are
