answerend: the end of a connection is not the end of an answer

What callers saw: streams, items and other answers that lacked their last part and looked complete. Cause: an answer without a length or chunks ends with its connection, and the system closes the connections of a process that ends in an orderly manner. A stream or item counted as whole if its answer ended between two events, of this run or an earlier one; any other answer wherever it ended. Change: one check, for streams, items and buffered answers. Such an answer is whole if this run has brought content, ends between two events, and its engine still runs after the end of file, shown by a health check on a new connection that names the incarnation, or by that connection staying open in silence. What is not known to have ended is broken by its engine: resumed, sent again, cut, or answered 502, and the guard is asked. The lines of runs tell what showed the end (end_shown_by). Why it works: a process that lives closes a connection because it has written all. Another incarnation answers 421, nobody refuses. Conclusion: shown to be possible, and mended; whether it is what users saw is not shown. An engine that lives and closes in an orderly manner between two events of an unfinished answer can't be told from one that has finished.

--- /dev/null
+++ b/internal/passthrough/answerend/answerend_test.go
@@ -0,0 +1,141 @@
+package answerend
+
+import (
+	"bufio"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"testing"
+	"time"
+
+	"ringstream.example/ringstream/internal/core/enginechoice"
+	"ringstream.example/ringstream/internal/core/passroute"
+	"ringstream.example/ringstream/internal/passthrough"
+	"ringstream.example/ringstream/internal/passthrough/engineconn"
+)
+
+// headers names an engine in the header Engine.
+type headers struct{ passthrough.Headers }
+
+func (headers) SetForEngine(header http.Header, to passthrough.EngineRequest) {
+	header.Set("Engine", to.Instance)
+}
+
+func (headers) Answer(_ int, header http.Header) passthrough.EngineAnswer {
+	return passthrough.EngineAnswer{Instance: header.Get("Engine")}
+}
+
+// startEngine answers each connection to the returned address with handle, which gets a request's
+// connection once the request is read.
+func startEngine(t *testing.T, handle func(connection *net.TCPConn)) (address string, stop func()) {
+	t.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = listener.Close() })
+	go func() {
+		for {
+			connection, err := listener.Accept()
+			if err != nil {
+				return
+			}
+			t.Cleanup(func() { _ = connection.Close() })
+			go func() {
+				if _, err := http.ReadRequest(bufio.NewReader(connection)); err == nil {
+					handle(connection.(*net.TCPConn))
+				}
+			}()
+		}
+	}()
+	return listener.Addr().String(), func() { _ = listener.Close() }
+}
+
+func write(text string) func(*net.TCPConn) {
+	return func(connection *net.TCPConn) { _, _ = io.WriteString(connection, text) }
+}
+
+// answered returns the text of an answer with a status that names an engine.
+func answered(status int, engine string) string {
+	return fmt.Sprintf("HTTP/1.1 %d X\r\nEngine: %s\r\nContent-Length: 0\r\n\r\n", status, engine)
+}
+
+// TestWhatShowsThatAnEngineStillRuns guards against an answer that counts as whole though the engine that
+// wrote it has ended, and against one that counts as broken off though its engine runs.
+func TestWhatShowsThatAnEngineStillRuns(t *testing.T) {
+	for _, test := range []struct {
+		name     string
+		handle   func(*net.TCPConn)
+		ended    bool // nobody listens
+		noHealth bool // the pool has no health check
+		want     Evidence
+	}{
+		{name: "healthy", handle: write(answered(200, "e1")), want: EngineAnswers},
+		{name: "full or leaving", handle: write(answered(503, "e1")), want: EngineAnswers},
+		{name: "a refusal without a name", handle: write("HTTP/1.1 503 X\r\nContent-Length: 0\r\n\r\n"), want: EngineAnswers},
+		{name: "busy", handle: func(*net.TCPConn) {}, want: EngineBusy},
+		{name: "another incarnation", handle: write(answered(421, "e2")), want: None},
+		{name: "another incarnation that serves", handle: write(answered(200, "e2")), want: None},
+		{name: "a refusal to run without a name", handle: write("HTTP/1.1 421 X\r\nContent-Length: 0\r\n\r\n"), want: None},
+		{name: "closes the connection", handle: func(connection *net.TCPConn) { _ = connection.Close() }, want: None},
+		{name: "resets the connection", handle: func(connection *net.TCPConn) {
+			_ = connection.SetLinger(0)
+			_ = connection.Close()
+		}, want: None},
+		{name: "closes the connection late", handle: func(connection *net.TCPConn) {
+			time.Sleep(engineconn.DefaultConfig().ProbeTimeout / 2)
+			_ = connection.Close()
+		}, want: None},
+		{name: "ends within a head", handle: write("HTTP/1.1 200 OK\r\nEngine: e1"), want: None},
+		{name: "does not listen", handle: func(*net.TCPConn) {}, ended: true, want: None},
+		{name: "no health check", handle: write(answered(200, "e1")), noHealth: true, want: None},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			address, stop := startEngine(t, test.handle)
+			if test.ended {
+				stop()
+			}
+			pool := passroute.Pool{HealthPath: "/health"}
+			if test.noHealth {
+				pool = passroute.Pool{}
+			}
+			checker := NewChecker(engineconn.New(engineconn.DefaultConfig()), headers{}, func(string) passroute.Pool { return pool })
+			got, err := checker.Check(t.Context(), Answer{
+				Exchange: &engineconn.Exchange{Response: &http.Response{ContentLength: -1, Body: io.NopCloser(nil)}},
+				Engine:   engineconn.Key{Engine: enginechoice.Incarnation{ID: "e1"}, Address: address}, Pool: "p",
+			})
+			if got != test.want {
+				t.Errorf("evidence %q, want %q; error %v", got, test.want, err)
+			}
+			if (err == nil) != (test.want != None) || (err != nil && !engineconn.BrokenByEngine(err)) {
+				t.Errorf("error %v, want one by which the engine broke the answer off: %t", err, test.want == None)
+			}
+		})
+	}
+}
+
+// TestEndsThatNeedNoEngine checks the answers whose end is known without their engine.
+func TestEndsThatNeedNoEngine(t *testing.T) {
+	withLength := &engineconn.Exchange{Response: &http.Response{ContentLength: 5, Body: io.NopCloser(nil)}}
+	withChunks := &engineconn.Exchange{Response: &http.Response{ContentLength: -1, TransferEncoding: []string{"chunked"}, Body: io.NopCloser(nil)}}
+	withoutBody := &engineconn.Exchange{Response: &http.Response{ContentLength: -1, Body: http.NoBody}}
+	withNeither := &engineconn.Exchange{Response: &http.Response{ContentLength: -1, Body: io.NopCloser(nil)}}
+	for name, test := range map[string]struct {
+		answer Answer
+		want   Evidence
+	}{
+		"length":             {Answer{Exchange: withLength}, Framing},
+		"chunks, empty":      {Answer{Exchange: withChunks, Empty: true}, Framing},
+		"chunks, within":     {Answer{Exchange: withChunks, Within: true}, None},
+		"never has a body":   {Answer{Exchange: withoutBody, Empty: true}, Framing},
+		"connection, empty":  {Answer{Exchange: withNeither, Empty: true}, None},
+		"connection, within": {Answer{Exchange: withNeither, Within: true}, None},
+	} {
+		got, err := NewChecker(nil, nil, nil).Check(t.Context(), test.answer)
+		if got != test.want || (err == nil) != (test.want != None) || (err != nil && !errors.Is(err, io.ErrUnexpectedEOF)) {
+			t.Errorf("%s: %q, %v; want %q", name, got, err, test.want)
+		}
+	}
+}
--- a/internal/passthrough/batch/run.go
+++ b/internal/passthrough/batch/run.go
@@ -16,6 +16,7 @@
 	"ringstream.example/ringstream/internal/core/quarantine"
 	"ringstream.example/ringstream/internal/events"
 	"ringstream.example/ringstream/internal/passthrough"
+	"ringstream.example/ringstream/internal/passthrough/answerend"
 	"ringstream.example/ringstream/internal/passthrough/engineconn"
 	"ringstream.example/ringstream/internal/passthrough/guard"
 	"ringstream.example/ringstream/internal/passthrough/relay"
@@ -117,7 +118,7 @@
 	events.ItemRunEnded.Log(s.Logger, zap.String("job", r.job.id), zap.String("request", r.item.ID), zap.Int64("epoch", r.job.epoch),
 		zap.Stringer("engine", r.decision.Choice.Entry.Incarnation()), zap.Stringer("outcome", end), zap.Int("status", received.status), zap.Int("events_kept", kept),
 		zap.Duration("elapsed", time.Since(started)), zap.Error(err), zap.Stringer("content", r.identity.Content), zap.Bool("engine_ended", ended),
-		zap.String("delimited_by", received.framing))
+		zap.String("delimited_by", received.framing), zap.Stringer("end_shown_by", received.endShownBy))
 	s.updateItem(r, end)
 	s.wakeScheduler()
 }
@@ -212,6 +213,8 @@
 type receivedAnswer struct {
 	status  int
 	framing string
+	// endShownBy is what shows that the answer has ended.
+	endShownBy answerend.Evidence
 }
 
 // sendItem sends the item to the engine and keeps the events that it receives.
@@ -229,7 +232,7 @@
 	}
 	silence.Stop()
 	received = receivedAnswer{status: answer.Response.StatusCode, framing: answer.Framing().String()}
-	end, err = s.readItem(r, answer)
+	end, received.endShownBy, err = s.readItem(ctx, r, answer)
 	if end != runCompleted {
 		cancel() // makes the engine drop the run
 	}
@@ -255,7 +258,7 @@
 	}
 }
 
-func (s *Service) readItem(r itemRun, answer *engineconn.Exchange) (runOutcome, error) {
+func (s *Service) readItem(ctx context.Context, r itemRun, answer *engineconn.Exchange) (runOutcome, answerend.Evidence, error) {
 	response := answer.Response
 	headers := s.Headers.Answer(response.StatusCode, response.Header)
 	r.decision.Slot.RecordLoad(headers)
@@ -268,15 +271,15 @@
 				set.Remove(r.decision.Choice.Entry.Incarnation(), false, now)
 			})
 		}
-		return runNotStarted, nil
+		return runNotStarted, answerend.None, nil
 	case response.StatusCode == http.StatusUnprocessableEntity && headers.Signed:
-		return runRejected, nil
+		return runRejected, answerend.None, nil
 	case response.StatusCode == http.StatusOK && headers.Signed:
-		return s.readEvents(r, answer)
+		return s.readEvents(ctx, r, answer)
 	case response.StatusCode >= http.StatusInternalServerError && headers.Signed:
-		return runFailed, nil
+		return runFailed, answerend.None, nil
 	default:
-		return runInterrupted, errUnexpectedResponse
+		return runInterrupted, answerend.None, errUnexpectedResponse
 	}
 }
 
@@ -286,7 +289,7 @@
 var errUnexpectedResponse = errors.New("the response is neither a result nor a failure reported by the engine")
 
 // readEvents keeps each complete event. A response that ends within an event interrupts the run.
-func (s *Service) readEvents(r itemRun, response *engineconn.Exchange) (runOutcome, error) {
+func (s *Service) readEvents(ctx context.Context, r itemRun, response *engineconn.Exchange) (runOutcome, answerend.Evidence, error) {
 	s.mu.Lock()
 	splitter := relay.NewSplitter(r.job.work[r.index].text.lastEvent)
 	s.mu.Unlock()
@@ -307,22 +310,28 @@
 		}
 		switch {
 		case tooLong != nil:
-			return runInterrupted, tooLong
-		case errors.Is(err, io.EOF) && !splitter.Pending() && (hasEvents(splitter) || response.Framing() != engineconn.FramedByConnection):
-			return runCompleted, nil
+			return runInterrupted, answerend.None, tooLong
 		case errors.Is(err, io.EOF):
-			return runInterrupted, io.ErrUnexpectedEOF
+			return s.endEvents(ctx, r, response, splitter)
 		case err != nil:
-			return runInterrupted, err
+			return runInterrupted, answerend.None, err
 		case len(whole) > 0 && s.runsTooSlowly(r, pace):
-			return runInterrupted, errSlowEngine
+			return runInterrupted, answerend.None, errSlowEngine
 		}
 	}
 }
 
-// hasEvents reports whether a text has any event, from this run or an earlier one. Without one, the end
-// of an answer that ends with its connection cannot be told from a break.
-func hasEvents(splitter *relay.Splitter) bool { return splitter.Count() > 0 || splitter.Last() != "" }
+// endEvents ends a run whose answer was read to an end of file.
+func (s *Service) endEvents(ctx context.Context, r itemRun, response *engineconn.Exchange, splitter *relay.Splitter) (runOutcome, answerend.Evidence, error) {
+	shownBy, err := s.Ends.Check(ctx, answerend.Answer{
+		Exchange: response, Engine: r.engineKey(), Pool: r.decision.Choice.Entry.Pool,
+		Empty: splitter.RunEvents() == 0, Within: splitter.Pending(),
+	})
+	if err != nil {
+		return runInterrupted, answerend.None, err
+	}
+	return runCompleted, shownBy, nil
+}
 
 func (s *Service) keepEvents(r itemRun, whole []byte) {
 	r.decision.Slot.Started()
--- a/internal/passthrough/batch/service.go
+++ b/internal/passthrough/batch/service.go
@@ -11,6 +11,7 @@
 
 	"ringstream.example/ringstream/internal/core/liveness"
 	"ringstream.example/ringstream/internal/passthrough"
+	"ringstream.example/ringstream/internal/passthrough/answerend"
 	"ringstream.example/ringstream/internal/passthrough/catalog"
 	"ringstream.example/ringstream/internal/passthrough/engineconn"
 	"ringstream.example/ringstream/internal/passthrough/guard"
@@ -29,6 +30,7 @@
 	Engines *catalog.Engines
 	Slots   *slots.Service
 	Pool    *engineconn.Pool
+	Ends    *answerend.Checker
 	Guard   *guard.Service
 	Logger  *zap.Logger
 	// Self identifies this incarnation of the node.
--- a/internal/passthrough/catalog/routes.go
+++ b/internal/passthrough/catalog/routes.go
@@ -115,6 +115,16 @@
 	return r.document, r.table.Version()
 }
 
+// PoolNamed returns the description of a pool in the routes in force, or the zero Pool if they do not
+// have it.
+func (r *Routes) PoolNamed(name string) passroute.Pool {
+	table, _ := r.Table()
+	if table == nil {
+		return passroute.Pool{}
+	}
+	return table.Pool(name)
+}
+
 // Pool chooses the pool for a route's next request.
 func (r *Routes) Pool(route *passroute.Route) string {
 	r.mu.Lock()
--- a/internal/passthrough/edge/edge.go
+++ b/internal/passthrough/edge/edge.go
@@ -20,6 +20,7 @@
 	"ringstream.example/ringstream/internal/events"
 	"ringstream.example/ringstream/internal/heapgrowth"
 	"ringstream.example/ringstream/internal/passthrough"
+	"ringstream.example/ringstream/internal/passthrough/answerend"
 	"ringstream.example/ringstream/internal/passthrough/batch"
 	"ringstream.example/ringstream/internal/passthrough/catalog"
 	"ringstream.example/ringstream/internal/passthrough/engineconn"
@@ -129,9 +130,10 @@
 		Stop: func(ask uint64) { node.batch.Preempt(ask) },
 	})
 	node.routes.OnChange(node.slots.SetRoutes)
+	ends := answerend.NewChecker(node.pool, platform.Headers, node.routes.PoolNamed)
 	node.batch = batch.New(config.Batch, batch.Dependencies{
 		Store: node.store, Objects: node.store, Headers: platform.Headers, Format: platform.Format,
-		Routes: node.routes, Engines: node.engines, Slots: node.slots, Pool: node.pool, Guard: node.guard, Logger: node.logger,
+		Routes: node.routes, Engines: node.engines, Slots: node.slots, Pool: node.pool, Ends: ends, Guard: node.guard, Logger: node.logger,
 		Self: node.incarnation, Name: identity.Name, Zone: identity.Zone, Peer: config.PeerAddress, Capacity: config.Capacity, Ready: node.hasRoutesAndEngines, Follow: follow, StoreTime: node.storeTime, Registerer: node.registry,
 		Reader: node.readerSlot,
 	})
@@ -140,7 +142,7 @@
 	for _, follower := range node.followers() {
 		follower.SetPaceFactor(node.storeSlowdown)
 	}
-	forward := relay.New(platform.Headers, node.engines, node.slots, node.pool, node.guard, node.logger, relay.NewMetrics(node.registry))
+	forward := relay.New(platform.Headers, node.engines, node.slots, node.pool, ends, node.guard, node.logger, relay.NewMetrics(node.registry))
 	held := memorybudget.New(config.maxHeldBytes())
 	forward.SetMemoryBudget(held)
 	forward.SetOrigins(node.origins)
--- a/internal/passthrough/engineconn/pool.go
+++ b/internal/passthrough/engineconn/pool.go
@@ -72,9 +72,7 @@
 // connection. It is called after an exchange with the engine broke. A connection that it opens is
 // kept in the pool.
 func (p *Pool) ProcessEnded(ctx context.Context, key Key) bool {
-	ctx, cancel := context.WithTimeout(ctx, p.config.ProbeTimeout)
-	defer cancel()
-	connection, err := p.dial(ctx, key)
+	connection, err := p.dialProbe(ctx, key)
 	if err != nil {
 		return errors.Is(err, syscall.ECONNREFUSED)
 	}
--- a/internal/passthrough/relay/attempt.go
+++ b/internal/passthrough/relay/attempt.go
@@ -17,6 +17,7 @@
 	"ringstream.example/ringstream/internal/core/quarantine"
 	"ringstream.example/ringstream/internal/events"
 	"ringstream.example/ringstream/internal/passthrough"
+	"ringstream.example/ringstream/internal/passthrough/answerend"
 	"ringstream.example/ringstream/internal/passthrough/engineconn"
 	"ringstream.example/ringstream/internal/passthrough/guard"
 	"ringstream.example/ringstream/internal/passthrough/slots"
@@ -52,12 +53,13 @@
 	defer e.currentAttempt.set(nil)
 	key := engineconn.Key{Engine: engine.Incarnation(), Address: engine.Address}
 	e.startPace(decision)
+	e.endEvidence = answerend.None
 	answer, err := e.pool.Do(ctx, key, e.request(decision.Choice, ctx, cancel))
 	outcome, status, framing, interrupted := NotRun, 0, "", false
 	switch {
 	case err == nil:
 		status, framing = answer.Response.StatusCode, answer.Framing().String()
-		outcome, err = e.forward(answer, decision)
+		outcome, err = e.forward(ctx, answer, decision)
 		interrupted = ctx.Err() != nil
 		if outcome != Completed {
 			cancel() // closes the connection, so that the engine drops the request
@@ -99,7 +101,7 @@
 	}
 	events.AttemptEnded.Log(e.logger, append(fields, zap.Stringer("outcome", outcome), zap.Int("status", status),
 		zap.Int("events", e.stream.Count()-before), zap.Stringer("content", e.identity.Content), zap.Bool("engine_ended", engineEnded),
-		zap.String("delimited_by", framing))...)
+		zap.String("delimited_by", framing), zap.Stringer("end_shown_by", e.endEvidence))...)
 	return outcome
 }
 
@@ -153,7 +155,7 @@
 }
 
 // forward sends the engine's response to the client.
-func (e *exchange) forward(answer *engineconn.Exchange, decision slots.Decision) (Outcome, error) {
+func (e *exchange) forward(ctx context.Context, answer *engineconn.Exchange, decision slots.Decision) (Outcome, error) {
 	if e.headTimer != nil {
 		e.headTimer.Stop()
 	}
@@ -163,14 +165,34 @@
 	if metadata.NotRun {
 		return e.discardRefusal(answer, decision.Choice)
 	}
-	success := response.StatusCode >= http.StatusOK && response.StatusCode < http.StatusMultipleChoices
+	success := isSuccess(response.StatusCode)
 	if success && !metadata.Signed {
 		return Failed, errUnsigned
 	}
 	if success && e.call.Route.Kind == passroute.KindStream {
-		return e.forwardStream(answer, decision)
+		return e.forwardStream(ctx, answer, decision)
 	}
-	return e.forwardBuffered(answer, success)
+	return e.forwardBuffered(ctx, answer, decision)
+}
+
+func isSuccess(status int) bool {
+	return status >= http.StatusOK && status < http.StatusMultipleChoices
+}
+
+// contentOf is what an answer contains that was read to the end.
+type contentOf struct {
+	empty  bool // nothing has come
+	within bool // the last event is not complete
+}
+
+// checkEnd returns an error unless the answer is known to have ended.
+func (e *exchange) checkEnd(ctx context.Context, answer *engineconn.Exchange, decision slots.Decision, content contentOf) (err error) {
+	engine := decision.Choice.Entry
+	e.endEvidence, err = e.ends.Check(ctx, answerend.Answer{
+		Exchange: answer, Engine: engineconn.Key{Engine: engine.Incarnation(), Address: engine.Address}, Pool: engine.Pool,
+		Empty: content.empty, Within: content.within,
+	})
+	return err
 }
 
 // discardRefusal reads and discards the body of a response that says the engine did not run the
@@ -186,12 +208,16 @@
 
 // forwardBuffered reads the whole response. It is sent to the client after the attempt's slot has ended,
 // so that a client that reads slowly holds no slot.
-func (e *exchange) forwardBuffered(answer *engineconn.Exchange, success bool) (Outcome, error) {
+func (e *exchange) forwardBuffered(ctx context.Context, answer *engineconn.Exchange, decision slots.Decision) (Outcome, error) {
+	success := isSuccess(answer.Response.StatusCode)
 	answer.SetReadDeadline(e.clock.currentDeadline())
 	body, err := io.ReadAll(io.LimitReader(answer, maxBufferedBytes+1))
 	if err == nil && len(body) > maxBufferedBytes {
 		err = errAnswerTooLong
 	}
+	if err == nil {
+		err = e.checkEnd(ctx, answer, decision, contentOf{empty: success && len(body) == 0})
+	}
 	if err != nil {
 		return Failed, err
 	}
@@ -212,7 +238,7 @@
 }
 
 // forwardStream sends each event to the client as soon as it is complete.
-func (e *exchange) forwardStream(answer *engineconn.Exchange, decision slots.Decision) (Outcome, error) {
+func (e *exchange) forwardStream(ctx context.Context, answer *engineconn.Exchange, decision slots.Decision) (Outcome, error) {
 	e.stream.Restart()
 	reader := newReadAhead(answer, e.held, e.clock.earlierOf, func() { e.limitWrites(time.Now()) })
 	defer reader.close()
@@ -245,12 +271,8 @@
 			return ClientGone, err
 		case tooLong != nil:
 			return Failed, tooLong
-		case errors.Is(err, io.EOF) && !e.stream.Pending() && !e.endsBeforeItsStart(answer):
-			e.sendHead(answer.Response)
-			e.attempts++
-			return Completed, nil
 		case errors.Is(err, io.EOF):
-			return Failed, io.ErrUnexpectedEOF
+			return e.endStream(ctx, answer, decision)
 		case err != nil:
 			return Failed, err
 		case len(whole) > 0 && !reader.hasAhead() && e.missesObjective():
@@ -259,10 +281,15 @@
 	}
 }
 
-// endsBeforeItsStart reports whether an answer that ends with its connection has brought no event. No
-// event is complete then by which the end of the stream can be told from a break.
-func (e *exchange) endsBeforeItsStart(answer *engineconn.Exchange) bool {
-	return e.stream.Count() == 0 && e.call.Demand.LastEvent == "" && answer.Framing() == engineconn.FramedByConnection
+// endStream ends an attempt whose answer was read to an end of file.
+func (e *exchange) endStream(ctx context.Context, answer *engineconn.Exchange, decision slots.Decision) (Outcome, error) {
+	content := contentOf{empty: e.stream.RunEvents() == 0, within: e.stream.Pending()}
+	if err := e.checkEnd(ctx, answer, decision, content); err != nil {
+		return Failed, err
+	}
+	e.sendHead(answer.Response)
+	e.attempts++
+	return Completed, nil
 }
 
 // maxWriteTime is how long a write to the client takes at most if the events that come after it are
--- a/internal/passthrough/relay/eventstream.go
+++ b/internal/passthrough/relay/eventstream.go
@@ -19,6 +19,8 @@
 	last    string // id of the last event returned
 	lastID  int64
 	count   int
+	// runEvents is the number of events of the current run, including those that were dropped.
+	runEvents int
 }
 
 // NewSplitter returns a splitter for a stream that resumes after the event with the id last. An
@@ -40,8 +42,12 @@
 // Pending reports whether an incomplete event is buffered.
 func (s *Splitter) Pending() bool { return len(s.pending) > 0 }
 
-// Restart discards an incomplete event before the stream is resumed at another engine.
-func (s *Splitter) Restart() { s.pending = nil }
+// RunEvents returns the number of events that the current run has brought, including those that were
+// dropped.
+func (s *Splitter) RunEvents() int { return s.runEvents }
+
+// Restart discards an incomplete event before a run of the stream begins at another engine.
+func (s *Splitter) Restart() { s.pending, s.runEvents = nil, 0 }
 
 // Add appends content to the stream and returns the events that are now complete, without those
 // that were returned before. The result is valid until the next call. Add fails if an incomplete
@@ -55,6 +61,7 @@
 			break
 		}
 		event := s.pending[:end]
+		s.runEvents++
 		if s.isNew(event) {
 			whole = append(whole, event...)
 			s.count++
--- a/internal/passthrough/relay/relay.go
+++ b/internal/passthrough/relay/relay.go
@@ -19,6 +19,7 @@
 	"ringstream.example/ringstream/internal/core/tenant"
 	"ringstream.example/ringstream/internal/events"
 	"ringstream.example/ringstream/internal/passthrough"
+	"ringstream.example/ringstream/internal/passthrough/answerend"
 	"ringstream.example/ringstream/internal/passthrough/catalog"
 	"ringstream.example/ringstream/internal/passthrough/engineconn"
 	"ringstream.example/ringstream/internal/passthrough/guard"
@@ -82,6 +83,7 @@
 	engines *catalog.Engines
 	slots   *slots.Service
 	pool    *engineconn.Pool
+	ends    *answerend.Checker
 	guard   *guard.Service
 	logger  *zap.Logger
 	metrics *Metrics
@@ -116,8 +118,8 @@
 }
 
 // New returns a relay.
-func New(headers passthrough.Headers, engines *catalog.Engines, slots *slots.Service, pool *engineconn.Pool, guard *guard.Service, logger *zap.Logger, metrics *Metrics) *Relay {
-	return &Relay{headers: headers, engines: engines, slots: slots, pool: pool, guard: guard, logger: logger, metrics: metrics, active: newActiveCalls(), usual: newUsualTimes(), moves: &recentMoves{}, held: memorybudget.New(0)}
+func New(headers passthrough.Headers, engines *catalog.Engines, slots *slots.Service, pool *engineconn.Pool, ends *answerend.Checker, guard *guard.Service, logger *zap.Logger, metrics *Metrics) *Relay {
+	return &Relay{headers: headers, engines: engines, slots: slots, pool: pool, ends: ends, guard: guard, logger: logger, metrics: metrics, active: newActiveCalls(), usual: newUsualTimes(), moves: &recentMoves{}, held: memorybudget.New(0)}
 }
 
 // exchange is the state of one call across its attempts.
@@ -147,7 +149,8 @@
 	buffered     *bufferedResponse // the response to send, unless it is a stream
 	status       int               // sent to the client
 	pace         attemptPace
-	headTimer    *silenceTimer // ends an attempt whose engine sends no response head
+	endEvidence  answerend.Evidence // of the attempt in flight
+	headTimer    *silenceTimer      // ends an attempt whose engine sends no response head
 
 	sizeRejections int // rejections by engines whose memory the request may exceed
 
