engineconn: a connection carries one run of a request's id

What callers saw: the answer to an earlier run of the same request in the place of the next one's. Cause: an engine may send a surplus answer late, where the next answer is expected. Its id tells it from the answer to another request, not from that to another run of this one, and a connection was used for both. Why it works: an answer that belongs to a run comes on that run's connection only. Most ways to such a repeat were closed: a run that failed or was refused closes its connection, so that only one that completed could be followed by another of its id.

--- a/internal/passthrough/batch/run.go
+++ b/internal/passthrough/batch/run.go
@@ -247,7 +247,7 @@
 	s.mu.Unlock()
 	s.Headers.SetForEngine(header, passthrough.EngineRequest{Instance: r.decision.Choice.Entry.ID, LastEvent: lastEvent, Tenant: r.job.tenant})
 	return engineconn.Request{
-		Method: http.MethodPost, Target: r.item.Path, Host: r.job.host, Header: header, Body: r.item.Body,
+		ID: r.item.ID, Method: http.MethodPost, Target: r.item.Path, Host: r.job.host, Header: header, Body: r.item.Body,
 		IsOwnResponse: func(answered http.Header) bool {
 			return s.Headers.Answer(http.StatusOK, answered).RequestID == r.item.ID
 		},
--- a/internal/passthrough/engineconn/conn.go
+++ b/internal/passthrough/engineconn/conn.go
@@ -51,6 +51,8 @@
 
 // Request is a request to an engine.
 type Request struct {
+	// ID is the request's id; empty if answers do not name it. A connection carries one run of an id.
+	ID     string
 	Method string
 	Target string // path and query, as the client sent them
 	Host   string
@@ -72,6 +74,7 @@
 	idleSince time.Time
 	maxIdle   time.Duration
 	closed    atomic.Bool
+	carried   carriedIDs
 }
 
 func (c *conn) close() {
@@ -213,6 +216,7 @@
 	stop := context.AfterFunc(ctx, c.close)
 	exchange := &Exchange{conn: c, stop: stop, Reused: c.uses > 0, written: make(chan error, 1)}
 	c.uses++
+	c.carried.add(request.ID)
 	if deadline, ok := ctx.Deadline(); ok {
 		_ = c.raw.SetDeadline(deadline)
 	}
--- a/internal/passthrough/engineconn/conn_test.go
+++ b/internal/passthrough/engineconn/conn_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"io"
 	"net/http"
 	"net/http/httptest"
@@ -86,3 +87,58 @@
 		}
 	}
 }
+
+// TestConnectionCarriesOneRunOfAnID guards against an answer to an earlier run of a request in the place of
+// the next. A surplus answer may come late, in the place of the next answer on its connection, and its id
+// tells two runs of one request not apart.
+func TestConnectionCarriesOneRunOfAnID(t *testing.T) {
+	answer := func(id, body string) string {
+		return fmt.Sprintf("HTTP/1.1 200 OK\r\nId: %s\r\nContent-Length: %d\r\n\r\n%s", id, len(body), body)
+	}
+	server := httptest.NewServer(http.HandlerFunc(func(to http.ResponseWriter, first *http.Request) {
+		connection, buffered, err := http.NewResponseController(to).Hijack()
+		if err != nil {
+			return
+		}
+		defer connection.Close()
+		former := ""
+		for request := first; err == nil; request, err = http.ReadRequest(buffered.Reader) {
+			id := request.Header.Get("Id")
+			_, _ = io.WriteString(connection, former+answer(id, request.URL.Path))
+			former = answer(id, request.URL.Path) // comes once more in the place of the next answer
+		}
+	}))
+	defer server.Close()
+	pool := New(DefaultConfig())
+	key := Key{Engine: enginechoice.Incarnation{ID: "e"}, Address: strings.TrimPrefix(server.URL, "http://")}
+	for _, run := range []struct {
+		id, path string
+		reused   bool
+	}{{"a", "/1", false}, {"a", "/2", false}, {"b", "/3", true}, {"a", "/4", false}, {"c", "/5", true}, {"b", "/6", true}} {
+		exchange, err := pool.Do(context.Background(), key, Request{
+			ID: run.id, Method: http.MethodGet, Target: run.path, Host: "engine", Header: http.Header{"Id": {run.id}},
+			IsOwnResponse:     func(header http.Header) bool { return header.Get("Id") == run.id },
+			OnSurplusResponse: func(http.Header) {},
+		})
+		if err != nil {
+			t.Fatal(err)
+		}
+		body, err := io.ReadAll(exchange)
+		if err != nil || string(body) != run.path || exchange.Reused != run.reused {
+			t.Errorf("run %s of %q: answer %q, connection reused: %t, want %t; error %v", run.path, run.id, body, exchange.Reused, run.reused, err)
+		}
+		exchange.Close()
+	}
+}
+
+// TestCarriedIDsAreBounded checks that a connection knows the ids of its latest requests, and not those of
+// all.
+func TestCarriedIDsAreBounded(t *testing.T) {
+	var carried carriedIDs
+	for i := range 3 * maxCarriedIDs {
+		carried.add(fmt.Sprint(i))
+	}
+	if latest := fmt.Sprint(3*maxCarriedIDs - 1); !carried.has(latest) || carried.has("0") || len(carried.ids) != maxCarriedIDs {
+		t.Errorf("has the latest: %t, has the first: %t, %d kept; want true, false, %d", carried.has(latest), carried.has("0"), len(carried.ids), maxCarriedIDs)
+	}
+}
--- a/internal/passthrough/engineconn/pool.go
+++ b/internal/passthrough/engineconn/pool.go
@@ -6,6 +6,7 @@
 	"errors"
 	"fmt"
 	"net"
+	"slices"
 	"sync"
 	"syscall"
 	"time"
@@ -58,7 +59,7 @@
 // Do sends a request to an engine and reads the head of the response. The end of ctx closes the
 // connection, also while the body is read. Errors wrap ErrNotSent or ErrBroken.
 func (p *Pool) Do(ctx context.Context, key Key, request Request) (*Exchange, error) {
-	connection := p.get(key)
+	connection := p.get(key, request.ID)
 	if connection == nil {
 		var err error
 		if connection, err = p.dial(ctx, key); err != nil {
@@ -94,18 +95,14 @@
 	return engines
 }
 
-// get returns the most recently used idle connection that is reusable, or nil if there is none.
-func (p *Pool) get(key Key) *conn {
+// get returns the most recently used idle connection that is reusable and has not carried a request with
+// the id, or nil if there is none.
+func (p *Pool) get(key Key, requestID string) *conn {
 	for {
-		p.mu.Lock()
-		list := p.idle[key]
-		if len(list) == 0 {
-			p.mu.Unlock()
+		connection := p.take(key, requestID)
+		if connection == nil {
 			return nil
 		}
-		connection := list[len(list)-1]
-		p.idle[key] = list[:len(list)-1]
-		p.mu.Unlock()
 		if time.Since(connection.idleSince) < connection.maxIdle && connection.reusable() {
 			return connection
 		}
@@ -113,6 +110,21 @@
 	}
 }
 
+// take removes and returns the most recently used idle connection that has not carried a request with the
+// id, or returns nil if there is none.
+func (p *Pool) take(key Key, requestID string) *conn {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	list := p.idle[key]
+	for i := len(list) - 1; i >= 0; i-- {
+		if connection := list[i]; !connection.carried.has(requestID) {
+			p.idle[key] = slices.Delete(list, i, i+1)
+			return connection
+		}
+	}
+	return nil
+}
+
 // put adds an idle connection to the pool, or closes it if the engine has enough of them.
 func (p *Pool) put(connection *conn) {
 	connection.idleSince = time.Now()
--- a/internal/passthrough/relay/attempt.go
+++ b/internal/passthrough/relay/attempt.go
@@ -135,7 +135,7 @@
 		context.AfterFunc(ctx, e.headTimer.Stop)
 	}
 	return engineconn.Request{
-		Method: e.call.Request.Method, Target: e.call.Request.RequestURI, Host: e.call.Request.Host,
+		ID: e.call.Demand.RequestID, Method: e.call.Request.Method, Target: e.call.Request.RequestURI, Host: e.call.Request.Host,
 		Header: header, Body: e.call.Body,
 		IsOwnResponse: func(answered http.Header) bool {
 			return e.headers.Answer(http.StatusOK, answered).RequestID == e.call.Demand.RequestID
