grant: suspect batch requests wait no longer than others

Cause: callers saw items under which engines had crashed open while engines had room. A batch request that is suspected of crashing engines waited without a bound for an engine without other suspects, and never got a reservation of memory, so that small requests that kept coming took the room which a large one needed. Found by reading, shown with two tests.

Change: a batch request waits two seconds at most to run isolated and then runs beside other suspects. A suspect for which engines lack memory is a candidate for the reservation, unless its content is in flight.

Measured: TestSuspectItemRunsBesideOtherSuspectsInTheEnd and TestLargeSuspectItemIsNotStarvedBySmallOnes (1 to 3 crashes) failed before and pass; all tests of the package pass with the race detector.

--- a/internal/core/grant/batchqueue.go
+++ b/internal/core/grant/batchqueue.go
@@ -76,11 +76,21 @@
 	}
 	d.batchStalls.ungranted(BatchWaitsForEngine, pass.slots)
 	if entry.ask.Suspect.Content != 0 {
-		return true // whether it may run depends on the other suspects
+		d.recordBlockedSuspect(pass, entry, now)
+		return true
 	}
 	return d.recordBlocked(pass, entry, now)
 }
 
+// recordBlockedSuspect records a suspect that no engine accepts. Other requests may be accepted, since
+// whether a suspect may run depends on the other suspects.
+func (d *Dispatcher) recordBlockedSuspect(pass *batchPass, entry *queuedAsk, now time.Time) {
+	room := d.engines.BatchRoom(d.query(entry, d.nodes[entry.Node]), now)
+	if room.Open && entry.MemoryTokens > room.HoldingTokens && !d.isInFlight(entry.ask.Suspect.Content) {
+		pass.lackMemory = append(pass.lackMemory, entry)
+	}
+}
+
 // recordBlocked records a request that no engine accepts. It returns false if no engine accepts any
 // further batch request.
 func (d *Dispatcher) recordBlocked(pass *batchPass, entry *queuedAsk, now time.Time) bool {
--- a/internal/core/grant/suspect.go
+++ b/internal/core/grant/suspect.go
@@ -12,6 +12,10 @@
 // suspects; running them again on separate engines shows which one causes the crashes.
 const isolationCrashes = 2
 
+// maxIsolationWait bounds how long a batch request waits to run isolated. Other suspects may run for longer
+// than it has time.
+const maxIsolationWait = 2 * time.Second
+
 // trackSuspect records an in-flight request if its content is a suspect.
 func (d *Dispatcher) trackSuspect(request *inFlightRequest) {
 	if request.suspect.Content != 0 {
@@ -40,12 +44,17 @@
 	maps.Copy(isolated.Exclude, avoid)
 	choice, found := d.engines.Pick(isolated, now)
 	startsNow := found && (entry.ask.Batch || choice.HasSlot())
-	if startsNow || (suspect.Crashes >= isolationCrashes && !entry.Place) {
+	if startsNow || (suspect.Crashes >= isolationCrashes && !d.mayRunBesideSuspects(entry, now)) {
 		return choice, startsNow
 	}
 	return d.engines.Pick(query, now)
 }
 
+// mayRunBesideSuspects reports whether a suspect that is to run isolated no longer waits for that.
+func (d *Dispatcher) mayRunBesideSuspects(entry *queuedAsk, now time.Time) bool {
+	return entry.Place || (entry.ask.Batch && now.Sub(entry.Since) >= maxIsolationWait)
+}
+
 // isInFlight reports whether a request with the suspected content is in flight.
 func (d *Dispatcher) isInFlight(content uint64) bool {
 	for request := range d.suspects {
--- a/internal/core/grant/suspect_test.go
+++ b/internal/core/grant/suspect_test.go
@@ -135,3 +135,56 @@
 		t.Errorf("granted %v while a request with the same content is in flight", granted)
 	}
 }
+
+// Guards against an item that waits for ever for an engine without other suspects, which run for long.
+func TestSuspectItemRunsBesideOtherSuspectsInTheEnd(t *testing.T) {
+	for name, crashes := range map[string]int{"one crash": 1, "isolated": isolationCrashes} {
+		b := newBatchLane(sizedEntries(2, engineMemory))
+		for id := range uint64(2) {
+			b.ask(Ask{ID: 1 + id, MemoryTokens: 100, DueIn: time.Minute, Suspect: Suspect{Content: 1 + id, Crashes: 5}})
+		}
+		b.run(2 * laneStep)
+		if len(b.begun) != 2 {
+			t.Fatalf("%s: %d suspects have begun, want 2", name, len(b.begun))
+		}
+		b.ask(Ask{ID: 3, MemoryTokens: 100, DueIn: time.Minute, Suspect: Suspect{Content: 3, Crashes: crashes}})
+		b.run(maxIsolationWait / 2)
+		if b.hasBegun(3) != (crashes < isolationCrashes) {
+			t.Errorf("%s: begun at an engine with another suspect: %t", name, b.hasBegun(3))
+		}
+		b.run(maxIsolationWait)
+		if !b.hasBegun(3) {
+			t.Errorf("%s: not begun after %v", name, maxIsolationWait)
+		}
+	}
+}
+
+// Guards against a suspect item whose prompt needs most of an engine, and that small items starve.
+func TestLargeSuspectItemIsNotStarvedBySmallOnes(t *testing.T) {
+	for crashes := 1; crashes <= isolationCrashes+1; crashes++ {
+		b := newBatchLane(sizedEntries(2, engineMemory))
+		next := uint64(1000)
+		addSmall := func() {
+			b.ask(Ask{ID: next, MemoryTokens: 200, DueIn: time.Second})
+			next++
+		}
+		for range 10 {
+			addSmall()
+		}
+		b.run(laneStep)
+		b.ask(Ask{ID: 1, MemoryTokens: 900, DueIn: time.Minute, Suspect: Suspect{Content: 1, Crashes: crashes}})
+		for range 50 {
+			b.run(laneStep)
+			addSmall()
+			if running := b.state.Held; len(running) > 0 {
+				b.end(running[0].ID)
+			}
+		}
+		if !b.hasBegun(1) {
+			t.Errorf("after %d crashes: no engine within %v", crashes, 50*laneStep)
+		}
+		if small := len(b.begun) - 1; small < 25 {
+			t.Errorf("after %d crashes: %d small requests have begun beside it, want 25 or more", crashes, small)
+		}
+	}
+}
