batch: items under which engines crashed are placed again

Cause: callers saw an item of a job open for half an hour after several engines had crashed while they ran it, although engines no longer crashed and had room. Items were judged by the quarantine as requests are: four crashes blocked an item's content, so did crashes under a request with the same content or with a part of its prompt, and a row in the store. Items are never requests that crash engines by themselves.

Change: only an operator's block holds an item. Crashes under an item are recorded under a digest of its own and under no part of its prompt. They block nothing, count as ends of engines for those who look for waves, and make a request beside the item no guiltier than before, up to the five crashes at which a pair is blocked. An item pauses for 0.05, 0.5, 1, 2 and then 4 s after each further crash, whichever node owns it. A complete run of an item ends no block of requests.

--- a/internal/core/quarantine/digest.go
+++ b/internal/core/quarantine/digest.go
@@ -57,7 +57,7 @@
 		_, _ = sum.Write(part)
 	}
 	digest := Digest(sum.Sum(nil)[:len(Digest{})])
-	if digest.IsPart() {
+	if digest.IsPart() || digest.IsItem() {
 		digest[0] = ^digest[0]
 	}
 	return digest
--- a/internal/core/quarantine/partledger.go
+++ b/internal/core/quarantine/partledger.go
@@ -269,7 +269,9 @@
 		crashed++
 		if ended := l.contents.engines[engine]; ended != nil {
 			for content := range ended.contents {
-				runs[content]++
+				if !content.IsItem() {
+					runs[content]++
+				}
 			}
 		}
 	}
--- a/internal/core/quarantine/quarantine.go
+++ b/internal/core/quarantine/quarantine.go
@@ -190,13 +190,13 @@
 	return crashes
 }
 
-// MostFrequentCrashes returns the crashes of parts and contents that have two or more crashes which
+// MostFrequentCrashes returns the crashes of parts and contents, without items, that have two or more crashes which
 // are not excused, those with the most crashes first. Half of them at most are of parts. It returns at most `most` crashes and leaves
 // out contents whose newest crash is older than `oldest`.
 func (l *Ledger) MostFrequentCrashes(most int, oldest time.Duration, now time.Time) []Crash {
 	var repeated []Digest
 	for content, record := range l.contents {
-		if record.unexcusedCrashes() >= 2 && now.Sub(record.newest) <= oldest {
+		if !content.IsItem() && record.unexcusedCrashes() >= 2 && now.Sub(record.newest) <= oldest {
 			repeated = append(repeated, content)
 		}
 	}
--- a/internal/core/quarantine/verdict.go
+++ b/internal/core/quarantine/verdict.go
@@ -36,7 +36,7 @@
 		return Verdict{}
 	}
 	verdict := Verdict{Crashes: record.unexcusedCrashes(), Until: record.newest.Add(l.config.Retention)}
-	if float64(verdict.Crashes) < l.config.CrashesToBlock || !now.Before(verdict.Until) {
+	if content.IsItem() || float64(verdict.Crashes) < l.config.CrashesToBlock || !now.Before(verdict.Until) {
 		return verdict
 	}
 	if l.evaluated == nil {
--- a/internal/events/passthrough.go
+++ b/internal/events/passthrough.go
@@ -41,14 +41,15 @@
 	ClientNotReading = Define(Event{Number: 8116, Name: "client does not read its answer", Level: zapcore.InfoLevel, Fields: []string{"request", "client", "blocked", "bytes", "elapsed"}})
 	RequestRefused   = Define(Event{Number: 8110, Name: "request refused, not run", Level: zapcore.InfoLevel, Fields: []string{"request", "reason", "retry_after", "queued", "per_second", "expected", "dispatcher", "prompt_tokens", "largest_memory", "pool", "routes_version"}})
 
-	EngineEnded    = Define(Event{Number: 8140, Name: "engine ended under a request", Level: zapcore.InfoLevel, Fields: []string{"request", "content", "engine", "parts", "crashes", "evidence", "blocked"}})
+	EngineEnded    = Define(Event{Number: 8140, Name: "engine ended under a request", Level: zapcore.InfoLevel, Fields: []string{"request", "content", "engine", "parts", "item", "crashes", "evidence", "blocked"}})
 	EngineLeft     = Define(Event{Number: 8141, Name: "engine that was leaving ended under a request", Level: zapcore.InfoLevel, Fields: []string{"request", "content", "engine"}})
 	ContentBlocked = Define(Event{Number: 8142, Name: "content blocked", Level: zapcore.WarnLevel, Fields: []string{"content", "part", "crashes", "evidence", "for", "source"}, Action: "Engines ended each time they ran a request with this content; requests with it are refused. See docs/operations/quarantine.md: find the caller by content in 8102 and keep the request for who looks after the engines' software. The block ends by itself; `ringstream quarantine` shows, lifts and sets blocks, those with source=operator too."})
 	ContentRefused = Define(Event{Number: 8143, Name: "request refused, its content is blocked", Level: zapcore.InfoLevel, Fields: []string{"request", "content", "blocked", "route", "tenant", "crashes", "evidence", "by_operator", "retry_after"}})
 	ContentExcused = Define(Event{Number: 8144, Name: "content excused", Level: zapcore.InfoLevel, Fields: []string{"request", "content", "part", "crashes"}})
 	CrashesLearned = Define(Event{Number: 8145, Name: "crashes learned", Level: zapcore.InfoLevel, Fields: []string{"source", "crashes", "contents"}})
 	CrashesKept    = Define(Event{Number: 8146, Name: "crashes kept in the store", Level: zapcore.InfoLevel, Fields: []string{"content", "crashes", "error"}})
-	ItemHeld       = Define(Event{Number: 8147, Name: "item held, its content is blocked", Level: zapcore.InfoLevel, Fields: []string{"job", "request", "content", "blocked", "crashes", "evidence", "for"}})
+	ItemHeld       = Define(Event{Number: 8147, Name: "item held or released", Level: zapcore.InfoLevel, Fields: []string{"job", "request", "epoch", "held", "content", "blocked", "for"}})
+	ItemPaused     = Define(Event{Number: 8148, Name: "item pauses, engines ended under it", Level: zapcore.InfoLevel, Fields: []string{"job", "request", "epoch", "content", "crashes", "for"}})
 
 	EngineSlow           = Define(Event{Number: 8160, Name: "engine is slow", Level: zapcore.InfoLevel, Fields: []string{"pool", "part", "engine", "slowness", "observations", "newest", "oldest"}, Action: "Work takes slowness times as long at this engine as at the others of its lane, by its last observations, the newest and oldest of these ages. It gets work only where that is better than waiting. See docs/operations/routing.md."})
 	EngineUsualSpeed     = Define(Event{Number: 8161, Name: "engine has the usual speed again", Level: zapcore.InfoLevel, Fields: []string{"pool", "part", "engine", "slow_for", "observations", "newest", "oldest"}})
--- a/internal/passthrough/batch/orders.go
+++ b/internal/passthrough/batch/orders.go
@@ -33,7 +33,8 @@
 // ErrBlockLength is returned for a block that is too short or too long.
 var ErrBlockLength = fmt.Errorf("a block lasts for more than 0 and at most %s", LongestBlock)
 
-// Read returns the contents that are recorded in the store, blocked ones first. The error names
+// Read returns the contents that are recorded in the store, blocked ones first. Items of jobs are not among
+// them, since their crashes block nothing. The error names
 // rows that cannot be decoded, which nodes ignore; the other contents are returned beside it.
 func (q Quarantine) Read(ctx context.Context) ([]KnownContent, error) {
 	rows, storeNow, err := q.list(ctx)
@@ -63,6 +64,9 @@
 	}
 	list := make([]KnownContent, 0, len(known))
 	for content, summary := range known {
+		if content.IsItem() {
+			continue
+		}
 		summary.Verdict, summary.Crashes = ledger.Verdict(content, now), ledger.Crashes(content, now)
 		list = append(list, *summary)
 	}
--- a/internal/passthrough/batch/owned.go
+++ b/internal/passthrough/batch/owned.go
@@ -31,7 +31,8 @@
 	refusals       int                      // consecutive runs that no engine started
 	text           progress
 	savedEvents    int  // number of events of text that the store has
-	held           bool // its content is blocked, and this was logged
+	held           bool // an operator has blocked its content, and this was logged
+	pausedFor      int  // number of crashes for which the last logged pause was
 	exceedsMemory  bool // its prompt is larger than the memory of each engine, and this was logged
 	failurePending bool // a failure is not written yet; the item does not run before it is
 	// finished is the final state of the item, not necessarily written yet; Open until then.
--- a/internal/passthrough/batch/requests.go
+++ b/internal/passthrough/batch/requests.go
@@ -24,7 +24,7 @@
 type requestGroup struct {
 	pool     string
 	software string // the only version that may run the items; empty if any will do
-	suspect  bool   // their content may crash engines, so that they run apart from each other
+	suspect  bool   // engines have ended under them, so that they run apart from each other
 	large    bool   // grant.IsLarge: they wait for an engine that is nearly idle
 }
 
@@ -90,8 +90,8 @@
 	})
 }
 
-// selectRequest adds the slot request of an item, unless its group is full, its content is blocked, or no
-// engine can hold its prompt.
+// selectRequest adds the slot request of an item, unless its group is full, an operator holds it, it pauses
+// after a crash, or no engine can hold its prompt.
 func (s *Service) selectRequest(pass *requestPass, next candidate, route resolvedRoute, due time.Time) {
 	pool := s.poolOf(next, route.route)
 	group := requestGroup{pool: pool, software: s.softwareOf(next, pool)}
@@ -101,17 +101,18 @@
 	query := relay.Query(pool, s.Headers.Demand(next.job.items[next.index].Header))
 	query.Batch, query.PreviousEngine = true, next.lastEngine
 	query.MaxBatchPercent, query.Software = s.config.MaxEnginePercent, group.software
-	if s.exceedsMemory(pass, next, query) || s.holdIfBlocked(next) {
+	identity := s.identityOf(next.job, next.job.items[next.index])
+	state := s.Guard.Item(identity)
+	if s.exceedsMemory(pass, next, query) || s.holdIfOrdered(next, identity, state) || s.pauseAfterCrash(next, identity, state) {
 		return
 	}
-	suspect := s.Guard.Suspect(s.identityOf(next.job, next.job.items[next.index]))
-	group.suspect, group.large = suspect.Content != 0, grant.IsLarge(query.MemoryTokens, s.largestMemory(pass, query))
+	group.suspect, group.large = state.Suspect.Content != 0, grant.IsLarge(query.MemoryTokens, s.largestMemory(pass, query))
 	if pass.taken[group] >= maxSlotRequests {
 		return
 	}
 	pass.taken[group]++
 	s.avoidSlowEngine(&query, next)
-	pass.requests = append(pass.requests, s.slotRequest(next, query, suspect, due, route))
+	pass.requests = append(pass.requests, s.slotRequest(next, query, state.Suspect, due, route))
 }
 
 // poolOf returns the pool in which an item waits for a slot. It stays the same while the item waits and
--- a/internal/passthrough/batch/run.go
+++ b/internal/passthrough/batch/run.go
@@ -95,7 +95,7 @@
 	wrote := s.writingTime(r)
 	ended := false
 	if end == runInterrupted && ctx.Err() == nil && engineconn.BrokenByEngine(err) {
-		ended = s.Guard.CheckBrokenRun(ctx, guard.Run{Request: r.item.ID, Identity: r.identity, Engine: r.engineKey(), Wrote: wrote})
+		ended = s.Guard.CheckBrokenRun(ctx, guard.Run{Request: r.item.ID, Identity: r.identity, Item: true, Engine: r.engineKey(), Wrote: wrote})
 	}
 	switch {
 	case end == runCompleted || end == runFailed || end == runRejected:
@@ -111,7 +111,7 @@
 	s.mu.Unlock()
 	s.forecast.observeRun(kept-before, time.Since(started), r.decision.Choice.Slowness)
 	if end == runCompleted {
-		s.Guard.RecordSuccess(r.item.ID, r.identity)
+		s.Guard.RecordItemSuccess(r.item.ID, r.identity)
 		s.forecast.observeItem(kept)
 	}
 	events.ItemRunEnded.Log(s.Logger, zap.String("job", r.job.id), zap.String("request", r.item.ID), zap.Int64("epoch", r.job.epoch),
--- a/internal/passthrough/batch/schedule.go
+++ b/internal/passthrough/batch/schedule.go
@@ -12,9 +12,11 @@
 	"ringstream.example/ringstream/internal/core/ordering"
 	"ringstream.example/ringstream/internal/core/passjob"
 	"ringstream.example/ringstream/internal/core/passroute"
+	"ringstream.example/ringstream/internal/core/quarantine"
 	"ringstream.example/ringstream/internal/core/tenant"
 	"ringstream.example/ringstream/internal/events"
 	"ringstream.example/ringstream/internal/passthrough/catalog"
+	"ringstream.example/ringstream/internal/passthrough/guard"
 	"ringstream.example/ringstream/internal/passthrough/slots"
 )
 
@@ -95,31 +97,46 @@
 	return route, found
 }
 
-// holdIfBlocked reports whether an item must not run because its content is blocked for crashing
-// engines. A held item stays open until its job expires or the block ends.
-func (s *Service) holdIfBlocked(next candidate) bool {
-	item := next.job.items[next.index]
-	identity := s.identityOf(next.job, item)
-	verdict, on := s.Guard.Verdict(identity)
-	if !verdict.Blocked {
+// heldRecheckInterval is the pause between two checks whether a held item may run.
+const heldRecheckInterval = time.Second
+
+// holdIfOrdered reports whether an item must not run because an operator has blocked its content or a part
+// of its prompt. A held item stays open until its job expires or the block ends.
+func (s *Service) holdIfOrdered(next candidate, identity quarantine.Identity, state guard.ItemState) bool {
+	held := state.Order.Blocked
+	s.mu.Lock()
+	work := &next.job.work[next.index]
+	changed := work.held != held
+	work.held = held
+	if held {
+		work.notBefore = time.Now().Add(heldRecheckInterval)
+	}
+	s.mu.Unlock()
+	if changed {
+		events.ItemHeld.Log(s.Logger, zap.String("job", next.job.id), zap.String("request", next.job.itemIDs[next.index]), zap.Int64("epoch", next.job.epoch), zap.Bool("held", held),
+			zap.Stringer("content", identity.Content), zap.Stringer("blocked", state.On), zap.Duration("for", time.Until(state.Order.Until)))
+	}
+	return held
+}
+
+// pauseAfterCrash reports whether an item must not run yet because an engine has ended under it.
+func (s *Service) pauseAfterCrash(next candidate, identity quarantine.Identity, state guard.ItemState) bool {
+	pause := time.Until(state.NotBefore)
+	if pause <= 0 {
 		return false
 	}
 	s.mu.Lock()
 	work := &next.job.work[next.index]
-	work.notBefore = time.Now().Add(heldRecheckInterval)
-	first := !work.held
-	work.held = true
+	isNew := work.pausedFor != state.Crashes
+	work.pausedFor = state.Crashes
 	s.mu.Unlock()
-	if first {
-		events.ItemHeld.Log(s.Logger, zap.String("job", next.job.id), zap.String("request", item.ID), zap.Stringer("content", identity.Content), zap.Stringer("blocked", on),
-			zap.Int("crashes", verdict.Crashes), zap.Float64("evidence", verdict.Evidence), zap.Duration("for", time.Until(verdict.Until)))
+	if isNew {
+		events.ItemPaused.Log(s.Logger, zap.String("job", next.job.id), zap.String("request", next.job.itemIDs[next.index]), zap.Int64("epoch", next.job.epoch),
+			zap.Stringer("content", identity.Content), zap.Int("crashes", state.Crashes), zap.Duration("for", pause))
 	}
 	return true
 }
 
-// heldRecheckInterval is the pause between two checks whether a held item may run.
-const heldRecheckInterval = time.Second
-
 // candidates returns the items that can run. Items on time come before late ones; within each group
 // they are ordered by tenant priority, deadline and position in the job.
 func (s *Service) candidates(tenants *tenant.Directory) []candidate {
--- a/internal/passthrough/guard/guard.go
+++ b/internal/passthrough/guard/guard.go
@@ -128,13 +128,14 @@
 type Run struct {
 	Request  string
 	Identity quarantine.Identity
+	Item     bool // an item of a job, under which crashes block nothing
 	Engine   engineconn.Key
 	// Wrote is the time from the run's first event until it broke; 0 if there was none.
 	Wrote time.Duration
 }
 
 // CheckBrokenRun checks whether the engine of a broken run has ended, and if so records the end as a crash
-// of the run's content and of the parts of its prompt. An engine that still listens may have restarted; its next entry shows
+// of the run's content and of the parts of its prompt, or of the item. An engine that still listens may have restarted; its next entry shows
 // this (see Restarted).
 func (s *Service) CheckBrokenRun(ctx context.Context, run Run) (ended bool) {
 	if s.Pool.ProcessEnded(ctx, run.Engine) {
@@ -159,12 +160,9 @@
 	now := time.Now()
 	newlyBlocked := make(map[quarantine.Digest]quarantine.Verdict)
 	s.mu.Lock()
-	suspects := run.Identity.Digests()
-	if run.Wrote >= quarantine.HarmlessAfter {
-		suspects = suspects[:1]
-		for _, part := range run.Identity.Parts {
-			s.excuse(part, now)
-		}
+	suspects := run.suspects()
+	for _, part := range s.harmlessParts(run, now) {
+		s.excuse(part, now)
 	}
 	for _, digest := range suspects {
 		crash := quarantine.Crash{Content: digest, Engine: grant.EngineHash(run.Engine.Engine)}
@@ -182,11 +180,11 @@
 			newlyBlocked[digest] = known
 		}
 	}
-	verdict := s.ledger.Verdict(run.Identity.Content, now)
+	verdict := s.ledger.Verdict(suspects[0], now)
 	s.mu.Unlock()
 	s.signalBoth()
 	s.Metrics.crashed()
-	events.EngineEnded.Log(s.Logger, zap.String("request", run.Request), zap.Stringer("content", run.Identity.Content), zap.Stringer("engine", run.Engine.Engine), zap.Stringers("parts", run.Identity.Parts),
+	events.EngineEnded.Log(s.Logger, zap.String("request", run.Request), zap.Stringer("content", run.Identity.Content), zap.Stringer("engine", run.Engine.Engine), zap.Stringers("parts", run.Identity.Parts), zap.Bool("item", run.Item),
 		zap.Int("crashes", verdict.Crashes), zap.Float64("evidence", verdict.Evidence), zap.Bool("blocked", verdict.Blocked))
 	for digest, known := range newlyBlocked {
 		s.reportBlocked(true, digest, known, "own run")
@@ -198,10 +196,15 @@
 	if len(identity.Parts) == 0 && !s.hasRecords.Load() {
 		return
 	}
+	s.recordComplete(request, identity.Digests())
+}
+
+// recordComplete excuses the crashes of contents and parts.
+func (s *Service) recordComplete(request string, digests []quarantine.Digest) {
 	now := time.Now()
 	cleared := make(map[quarantine.Digest]int)
 	s.mu.Lock()
-	for _, digest := range identity.Digests() {
+	for _, digest := range digests {
 		if crashes := s.excuse(digest, now); crashes > 0 {
 			cleared[digest] = crashes
 		}
