soak: numbers that go back

Cause: the users saw numbers go back. The soak asked for positions that had been read only later than 1 s after, and never looked at next_token.

Change: a life of a node's process never shows fewer results of a job than it has shown before (listed_results_do_not_go_back), and next_token is the position behind the last result (next_position_is_right). Versions of routes in a life and event ids are judged already.

Measured: go test ./internal/bench/soak; planted faults are accused, and a read from behind the results is not.

--- a/internal/bench/soak/judge.go
+++ b/internal/bench/soak/judge.go
@@ -47,6 +47,8 @@
 	results map[int]platformtest.Result
 	// firstReads holds when and where each position was first read.
 	firstReads map[int]firstRead
+	// listed holds the most results that each life of a node's process has shown.
+	listed map[nodeLife]listedRead
 }
 
 // judge records what callers saw, and compares it with what engines ran.
@@ -166,6 +168,7 @@
 	defer j.mu.Unlock()
 	job.results = make(map[int]platformtest.Result)
 	job.firstReads = make(map[int]firstRead)
+	job.listed = make(map[nodeLife]listedRead)
 	job.submitted = time.Now()
 	j.jobs = append(j.jobs, job)
 }
--- a/internal/bench/soak/stays.go
+++ b/internal/bench/soak/stays.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"ringstream.example/ringstream/internal/wait"
+	"ringstream.example/ringstream/platform/platformtest"
 )
 
 // visibilityBound is how long after the first read of a position of a job's results every
@@ -20,6 +21,7 @@
 // resultRead is one read of a job's results, starting at a position, as the reader saw it.
 type resultRead struct {
 	node        string
+	life        int // of the node's process throughout; 0 if it ended meanwhile
 	from        int
 	sent        time.Time // before the call started
 	answered    time.Time // after the whole answer was received
@@ -67,6 +69,7 @@
 	if first, seen := job.firstReads[read.from]; seen && read.sent.Sub(first.answered) > visibilityBound {
 		j.judgeReread(job, read, first)
 	}
+	j.judgeRepeatedRead(job, read)
 	var newPositions []int
 	for position := read.from; read.status == http.StatusOK && position < read.from+read.resultCount; position++ {
 		first, seen := job.firstReads[position]
@@ -80,6 +83,41 @@
 	return newPositions
 }
 
+// judgeNext judges the position at which an answer to a read from a position on says to go on.
+func (j *judge) judgeNext(job *jobRecord, from int, results platformtest.Results) {
+	if results.Next != from+len(results.Results) {
+		j.recordViolation("next_position_is_right", job.id, fmt.Sprintf("%d after %d results from %d on", results.Next, len(results.Results), from))
+	}
+}
+
+// nodeLife is one life of a node's process.
+type nodeLife struct {
+	node string
+	life int
+}
+
+// listedRead is the number of a job's results that a read has shown, and when it was answered.
+type listedRead struct {
+	count    int
+	answered time.Time
+}
+
+// judgeRepeatedRead judges a read by the former ones of the same job at the same life of a node's process, which
+// must not show more. The caller holds mu.
+func (j *judge) judgeRepeatedRead(job *jobRecord, read resultRead) {
+	if read.status != http.StatusOK || read.life == 0 {
+		return
+	}
+	at, shown := nodeLife{read.node, read.life}, read.from+read.resultCount
+	former := job.listed[at]
+	if shown < former.count && read.from < former.count && read.sent.After(former.answered) {
+		j.recordViolationLocked("listed_results_do_not_go_back", job.id, fmt.Sprintf("%s, life %d: %d results in a read sent %v after one with %d was answered", read.node, read.life, shown, read.sent.Sub(former.answered), former.count))
+	}
+	if read.resultCount > 0 && shown > former.count { // a read from behind the last result shows none of them
+		job.listed[at] = listedRead{count: shown, answered: read.answered}
+	}
+}
+
 // judgeReread counts a read of a position that had been read before, and records a violation if its
 // result is missing. The caller holds mu.
 func (j *judge) judgeReread(job *jobRecord, read resultRead, first firstRead) {
--- a/internal/bench/soak/stays_test.go
+++ b/internal/bench/soak/stays_test.go
@@ -143,3 +143,57 @@
 		t.Errorf("%d unfinished jobs are listed, want only j-open", len(undone))
 	}
 }
+
+// TestJudgeSeesResultsThatGoBack guards against a node that shows fewer results than it has shown before.
+func TestJudgeSeesResultsThatGoBack(t *testing.T) {
+	first := time.Now()
+	later := first.Add(time.Millisecond)
+	for name, test := range map[string]struct {
+		read     resultRead
+		wentBack bool
+	}{
+		"fewer":                           {resultRead{node: "n1", life: 1, sent: later, status: http.StatusOK, resultCount: 1}, true},
+		"none from a position that was":   {resultRead{node: "n1", life: 1, from: 1, sent: later, status: http.StatusOK}, true},
+		"as many":                         {resultRead{node: "n1", life: 1, sent: later, status: http.StatusOK, resultCount: 2}, false},
+		"none behind them":                {resultRead{node: "n1", life: 1, from: 2, sent: later, status: http.StatusOK}, false},
+		"at another node":                 {resultRead{node: "n2", life: 1, sent: later, status: http.StatusOK, resultCount: 1}, false},
+		"in the process's next life":      {resultRead{node: "n1", life: 2, sent: later, status: http.StatusOK, resultCount: 1}, false},
+		"over the end of a process":       {resultRead{node: "n1", sent: later, status: http.StatusOK, resultCount: 1}, false},
+		"sent before the former's answer": {resultRead{node: "n1", life: 1, sent: first.Add(-time.Second), status: http.StatusOK, resultCount: 1}, false},
+		"a node that is not sure":         {resultRead{node: "n1", life: 1, sent: later, status: http.StatusServiceUnavailable}, false},
+	} {
+		j := newJudge(testEvents)
+		job := &jobRecord{id: "j-1", items: []string{"i-1", "i-2", "i-3"}, accepted: true}
+		j.addJob(job)
+		j.recordRead(job, resultRead{node: "n1", life: 1, sent: first, answered: first, status: http.StatusOK, resultCount: 2})
+		j.recordRead(job, test.read)
+		if wentBack := j.violationCounts["listed_results_do_not_go_back"] == 1; wentBack != test.wentBack || (!wentBack && len(j.violations) > 0) {
+			t.Errorf("%s: violations %+v", name, j.violations)
+		}
+	}
+}
+
+// TestReadFromBehindTheResultsShowsNone guards against an accusation of a node that was asked for more than the
+// job had.
+func TestReadFromBehindTheResultsShowsNone(t *testing.T) {
+	now := time.Now()
+	j := newJudge(testEvents)
+	job := &jobRecord{id: "j-1", items: []string{"i-1", "i-2", "i-3"}, accepted: true}
+	j.addJob(job)
+	j.recordRead(job, resultRead{node: "n1", life: 1, from: 3, sent: now, answered: now, status: http.StatusOK})
+	j.recordRead(job, resultRead{node: "n1", life: 1, sent: now.Add(time.Second), status: http.StatusOK, resultCount: 1})
+	if len(j.violations) > 0 {
+		t.Errorf("violations %+v", j.violations)
+	}
+}
+
+// TestJudgeSeesAWrongNextPosition guards against a reader that is led past results or back.
+func TestJudgeSeesAWrongNextPosition(t *testing.T) {
+	for next, wrong := range map[int]bool{2: true, 3: false, 4: true} {
+		j := newJudge(testEvents)
+		j.judgeNext(&jobRecord{id: "j-1"}, 2, platformtest.Results{Next: next, Results: make([]platformtest.Result, 1)})
+		if seen := j.violationCounts["next_position_is_right"] == 1; seen != wrong {
+			t.Errorf("next %d: violations %+v", next, j.violations)
+		}
+	}
+}
--- a/internal/bench/soak/workload.go
+++ b/internal/bench/soak/workload.go
@@ -173,6 +173,9 @@
 	call.Wait = hold
 	reply := platformtest.Send(ctx, call)
 	read := resultRead{node: node.name, from: from, sent: sent, answered: time.Now(), undisturbed: s.undisturbedThroughout(node, before, sent)}
+	if node.condition().incarnation == before.incarnation {
+		read.life = before.incarnation
+	}
 	var results platformtest.Results
 	if reply.Err == nil {
 		read.status = reply.Status
@@ -184,6 +187,7 @@
 			return
 		}
 		read.resultCount = len(results.Results)
+		s.judge.judgeNext(job, from, results)
 		s.judge.addResults(job, from, results)
 	case http.StatusNotFound, http.StatusGone:
 		s.judge.recordViolation("taken_jobs_are_found", job.id, fmt.Sprintf("%s answered %d", node.name, reply.Status))
