soak: answers that end with their connection, and engines that end under them

Cause: a process that ends closes its connections with an ordinary end of file. The soak's engines answered in chunks only, and their proxies reset, so that a caller could always tell a break from the end of an answer.

Engines end as processes do under their answers, and leave as planned with slow last answers while nothing listens any more; restarts in place end connections in the same way. A result is judged when it is first read, so that counts are of items.

--- a/internal/bench/soak/judge.go
+++ b/internal/bench/soak/judge.go
@@ -81,6 +81,7 @@
 	parts          map[string]*partRecord // by id
 	partsReport    PartsReport
 	concentration  ConcentrationReport
+	framing        FramingReport
 }
 
 func newJudge(events int) *judge {
@@ -136,7 +137,7 @@
 	case strings.Contains(reply.Body, blockedCode):
 		j.recordViolationLocked("innocent_requests_are_not_blocked", record.id, fmt.Sprintf("%s: %.120q", record.route, reply.Body))
 	case reply.Status == http.StatusOK && body != platformtest.StreamAfter(record.id, record.after, j.events):
-		j.recordViolationLocked("whole_answer", record.id, fmt.Sprintf("%s: a success with another body: %.120q", record.route, reply.Body))
+		j.recordViolationLocked("whole_answer", record.id, fmt.Sprintf("%s: a success with another body: %s", record.route, describeEvents(streamEvents(reply.Body), reply.Body)))
 	case record.route == platformtest.RouteKeyed: // the expected status depends on the key
 	case reply.Status >= http.StatusBadRequest && reply.Status < http.StatusInternalServerError && !promisesNotRun(reply.Status):
 		j.recordViolationLocked("proper_requests_are_served", record.id, fmt.Sprintf("%s: status %d: %.120q", record.route, reply.Status, reply.Body))
@@ -200,8 +201,11 @@
 	if !slices.Contains(job.items, result.ID) {
 		j.recordViolationLocked("own_items_only", result.ID, job.id)
 	}
+	if seen && known == result {
+		return // it was judged when it was first read
+	}
 	if result.Succeeded() && platformtest.WithoutWriters(result.Text) != j.expectedText(result.ID) {
-		j.recordViolationLocked("whole_text", result.ID, fmt.Sprintf("%.120q", result.Text))
+		j.recordViolationLocked("whole_text", result.ID, describeEvents(textEvents(result.Text), result.Text))
 	}
 }
 
--- a/internal/bench/soak/proxy.go
+++ b/internal/bench/soak/proxy.go
@@ -56,6 +56,9 @@
 	p.set(linkReset)
 }
 
+// refuse makes the address refuse connections. The open ones go on.
+func (p *proxy) refuse() { _ = p.listener.Close() }
+
 // set changes the fault. linkReset also resets the open connections.
 func (p *proxy) set(fault linkFault) { p.change(fault, 0) }
 
--- a/internal/bench/soak/restarts.go
+++ b/internal/bench/soak/restarts.go
@@ -59,6 +59,7 @@
 	next := &engineLink{link: former.link, zone: former.zone}
 	next.Engine = former.Restart(time.Now().UnixMilli(), func(prepared *platformtest.Engine) {
 		prepared.Pace(eventInterval)
+		prepared.Frame(s.framing(uint64(len(s.engines))))
 		prepared.CrashOn(deadlyBodyPrefix, func() { s.engineEnded(next) })
 		prepared.CrashOnPart(deadlyPartPrefix, func() { s.engineEnded(next) })
 	})
--- a/internal/bench/soak/soak.go
+++ b/internal/bench/soak/soak.go
@@ -77,9 +77,11 @@
 	Streams       StreamsReport  `json:"streams"`
 	Parts         PartsReport    `json:"prompt_parts"`
 	// Concentration counts the requests while most new connections go to one node.
-	Concentration   ConcentrationReport `json:"connections_to_one"`
-	ViolationCounts map[string]int      `json:"broken"`     // number of violations by promise
-	Violations      []Violation         `json:"violations"` // the first violations of each promise
+	Concentration ConcentrationReport `json:"connections_to_one"`
+	// Framing counts the answers that end with their connection.
+	Framing         FramingReport  `json:"ends_with_connection"`
+	ViolationCounts map[string]int `json:"broken"`     // number of violations by promise
+	Violations      []Violation    `json:"violations"` // the first violations of each promise
 }
 
 // eventsPerAnswer is the number of events in each engine's answer, and eventInterval is the delay
@@ -214,6 +216,7 @@
 	engine := platformtest.NewEngine(s.engineID(s.lastEngineNumber), eventsPerAnswer)
 	engine.Pace(eventInterval)
 	engine.SignsEvents = true
+	engine.Frame(s.framing(uint64(s.lastEngineNumber))) //nolint:gosec // counts from 1
 	engine.Software = s.softwareVersion(s.lastEngineNumber)
 	engine.StartedAtMs = time.Now().UnixMilli()
 	link, err := newProxy(engine.Address())
@@ -320,6 +323,7 @@
 	series.Go(func() { s.injectTenantFaults(ctx) })
 	series.Go(func() { s.injectRestarts(ctx) })
 	series.Go(func() { s.injectBrokenStreams(ctx) })
+	series.Go(func() { s.injectEndings(ctx) })
 	series.Go(func() { s.injectDeadlyParts(ctx) })
 	series.Go(func() { s.injectConcentration(ctx) })
 	series.Go(func() { s.rollBuilds(ctx) })
@@ -398,7 +402,7 @@
 	report := Report{
 		Seed: s.options.Seed, Faults: make(map[string]int), Requests: len(j.requests), Statuses: j.statuses, Jobs: len(j.jobs),
 		Runs: s.counts["engine_runs"], Recovery: time.Duration(s.counts["recovery_ms"]) * time.Millisecond, ViolationCounts: j.violationCounts, Violations: j.violations,
-		Deadly: j.deadly.report, Rereads: j.rereads, Tenants: j.tenants, Restarts: j.restartsReport, Streams: j.streams, Parts: j.partsReport, Concentration: j.concentration,
+		Deadly: j.deadly.report, Rereads: j.rereads, Tenants: j.tenants, Restarts: j.restartsReport, Streams: j.streams, Parts: j.partsReport, Concentration: j.concentration, Framing: j.framing,
 	}
 	for name, count := range s.counts {
 		if name != "engine_runs" && name != "recovery_ms" {
--- a/internal/bench/soak/writers.go
+++ b/internal/bench/soak/writers.go
@@ -48,8 +48,22 @@
 	return events
 }
 
+// describeEvents tells the numbers of the events of an answer or text and the run that wrote the last one, or
+// how the text begins if it has no events.
+func describeEvents(events []writtenEvent, text string) string {
+	if len(events) == 0 {
+		return fmt.Sprintf("no whole event in %.120q", text)
+	}
+	var numbers []int
+	for _, event := range events {
+		numbers = append(numbers, event.number)
+	}
+	return fmt.Sprintf("events %v, the last of %s", numbers, events[len(events)-1].writer)
+}
+
 // concludeWriters judges which runs wrote the events of successes and of listed texts. The caller holds mu.
 func (j *judge) concludeWriters(byID map[string][]engineRun) {
+	j.framing = reportFraming(byID, j.events)
 	for _, request := range j.requests {
 		if request.reply.Status != http.StatusOK {
 			continue
