soak: long items, and engines that restart under a new id

Cause: an item's text is saved while it runs only from 60 events on, and the soak's had twelve: no owner ever went on from a saved text but after a planned stop. An engine that starts again in place kept its id, where the platform's get a new one.

Change: one item in 16 has 720 events; calls say how many tokens come out at most. A second kind of restart in place lists the next incarnation under an id of its own.

Conclusion: takeovers in the middle of a text are played and judged.

--- a/internal/bench/soak/endings.go
+++ b/internal/bench/soak/endings.go
@@ -94,7 +94,7 @@
 	Short int `json:"short"`
 }
 
-func reportFraming(byID map[string][]engineRun, events int) FramingReport {
+func (j *judge) reportFraming(byID map[string][]engineRun) FramingReport {
 	var report FramingReport
 	for _, runs := range byID {
 		for _, run := range runs {
@@ -102,7 +102,7 @@
 				continue
 			}
 			report.Answers++
-			if run.run.Wrote < events {
+			if run.run.Wrote < j.eventsOf(run.run.ID) {
 				report.Short++
 			}
 		}
--- a/internal/bench/soak/judge.go
+++ b/internal/bench/soak/judge.go
@@ -136,7 +136,7 @@
 	case reply.Err != nil:
 	case strings.Contains(reply.Body, blockedCode):
 		j.recordViolationLocked("innocent_requests_are_not_blocked", record.id, fmt.Sprintf("%s: %.120q", record.route, reply.Body))
-	case reply.Status == http.StatusOK && body != platformtest.StreamAfter(record.id, record.after, j.events):
+	case reply.Status == http.StatusOK && body != platformtest.StreamAfter(record.id, record.after, j.eventsOf(record.id)):
 		j.recordViolationLocked("whole_answer", record.id, fmt.Sprintf("%s: a success with another body: %s", record.route, describeEvents(streamEvents(reply.Body), reply.Body)))
 	case record.route == platformtest.RouteKeyed: // the expected status depends on the key
 	case reply.Status >= http.StatusBadRequest && reply.Status < http.StatusInternalServerError && !promisesNotRun(reply.Status):
@@ -209,9 +209,17 @@
 	}
 }
 
+// eventsOf returns the number of events of the whole answer to a request or item.
+func (j *judge) eventsOf(id string) int {
+	if strings.HasPrefix(id, longItemPrefix) {
+		return j.events * longItemFactor
+	}
+	return j.events
+}
+
 func (j *judge) expectedText(item string) string {
 	var lines []string
-	for event := 1; event <= j.events; event++ {
+	for event := 1; event <= j.eventsOf(item); event++ {
 		lines = append(lines, fmt.Sprintf("%s:%d", item, event))
 	}
 	return strings.Join(lines, "\n")
--- a/internal/bench/soak/restarts.go
+++ b/internal/bench/soak/restarts.go
@@ -22,10 +22,10 @@
 // restartStream is the random stream of engine restarts in place.
 const restartStream = 1 << 44
 
-// restartKinds lists the faults in which engines restart under the same id. They are drawn from
-// their own stream, like those of seriesKinds.
+// restartKinds lists the faults in which engines restart at the same address, under the same id or under a new
+// one. They are drawn from their own stream, like those of seriesKinds.
 func restartKinds() []fault {
-	return []fault{{"engine_restarts_in_place", 1, (*soak).restartEngine}}
+	return []fault{{"engine_restarts_in_place", 1, (*soak).restartEngine}, {"engine_restarts_under_new_id", 1, (*soak).renameEngine}}
 }
 
 // injectRestarts injects engine restarts until the time is up, and returns when all of them have
@@ -42,7 +42,7 @@
 	if former == nil {
 		return
 	}
-	next := s.startNextIncarnation(former)
+	next := s.startNextIncarnation(former, former.ID)
 	wait.For(ctx, randomDuration(random, 0, 800*time.Millisecond))
 	listed := time.Now()
 	s.store.List(next.Engine, former.zone, "ready")
@@ -50,14 +50,37 @@
 	s.recordFault()
 }
 
-// startNextIncarnation replaces an engine by its next incarnation.
-func (s *soak) startNextIncarnation(former *engineLink) *engineLink {
+// renameEngine does the same with an incarnation that has an id of its own. The entry of the former one goes
+// when the next one is listed.
+func (s *soak) renameEngine(ctx context.Context, random *rand.Rand) {
+	s.recordFault()
+	former := s.reserveEngine(random)
+	if former == nil {
+		return
+	}
+	next := s.startNextIncarnation(former, s.nextEngineID())
+	wait.For(ctx, randomDuration(random, 0, 800*time.Millisecond))
+	s.store.Unlist(former.Engine)
+	s.store.List(next.Engine, former.zone, "ready")
+	s.recordFault()
+}
+
+func (s *soak) nextEngineID() string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.lastEngineNumber++
+	return s.engineID(s.lastEngineNumber)
+}
+
+// startNextIncarnation replaces an engine by its next incarnation, which has the given id.
+func (s *soak) startNextIncarnation(former *engineLink, id string) *engineLink {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	former.CrashOn("", nil) // the next incarnation uses the same link
 	former.CrashOnPart("", nil)
 	next := &engineLink{link: former.link, zone: former.zone}
 	next.Engine = former.Restart(time.Now().UnixMilli(), func(prepared *platformtest.Engine) {
+		prepared.ID = id
 		prepared.Pace(eventInterval)
 		prepared.Frame(s.framing(uint64(len(s.engines))))
 		prepared.CrashOn(deadlyBodyPrefix, func() { s.engineEnded(next) })
--- a/internal/bench/soak/soak.go
+++ b/internal/bench/soak/soak.go
@@ -216,6 +216,7 @@
 	engine := platformtest.NewEngine(s.engineID(s.lastEngineNumber), eventsPerAnswer)
 	engine.Pace(eventInterval)
 	engine.SignsEvents = true
+	engine.EventsOf = s.judge.eventsOf
 	engine.Frame(s.framing(uint64(s.lastEngineNumber))) //nolint:gosec // counts from 1
 	engine.Software = s.softwareVersion(s.lastEngineNumber)
 	engine.StartedAtMs = time.Now().UnixMilli()
--- a/internal/bench/soak/workload.go
+++ b/internal/bench/soak/workload.go
@@ -32,6 +32,11 @@
 	maxJobTries    = 6
 	maxJobItems    = 4
 	jobEndInterval = 5 // one job in this many is ended
+	// One item in longItemInterval has longItemFactor times the events, so that its text is saved several times
+	// while it runs. Its id has longItemPrefix.
+	longItemInterval = 16
+	longItemFactor   = 60
+	longItemPrefix   = "l-"
 )
 
 // idGenerator generates unique ids.
@@ -109,7 +114,11 @@
 	for wait.For(ctx, jobPause) {
 		job := &jobRecord{id: s.ids.next("j"), refused: true}
 		for range 1 + random.IntN(maxJobItems) {
-			job.items = append(job.items, s.ids.next("i"))
+			prefix := "i"
+			if random.IntN(longItemInterval) == 0 {
+				prefix = "l"
+			}
+			job.items = append(job.items, s.ids.next(prefix))
 		}
 		s.judge.addJob(job)
 		s.submitJob(ctx, job, random)
@@ -122,7 +131,7 @@
 func (s *soak) submitJob(ctx context.Context, job *jobRecord, random *rand.Rand) {
 	for range maxJobTries {
 		node := s.nodes[random.IntN(len(s.nodes))]
-		reply := platformtest.Send(ctx, platformtest.SubmitJob(node.callerLink.address(), job.id, job.items))
+		reply := platformtest.Send(ctx, platformtest.SubmitItems(node.callerLink.address(), job.id, s.itemsOf(job)))
 		s.judge.mu.Lock()
 		job.accepted = job.accepted || (reply.Err == nil && reply.Status == http.StatusAccepted)
 		job.refused = job.refused && (reply.Err == nil && promisesNotRun(reply.Status) || reply.Err != nil && !reply.Sent)
@@ -134,6 +143,15 @@
 	}
 }
 
+// itemsOf returns a job's items as they are submitted.
+func (s *soak) itemsOf(job *jobRecord) []platformtest.Item {
+	var items []platformtest.Item
+	for _, id := range job.items {
+		items = append(items, platformtest.Item{ID: id, Body: "prompt of " + id, Events: s.judge.eventsOf(id)})
+	}
+	return items
+}
+
 func (s *soak) endJob(ctx context.Context, job *jobRecord, random *rand.Rand) {
 	wait.For(ctx, time.Duration(random.IntN(400))*time.Millisecond)
 	for range maxJobTries {
--- a/internal/bench/soak/writers.go
+++ b/internal/bench/soak/writers.go
@@ -54,16 +54,20 @@
 	if len(events) == 0 {
 		return fmt.Sprintf("no whole event in %.120q", text)
 	}
-	var numbers []int
-	for _, event := range events {
-		numbers = append(numbers, event.number)
+	var spans []string
+	first := 0
+	for i, event := range events {
+		if i+1 == len(events) || events[i+1].number != event.number+1 {
+			spans = append(spans, fmt.Sprintf("%d to %d", events[first].number, event.number))
+			first = i + 1
+		}
 	}
-	return fmt.Sprintf("events %v, the last of %s", numbers, events[len(events)-1].writer)
+	return fmt.Sprintf("events %s, the last of %s", strings.Join(spans, ", "), events[len(events)-1].writer)
 }
 
 // concludeWriters judges which runs wrote the events of successes and of listed texts. The caller holds mu.
 func (j *judge) concludeWriters(byID map[string][]engineRun) {
-	j.framing = reportFraming(byID, j.events)
+	j.framing = j.reportFraming(byID)
 	for _, request := range j.requests {
 		if request.reply.Status != http.StatusOK {
 			continue
