--- a/internal/bench/soak/judge.go
+++ b/internal/bench/soak/judge.go
@@ -47,6 +47,8 @@
 	results map[int]platformtest.Result
 	// firstReads holds when and where each position was first read.
 	firstReads map[int]firstRead
+	// listed holds the most results that each life of a node's process has shown.
+	listed map[nodeLife]listedRead
 }
 
 // judge records what callers saw, and compares it with what engines ran.
@@ -79,6 +81,7 @@
 	parts          map[string]*partRecord // by id
 	partsReport    PartsReport
 	concentration  ConcentrationReport
+	framing        FramingReport
 }
 
 func newJudge(events int) *judge {
@@ -133,8 +136,8 @@
 	case reply.Err != nil:
 	case strings.Contains(reply.Body, blockedCode):
 		j.recordViolationLocked("innocent_requests_are_not_blocked", record.id, fmt.Sprintf("%s: %.120q", record.route, reply.Body))
-	case reply.Status == http.StatusOK && body != platformtest.StreamAfter(record.id, record.after, j.events):
-		j.recordViolationLocked("whole_answer", record.id, fmt.Sprintf("%s: a success with another body: %.120q", record.route, reply.Body))
+	case reply.Status == http.StatusOK && body != platformtest.StreamAfter(record.id, record.after, j.eventsOf(record.id)):
+		j.recordViolationLocked("whole_answer", record.id, fmt.Sprintf("%s: a success with another body: %s", record.route, describeEvents(streamEvents(reply.Body), reply.Body)))
 	case record.route == platformtest.RouteKeyed: // the expected status depends on the key
 	case reply.Status >= http.StatusBadRequest && reply.Status < http.StatusInternalServerError && !promisesNotRun(reply.Status):
 		j.recordViolationLocked("proper_requests_are_served", record.id, fmt.Sprintf("%s: status %d: %.120q", record.route, reply.Status, reply.Body))
@@ -166,6 +169,7 @@
 	defer j.mu.Unlock()
 	job.results = make(map[int]platformtest.Result)
 	job.firstReads = make(map[int]firstRead)
+	job.listed = make(map[nodeLife]listedRead)
 	job.submitted = time.Now()
 	j.jobs = append(j.jobs, job)
 }
@@ -197,14 +201,25 @@
 	if !slices.Contains(job.items, result.ID) {
 		j.recordViolationLocked("own_items_only", result.ID, job.id)
 	}
+	if seen && known == result {
+		return // it was judged when it was first read
+	}
 	if result.Succeeded() && platformtest.WithoutWriters(result.Text) != j.expectedText(result.ID) {
-		j.recordViolationLocked("whole_text", result.ID, fmt.Sprintf("%.120q", result.Text))
+		j.recordViolationLocked("whole_text", result.ID, describeEvents(textEvents(result.Text), result.Text))
+	}
+}
+
+// eventsOf returns the number of events of the whole answer to a request or item.
+func (j *judge) eventsOf(id string) int {
+	if strings.HasPrefix(id, longItemPrefix) {
+		return j.events * longItemFactor
 	}
+	return j.events
 }
 
 func (j *judge) expectedText(item string) string {
 	var lines []string
-	for event := 1; event <= j.events; event++ {
+	for event := 1; event <= j.eventsOf(item); event++ {
 		lines = append(lines, fmt.Sprintf("%s:%d", item, event))
 	}
 	return strings.Join(lines, "\n")
--- a/internal/bench/soak/proxy.go
+++ b/internal/bench/soak/proxy.go
@@ -56,6 +56,9 @@
 	p.set(linkReset)
 }
 
+// refuse makes the address refuse connections. The open ones go on.
+func (p *proxy) refuse() { _ = p.listener.Close() }
+
 // set changes the fault. linkReset also resets the open connections.
 func (p *proxy) set(fault linkFault) { p.change(fault, 0) }
 
@@ -68,9 +71,19 @@
 	p.fault, p.delay = fault, delay
 	close(p.changed)
 	p.changed = make(chan struct{})
-	if fault != linkReset {
-		return
+	if fault == linkReset {
+		p.resetOpenLocked()
 	}
+}
+
+// resetOpen resets the open connections. New ones are forwarded as the fault has it.
+func (p *proxy) resetOpen() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.resetOpenLocked()
+}
+
+func (p *proxy) resetOpenLocked() {
 	for connection := range p.open {
 		reset(connection)
 	}
