batch: keep in the store which software versions have served a pool

A node that has just started knows the versions of the engines that are listed now, and not those whose last engine left before. What versions have served outlives the nodes from now on: one row a pool, among the quota rows of the table of jobs, which all nodes follow anyway.

The row lists each version with the time, on the store's clock, at which it was found to have left. A version that left within streamorigin.Retention, or that the row lists and no engine has, counts as one that may have begun a stream.

It is written by a compare, and only when the versions change: at once when one appears, after two seconds when one has left, so that nodes which list engines some hundred milliseconds apart don't contradict each other. Nodes wait in the order of a ranking. Nothing is read for it. Event 8334 logs each write.

Earlier builds list the part of the quota rows and ignore the values of rows that are no queue's. A part of its own they would not list: a node that follows one of them would lack the rows, and they would log each as unreadable.

--- a/internal/passthrough/batch/decode_test.go
+++ b/internal/passthrough/batch/decode_test.go
@@ -44,6 +44,7 @@
 			{Part: partQuotas, Key: "route", Value: []byte(value), Version: 8},
 			{Part: partCrashes, Key: value, Value: []byte(value), Version: 9},
 			{Part: partCrashes, Key: content + "/n2", Value: []byte(value), Version: 10},
+			{Part: partServed, Key: servedKey("pool"), Value: []byte(value), Version: 11},
 		})
 		if jobs := v.all(); len(jobs) != 1 || jobs[0].version != 1 {
 			t.Errorf("%q: jobs %+v", value, jobs)
@@ -54,6 +55,9 @@
 		if len(v.pendingCrashes) != 0 || v.quotaVersions["route"] != 8 {
 			t.Errorf("%q: crashes %+v, quotas %+v", value, v.pendingCrashes, v.quotaVersions)
 		}
+		if kept, _ := v.servedState("pool"); !kept.unreadable || kept.version != 11 || len(kept.served) != 0 {
+			t.Errorf("%q: software versions %+v", value, kept)
+		}
 	}
 }
 
@@ -204,6 +208,7 @@
 			{Part: partNodes, Key: key, Value: value, Version: 1},
 			{Part: partCrashes, Key: key, Value: value, Version: 1},
 			{Part: partQuotas, Key: key, Value: value, Version: 1},
+			{Part: partServed, Key: servedKey(key), Value: value, Version: 1},
 			{Part: "s00", Key: key, Value: value, Version: 1},
 		})
 		for _, job := range v.all() {
--- a/internal/passthrough/batch/service.go
+++ b/internal/passthrough/batch/service.go
@@ -148,7 +148,7 @@
 // Run runs the service until ctx ends. Leave must be called before that to hand over the jobs.
 func (s *Service) Run(ctx context.Context) error {
 	var group run.Group
-	for _, component := range []func(context.Context) error{s.follow, s.writeHeartbeats, s.writePulses, s.watchNodes, s.maintainOwnership, s.schedule, s.saveProgress, s.collect} {
+	for _, component := range []func(context.Context) error{s.follow, s.writeHeartbeats, s.writePulses, s.watchNodes, s.maintainOwnership, s.schedule, s.saveProgress, s.collect, s.keepServed} {
 		partCtx, cancel := context.WithCancel(ctx)
 		group.Add(func() error { return component(partCtx) }, func(error) { cancel() })
 	}
--- a/internal/passthrough/batch/view.go
+++ b/internal/passthrough/batch/view.go
@@ -58,6 +58,7 @@
 	logger *zap.Logger
 
 	mu              sync.Mutex // guards the fields below
+	listed          bool       // a whole listing was applied
 	jobs            map[string]*jobEntry
 	deletedVersions map[string]int64 // versions at which rows of jobs were deleted
 	nodes           map[string]*nodeView
@@ -65,6 +66,7 @@
 	generation     uint64
 	removedNodes   map[string]int64         // by incarnation id: the version at which the heartbeat row was removed
 	quotaVersions  map[string]int64         // versions of the quota rows, by key
+	served         map[string]servedState   // software versions of pools, by row key
 	crashes        map[string]crashRowState // by row key
 	pendingCrashes []pendingCrash           // from rows, not passed to the guard yet
 	jobWatchers    map[string]chan struct{} // by id of jobs that are not known yet
@@ -74,7 +76,7 @@
 func newView(config Config, logger *zap.Logger) *view {
 	return &view{
 		config: config, logger: events.RateLimited(logger), jobs: make(map[string]*jobEntry), deletedVersions: make(map[string]int64),
-		nodes: make(map[string]*nodeView), removedNodes: make(map[string]int64), quotaVersions: make(map[string]int64), crashes: make(map[string]crashRowState),
+		nodes: make(map[string]*nodeView), removedNodes: make(map[string]int64), quotaVersions: make(map[string]int64), served: make(map[string]servedState), crashes: make(map[string]crashRowState),
 		jobWatchers: make(map[string]chan struct{}), wake: make(chan struct{}, 1),
 	}
 }
@@ -98,6 +100,7 @@
 			v.removeJob(id, version)
 		}
 	}
+	v.listed = true
 	v.notify()
 }
 
@@ -128,6 +131,10 @@
 			v.applyNode(row)
 		}
 	case partQuotas:
+		if isServed(row) {
+			v.applyServed(row)
+			return
+		}
 		v.quotaVersions[row.Key] = max(v.quotaVersions[row.Key], row.Version)
 	case partCrashes:
 		v.applyCrashes(row)
--- a/internal/passthrough/catalog/engines.go
+++ b/internal/passthrough/catalog/engines.go
@@ -45,6 +45,8 @@
 	tableCopy      *Copy                      // the copy of the store's rows, for peers
 	fromPeers      map[string]passthrough.Row // rows from peers that tableCopy does not contain yet
 	checkedAgainst *passroute.Table           // the routes that the entries were last checked against
+	// listedSoftware holds the result of ListedSoftware; nil after a change of listed.
+	listedSoftware map[string][]string
 	// summarize is set while so many entries are applied that they are logged in one line.
 	summarize bool
 	// listedVersion is the version of the last listing. A row that the listing lacked was removed
@@ -196,6 +198,7 @@
 		return
 	}
 	delete(e.listed, id)
+	e.listedSoftware = nil
 	now := time.Now()
 	health := e.health()
 	storeFailed := !health.LastFailure.IsZero() && now.Sub(health.LastFailure) < storeFailureWindow
--- a/internal/passthrough/catalog/entries.go
+++ b/internal/passthrough/catalog/entries.go
@@ -25,7 +25,7 @@
 	next.entry.Pool, next.entry.Zone, next.entry.Software = e.intern(next.entry.Pool), e.intern(next.entry.Zone), e.intern(next.entry.Software)
 	next.refusal = e.refusalOf(next)
 	former, known := e.listed[id]
-	e.listed[id] = next
+	e.listed[id], e.listedSoftware = next, nil
 	if next.refusal == nil {
 		e.applyEntry(next.entry, next.version)
 		return
