origins: a node that has just started is no evidence of earlier versions

Clients got streams that hold events of engines of two software versions, without a sign of it. When all nodes start again while the last engines of a version leave, no node has a record of the streams, and each lists the remaining version only. A node took any answer of another one as covering the versions of the last minute, and a node without others its own list, also where these nodes had started a moment before. Event 8117 shows it: source only_version, with one answer or none, at nodes younger than the stream.

What a node knows of the versions counts as complete where it has read the versions kept in the store, or has listed the engines for as long as a stream lasts. Versions kept in the store count beside those that are listed. A node that knows one version only and whose knowledge is not complete gives no answer; so nodes of earlier builds that ask it don't take one for complete either, and no datagram changes. Until the rows are read, a stream of unknown origin is refused as before with 503 stream_software_unknown. Where one version has served, streams go on after a restart of all nodes.

Event 8117 logs whether the row was read, its versions, and how long the node has run.

Knowledge that is to cover a time has to say since when it does.

--- a/internal/events/passthrough.go
+++ b/internal/events/passthrough.go
@@ -36,7 +36,7 @@
 	NoRoute          = Define(Event{Number: 8107, Name: "no route", Level: zapcore.InfoLevel, Fields: []string{"request", "host", "path", "routes_version", "routes_age", "confirmed_age"}})
 	RequestTooBig    = Define(Event{Number: 8108, Name: "request body over the limit", Level: zapcore.InfoLevel, Fields: []string{"request", "limit", "confirmed_age"}})
 	NotReadable      = Define(Event{Number: 8109, Name: "request body not read", Level: zapcore.InfoLevel, Fields: []string{"request", "error"}})
-	OriginLookedUp   = Define(Event{Number: 8117, Name: "software version of a stream looked up", Level: zapcore.InfoLevel, Fields: []string{"request", "resumes", "pool", "software", "source", "from", "versions", "asked", "answered", "elapsed"}})
+	OriginLookedUp   = Define(Event{Number: 8117, Name: "software version of a stream looked up", Level: zapcore.InfoLevel, Fields: []string{"request", "resumes", "pool", "software", "source", "from", "versions", "row_read", "row_versions", "running_for", "asked", "answered", "elapsed"}})
 	OriginsRepeated  = Define(Event{Number: 8118, Name: "origins of streams sent again", Level: zapcore.InfoLevel, Fields: []string{"pool", "versions", "records"}})
 	ClientNotReading = Define(Event{Number: 8116, Name: "client does not read its answer", Level: zapcore.InfoLevel, Fields: []string{"request", "client", "blocked", "bytes", "elapsed"}})
 	RequestRefused   = Define(Event{Number: 8110, Name: "request refused, not run", Level: zapcore.InfoLevel, Fields: []string{"request", "reason", "retry_after", "queued", "per_second", "expected", "dispatcher", "prompt_tokens", "largest_memory", "pool", "routes_version"}})
--- a/internal/passthrough/edge/edge.go
+++ b/internal/passthrough/edge/edge.go
@@ -120,7 +120,8 @@
 		Engines: node.engines, Pool: node.pool, Logger: node.logger, Metrics: guard.NewMetrics(node.registry), Self: node.incarnation, Peers: node.peerAddresses, Seeds: node.seeds,
 	})
 	node.origins = origins.New(origins.Dependencies{
-		Engines: node.engines, Logger: node.logger, Peers: node.originPeers, Seeds: node.seeds, PeersKnown: node.hasNodeList, EnginesAge: node.enginesAge,
+		Engines: node.engines, Logger: node.logger, Peers: node.originPeers, Seeds: node.seeds, PeersKnown: node.hasNodeList, EnginesAge: node.engines.Age,
+		Served: func(pool string) ([]string, bool) { return node.batch.ServedVersions(pool) },
 	})
 	node.slots = slots.New(slots.Config{Limits: config.Limits, Scheduling: config.Scheduling}, slots.Dependencies{
 		Engines: node.engines, Logger: node.logger, Metrics: slots.NewMetrics(node.registry),
--- a/internal/passthrough/edge/sharer.go
+++ b/internal/passthrough/edge/sharer.go
@@ -46,9 +46,6 @@
 	return nodes
 }
 
-// enginesAge returns the time since the list of engines was last known to be complete.
-func (n *Node) enginesAge() time.Duration { return time.Since(n.engineFollower.Health().AsOf) }
-
 // Seeds implements sharing.Local.
 func (s *sharer) Seeds() []string { return s.node.seeds() }
 
--- a/internal/passthrough/origins/lookup.go
+++ b/internal/passthrough/origins/lookup.go
@@ -39,14 +39,14 @@
 	software, source := search.Result(false)
 	if source == streamorigin.Undecided {
 		s.askPeers(ctx, stream, search)
+		reliable := s.reliesOn(stream.Pool, search)
+		search.Add(s.evidence(stream.Pool, search.key)) // after reliesOn, which may have become true meanwhile
 		software, source = search.Result(true)
-		if source == streamorigin.OnlyVersion && !s.reliesOn(search) {
+		if source == streamorigin.OnlyVersion && !reliable {
 			software, source = "", streamorigin.NotFound
 		}
 	}
-	events.OriginLookedUp.Log(s.Logger, zap.String("request", stream.Request), zap.String("resumes", stream.Resumes), zap.String("pool", stream.Pool),
-		zap.String("software", software), zap.Stringer("source", source), zap.String("from", search.from), zap.Strings("versions", search.Versions()),
-		zap.Int("asked", len(search.asked)), zap.Int("answered", len(search.answered)), zap.Duration("elapsed", time.Since(started)))
+	s.logLookup(stream, search, software, source, started)
 	switch {
 	case ctx.Err() != nil:
 		return "", ctx.Err()
@@ -59,17 +59,27 @@
 	return software, nil
 }
 
+// logLookup logs what a lookup found and what it rests on.
+func (s *Service) logLookup(stream Stream, search *lookup, software string, source streamorigin.Source, started time.Time) {
+	served, rowRead := s.Served(stream.Pool)
+	events.OriginLookedUp.Log(s.Logger, zap.String("request", stream.Request), zap.String("resumes", stream.Resumes), zap.String("pool", stream.Pool),
+		zap.String("software", software), zap.Stringer("source", source), zap.String("from", search.from), zap.Strings("versions", search.Versions()),
+		zap.Bool("row_read", rowRead), zap.Strings("row_versions", served), zap.Duration("running_for", time.Since(s.started)),
+		zap.Int("asked", len(search.asked)), zap.Int("answered", len(search.answered)), zap.Duration("elapsed", time.Since(started)))
+}
+
 // reliesOn reports whether the evidence of a search covers the versions of all engines that may have
-// begun the stream. Another node's answer does, and so does a list of engines that this node has
-// known to be complete for as long as a stream lasts.
-func (s *Service) reliesOn(search *lookup) bool {
+// begun the stream. Another node's answer does, since a node whose own evidence does not cover them
+// gives none. A node that no other one answers needs a list of engines that it has known to be
+// complete for as long as a stream lasts.
+func (s *Service) reliesOn(pool string, search *lookup) bool {
 	if len(search.answered) > 0 {
 		return true
 	}
 	if len(search.asked) == 0 {
-		return s.transport == nil || s.PeersKnown()
+		return (s.transport == nil || s.PeersKnown()) && s.coversVersions(pool)
 	}
-	return s.EnginesAge() <= maxEnginesAge && time.Since(s.started) >= streamorigin.Retention
+	return s.hasListedLongEnough()
 }
 
 // askPeers asks the other nodes, and those again that do not answer, until the origin is known, all
--- a/internal/passthrough/origins/origins.go
+++ b/internal/passthrough/origins/origins.go
@@ -37,6 +37,10 @@
 	PeersKnown func() bool
 	// EnginesAge returns the time since the list of engines was last known to be complete.
 	EnginesAge func() time.Duration
+	// Served returns the versions that may have begun a stream of a pool within
+	// streamorigin.Retention, as nodes have kept them in the store. It returns false until they are
+	// read.
+	Served func(pool string) (versions []string, known bool)
 }
 
 const (
@@ -169,8 +173,7 @@
 	case len(message.Records) > 0:
 		s.addRecords(message.Records)
 	case message.Question != nil:
-		answer := streamorigin.Answer{ID: message.Question.ID, Key: message.Question.Key, Evidence: s.evidence(message.Question.Pool, message.Question.Key)}
-		s.transport.SendOrigins(from, streamorigin.Message{Answer: &answer})
+		s.answer(from, *message.Question)
 	case message.Answer != nil:
 		s.deliver(from, *message.Answer)
 	}
@@ -185,14 +188,41 @@
 	}
 }
 
+// answer answers a node's question. The node takes an answer without a record for one that covers the
+// versions of the last Retention, so this node gives none while it knows of one version only because
+// it has just started.
+func (s *Service) answer(to string, question streamorigin.Question) {
+	covered := s.coversVersions(question.Pool) // before the evidence, which may come to cover them meanwhile
+	evidence := s.evidence(question.Pool, question.Key)
+	if evidence.Software == "" && len(evidence.Versions) <= 1 && !covered {
+		return
+	}
+	answer := streamorigin.Answer{ID: question.ID, Key: question.Key, Evidence: evidence}
+	s.transport.SendOrigins(to, streamorigin.Message{Answer: &answer})
+}
+
+// coversVersions reports whether this node knows all versions of a pool's engines that may have begun
+// a stream within Retention: as kept in the store, or since it has listed the engines for that long.
+func (s *Service) coversVersions(pool string) bool {
+	_, known := s.Served(pool)
+	return known || s.hasListedLongEnough()
+}
+
+// hasListedLongEnough reports whether this node has listed the engines for as long as a stream lasts,
+// and still does.
+func (s *Service) hasListedLongEnough() bool {
+	return s.EnginesAge() <= maxEnginesAge && time.Since(s.started) >= streamorigin.Retention
+}
+
 // evidence returns what this node knows about a stream of a pool.
 func (s *Service) evidence(pool string, key streamorigin.Key) streamorigin.Evidence {
-	var versions []string
-	s.Engines.Use(func(set *enginechoice.Set, _ time.Time) { versions = set.SoftwareVersions(pool) })
+	versions, _ := s.Served(pool)
+	s.Engines.Use(func(set *enginechoice.Set, _ time.Time) { versions = append(versions, set.SoftwareVersions(pool)...) })
+	slices.Sort(versions)
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	software, _ := s.records.Software(key, time.Now())
-	return streamorigin.NewEvidence(software, versions)
+	return streamorigin.NewEvidence(software, slices.Compact(versions))
 }
 
 // deliver passes an answer to the lookup that asked for it. An answer to a question of an earlier
--- a/internal/passthrough/origins/origins_test.go
+++ b/internal/passthrough/origins/origins_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"testing"
@@ -50,6 +51,29 @@
 	name       string
 	enginesAge time.Duration
 	listsPeers atomic.Bool // the node has listed the others
+	served     atomic.Pointer[[]string]
+}
+
+// readServed is the node's Served. The versions kept in the store are read unless served is nil.
+func (n *testNode) readServed(string) (versions []string, known bool) {
+	if kept := n.served.Load(); kept != nil {
+		return slices.Clone(*kept), true
+	}
+	return nil, false
+}
+
+// keepServed sets the versions that all nodes have read from the store.
+func (n *network) keepServed(versions ...string) {
+	for _, node := range n.nodes {
+		node.served.Store(&versions)
+	}
+}
+
+// forgetServed makes all nodes ones that have not read the versions kept in the store yet.
+func (n *network) forgetServed() {
+	for _, node := range n.nodes {
+		node.served.Store(nil)
+	}
 }
 
 // SendOrigins implements Transport.
@@ -78,7 +102,9 @@
 				return made.othersOf(node.name)
 			},
 			Seeds: func() []string { return []string{"n0"} }, PeersKnown: node.listsPeers.Load, EnginesAge: func() time.Duration { return node.enginesAge },
+			Served: node.readServed,
 		})
+		node.served.Store(&[]string{})
 		node.listsPeers.Store(true)
 		node.UseTransport(node)
 		made.nodes[node.name] = node
--- /dev/null
+++ b/internal/passthrough/origins/restart_test.go
@@ -0,0 +1,94 @@
+package origins
+
+import (
+	"context"
+	"errors"
+	"testing"
+	"time"
+
+	"ringstream.example/ringstream/internal/core/streamorigin"
+)
+
+// Guards against streams over two versions when all nodes start again after the last engines of a
+// version left: each took the answer of another one that had just started for complete evidence.
+func TestNodesThatHaveJustStartedAreNoEvidence(t *testing.T) {
+	runInBubble(t, func(t *testing.T, ctx context.Context) {
+		n := newNetwork(ctx, 3, "v2")
+		n.forgetServed()
+		for _, node := range n.nodes {
+			if found, elapsed, err := node.find(ctx, "r"); !errors.Is(err, ErrNotFound) || elapsed > lookupTimeout+answerTimeout {
+				t.Errorf("%s: got %q, %v after %v", node.name, found, err, elapsed)
+			}
+		}
+	})
+}
+
+// A version that has left counts at nodes that started after that.
+func TestVersionKeptInTheStoreCounts(t *testing.T) {
+	runInBubble(t, func(t *testing.T, ctx context.Context) {
+		n := newNetwork(ctx, 3, "v2")
+		n.keepServed("v1", "v2")
+		if found, _, err := n.nodes["n1"].find(ctx, "r"); !errors.Is(err, ErrNotFound) {
+			t.Errorf("got %q, %v", found, err)
+		}
+	})
+}
+
+// Guards against refusals where only one version has served: a node that cannot read the versions kept
+// in the store goes by one that has read them.
+func TestNodeThatReadTheVersionsAnswersForOthers(t *testing.T) {
+	runInBubble(t, func(t *testing.T, ctx context.Context) {
+		n := newNetwork(ctx, 4, "v2")
+		n.forgetServed()
+		n.nodes["n2"].served.Store(&[]string{"v2"})
+		if found, _, err := n.nodes["n1"].find(ctx, "r"); err != nil || found != "v2" {
+			t.Errorf("one version: got %q, %v", found, err)
+		}
+		n.nodes["n2"].served.Store(&[]string{"v1", "v2"})
+		if found, _, err := n.nodes["n3"].find(ctx, "another"); !errors.Is(err, ErrNotFound) {
+			t.Errorf("two versions: got %q, %v", found, err)
+		}
+	})
+}
+
+// A record decides, whatever the node that has it knows of the versions.
+func TestNodeThatHasJustStartedTellsItsRecords(t *testing.T) {
+	runInBubble(t, func(t *testing.T, ctx context.Context) {
+		n := newNetwork(ctx, 3, "v2")
+		n.forgetServed()
+		n.nodes["n0"].Began(pool, "r", "v2")
+		if found, _, err := n.nodes["n1"].find(ctx, "r"); err != nil || found != "v2" {
+			t.Errorf("got %q, %v", found, err)
+		}
+	})
+}
+
+// Guards against evidence from before the versions were read that counts as complete once they are.
+func TestVersionsReadDuringALookupCount(t *testing.T) {
+	runInBubble(t, func(t *testing.T, ctx context.Context) {
+		n := newNetwork(ctx, 1, "v2")
+		n.forgetServed()
+		node := n.nodes["n0"]
+		node.listsPeers.Store(false)
+		node.Seeds = func() []string { return nil }
+		time.AfterFunc(answerTimeout/2, func() {
+			node.served.Store(&[]string{"v1"})
+			node.listsPeers.Store(true)
+		})
+		if found, _, err := node.find(ctx, "r"); !errors.Is(err, ErrNotFound) {
+			t.Errorf("got %q, %v", found, err)
+		}
+	})
+}
+
+// A node that has listed the engines for as long as a stream lasts needs no row of the store.
+func TestNodeThatHasRunForLongNeedsNoKeptVersions(t *testing.T) {
+	runInBubble(t, func(t *testing.T, ctx context.Context) {
+		n := newNetwork(ctx, 3, "v2")
+		n.forgetServed()
+		time.Sleep(streamorigin.Retention)
+		if found, _, err := n.nodes["n1"].find(ctx, "r"); err != nil || found != "v2" {
+			t.Errorf("got %q, %v", found, err)
+		}
+	})
+}
