batch: text of an unknown software version is not resumed

The text of an item that a build saved without the software version went on at the one version that a node listed. An item is open for far longer than nodes know of engines that have left, and a node that has just started knows none of them: its text could hold events of two versions. Not seen with callers; shown by a test.

Such an item starts anew, as one whose version has left does.

--- a/internal/passthrough/batch/software.go
+++ b/internal/passthrough/batch/software.go
@@ -19,12 +19,9 @@
 	if text.events == 0 {
 		return ""
 	}
-	software := text.software
+	software := text.software // empty in rows of a build that saved none
 	var goesOn, startsElsewhere bool
 	s.Engines.Use(func(set *enginechoice.Set, now time.Time) {
-		if versions := set.SoftwareVersions(pool); software == "" && len(versions) == 1 {
-			software = versions[0]
-		}
 		goesOn = software != "" && set.CanPick(enginechoice.Query{Pool: pool, Software: software}, now)
 		startsElsewhere = set.CanPick(enginechoice.Query{Pool: pool}, now)
 	})
--- a/internal/passthrough/batch/software_test.go
+++ b/internal/passthrough/batch/software_test.go
@@ -3,10 +3,14 @@
 import (
 	"encoding/json"
 	"testing"
+	"time"
 
 	"github.com/google/go-cmp/cmp"
+	"go.uber.org/zap"
 
+	"ringstream.example/ringstream/internal/core/enginechoice"
 	"ringstream.example/ringstream/internal/passthrough"
+	"ringstream.example/ringstream/internal/passthrough/catalog"
 )
 
 func partialRow(t *testing.T, index int, piece partial) passthrough.Row {
@@ -36,6 +40,27 @@
 	}
 }
 
+// Guards against texts that join events of two versions at a new owner. A build that saved no version
+// with the text of an item may have had it from any; the one version that is listed now need not be it.
+func TestTextOfUnknownSoftwareIsNotResumed(t *testing.T) {
+	for software, want := range map[string]string{"": "", "v2": "v2"} {
+		service := newTestService(&acceptingStore{})
+		service.Engines = catalog.NewEngines("n1", nil, nil, zap.NewNop())
+		service.Engines.Use(func(set *enginechoice.Set, now time.Time) {
+			set.Upsert(enginechoice.Entry{ID: "e1", Pool: "pool", Slots: 4, Software: "v2"}, enginechoice.Ready, now)
+		})
+		service.adopt(testRecord(1), 1, make([]passthrough.Item, 1))
+		job := service.ownedJobs()[0]
+		job.work[0].text = progress{pieces: []string{"a", "b"}, events: 2, lastEvent: "2", software: software}
+		if got := service.softwareOf(candidate{job: job}, "pool"); got != want {
+			t.Errorf("a text of version %q goes on at %q, want %q", software, got, want)
+		}
+		if kept := job.work[0].text.events; (kept > 0) != (want != "") {
+			t.Errorf("a text of version %q: %d events are kept", software, kept)
+		}
+	}
+}
+
 // Guards against rows that begin after events which the store does not have.
 func TestTextSavedBeforeAnItemStartedAnewDoesNotCount(t *testing.T) {
 	work := itemWork{text: progress{restarts: 1}}
