origins: only the versions that a node has read itself complete its evidence

A node that had not read the versions kept in the store yet went by the answer of another one.

Another node's answer adds versions and records. That the versions are complete, a node knows from the rows that it has read itself, or from having listed the engines for as long as a stream lasts.

Measured: TestAnswerOfAnotherNodeDoesNotStandForTheKeptVersions replaces TestNodeThatReadTheVersionsAnswersForOthers, whose first half asked for what is shown to be wrong.

--- a/internal/passthrough/origins/lookup.go
+++ b/internal/passthrough/origins/lookup.go
@@ -69,17 +69,18 @@
 }
 
 // reliesOn reports whether the evidence of a search covers the versions of all engines that may have
-// begun the stream. Another node's answer does, since a node whose own evidence does not cover them
-// gives none. A node that no other one answers needs a list of engines that it has known to be
-// complete for as long as a stream lasts.
+// begun the stream. This node's own evidence has to, since a node of an earlier build that has just
+// started answers as well. A node that no other one answers needs a list of engines that it has known
+// to be complete for as long as a stream lasts.
 func (s *Service) reliesOn(pool string, search *lookup) bool {
-	if len(search.answered) > 0 {
-		return true
-	}
-	if len(search.asked) == 0 {
+	switch {
+	case len(search.answered) > 0:
+		return s.coversVersions(pool)
+	case len(search.asked) == 0:
 		return (s.transport == nil || s.PeersKnown()) && s.coversVersions(pool)
+	default:
+		return s.hasListedLongEnough()
 	}
-	return s.hasListedLongEnough()
 }
 
 // askPeers asks the other nodes, and those again that do not answer, until the origin is known, all
--- a/internal/passthrough/origins/origins.go
+++ b/internal/passthrough/origins/origins.go
@@ -188,9 +188,9 @@
 	}
 }
 
-// answer answers a node's question. The node takes an answer without a record for one that covers the
-// versions of the last Retention, so this node gives none while it knows of one version only because
-// it has just started.
+// answer answers a node's question. Nodes of earlier builds take an answer without a record for one
+// that covers the versions of the last Retention, so this node gives none while it may know of one
+// version only because it has just started.
 func (s *Service) answer(to string, question streamorigin.Question) {
 	covered := s.coversVersions(question.Pool) // before the evidence, which may come to cover them meanwhile
 	evidence := s.evidence(question.Pool, question.Key)
--- a/internal/passthrough/origins/restart_test.go
+++ b/internal/passthrough/origins/restart_test.go
@@ -34,19 +34,29 @@
 	})
 }
 
-// Guards against refusals where only one version has served: a node that cannot read the versions kept
-// in the store goes by one that has read them.
-func TestNodeThatReadTheVersionsAnswersForOthers(t *testing.T) {
+// Guards against a node that has not read the versions kept in the store and goes by the answer of
+// another one. Earlier builds answer when they have just started, too.
+func TestAnswerOfAnotherNodeDoesNotStandForTheKeptVersions(t *testing.T) {
 	runInBubble(t, func(t *testing.T, ctx context.Context) {
 		n := newNetwork(ctx, 4, "v2")
-		n.forgetServed()
-		n.nodes["n2"].served.Store(&[]string{"v2"})
+		n.nodes["n1"].served.Store(nil)
+		if found, _, err := n.nodes["n1"].find(ctx, "r"); !errors.Is(err, ErrNotFound) {
+			t.Errorf("got %q, %v", found, err)
+		}
+		n.nodes["n1"].served.Store(&[]string{"v2"})
 		if found, _, err := n.nodes["n1"].find(ctx, "r"); err != nil || found != "v2" {
-			t.Errorf("one version: got %q, %v", found, err)
+			t.Errorf("once they are read: got %q, %v", found, err)
 		}
+	})
+}
+
+// The versions that another node has read from the store count at once.
+func TestVersionsThatAnotherNodeReadCount(t *testing.T) {
+	runInBubble(t, func(t *testing.T, ctx context.Context) {
+		n := newNetwork(ctx, 4, "v2")
 		n.nodes["n2"].served.Store(&[]string{"v1", "v2"})
-		if found, _, err := n.nodes["n3"].find(ctx, "another"); !errors.Is(err, ErrNotFound) {
-			t.Errorf("two versions: got %q, %v", found, err)
+		if found, _, err := n.nodes["n3"].find(ctx, "r"); !errors.Is(err, ErrNotFound) {
+			t.Errorf("got %q, %v", found, err)
 		}
 	})
 }
