ingress: a stream that is cut resets the connection of a client of HTTP/1.0

What callers saw: a client of HTTP/1.0 took a stream that was cut, by its engine's end or by its node's stop, for a whole one. Cause: an answer to HTTP/1.0 has neither a length nor chunks and ends with its connection. A cut stream closed the connection in an orderly manner. Evidence: TestCutStreamDoesNotLookWhole failed in 3 of 3 runs before, both of the HTTP/1.0 cases of TestStreamThatEndsWithItsNodeDoesNotLookWhole, after two events and after the last, in 3 of 3; those of HTTP/1.1 with Connection: close passed. Change: a connection of HTTP/1.0 is set to end with a reset from the head of a request until its answer is complete. Why it works: the setting is the kernel's, so it holds for a process that is killed as well; a whole answer ends in an orderly manner as before. Measured: both tests and TestWholeAnswersReachClientsThatCloseConnections pass, 10 of 10 runs. Conclusion: a kill of the process was not played; the stop of a node was, in process.

--- a/internal/passthrough/ingress/idle.go
+++ b/internal/passthrough/ingress/idle.go
@@ -1,6 +1,7 @@
 package ingress
 
 import (
+	"context"
 	"errors"
 	"net"
 	"net/http"
@@ -31,18 +32,53 @@
 	net.Conn
 	idleTimeout func() time.Duration
 	idle        atomic.Bool
+	unread      atomic.Bool // the peer has not read in time
 }
 
 // Write implements net.Conn. When the peer has not read in time, it makes Close discard what is still
 // unsent. The kernel would keep it for minutes otherwise.
 func (c *idleConn) Write(content []byte) (int, error) {
 	count, err := c.Conn.Write(content)
-	if tcp, ok := c.Conn.(*net.TCPConn); ok && errors.Is(err, os.ErrDeadlineExceeded) {
-		_ = tcp.SetLinger(0) // without it, only the memory is kept longer
+	if errors.Is(err, os.ErrDeadlineExceeded) {
+		c.unread.Store(true)
+		c.resetOnClose(true)
 	}
 	return count, err
 }
 
+// resetOnClose sets whether the connection is reset when it is closed, also if the process ends. A reset discards
+// what is still unsent.
+func (c *idleConn) resetOnClose(reset bool) {
+	tcp, ok := c.Conn.(*net.TCPConn)
+	if !ok {
+		return
+	}
+	if reset || c.unread.Load() {
+		_ = tcp.SetLinger(0) // fails only if the connection is closed
+		return
+	}
+	_ = tcp.SetLinger(-1)
+}
+
+// connectionKey is the key of a request's connection in its context.
+type connectionKey struct{}
+
+// withConnection adds a connection to the context of its requests. It is the server's ConnContext hook.
+func withConnection(ctx context.Context, connection net.Conn) context.Context {
+	return context.WithValue(ctx, connectionKey{}, connection)
+}
+
+// resetUntilComplete makes a connection that ends before complete is called end with a reset, if the client's
+// answers end with their connection. Without it, an answer that is cut would look complete.
+func resetUntilComplete(request *http.Request) (complete func()) {
+	connection, ok := request.Context().Value(connectionKey{}).(*idleConn)
+	if !ok || request.ProtoAtLeast(1, 1) {
+		return func() {}
+	}
+	connection.resetOnClose(true)
+	return func() { connection.resetOnClose(false) }
+}
+
 // SetReadDeadline implements net.Conn. net/http sets the deadline of an idle connection right after
 // it has reported the idle state to trackIdle.
 func (c *idleConn) SetReadDeadline(at time.Time) error {
--- a/internal/passthrough/ingress/ingress.go
+++ b/internal/passthrough/ingress/ingress.go
@@ -68,6 +68,7 @@
 		ReadHeaderTimeout: headerTimeout,
 		IdleTimeout:       defaultIdleTimeout,
 		ConnState:         trackIdle,
+		ConnContext:       withConnection,
 		ErrorLog:          zap.NewStdLog(dependencies.Logger.WithOptions(zap.IncreaseLevel(zap.ErrorLevel))),
 	}
 	return server
@@ -102,6 +103,13 @@
 
 // ServeHTTP implements http.Handler.
 func (s *Server) ServeHTTP(raw http.ResponseWriter, request *http.Request) {
+	complete := resetUntilComplete(request)
+	s.serveRequest(raw, request)
+	complete() // not after a panic, by which a call is cut
+}
+
+// serveRequest answers a request.
+func (s *Server) serveRequest(raw http.ResponseWriter, request *http.Request) {
 	s.Watch.Check() // brings Total up to date
 	received, suspended := time.Now(), s.Watch.Total()
 	s.inFlight.Add(1)
