batch: the text of an item that was started meanwhile is not discarded

Cause: items to start are selected from a list that is made before, without a lock. An item whose version had no engine started anew although a grant had begun to run it, or a run had finished it. And a slot that was requested before an item had text, for engines of any version, started it after a run had left text of one. Evidence: two of three cases of TestTextOfAnItemThatWasStartedIsKept failed in 3 of 3 runs before. TestItemGoesOnOnlyAtItsVersion ends with a panic in the run that is started if the check of the version is taken out. Change: an item that runs or is finished does not start anew and is not selected; a grant of an engine of another version than the text's is not taken, and the item asks anew. A run knows from its start after which event it goes on. Why it works: each of these is decided under the lock that startItem holds. Measured: go test ./internal/passthrough/batch, 3 of 3, and once with -race; the tests of platform about items, jobs, restarts and versions: pass.

--- a/internal/passthrough/batch/requests.go
+++ b/internal/passthrough/batch/requests.go
@@ -94,8 +94,9 @@
 // after a crash, or no engine can hold its prompt.
 func (s *Service) selectRequest(pass *requestPass, next candidate, route resolvedRoute, due time.Time) {
 	pool := s.poolOf(next, route.route)
-	group := requestGroup{pool: pool, software: s.softwareOf(next, pool)}
-	if pass.taken[group] >= maxSlotRequests {
+	software, waiting := s.softwareOf(next, pool)
+	group := requestGroup{pool: pool, software: software}
+	if !waiting || pass.taken[group] >= maxSlotRequests {
 		return
 	}
 	query := relay.Query(pool, s.Headers.Demand(next.job.items[next.index].Header))
--- a/internal/passthrough/batch/run.go
+++ b/internal/passthrough/batch/run.go
@@ -31,6 +31,8 @@
 	identity quarantine.Identity
 	route    *passroute.Route
 	decision slots.Decision
+	// lastEvent is the event after which the run goes on; empty: from the start.
+	lastEvent string
 }
 
 // identityOf returns what identifies an item in the quarantine. It is the same for a request with the
@@ -242,10 +244,7 @@
 
 func (s *Service) itemRequest(r itemRun) engineconn.Request {
 	header := r.item.Header.Clone()
-	s.mu.Lock()
-	lastEvent := r.job.work[r.index].text.lastEvent
-	s.mu.Unlock()
-	s.Headers.SetForEngine(header, passthrough.EngineRequest{Instance: r.decision.Choice.Entry.ID, LastEvent: lastEvent, Tenant: r.job.tenant})
+	s.Headers.SetForEngine(header, passthrough.EngineRequest{Instance: r.decision.Choice.Entry.ID, LastEvent: r.lastEvent, Tenant: r.job.tenant})
 	return engineconn.Request{
 		ID: r.item.ID, Method: http.MethodPost, Target: r.item.Path, Host: r.job.host, Header: header, Body: r.item.Body,
 		IsOwnResponse: func(answered http.Header) bool {
@@ -290,9 +289,7 @@
 
 // readEvents keeps each complete event. A response that ends within an event interrupts the run.
 func (s *Service) readEvents(ctx context.Context, r itemRun, response *engineconn.Exchange) (runOutcome, answerend.Evidence, error) {
-	s.mu.Lock()
-	splitter := relay.NewSplitter(r.job.work[r.index].text.lastEvent)
-	s.mu.Unlock()
+	splitter := relay.NewSplitter(r.lastEvent)
 	splitter.RequireSteps()
 	buffer := make([]byte, 16<<10)
 	var waited time.Duration // for the events to come
--- a/internal/passthrough/batch/schedule.go
+++ b/internal/passthrough/batch/schedule.go
@@ -220,6 +220,9 @@
 	s.mu.Lock()
 	work := &next.job.work[next.index]
 	stillWaiting := !s.leaving && work.slotRequestID == requestID && !work.running && work.finished == passjob.Open && next.job.runContext.Err() == nil
+	if stillWaiting && !work.text.mayGoOnAt(decision.Choice.Entry.Software) {
+		work.slotRequestID, stillWaiting = 0, false // the next request names the version
+	}
 	if !stillWaiting {
 		s.mu.Unlock()
 		return false
@@ -234,7 +237,7 @@
 		zap.Stringer("engine", decision.Choice.Entry.Incarnation()), zap.String("software", decision.Choice.Entry.Software), zap.Int("in_flight", decision.Choice.InFlight), zap.String("last_event", lastEvent),
 		zap.Stringer("chosen_by", decision.Source), zap.String("dispatcher", decision.From), zap.Duration("waited", decision.Waited),
 		zap.Int64("routes_version", routes.version), zap.Duration("routes_age", time.Since(routes.learned)))
-	go s.runItem(ctx, stop, itemRun{job: next.job, index: next.index, item: item, identity: s.identityOf(next.job, item), route: routes.route, decision: decision})
+	go s.runItem(ctx, stop, itemRun{job: next.job, index: next.index, item: item, identity: s.identityOf(next.job, item), route: routes.route, decision: decision, lastEvent: lastEvent})
 	return true
 }
 
--- a/internal/passthrough/batch/software.go
+++ b/internal/passthrough/batch/software.go
@@ -6,40 +6,50 @@
 	"go.uber.org/zap"
 
 	"ringstream.example/ringstream/internal/core/enginechoice"
+	"ringstream.example/ringstream/internal/core/passjob"
 	"ringstream.example/ringstream/internal/events"
 )
 
 // softwareOf returns the software version at which an item that has text goes on, or an empty string
 // if it may start at any. The item starts anew if its version is not known, or if no engine of it
-// accepts work while one of another version does.
-func (s *Service) softwareOf(next candidate, pool string) string {
+// accepts work while one of another version does. It is not waiting if a run has begun meanwhile.
+func (s *Service) softwareOf(next candidate, pool string) (software string, waiting bool) {
 	s.mu.Lock()
 	text := next.job.work[next.index].text
 	s.mu.Unlock()
 	if text.events == 0 {
-		return ""
+		return "", true
 	}
-	software := text.software // empty in rows of a build that saved none
+	software = text.software // empty in rows of a build that saved none
 	var goesOn, startsElsewhere bool
 	s.Engines.Use(func(set *enginechoice.Set, now time.Time) {
 		goesOn = software != "" && set.CanPick(enginechoice.Query{Pool: pool, Software: software}, now)
 		startsElsewhere = set.CanPick(enginechoice.Query{Pool: pool}, now)
 	})
 	if goesOn || (software != "" && !startsElsewhere) {
-		return software
+		return software, true
 	}
-	s.startAnew(next, software)
-	return ""
+	return "", s.startAnew(next, software)
 }
 
-// startAnew discards the text of an item that does not run.
-func (s *Service) startAnew(next candidate, software string) {
+// startAnew discards the text of an item, unless a run has begun since the item was selected.
+func (s *Service) startAnew(next candidate, software string) (waiting bool) {
 	s.mu.Lock()
 	work := &next.job.work[next.index]
+	if work.running || work.finished != passjob.Open {
+		s.mu.Unlock()
+		return false
+	}
 	discarded := work.text.events
 	work.text = progress{restarts: work.text.restarts + 1}
 	work.savedEvents, work.slotRequestID, work.slotPool = 0, 0, ""
 	s.mu.Unlock()
 	events.ItemStartedAnew.Log(s.Logger, zap.String("job", next.job.id), zap.String("request", next.job.items[next.index].ID), zap.Int64("epoch", next.job.epoch),
 		zap.String("software", software), zap.Int("events_discarded", discarded))
+	return true
+}
+
+// mayGoOnAt reports whether a run may add to the text at an engine of a software version.
+func (p *progress) mayGoOnAt(software string) bool {
+	return p.events == 0 || (p.software != "" && p.software == software)
 }
--- a/internal/passthrough/batch/software_test.go
+++ b/internal/passthrough/batch/software_test.go
@@ -9,8 +9,10 @@
 	"go.uber.org/zap"
 
 	"ringstream.example/ringstream/internal/core/enginechoice"
+	"ringstream.example/ringstream/internal/core/passjob"
 	"ringstream.example/ringstream/internal/passthrough"
 	"ringstream.example/ringstream/internal/passthrough/catalog"
+	"ringstream.example/ringstream/internal/passthrough/slots"
 )
 
 func partialRow(t *testing.T, index int, piece partial) passthrough.Row {
@@ -52,8 +54,8 @@
 		service.adopt(testRecord(1), 1, make([]passthrough.Item, 1))
 		job := service.ownedJobs()[0]
 		job.work[0].text = progress{pieces: []string{"a", "b"}, events: 2, lastEvent: "2", software: software}
-		if got := service.softwareOf(candidate{job: job}, "pool"); got != want {
-			t.Errorf("a text of version %q goes on at %q, want %q", software, got, want)
+		if got, waiting := service.softwareOf(candidate{job: job}, "pool"); got != want || !waiting {
+			t.Errorf("a text of version %q goes on at %q, waiting %t; want %q and true", software, got, waiting, want)
 		}
 		if kept := job.work[0].text.events; (kept > 0) != (want != "") {
 			t.Errorf("a text of version %q: %d events are kept", software, kept)
@@ -73,3 +75,49 @@
 		t.Errorf("%d events count as saved, want 60", work.savedEvents)
 	}
 }
+
+// TestItemGoesOnOnlyAtItsVersion guards against a grant by which an item goes on at an engine of another version than
+// the one that wrote its text. Its slot was requested before it had text.
+func TestItemGoesOnOnlyAtItsVersion(t *testing.T) {
+	text := progress{pieces: []string{"a"}, events: 1, lastEvent: "1", software: "v1"}
+	fromEarlierBuild := progress{pieces: []string{"a"}, events: 1, lastEvent: "1"}
+	if text.mayGoOnAt("v2") || !text.mayGoOnAt("v1") || fromEarlierBuild.mayGoOnAt("v2") || !(&progress{}).mayGoOnAt("v2") {
+		t.Error("a text goes on at another version or without one, or an item without text does not start")
+	}
+	fleet := newRequestTest(t)
+	job := fleet.addItems("job", "p", 1, 20)
+	job.work[0].text, job.work[0].slotRequestID = text, 7
+	decision := slots.Decision{Choice: enginechoice.Choice{Entry: enginechoice.Entry{ID: "e", Software: "v2"}}}
+	if fleet.service.startItem(candidate{job: job}, 7, decision, resolvedRoute{}) {
+		t.Error("the item was started at an engine of another version")
+	}
+	if job.work[0].slotRequestID != 0 {
+		t.Error("the item still waits under the request that was granted")
+	}
+}
+
+// TestTextOfAnItemThatWasStartedIsKept guards against a text whose beginning is discarded while a run adds to it, or
+// after a run has finished it. Items to start are selected without a lock, and a grant may start one meanwhile.
+func TestTextOfAnItemThatWasStartedIsKept(t *testing.T) {
+	for name, test := range map[string]struct {
+		change func(*itemWork)
+		kept   int
+	}{
+		"waits":    {change: func(*itemWork) {}, kept: 0},
+		"runs":     {change: func(work *itemWork) { work.running = true }, kept: 2},
+		"finished": {change: func(work *itemWork) { work.finished = passjob.Succeeded }, kept: 2},
+	} {
+		t.Run(name, func(t *testing.T) {
+			fleet := newRequestTest(t) // of engines of version v1
+			job := fleet.addItems("job", "p", 1, 20)
+			work := &job.work[0]
+			work.text = progress{pieces: []string{"a", "b"}, events: 2, lastEvent: "2", software: "v0"}
+			waiting := fleet.service.candidates(nil)
+			test.change(work)
+			fleet.service.selectRequests(fleet.known, waiting)
+			if work.text.events != test.kept {
+				t.Errorf("%d events are kept, want %d", work.text.events, test.kept)
+			}
+		})
+	}
+}
