soak: the test of an engine's end waits for events

Cause: the test ended the engine 50 ms after its run began. On a busy machine no event had been sent by then, so that the connection ended before the answer's head.

Change: it ends the engine when the third event is being written.

Conclusion: the test's own; what it asks for is the same.

--- a/internal/bench/soak/endings_test.go
+++ b/internal/bench/soak/endings_test.go
@@ -14,7 +14,7 @@
 	t.Helper()
 	engine := platformtest.NewEngine("e1", eventsPerAnswer)
 	t.Cleanup(engine.Close)
-	engine.Pace(10 * time.Millisecond)
+	engine.Pace(20 * time.Millisecond)
 	engine.Frame(func() platformtest.Framing { return platformtest.Framing{ByConnection: true, InParts: true} })
 	link, err := newProxy(engine.Address())
 	if err != nil {
@@ -44,7 +44,9 @@
 			replies <- platformtest.Send(context.Background(), platformtest.Call{Node: engine.link.address(), Method: http.MethodPost, Path: "/safe/x", ID: "r-1", Body: "x", Deadline: time.Minute})
 		}()
 		<-engine.Began()
-		time.Sleep(50 * time.Millisecond)
+		for engine.Runs()[0].Wrote < 3 { // the events before it have been sent
+			time.Sleep(time.Millisecond)
+		}
 		engine.link.refuse()
 		test.end(engine)
 		reply := <-replies
