soak: an engine that leaves ends under what outlasts it

Cause: an engine that leaves with slow answers was left running with a long item, which would have taken 144 s at its pace, so that the item was not done at the end of the soak.

--- a/internal/bench/soak/endings.go
+++ b/internal/bench/soak/endings.go
@@ -82,7 +82,8 @@
 	engine.link.refuse()
 	limited, cancel := context.WithTimeout(ctx, onlineDeadline)
 	defer cancel()
-	_ = engine.Leave(limited) // answers that last longer are cut at the end of the soak
+	_ = engine.Leave(limited)
+	engine.End() // under the items that outlast it
 	s.store.Unlist(engine.Engine)
 	s.recordFault()
 }
