soak: no answers that end with their connection beside an earlier build

Cause: nodes of builds before the fix take the end of a connection for the end of an answer, and an item's text does not tell which build read it, so that no roll from such a build could pass.

Measured: go test ./internal/bench/soak.

Conclusion: rolls judge what they judged before.

--- a/internal/bench/soak/endings.go
+++ b/internal/bench/soak/endings.go
@@ -16,14 +16,17 @@
 // framingStream is the first random stream of the framings of engines' answers.
 const framingStream = 1 << 47
 
-// framing returns a function that draws how an engine frames its answers.
+// framing returns a function that draws how an engine frames its answers. Beside nodes of an earlier build, which
+// may take the end of a connection for that of an answer, all are sent in chunks.
 func (s *soak) framing(number uint64) func() platformtest.Framing {
 	random := rand.New(rand.NewPCG(s.options.Seed, framingStream+number))
 	var mu sync.Mutex
 	return func() platformtest.Framing {
 		mu.Lock()
 		defer mu.Unlock()
-		return platformtest.Framing{ByConnection: random.IntN(3) == 0, InParts: random.IntN(3) == 0}
+		framing := platformtest.Framing{ByConnection: random.IntN(3) == 0, InParts: random.IntN(3) == 0}
+		framing.ByConnection = framing.ByConnection && s.options.PreviousBinary == ""
+		return framing
 	}
 }
 
