batch: an item whose last event has no id starts anew

Cause: an item that breaks off after an event without an id has text but no event to ask for, so that its next run began from the start and was added to that text.

Change: such an item starts anew, as one does whose software version has left.

Measured: go test ./internal/passthrough/batch; TestItemWithoutALastEventStartsAnew fails before ("4 events are kept after 0 new starts").

--- a/internal/passthrough/batch/software.go
+++ b/internal/passthrough/batch/software.go
@@ -10,7 +10,7 @@
 )
 
 // softwareOf returns the software version at which an item that has text goes on, or an empty string
-// if it may start at any. The item starts anew if its version is not known, or if no engine of it
+// if it may start at any. The item starts anew if its last event or its version is not known, or if no engine of it
 // accepts work while one of another version does.
 func (s *Service) softwareOf(next candidate, pool string) string {
 	s.mu.Lock()
@@ -19,6 +19,10 @@
 	if text.events == 0 {
 		return ""
 	}
+	if text.lastEvent == "" { // the event to go on after is not known
+		s.startAnew(next, text.software)
+		return ""
+	}
 	software := text.software // empty in rows of a build that saved none
 	var goesOn, startsElsewhere bool
 	s.Engines.Use(func(set *enginechoice.Set, now time.Time) {
--- a/internal/passthrough/batch/software_test.go
+++ b/internal/passthrough/batch/software_test.go
@@ -73,3 +73,18 @@
 		t.Errorf("%d events count as saved, want 60", work.savedEvents)
 	}
 }
+
+// Guards against a run from the start whose events are added to those of the run before it, of which the last had
+// no id.
+func TestItemWithoutALastEventStartsAnew(t *testing.T) {
+	owner := newTextOwner(make(map[string][]byte), 1)
+	owner.service.Engines = catalog.NewEngines("n1", nil, nil, owner.service.Logger)
+	owner.run("a", "v1", 3)
+	owner.job.work[0].text.add("", "an event without an id")
+	if software := owner.service.softwareOf(candidate{job: owner.job}, "pool"); software != "" {
+		t.Errorf("it goes on at %q, want any version", software)
+	}
+	if text := owner.job.work[0].text; text.events != 0 || text.restarts != 1 {
+		t.Errorf("%d events are kept after %d new starts, want none after 1", text.events, text.restarts)
+	}
+}
