--- a/internal/passthrough/batch/software.go
+++ b/internal/passthrough/batch/software.go
@@ -11,7 +11,7 @@
 )
 
 // softwareOf returns the software version at which an item that has text goes on, or an empty string
-// if it may start at any. The item starts anew if its version is not known, or if no engine of it
+// if it may start at any. The item starts anew if its last event or its version is not known, or if no engine of it
 // accepts work while one of another version does. It is not waiting if a run has begun meanwhile.
 func (s *Service) softwareOf(next candidate, pool string) (software string, waiting bool) {
 	s.mu.Lock()
@@ -20,6 +20,9 @@
 	if text.events == 0 {
 		return "", true
 	}
+	if text.lastEvent == "" { // the event to go on after is not known
+		return "", s.startAnew(next, text.software)
+	}
 	software = text.software // empty in rows of a build that saved none
 	var goesOn, startsElsewhere bool
 	s.Engines.Use(func(set *enginechoice.Set, now time.Time) {
