batch: a job whose body is missing at first is loaded later

Cause: callers may see a job that was taken over with all of its items open until it expires, or until its owner ends. The new owner gave up after six reads, over at most 0.8 s, in which the store lacked the body.

Change: a missing body is read again until it is there or the ownership ends. The sixth miss is logged, as before.

--- a/internal/passthrough/batch/owned.go
+++ b/internal/passthrough/batch/owned.go
@@ -106,7 +106,7 @@
 func (s *Service) load(job *ownedJob, record passjob.Record) {
 	items, err := s.loadItems(job.ctx, record)
 	if err != nil {
-		events.JobNotLoaded.Log(s.Logger, zap.String("job", record.ID), zap.Error(err))
+		s.logNotLoaded(record, err)
 		return
 	}
 	partials := s.loadProgress(job.ctx, record)
@@ -120,16 +120,19 @@
 	s.wakeScheduler()
 }
 
-// loadItems reads a job's items. It retries until the body is there, ctx ends, or the body is
-// reported missing after maxObjectMisses attempts.
+func (s *Service) logNotLoaded(record passjob.Record, err error) {
+	events.JobNotLoaded.Log(s.Logger, zap.String("job", record.ID), zap.Error(err))
+}
+
+// loadItems reads a job's items. It retries until the body is there or ctx ends.
 func (s *Service) loadItems(ctx context.Context, record passjob.Record) ([]passthrough.Item, error) {
 	for attempt := 0; ; attempt++ {
 		body, err := s.readBody(ctx, record)
 		if err == nil {
 			return s.parseItems(body, record)
 		}
-		if errors.Is(err, passthrough.ErrNotFound) && attempt >= maxObjectMisses {
-			return nil, err
+		if errors.Is(err, passthrough.ErrNotFound) && attempt == maxObjectMisses {
+			s.logNotLoaded(record, err)
 		}
 		if !wait.For(ctx, retryPause(attempt)) {
 			return nil, err
@@ -154,8 +157,7 @@
 	return items, nil
 }
 
-// maxObjectMisses is the number of failed attempts to read a body after which a missing body is not
-// retried.
+// maxObjectMisses is the number of failed attempts to read a body after which a missing body is logged.
 const maxObjectMisses = 5
 
 // readBody reads a job's body as it was submitted.
