soak: items that engines end under are judged by their pauses

Cause: the judge held items to the bound of requests, which are blocked: at most three runs later than 3 s after the third.

Change: requests keep their bound. The runs of an item under which engines end are bounded by its pauses, 0.05, 0.5, 1, 2 and 4 s from then on: 5 + (T - 3.55 s) / 4 s engines in T, and three more for owners that have not heard of the latest ends. New: engines stop ending under half of these items, and their jobs must be done in the end and are judged as all others.

--- a/internal/bench/soak/series.go
+++ b/internal/bench/soak/series.go
@@ -18,7 +18,7 @@
 func seriesKinds() []fault {
 	return []fault{
 		{"deadly_request", 3, (*soak).sendDeadly},
-		{"deadly_item", 1, (*soak).submitDeadlyJob},
+		{"deadly_item", 1, (*soak).submitUnluckyJob},
 		{"pauses_in_series", 2, (*soak).pauseNodeRepeatedly},
 		{"hang_ups_in_series", 2, (*soak).reloadSettingsRepeatedly},
 		{"stops_in_series", 2, (*soak).stopOverlapping},
