quarantine, grant: items are no cause of crashes that requests are blamed for

Cause: a request that crashes engines reached a fifth and sixth one where items ran beside it: crashes under items counted as those of a likelier cause, and suspects waited for engines without such items. Shown with the model of the quarantine, to which items were added.

Change: the digest of an item is no cause at any engine, and requests do not keep apart from items under which engines ended. Items still keep apart from requests that may crash engines, and from their own runs.

TestSuspectsDoNotAvoidItems failed before.

--- a/internal/core/grant/suspect.go
+++ b/internal/core/grant/suspect.go
@@ -67,13 +67,17 @@
 
 // enginesToAvoid returns the engines that a request should avoid. A suspect avoids engines
 // with any other suspect; other requests avoid only engines with a suspect that is to run
-// isolated.
+// isolated. Batch requests are suspects for themselves only: engines end while they run them,
+// but not because of them.
 func (d *Dispatcher) enginesToAvoid(suspect Suspect) map[enginechoice.Incarnation]bool {
 	if len(d.suspects) == 0 {
 		return nil
 	}
 	avoid := make(map[enginechoice.Incarnation]bool)
 	for request := range d.suspects {
+		if request.work.Batch {
+			continue
+		}
 		if suspect.Content != 0 || request.suspect.Crashes >= isolationCrashes {
 			avoid[request.engine] = true
 		}
--- a/internal/core/quarantine/item.go
+++ b/internal/core/quarantine/item.go
@@ -4,8 +4,7 @@
 
 // Items of jobs are no requests that crash engines: engines that end while they run one end for another
 // reason, and the item is still owed. Crashes under an item are recorded under a digest of its own. They
-// set how long the item pauses, tell which engines ended together, and make a content that ran beside the
-// item less likely to be the cause. They never block anything.
+// set how long the item pauses and tell which engines ended together. They never block anything.
 
 // itemMark begins the digests of items. No digest of a content or part begins with it.
 var itemMark = [...]byte{0x49, 0x54, 0x45, 0x4d}
