--- a/internal/explain/explain_test.go
+++ b/internal/explain/explain_test.go
@@ -101,6 +101,29 @@
 	}
 }
 
+// The story of an item under which engines ended has the ends, its pauses and the operator's block that holds
+// it, and not the ends under other items.
+func TestStoryOfAnItemIncludesItsPauses(t *testing.T) {
+	lines, err := Read(strings.NewReader(`
+{"ts":"2026-01-01T00:00:01Z","msg":"engine ended under a request","node":"n1","request":"i1","content":"c1","item":true,"engine":"e1","event":8140}
+{"ts":"2026-01-01T00:00:01Z","msg":"engine ended under a request","node":"n1","request":"i2","content":"c2","item":true,"engine":"e1","event":8140}
+{"ts":"2026-01-01T00:00:02Z","msg":"item pauses, engines ended under it","node":"n2","job":"j1","request":"i1","content":"c1","crashes":2,"for":0.5,"event":8148}
+{"ts":"2026-01-01T00:00:03Z","msg":"item held or released","node":"n2","job":"j1","request":"i1","content":"c1","held":true,"blocked":"c1","event":8147}
+`))
+	if err != nil {
+		t.Fatal(err)
+	}
+	text := Text(Timeline(lines, "i1", time.Second))
+	for _, part := range []string{"engine=e1 item=true request=i1", "crashes=2 for=0.5", "held=true"} {
+		if !strings.Contains(text, part) {
+			t.Errorf("%q is missing in\n%s", part, text)
+		}
+	}
+	if strings.Contains(text, "i2") {
+		t.Errorf("the story includes another item:\n%s", text)
+	}
+}
+
 func TestTooLongLineIsAnError(t *testing.T) {
 	if _, err := Read(strings.NewReader(strings.Repeat("x", maxLineBytes+1))); err == nil {
 		t.Error("a line over the length limit was skipped without an error")
