origins: a lookup waits for the versions kept in the store

Cause: a node accepts clients some moments before it has read which software versions have served. A client that took its stream up there in these moments was refused with 503 stream_software_unknown, though one version had served. Change: a lookup whose evidence is of one version waits, within the time of a lookup, until the node has read the versions.

--- a/internal/passthrough/origins/lookup.go
+++ b/internal/passthrough/origins/lookup.go
@@ -9,6 +9,7 @@
 
 	"ringstream.example/ringstream/internal/core/streamorigin"
 	"ringstream.example/ringstream/internal/events"
+	"ringstream.example/ringstream/internal/wait"
 )
 
 // Stream identifies a stream that a client takes up.
@@ -39,6 +40,7 @@
 	software, source := search.Result(false)
 	if source == streamorigin.Undecided {
 		s.askPeers(ctx, stream, search)
+		s.awaitVersions(ctx, stream.Pool, search, started.Add(lookupTimeout))
 		reliable := s.reliesOn(stream.Pool, search)
 		search.Add(s.evidence(stream.Pool, search.key)) // after reliesOn, which may have become true meanwhile
 		software, source = search.Result(true)
@@ -83,6 +85,19 @@
 	}
 }
 
+// versionsCheck is the interval at which a lookup looks whether the versions kept in the store are read.
+const versionsCheck = 10 * time.Millisecond
+
+// awaitVersions waits until this node has read the versions kept in the store, if the evidence of a search
+// is of one version only. A node that has just started accepts clients some moments before.
+func (s *Service) awaitVersions(ctx context.Context, pool string, search *lookup, deadline time.Time) {
+	if _, source := search.Result(true); source != streamorigin.OnlyVersion {
+		return
+	}
+	for !s.coversVersions(pool) && time.Now().Before(deadline) && wait.For(ctx, versionsCheck) {
+	}
+}
+
 // askPeers asks the other nodes, and those again that do not answer, until the origin is known, all
 // have answered, or lookupTimeout has passed.
 func (s *Service) askPeers(ctx context.Context, stream Stream, search *lookup) {
--- a/internal/passthrough/origins/restart_test.go
+++ b/internal/passthrough/origins/restart_test.go
@@ -91,6 +91,23 @@
 	})
 }
 
+// Guards against refusals by a node that accepts clients some moments before it has read the versions kept in
+// the store.
+func TestNodeThatHasJustStartedWaitsForTheKeptVersions(t *testing.T) {
+	runInBubble(t, func(t *testing.T, ctx context.Context) {
+		for _, nodes := range []int{1, 3} {
+			n := newNetwork(ctx, nodes, "v2")
+			node := n.nodes["n0"]
+			node.Seeds = func() []string { return nil }
+			node.served.Store(nil)
+			time.AfterFunc(lookupTimeout/2, func() { n.keepServed("v2") })
+			if found, elapsed, err := node.find(ctx, "r"); err != nil || found != "v2" || elapsed > lookupTimeout {
+				t.Errorf("%d nodes: got %q, %v after %v", nodes, found, err, elapsed)
+			}
+		}
+	})
+}
+
 // A node that has listed the engines for as long as a stream lasts needs no row of the store.
 func TestNodeThatHasRunForLongNeedsNoKeptVersions(t *testing.T) {
 	runInBubble(t, func(t *testing.T, ctx context.Context) {
