origins: a node that nobody answers goes by the versions kept in the store

A node that starts alone, after the other ones have ended, asks these until they are known to be dead. None answers, and it refused each stream of unknown origin for a minute after its start, also where one version had served all the time.

TestNodeThatNobodyAnswersReliesOnAFreshListOnly asks for the same as before, of a node that has not read the versions kept in the store; there was nothing to read when it was written.

--- a/internal/passthrough/origins/lookup.go
+++ b/internal/passthrough/origins/lookup.go
@@ -72,8 +72,7 @@
 
 // reliesOn reports whether the evidence of a search covers the versions of all engines that may have
 // begun the stream. This node's own evidence has to, since a node of an earlier build that has just
-// started answers as well. A node that no other one answers needs a list of engines that it has known
-// to be complete for as long as a stream lasts.
+// started answers as well. If no other node answers, the list of engines has to be fresh, too.
 func (s *Service) reliesOn(pool string, search *lookup) bool {
 	switch {
 	case len(search.answered) > 0:
@@ -81,7 +80,7 @@
 	case len(search.asked) == 0:
 		return (s.transport == nil || s.PeersKnown()) && s.coversVersions(pool)
 	default:
-		return s.hasListedLongEnough()
+		return s.EnginesAge() <= maxEnginesAge && s.coversVersions(pool)
 	}
 }
 
--- a/internal/passthrough/origins/origins.go
+++ b/internal/passthrough/origins/origins.go
@@ -205,13 +205,7 @@
 // a stream within Retention: as kept in the store, or since it has listed the engines for that long.
 func (s *Service) coversVersions(pool string) bool {
 	_, known := s.Served(pool)
-	return known || s.hasListedLongEnough()
-}
-
-// hasListedLongEnough reports whether this node has listed the engines for as long as a stream lasts,
-// and still does.
-func (s *Service) hasListedLongEnough() bool {
-	return s.EnginesAge() <= maxEnginesAge && time.Since(s.started) >= streamorigin.Retention
+	return known || (s.EnginesAge() <= maxEnginesAge && time.Since(s.started) >= streamorigin.Retention)
 }
 
 // evidence returns what this node knows about a stream of a pool.
--- a/internal/passthrough/origins/origins_test.go
+++ b/internal/passthrough/origins/origins_test.go
@@ -253,11 +253,12 @@
 	})
 }
 
-// A node that hears no other one relies on its own list only while that is fresh, and covers the time
-// that a stream lasts.
+// A node that hears no other one, and has not read the versions kept in the store, relies on its own
+// list only while that is fresh, and covers the time that a stream lasts.
 func TestNodeThatNobodyAnswersReliesOnAFreshListOnly(t *testing.T) {
 	runInBubble(t, func(t *testing.T, ctx context.Context) {
 		n := newNetwork(ctx, 3, "v1")
+		n.forgetServed()
 		n.setSilent("n1", true)
 		if found, _, err := n.nodes["n1"].find(ctx, "r"); !errors.Is(err, ErrNotFound) {
 			t.Errorf("just started: got %q, %v", found, err)
--- a/internal/passthrough/origins/restart_test.go
+++ b/internal/passthrough/origins/restart_test.go
@@ -119,3 +119,27 @@
 		}
 	})
 }
+
+// Guards against a survivor that refuses all streams for a minute after its start, because it asks nodes
+// that have ended and are not known to be dead. It relies on the versions kept in the store while its
+// list of engines is fresh.
+func TestNodeThatNobodyAnswersReliesOnTheKeptVersions(t *testing.T) {
+	runInBubble(t, func(t *testing.T, ctx context.Context) {
+		n := newNetwork(ctx, 3, "v2")
+		n.setSilent("n1", true)
+		node := n.nodes["n1"]
+		node.served.Store(&[]string{"v2"})
+		if found, elapsed, err := node.find(ctx, "r"); err != nil || found != "v2" || elapsed > lookupTimeout {
+			t.Errorf("one version: got %q, %v after %v", found, err, elapsed)
+		}
+		node.served.Store(&[]string{"v1", "v2"})
+		if found, _, err := node.find(ctx, "another"); !errors.Is(err, ErrNotFound) {
+			t.Errorf("two versions: got %q, %v", found, err)
+		}
+		node.served.Store(&[]string{"v2"})
+		node.enginesAge = 2 * maxEnginesAge
+		if found, _, err := node.find(ctx, "a third"); !errors.Is(err, ErrNotFound) {
+			t.Errorf("with an old list: got %q, %v", found, err)
+		}
+	})
+}
