soak: texts of items that ended engines are judged by all runs

Change: jobs are made ready in one place, and writers are judged by all runs before others are taken out; answers to requests with keys are judged with them.

--- a/internal/bench/soak/judge.go
+++ b/internal/bench/soak/judge.go
@@ -57,8 +57,6 @@
 	events  int // in each engine's answer
 	// judgeItemVersions is false while nodes of an earlier build run items at any version.
 	judgeItemVersions bool
-	// judgeWriters is true if the engines sign their events.
-	judgeWriters bool
 
 	mu              sync.Mutex // guards the rest
 	violations      []Violation
@@ -167,11 +165,16 @@
 func (j *judge) addJob(job *jobRecord) {
 	j.mu.Lock()
 	defer j.mu.Unlock()
+	job.begin()
+	j.jobs = append(j.jobs, job)
+}
+
+// begin makes a job ready for what its readers see.
+func (job *jobRecord) begin() {
 	job.results = make(map[int]platformtest.Result)
 	job.firstReads = make(map[int]firstRead)
 	job.listed = make(map[nodeLife]listedRead)
 	job.submitted = time.Now()
-	j.jobs = append(j.jobs, job)
 }
 
 // addResults judges the results that a reader of an accepted job received, starting at position
@@ -232,18 +235,20 @@
 	run      platformtest.Run
 }
 
-// conclude compares what callers saw with the engines' runs, and checks that each job that was
-// accepted and not ended is done.
-func (j *judge) conclude(runs []engineRun) {
+func runsByID(runs []engineRun) map[string][]engineRun {
 	byID := make(map[string][]engineRun)
 	for _, run := range runs {
 		byID[run.run.ID] = append(byID[run.run.ID], run)
 	}
+	return byID
+}
+
+// conclude compares what callers saw with the engines' runs, and checks that each job that was
+// accepted and not ended is done.
+func (j *judge) conclude(runs []engineRun) {
+	byID := runsByID(runs)
 	j.mu.Lock()
 	defer j.mu.Unlock()
-	if j.judgeWriters {
-		j.concludeWriters(byID)
-	}
 	for _, request := range j.requests {
 		j.concludeRequest(request, byID[request.id])
 		delete(byID, request.id)
--- a/internal/bench/soak/soak.go
+++ b/internal/bench/soak/soak.go
@@ -145,7 +145,6 @@
 		addresses: addresses{used: make(map[string]bool)}, counts: make(map[string]int),
 	}
 	s.judge.judgeItemVersions = options.PreviousBinary == ""
-	s.judge.judgeWriters = true
 	defer s.close()
 	if err := s.build(); err != nil {
 		return Report{}, err
@@ -346,6 +345,7 @@
 		}
 	}
 	s.counts["engine_runs"] = len(runs)
+	s.judge.concludeWriters(runs)
 	s.judge.concludeStreams()
 	s.judge.concludeConcentration()
 	s.judge.conclude(s.judge.concludeKeyed(s.judge.concludeDeadly(s.judge.concludeParts(runs)), s.keys))
--- a/internal/bench/soak/writers.go
+++ b/internal/bench/soak/writers.go
@@ -65,10 +65,17 @@
 	return fmt.Sprintf("events %s, the last of %s", strings.Join(spans, ", "), events[len(events)-1].writer)
 }
 
-// concludeWriters judges which runs wrote the events of successes and of listed texts. The caller holds mu.
-func (j *judge) concludeWriters(byID map[string][]engineRun) {
+// concludeWriters judges which of all runs wrote the events of successes and of listed texts.
+func (j *judge) concludeWriters(all []engineRun) {
+	byID := runsByID(all)
+	j.mu.Lock()
+	defer j.mu.Unlock()
 	j.framing = j.reportFraming(byID)
-	for _, request := range j.requests {
+	requests := slices.Clone(j.requests)
+	for _, keyed := range j.keyedRequests {
+		requests = append(requests, keyed.requestRecord)
+	}
+	for _, request := range requests {
 		if request.reply.Status != http.StatusOK {
 			continue
 		}
--- a/internal/bench/soak/writers_test.go
+++ b/internal/bench/soak/writers_test.go
@@ -63,9 +63,9 @@
 		"the seal of another engine":         {"answers_are_of_own_engines", 0, "e9", nil, []string{"1/c", "2/c", "3/c"}, []engineRun{anew}},
 	} {
 		j := newJudge(testEvents)
-		j.judgeWriters = true
 		reply := platformtest.Reply{Status: 200, Sent: true, Seal: platformtest.Seal(test.seal), Body: signedStream("r-1", test.events...), Err: test.err}
 		j.addAnswer(requestRecord{id: "r-1", route: routeResumable, reply: reply, after: test.after})
+		j.concludeWriters(test.runs)
 		j.conclude(test.runs)
 		if (test.promise == "") != (len(j.violations) == 0) || (test.promise != "" && (len(j.violations) != 1 || j.violations[0].Promise != test.promise)) {
 			t.Errorf("%s: violations %+v, want one of %q", name, j.violations, test.promise)
@@ -93,10 +93,10 @@
 		"goes on after an event that was not written": {[]string{"items_go_on_after_what_was_written"}, []string{"1/c", "2/c", "3/c"}, []engineRun{signedRun("i-1", "d", "2", now, 0), anew}},
 	} {
 		j := newJudge(testEvents)
-		j.judgeWriters = true
 		job := &jobRecord{id: "j-1", items: []string{"i-1"}, accepted: true}
 		j.addJob(job)
 		j.addResults(job, 0, platformtest.Results{Total: 1, Results: []platformtest.Result{{ID: "i-1", State: platformtest.StateSucceeded, Text: signedText("i-1", test.events...)}}})
+		j.concludeWriters(test.runs)
 		j.conclude(test.runs)
 		var seen []string
 		for _, violation := range j.violations {
@@ -107,3 +107,20 @@
 		}
 	}
 }
+
+// TestTextOfAnItemThatEndedEnginesIsJudged guards against an accusation of a text whose runs are judged apart from
+// others, and against a judge that has no place for its reads.
+func TestTextOfAnItemThatEndedEnginesIsJudged(t *testing.T) {
+	j := newJudge(testEvents)
+	job := &jobRecord{id: "j-1", items: []string{"d-1"}, accepted: true}
+	job.begin()
+	j.spare(deadlyBodyPrefix+"b-1", job)
+	j.recordRead(job, resultRead{node: "n1", life: 1, status: 200, resultCount: 1})
+	j.addResults(job, 0, platformtest.Results{Total: 1, Results: []platformtest.Result{{ID: "d-1", State: platformtest.StateSucceeded, Text: signedText("d-1", "1/a", "2/a", "3/a")}}})
+	run := signedRun("d-1", "a", "", time.Now(), 3)
+	run.run.Body = deadlyBodyPrefix + "b-1"
+	j.concludeWriters([]engineRun{run})
+	if len(j.violations) > 0 {
+		t.Errorf("violations %+v", j.violations)
+	}
+}
