soak: jobs of unlucky items have all of a job's records

Change: both are set up by one function. A released item logs no negative time.

Measured: TestJudgeSeesAnUnluckyItemThatIsNotDone reads such a job; it would panic before.

--- a/internal/bench/soak/judge.go
+++ b/internal/bench/soak/judge.go
@@ -167,10 +167,15 @@
 func (j *judge) addJob(job *jobRecord) {
 	j.mu.Lock()
 	defer j.mu.Unlock()
+	job.submitted = time.Now()
+	j.addJobLocked(job)
+}
+
+// addJobLocked adds a job whose time of submission is set. The caller holds mu.
+func (j *judge) addJobLocked(job *jobRecord) {
 	job.results = make(map[int]platformtest.Result)
 	job.firstReads = make(map[int]firstRead)
 	job.listed = make(map[nodeLife]listedRead)
-	job.submitted = time.Now()
 	j.jobs = append(j.jobs, job)
 }
 
--- a/internal/bench/soak/unlucky.go
+++ b/internal/bench/soak/unlucky.go
@@ -44,7 +44,7 @@
 // submitUnluckyJob submits a job of one unlucky item. After a while, engines no longer end under it or the job
 // is ended.
 func (s *soak) submitUnluckyJob(ctx context.Context, random *rand.Rand) {
-	job := &jobRecord{id: s.ids.next("j"), items: []string{s.ids.next("d")}, submitted: time.Now(), results: make(map[int]platformtest.Result), firstReads: make(map[int]firstRead)}
+	job := &jobRecord{id: s.ids.next("j"), items: []string{s.ids.next("d")}, submitted: time.Now()}
 	body := deadlyBodyPrefix + s.ids.next("b")
 	s.judge.addUnluckyItem(body)
 	for range maxJobTries {
@@ -85,7 +85,7 @@
 	j.mu.Lock()
 	defer j.mu.Unlock()
 	j.deadly.items[body] = time.Now()
-	j.jobs = append(j.jobs, job)
+	j.addJobLocked(job)
 }
 
 // isSpared reports whether engines no longer end under an item with a body.
--- a/internal/bench/soak/unlucky_test.go
+++ b/internal/bench/soak/unlucky_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"net/http"
 	"testing"
 	"time"
 
@@ -63,8 +64,9 @@
 func TestJudgeSeesAnUnluckyItemThatIsNotDone(t *testing.T) {
 	for _, done := range []bool{false, true} {
 		j := newJudge(testEvents)
-		job := &jobRecord{id: "j1", items: []string{"d1"}, accepted: true, results: make(map[int]platformtest.Result)}
+		job := &jobRecord{id: "j1", items: []string{"d1"}, accepted: true}
 		j.spare(deadlyBodyPrefix+"b", job)
+		j.recordRead(job, resultRead{node: "n1", life: 1, status: http.StatusOK, resultCount: 1})
 		if done {
 			job.results[0] = platformtest.Result{ID: "d1", State: "succeeded", Text: j.expectedText("d1")}
 		}
--- a/internal/passthrough/batch/schedule.go
+++ b/internal/passthrough/batch/schedule.go
@@ -114,7 +114,7 @@
 	s.mu.Unlock()
 	if changed {
 		events.ItemHeld.Log(s.Logger, zap.String("job", next.job.id), zap.String("request", next.job.itemIDs[next.index]), zap.Int64("epoch", next.job.epoch), zap.Bool("held", held),
-			zap.Stringer("content", identity.Content), zap.Stringer("blocked", state.On), zap.Duration("for", time.Until(state.Order.Until)))
+			zap.Stringer("content", identity.Content), zap.Stringer("blocked", state.On), zap.Duration("for", max(time.Until(state.Order.Until), 0)))
 	}
 	return held
 }
