engineconn, relay, batch: every part of an engine's answer is bounded

Cause An engine that sends bytes without end took the memory of a node, or held a request until its deadline. A head was read by http.ReadResponse, which has no limit, until the silence time-out; a surplus response and a rejection were read for as long as bytes came; a stream was passed on, and the text of an item kept, for as long as events came. Bytes at a slow pace moved the deadline of the next read each time. After too many events the stream went on at another engine, and looked complete; an item's text kept them. An engine whose bytes form no response counted as one that may have crashed.

Change A reader on the connection limits the heads of a request in bytes, and from the first byte of each in time. Rejections, error responses and surplus responses have small limits of bytes and time. X-Token-Count limits the events and bytes of a run, and a constant does if it is not given; only a whole event moves the deadline of the next. Each limit has a typed error that names the part and the limit, which the line of the run's end carries. Such a run has failed, its engine counts as faulty, and neither the limit's error nor a malformed response is evidence of a crash. A stream that exceeds its run's limits is cut if the client has events of it, and an item starts anew.

The body of a success that is not a stream may still come slowly until the request's deadline.

--- a/internal/passthrough/batch/run.go
+++ b/internal/passthrough/batch/run.go
@@ -121,6 +121,9 @@
 		zap.Stringer("engine", r.decision.Choice.Entry.Incarnation()), zap.Stringer("outcome", end), zap.Int("status", received.status), zap.Int("events_kept", kept),
 		zap.Duration("elapsed", time.Since(started)), zap.Error(err), zap.Stringer("content", r.identity.Content), zap.Bool("engine_ended", ended),
 		zap.String("delimited_by", received.framing), zap.Stringer("end_shown_by", received.endShownBy))
+	if errors.Is(err, relay.ErrUnsoundEvents) {
+		s.startAnew(candidate{job: r.job, index: r.index}, r.decision.Choice.Entry.Software)
+	}
 	s.updateItem(r, end)
 	s.wakeScheduler()
 }
@@ -264,26 +267,32 @@
 	answer.SetReadDeadline(time.Now().Add(eventTimeout))
 	switch {
 	case headers.NotRun:
-		_, _ = io.Copy(io.Discard, io.LimitReader(answer, refusalBodyLimit)) // so that the connection can be reused
+		err := answer.Discard()
 		if response.StatusCode == http.StatusMisdirectedRequest {
 			s.Engines.Use(func(set *enginechoice.Set, now time.Time) {
 				set.Remove(r.decision.Choice.Entry.Incarnation(), false, now)
 			})
 		}
-		return runNotStarted, answerend.None, nil
+		return runNotStarted, answerend.None, err
 	case response.StatusCode == http.StatusUnprocessableEntity && headers.Signed:
-		return runRejected, answerend.None, nil
+		return outcomeAfter(answer, runRejected)
 	case response.StatusCode == http.StatusOK && headers.Signed:
 		return s.readEvents(ctx, r, answer)
 	case response.StatusCode >= http.StatusInternalServerError && headers.Signed:
-		return runFailed, answerend.None, nil
+		return outcomeAfter(answer, runFailed)
 	default:
 		return runInterrupted, answerend.None, errUnexpectedResponse
 	}
 }
 
-// refusalBodyLimit bounds the bytes read from the body of a refusal.
-const refusalBodyLimit = 1 << 20
+// outcomeAfter reads the rest of a response that ends a run, and returns the outcome. A response that does not
+// end interrupts the run.
+func outcomeAfter(answer *engineconn.Exchange, outcome runOutcome) (runOutcome, answerend.Evidence, error) {
+	if err := answer.Discard(); err != nil {
+		return runInterrupted, answerend.None, err
+	}
+	return outcome, answerend.None, nil
+}
 
 var errUnexpectedResponse = errors.New("the response is neither a result nor a failure reported by the engine")
 
@@ -291,11 +300,13 @@
 func (s *Service) readEvents(ctx context.Context, r itemRun, response *engineconn.Exchange) (runOutcome, answerend.Evidence, error) {
 	splitter := relay.NewSplitter(r.lastEvent)
 	splitter.RequireSteps()
+	splitter.LimitRun(s.Headers.Demand(r.item.Header).OutputTokens)
 	buffer := make([]byte, 16<<10)
+	heard := time.Now()      // of the last whole event
 	var waited time.Duration // for the events to come
 	var pace runPace
 	for {
-		response.SetReadDeadline(time.Now().Add(eventTimeout))
+		response.SetReadDeadline(heard.Add(eventTimeout))
 		waitedFrom, before := time.Now(), splitter.Count()
 		count, err := response.Read(buffer)
 		waited += time.Since(waitedFrom)
@@ -305,6 +316,7 @@
 			pace.add(splitter.Count()-before, waited)
 			waited = 0
 			s.keepEvents(r, whole)
+			heard = time.Now()
 		}
 		switch {
 		case unusable != nil:
--- a/internal/passthrough/engineconn/conn.go
+++ b/internal/passthrough/engineconn/conn.go
@@ -36,7 +36,7 @@
 // of a timeout or of the response's content.
 func BrokenByEngine(err error) bool {
 	var timeout interface{ Timeout() bool }
-	if errors.As(err, &timeout) && timeout.Timeout() {
+	if errors.As(err, &timeout) && timeout.Timeout() || unsound(err) {
 		return false
 	}
 	return errors.Is(err, ErrBroken) || errors.Is(err, io.ErrUnexpectedEOF)
@@ -69,7 +69,8 @@
 	pool      *Pool
 	key       Key
 	raw       *net.TCPConn
-	reader    *bufio.Reader
+	limited   *limitedReader // reads raw
+	reader    *bufio.Reader  // reads limited
 	uses      int
 	idleSince time.Time
 	maxIdle   time.Duration
@@ -111,6 +112,7 @@
 
 	conn     *conn
 	stop     func() bool
+	deadline time.Time // of the request; zero if there is none
 	bodyRead bool
 	written  chan error // receives the result of writing the request
 }
@@ -119,7 +121,7 @@
 func (e *Exchange) Read(into []byte) (int, error) {
 	count, err := e.Response.Body.Read(into)
 	if err != nil && !errors.Is(err, io.EOF) {
-		return count, fmt.Errorf("%w: %w", ErrBroken, err)
+		return count, fmt.Errorf("%w: %w", ErrBroken, markMalformed(err))
 	}
 	if errors.Is(err, io.EOF) {
 		e.bodyRead = true
@@ -218,6 +220,7 @@
 	c.uses++
 	c.carried.add(request.ID)
 	if deadline, ok := ctx.Deadline(); ok {
+		exchange.deadline = deadline
 		_ = c.raw.SetDeadline(deadline)
 	}
 	wire := wireRequest(request)
@@ -230,7 +233,7 @@
 		}
 		exchange.written <- err
 	}()
-	response, err := c.readHead(wire, request) //nolint:bodyclose // Exchange.Close ends the body with its connection
+	response, err := c.readHead(wire, request, exchange.deadline) //nolint:bodyclose // Exchange.Close ends the body with its connection
 	if err != nil {
 		stop()
 		c.close()
@@ -245,9 +248,10 @@
 }
 
 // readHead reads responses until it finds the one to the request.
-func (c *conn) readHead(wire *http.Request, request Request) (*http.Response, error) {
+func (c *conn) readHead(wire *http.Request, request Request, deadline time.Time) (*http.Response, error) {
+	allowance := headAllowance{bytes: maxHeadBytes, time: maxHeadTime, deadline: deadline}
 	for range maxSurplusResponses {
-		response, err := http.ReadResponse(c.reader, wire)
+		response, err := c.readResponse(wire, &allowance)
 		if err != nil {
 			return nil, err
 		}
@@ -258,7 +262,7 @@
 			return response, nil
 		}
 		request.OnSurplusResponse(response.Header)
-		if _, err := io.Copy(io.Discard, response.Body); err != nil {
+		if err := c.discard(response.Body, partSurplus, response.ContentLength, deadline); err != nil {
 			return nil, err
 		}
 		if response.Close {
--- a/internal/passthrough/engineconn/pool.go
+++ b/internal/passthrough/engineconn/pool.go
@@ -157,7 +157,8 @@
 	p.open++
 	p.dialed++
 	p.mu.Unlock()
-	return &conn{pool: p, key: key, raw: raw.(*net.TCPConn), reader: bufio.NewReaderSize(raw, bufferBytes)}, nil
+	limited := &limitedReader{from: raw}
+	return &conn{pool: p, key: key, raw: raw.(*net.TCPConn), limited: limited, reader: bufio.NewReaderSize(limited, bufferBytes)}, nil
 }
 
 // setUserTimeout sets TCP_USER_TIMEOUT, which ends a connection whose data stays unacknowledged.
--- a/internal/passthrough/relay/attempt.go
+++ b/internal/passthrough/relay/attempt.go
@@ -34,9 +34,6 @@
 	body   []byte
 }
 
-// errAnswerTooLong means that a response cannot be buffered. A part of it is no answer.
-var errAnswerTooLong = errors.New("the answer is longer than the limit")
-
 // errClientTooFarBehind means that no more of an answer can be read ahead of its client.
 var errClientTooFarBehind = errors.New("the client is too far behind its answer")
 
@@ -82,6 +79,7 @@
 		e.attempts++
 		e.mayHaveRun = true
 	}
+	e.spoiled = e.headSent && errors.Is(err, ErrUnsoundEvents)
 	if outcome == Failed && e.leftSlowEngine(err, interrupted) {
 		e.abandoned = append(e.abandoned, engine.Incarnation())
 	}
@@ -199,7 +197,7 @@
 // request. After 421 Misdirected Request it removes the engine from the set, since another
 // instance answers at the listed address.
 func (e *exchange) discardRefusal(answer *engineconn.Exchange, choice enginechoice.Choice) (Outcome, error) {
-	_, err := io.Copy(io.Discard, io.LimitReader(answer, maxBufferedBytes))
+	err := answer.Discard()
 	if answer.Response.StatusCode == http.StatusMisdirectedRequest {
 		e.engines.Use(func(set *enginechoice.Set, now time.Time) { set.Remove(choice.Entry.Incarnation(), false, now) })
 	}
@@ -210,11 +208,7 @@
 // so that a client that reads slowly holds no slot.
 func (e *exchange) forwardBuffered(ctx context.Context, answer *engineconn.Exchange, decision slots.Decision) (Outcome, error) {
 	success := isSuccess(answer.Response.StatusCode)
-	answer.SetReadDeadline(e.clock.currentDeadline())
-	body, err := io.ReadAll(io.LimitReader(answer, maxBufferedBytes+1))
-	if err == nil && len(body) > maxBufferedBytes {
-		err = errAnswerTooLong
-	}
+	body, err := e.readBody(answer, success)
 	if err == nil {
 		err = e.checkEnd(ctx, answer, decision, contentOf{empty: success && len(body) == 0})
 	}
@@ -243,11 +237,12 @@
 	reader := newReadAhead(answer, e.held, e.clock.earlierOf, func() { e.limitWrites(time.Now()) })
 	defer reader.close()
 	buffer := make([]byte, readChunkBytes)
+	heard := time.Now()       // of the last whole event
 	var waited time.Duration  // for the events to come
 	var written time.Duration // time that the last write to the client took
 	heldUp := false           // the events to come may have waited for the client
 	for {
-		answer.SetReadDeadline(e.readDeadline())
+		answer.SetReadDeadline(e.nextEventDeadline(heard))
 		waitedFrom, before := time.Now(), e.stream.Count()
 		count, err := reader.Read(buffer)
 		waited += time.Since(waitedFrom)
@@ -264,7 +259,8 @@
 			if failed := e.writeEvents(whole, reader); failed != nil {
 				return ClientGone, failed
 			}
-			written = time.Since(writtenFrom)
+			heard = time.Now()
+			written = heard.Sub(writtenFrom)
 		}
 		switch {
 		case errors.Is(err, errClientTooFarBehind):
@@ -296,10 +292,6 @@
 // to tell the engine's pace. They gather meanwhile.
 const maxWriteTime = 5 * time.Millisecond
 
-// readDeadline returns the deadline of the next read: the silence timeout or the call's deadline,
-// whichever is earlier.
-func (e *exchange) readDeadline() time.Time { return e.clock.earlierOf(e.silenceTimeout()) }
-
 // recordFirstEvent records that an attempt has produced an event, the time of the call's first
 // event, and the software version that wrote it. It is called before the event is sent, since a
 // client that has the event may take the stream up at another node.
--- a/internal/passthrough/relay/eventstream.go
+++ b/internal/passthrough/relay/eventstream.go
@@ -6,15 +6,9 @@
 	"strconv"
 )
 
-// errEventTooLong is returned when an incomplete event exceeds maxEventBytes.
-var errEventTooLong = errors.New("an event is longer than the limit")
-
 // errNotContinued is returned when a run does not go on after the last event of the run before.
 var errNotContinued = errors.New("the run does not go on after the last event")
 
-// maxEventBytes limits the length of an event.
-const maxEventBytes = 4 << 20
-
 // Splitter splits a byte stream into server-sent events and drops those that were returned
 // before. An event ends with an empty line, and the line "id: N" gives its id.
 type Splitter struct {
@@ -22,8 +16,8 @@
 	last    string // id of the last event returned
 	lastID  int64
 	count   int
-	// runEvents is the number of events of the current run, including those that were dropped.
-	runEvents int
+	run     runSize
+	limits  runLimits // of run
 	// begun reports that the current run has brought an event with an id.
 	begun bool
 	// byOne reports that the ids of the stream rise by one.
@@ -34,7 +28,7 @@
 // NewSplitter returns a splitter for a stream that resumes after the event with the id last. An
 // empty id means a stream from the start.
 func NewSplitter(last string) *Splitter {
-	splitter := &Splitter{last: last, lastID: -1, byOne: true}
+	splitter := &Splitter{last: last, lastID: -1, byOne: true, limits: limitsOf(0)}
 	if number, err := strconv.ParseInt(last, 10, 64); err == nil {
 		splitter.lastID = number
 	}
@@ -52,20 +46,21 @@
 
 // RunEvents returns the number of events that the current run has brought, including those that were
 // dropped.
-func (s *Splitter) RunEvents() int { return s.runEvents }
+func (s *Splitter) RunEvents() int { return s.run.events }
 
 // Restart discards an incomplete event before a run of the stream begins at another engine.
-func (s *Splitter) Restart() { s.pending, s.runEvents, s.begun = nil, 0, false }
+func (s *Splitter) Restart() { s.pending, s.run, s.begun = nil, runSize{}, false }
 
 // RequireSteps makes Add fail if a run that resumes the stream does not begin with the next number. Without
 // it, Add requires this of a stream whose ids have always risen by one, and else only a higher id.
 func (s *Splitter) RequireSteps() { s.steps++ }
 
 // Add appends content to the stream and returns the events that are now complete, without those
-// that were returned before. The result is valid until the next call. Add fails if an incomplete
-// event exceeds maxEventBytes, or if a run does not go on after the last event.
+// that were returned before. The result is valid until the next call. Add fails if an event
+// or the run exceeds what a sound answer may hold, or if a run does not go on after the last event.
 func (s *Splitter) Add(content []byte) ([]byte, error) {
 	s.pending = append(s.pending, content...)
+	s.run.bytes += int64(len(content))
 	var whole []byte
 	for {
 		end := eventEnd(s.pending)
@@ -76,17 +71,16 @@
 		if !s.continues(event) {
 			return whole, errNotContinued
 		}
-		s.runEvents++
+		if exceeded := s.countEvent(); exceeded != nil {
+			return whole, exceeded
+		}
 		if s.isNew(event) {
 			whole = append(whole, event...)
 			s.count++
 		}
 		s.pending = s.pending[end:]
 	}
-	if len(s.pending) > maxEventBytes {
-		return whole, errEventTooLong
-	}
-	return whole, nil
+	return whole, s.checkBytes()
 }
 
 // continues reports whether an event does not contradict that its run goes on after the last event. Only the first
--- a/internal/passthrough/relay/relay.go
+++ b/internal/passthrough/relay/relay.go
@@ -142,6 +142,7 @@
 	lastUnserved error // why the last acquisition of a slot failed; nil if it succeeded
 	stream       *Splitter
 	software     string // version that wrote the stream's first event; empty before it is known
+	spoiled      bool   // the client has events that are not sound
 	readmitted   bool   // excluded engines were allowed again for want of others of this version
 	firstEvent   time.Duration
 	slotTime     time.Duration     // for which the call held slots at engines
@@ -165,6 +166,7 @@
 		Relay: r, call: call, to: to, control: http.NewResponseController(to),
 		excluded: make(map[enginechoice.Incarnation]bool), stream: NewSplitter(call.Demand.LastEvent), identity: call.identity(),
 	}
+	state.stream.LimitRun(call.Demand.OutputTokens)
 	deadlineCtx, cancel := context.WithDeadline(ctx, deadlineOf(call))
 	defer cancel()
 	state.clock = callClock{cancel: cancel, deadline: deadlineOf(call), suspended: call.Suspended}
@@ -265,7 +267,7 @@
 			return ClientGone
 		}
 		e.excluded[decision.Choice.Entry.Incarnation()] = true
-		if !e.call.Route.Repeatable() || e.attempts >= e.call.Route.Attempts {
+		if !e.call.Route.Repeatable() || e.attempts >= e.call.Route.Attempts || e.spoiled {
 			return e.giveUp(attemptsUsed)
 		}
 	}
