batch: an item's unsound text is discarded before it runs again

The text of a run that exceeded its limits was kept, and went on at the next engine: items succeeded with events of no sound answer in their texts.

Change The text is discarded while the item still counts as running, so that no run can begin in between.

--- a/internal/passthrough/batch/run.go
+++ b/internal/passthrough/batch/run.go
@@ -122,7 +122,7 @@
 		zap.Duration("elapsed", time.Since(started)), zap.Error(err), zap.Stringer("content", r.identity.Content), zap.Bool("engine_ended", ended),
 		zap.String("delimited_by", received.framing), zap.Stringer("end_shown_by", received.endShownBy))
 	if errors.Is(err, relay.ErrUnsoundEvents) {
-		s.startAnew(candidate{job: r.job, index: r.index}, r.decision.Choice.Entry.Software)
+		s.discardUnsoundText(r)
 	}
 	s.updateItem(r, end)
 	s.wakeScheduler()
--- a/internal/passthrough/batch/software.go
+++ b/internal/passthrough/batch/software.go
@@ -43,15 +43,34 @@
 		s.mu.Unlock()
 		return false
 	}
-	discarded := work.text.events
-	work.text = progress{restarts: work.text.restarts + 1}
-	work.savedEvents, work.slotRequestID, work.slotPool = 0, 0, ""
+	discarded := work.discardText()
 	s.mu.Unlock()
-	events.ItemStartedAnew.Log(s.Logger, zap.String("job", next.job.id), zap.String("request", next.job.items[next.index].ID), zap.Int64("epoch", next.job.epoch),
-		zap.String("software", software), zap.Int("events_discarded", discarded))
+	s.logStartedAnew(next, software, discarded)
 	return true
 }
 
+// discardUnsoundText discards the text of an item whose run has ended and has brought events of no sound answer. The
+// item does not run elsewhere yet.
+func (s *Service) discardUnsoundText(r itemRun) {
+	s.mu.Lock()
+	discarded := r.job.work[r.index].discardText()
+	s.mu.Unlock()
+	s.logStartedAnew(candidate{job: r.job, index: r.index}, r.decision.Choice.Entry.Software, discarded)
+}
+
+// discardText discards the text, and returns its number of events. The caller holds Service.mu.
+func (w *itemWork) discardText() (discarded int) {
+	discarded = w.text.events
+	w.text = progress{restarts: w.text.restarts + 1}
+	w.savedEvents, w.slotRequestID, w.slotPool = 0, 0, ""
+	return discarded
+}
+
+func (s *Service) logStartedAnew(item candidate, software string, discarded int) {
+	events.ItemStartedAnew.Log(s.Logger, zap.String("job", item.job.id), zap.String("request", item.job.items[item.index].ID), zap.Int64("epoch", item.job.epoch),
+		zap.String("software", software), zap.Int("events_discarded", discarded))
+}
+
 // mayGoOnAt reports whether a run may add to the text at an engine of a software version.
 func (p *progress) mayGoOnAt(software string) bool {
 	return p.events == 0 || (p.software != "" && p.software == software)
