relay: bodies that are read whole count in the memory budget

Cause A response that is not a stream may have 16 MiB if its request declares no tokens. Each was held in memory, uncounted: a few dozen at once took more than a node has.

Change Such a body is counted as it is read, as the bodies of requests are. Short ones always fit; a long one that does not ends its attempt, whose engine is not blamed for it. The count ends when the response is written, which counts it anew, or with the call.

--- a/internal/passthrough/memorybudget/memorybudget.go
+++ b/internal/passthrough/memorybudget/memorybudget.go
@@ -1,5 +1,5 @@
 // Package memorybudget bounds the bytes that a node holds for all its clients together: the bodies of
-// requests in flight, and answers that clients have not read yet.
+// requests in flight, answers that are read whole, and answers that clients have not read yet.
 package memorybudget
 
 import "sync"
@@ -15,8 +15,7 @@
 
 // Budget counts the bytes held. It is safe for concurrent use.
 //
-// The sum may exceed the limit by small bodies, by one larger body, and by answers whose engines
-// have run.
+// The sum may exceed the limit by small bodies, by one larger body, and by answers that are being written.
 type Budget struct {
 	limit int64 // 0: no limit
 
--- a/internal/passthrough/relay/answerlimits.go
+++ b/internal/passthrough/relay/answerlimits.go
@@ -118,12 +118,18 @@
 		return nil, exceeded
 	}
 	answer.SetReadDeadline(deadline)
-	body, err := io.ReadAll(io.LimitReader(answer, exceeded.Limit+1))
+	counted := &countedBody{from: answer, budget: e.held}
+	e.bodies = append(e.bodies, counted)
+	body, err := io.ReadAll(io.LimitReader(counted, exceeded.Limit+1))
 	switch {
 	case err == nil && int64(len(body)) > exceeded.Limit:
 		err = exceeded
 	case isTimeout(err) && time.Now().Before(e.clock.currentDeadline()):
 		err = &engineconn.LimitError{Part: exceeded.Part, Limit: maxFailureTime.Milliseconds(), Unit: engineconn.Milliseconds}
 	}
-	return body, err
+	if err != nil {
+		counted.release()
+		return nil, err
+	}
+	return body, nil
 }
--- a/internal/passthrough/relay/attempt.go
+++ b/internal/passthrough/relay/attempt.go
@@ -327,7 +327,7 @@
 func (e *exchange) releaseSlot(decision slots.Decision, outcome Outcome, err error, deadlineCtx context.Context) {
 	result := enginechoice.Succeeded
 	switch {
-	case outcome == ClientGone || errors.Is(err, errSlowEngine) || (outcome == Failed && deadlineCtx.Err() != nil):
+	case outcome == ClientGone || errors.Is(err, errSlowEngine) || errors.Is(err, errMemoryFull) || (outcome == Failed && deadlineCtx.Err() != nil):
 		result = enginechoice.Abandoned
 	case outcome == NotRun && err == nil:
 		result = decision.Choice.Entry.RejectionResult(e.call.Demand.MaxTokens())
--- a/internal/passthrough/relay/deliver.go
+++ b/internal/passthrough/relay/deliver.go
@@ -53,6 +53,7 @@
 		return Completed
 	}
 	e.allowFinalAnswer()
+	e.releaseBodies()
 	e.headSent = true
 	e.status = e.buffered.status
 	if e.buffered.write(e.to) != nil || e.control.Flush() != nil {
--- a/internal/passthrough/relay/relay.go
+++ b/internal/passthrough/relay/relay.go
@@ -148,6 +148,7 @@
 	slotTime     time.Duration     // for which the call held slots at engines
 	lastFailure  *bufferedResponse // the last error response of an engine
 	buffered     *bufferedResponse // the response to send, unless it is a stream
+	bodies       []*countedBody    // of lastFailure and buffered
 	status       int               // sent to the client
 	pace         attemptPace
 	endEvidence  answerend.Evidence // of the attempt in flight
@@ -171,6 +172,7 @@
 	defer cancel()
 	state.clock = callClock{cancel: cancel, deadline: deadlineOf(call), suspended: call.Suspended}
 	defer state.clock.stop()
+	defer state.releaseBodies()
 	r.active.add(state)
 	defer r.active.remove(state)
 	state.clock.applySuspension(r.watch.Total()) // suspensions while the call was read
