engineconn: heads on a connection that a probe has opened are limited

Cause Probe gives the connection's reader another source, the socket itself, and keeps the connection in the pool. Heads had no limit there, neither the probe's nor those of later requests.

Change The probe's reader reads through the limited one.

--- a/internal/passthrough/engineconn/limits_test.go
+++ b/internal/passthrough/engineconn/limits_test.go
@@ -26,9 +26,9 @@
 	return Key{Engine: enginechoice.Incarnation{ID: "e"}, Address: address}
 }
 
-// respondOnce returns the key of an engine that sends a text after each request's head and keeps the
-// connection open.
-func respondOnce(t *testing.T, text string) Key {
+// respond returns the key of an engine that sends the next of the texts after each request on a connection, and
+// then keeps the connection open.
+func respond(t *testing.T, texts ...string) Key {
 	t.Helper()
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
@@ -44,8 +44,10 @@
 			t.Cleanup(func() { _ = connection.Close() })
 			go func() {
 				buffer := make([]byte, 4<<10)
-				_, _ = connection.Read(buffer)
-				_, _ = io.WriteString(connection, text)
+				for _, text := range texts {
+					_, _ = connection.Read(buffer)
+					_, _ = io.WriteString(connection, text)
+				}
 			}()
 		}
 	}()
@@ -72,7 +74,7 @@
 	} {
 		t.Run(name, func(t *testing.T) {
 			pool := New(DefaultConfig())
-			exchange, err := pool.Do(context.Background(), respondOnce(t, test.text), newRequest())
+			exchange, err := pool.Do(context.Background(), respond(t, test.text), newRequest())
 			if test.exceed {
 				var limit *LimitError
 				if !errors.As(err, &limit) || limit.Limit != maxHeadBytes || !errors.Is(err, ErrBroken) || BrokenByEngine(err) {
@@ -97,6 +99,28 @@
 	}
 }
 
+// TestHeadsOnAProbedConnectionAreLimited guards against a connection that a probe has opened, and on which no head
+// has a limit, be it the probe's or that of a later request.
+func TestHeadsOnAProbedConnectionAreLimited(t *testing.T) {
+	const sound = "HTTP/1.1 200 OK\r\nX-Id: own\r\nContent-Length: 0\r\n\r\n"
+	long := "HTTP/1.1 200 OK\r\nX-Id: own\r\nContent-Length: 0\r\nX-Long: " + strings.Repeat("x", maxHeadBytes) + "\r\n\r\n"
+	pool := New(DefaultConfig())
+	if _, _, err := pool.Probe(context.Background(), respond(t, long), newRequest()); !exceedsLimit(err) {
+		t.Errorf("a probe: got %v, want an exceeded limit", err)
+	}
+	key := respond(t, sound, long)
+	if _, _, err := pool.Probe(context.Background(), key, newRequest()); err != nil {
+		t.Fatal(err)
+	}
+	exchange, err := pool.Do(context.Background(), key, newRequest())
+	if err == nil {
+		exchange.Close()
+	}
+	if _, dialed := pool.Counts(); dialed != 2 || !exceedsLimit(err) {
+		t.Errorf("a request on the probe's connection: got %v on %d connections, want an exceeded limit on the second", err, dialed)
+	}
+}
+
 // TestDiscardAtItsLimit guards against a connection that is closed behind a rejection of a usual size, or kept
 // behind one that is longer.
 func TestDiscardAtItsLimit(t *testing.T) {
@@ -142,7 +166,7 @@
 	} {
 		t.Run(name, func(t *testing.T) {
 			pool := New(DefaultConfig())
-			exchange, err := pool.Do(context.Background(), respondOnce(t, text), newRequest())
+			exchange, err := pool.Do(context.Background(), respond(t, text), newRequest())
 			if err == nil {
 				_, err = io.Copy(io.Discard, exchange)
 				exchange.Close()
--- a/internal/passthrough/engineconn/probe.go
+++ b/internal/passthrough/engineconn/probe.go
@@ -29,7 +29,7 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, 2*p.config.ProbeTimeout)
 	defer cancel()
-	counter := &countingReader{from: connection.raw}
+	counter := &countingReader{from: connection.limited}
 	connection.reader.Reset(counter)
 	var silent atomic.Bool
 	timer := time.AfterFunc(p.config.ProbeTimeout, func() {
