batch: rows behind those of an earlier build are not joined

Cause: a row that an earlier build saved names no owner, so that a former owner's row behind it counted as of a later one. Where an owner of an earlier build began an item anew, between two of this build, the third owner joined the first one's text to the second one's. Change: a row that names its owner is not joined behind one that names none, and an owner saves a text anew that it has loaded from such rows. Measured: TestRowsBehindThoseOfAnEarlierBuildAreNotJoined failed before (130 of [b a], 60 of [b] wanted) and passes; TestTextOfAnEarlierBuildIsSavedAgain holds what the change must not lose. Conclusion: shown by rows; it takes a roll back between two owners and rows that begin at the same event.

--- a/internal/passthrough/batch/owned.go
+++ b/internal/passthrough/batch/owned.go
@@ -115,7 +115,7 @@
 	job.items = items
 	for index, kept := range partials {
 		job.work[index].text = kept
-		job.work[index].savedEvents = kept.events
+		job.work[index].savedEvents = kept.loadedEvents()
 	}
 	s.mu.Unlock()
 	s.wakeScheduler()
--- a/internal/passthrough/batch/progress.go
+++ b/internal/passthrough/batch/progress.go
@@ -30,6 +30,15 @@
 	epoch     int64  // of the owner that saved its last loaded row; 0 if an earlier build saved it
 }
 
+// loadedEvents returns how many events of a loaded text need not be saved again. Rows of an earlier build, which do
+// not name their owner, are replaced, since later ones are not joined to them.
+func (p *progress) loadedEvents() int {
+	if p.epoch == 0 {
+		return 0
+	}
+	return p.events
+}
+
 func (p *progress) add(lastEvent, data string) {
 	p.pieces = append(p.pieces, data)
 	p.events++
@@ -129,7 +138,8 @@
 	if text.events == 0 {
 		text.software, text.restarts = piece.Software, piece.Restarts
 	}
-	if piece.First != text.events || piece.Software != text.software || piece.Restarts != text.restarts || piece.Epoch < text.epoch {
+	unordered := text.events > 0 && text.epoch == 0 && piece.Epoch > 0 // the row before may be of a later owner
+	if piece.First != text.events || piece.Software != text.software || piece.Restarts != text.restarts || piece.Epoch < text.epoch || unordered {
 		return // from a run whose rows a later owner has replaced, or from before the item started anew
 	}
 	text.epoch = piece.Epoch
--- a/internal/passthrough/batch/progress_test.go
+++ b/internal/passthrough/batch/progress_test.go
@@ -1,6 +1,7 @@
 package batch
 
 import (
+	"encoding/json"
 	"fmt"
 	"maps"
 	"slices"
@@ -50,8 +51,9 @@
 	for _, key := range slices.Sorted(maps.Keys(rows)) {
 		addPartial(kept, passthrough.Row{Key: key, Value: rows[key]}, 1)
 	}
-	owner.job.work[0].text = kept[0]
-	owner.job.work[0].savedEvents = kept[0].events
+	text := kept[0]
+	owner.job.work[0].text = text
+	owner.job.work[0].savedEvents = text.loadedEvents()
 	return owner
 }
 
@@ -161,3 +163,55 @@
 		t.Errorf("%d events after %q of %d rows, want 100 of 3 or more", text.events, text.lastEvent, len(rows))
 	}
 }
+
+// withoutOwner returns a row as an earlier build saves it.
+func withoutOwner(t *testing.T, row passthrough.Row) passthrough.Row {
+	t.Helper()
+	var piece partial
+	if err := json.Unmarshal(row.Value, &piece); err != nil {
+		t.Fatal(err)
+	}
+	piece.Epoch = 0
+	value, err := json.Marshal(piece)
+	if err != nil {
+		t.Fatal(err)
+	}
+	row.Value = value
+	return row
+}
+
+// Guards against rows of a former owner that are joined behind those of a later owner of an earlier build.
+func TestRowsBehindThoseOfAnEarlierBuildAreNotJoined(t *testing.T) {
+	rows := make(map[string][]byte)
+	first := newTextOwner(rows, 1)
+	first.run("a", "v1", 60)
+	first.save()
+	first.run("a", "v1", 130)
+	first.save()
+	second := newTextOwner(rows, 2)
+	second.job.work[0].text, second.job.work[0].savedEvents = progress{}, 0
+	second.run("b", "v1", 60)
+	for _, row := range second.unsaved() {
+		second.land([]passthrough.Row{withoutOwner(t, row)})
+	}
+	if got, want := newTextOwner(rows, 3).runsOfText(), `60 of [b] after "60"`; got != want {
+		t.Errorf("the third owner has %s, want %s", got, want)
+	}
+}
+
+// Guards against text that is lost after an owner of an earlier build: the next one's rows go on behind rows
+// which are not joined to them.
+func TestTextOfAnEarlierBuildIsSavedAgain(t *testing.T) {
+	rows := make(map[string][]byte)
+	first := newTextOwner(rows, 1)
+	first.run("a", "v1", 60)
+	for _, row := range first.unsaved() {
+		first.land([]passthrough.Row{withoutOwner(t, row)})
+	}
+	second := newTextOwner(rows, 2)
+	second.run("b", "v1", 130)
+	second.save()
+	if got, want := newTextOwner(rows, 3).runsOfText(), `130 of [a b] after "130"`; got != want {
+		t.Errorf("the third owner has %s, want %s", got, want)
+	}
+}
