--- a/internal/bench/soak/endings.go
+++ b/internal/bench/soak/endings.go
@@ -85,8 +85,8 @@
 	engine.link.refuse()
 	limited, cancel := context.WithTimeout(ctx, onlineDeadline)
 	defer cancel()
-	_ = engine.Leave(limited)
-	engine.End() // under the items that outlast it
+	_ = engine.Leave(limited) // what still runs then is cut
+	engine.End()              // under the items that outlast it
 	s.store.Unlist(engine.Engine)
 	s.recordFault()
 }
--- a/internal/bench/soak/proxy_test.go
+++ b/internal/bench/soak/proxy_test.go
@@ -6,29 +6,18 @@
 	"net"
 	"testing"
 	"time"
+
+	"ringstream.example/ringstream/internal/loopbacktest"
 )
 
 // echoServer sends each line back.
 func echoServer(t *testing.T) string {
 	t.Helper()
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	t.Cleanup(func() { _ = listener.Close() })
-	go func() {
-		for {
-			connection, err := listener.Accept()
-			if err != nil {
-				return
-			}
-			go func() {
-				_, _ = io.Copy(connection, connection)
-				_ = connection.Close()
-			}()
-		}
-	}()
-	return listener.Addr().String()
+	address, _ := loopbacktest.Serve(t, func(connection *net.TCPConn) {
+		_, _ = io.Copy(connection, connection)
+		_ = connection.Close()
+	})
+	return address
 }
 
 func dialThrough(t *testing.T) (*proxy, net.Conn, *bufio.Reader) {
--- a/internal/core/grant/batchqueue_test.go
+++ b/internal/core/grant/batchqueue_test.go
@@ -75,6 +75,31 @@
 	return begun
 }
 
+// besideSmallOnes is how long runBesideSmallOnes lasts.
+const besideSmallOnes = 50 * laneStep
+
+// runBesideSmallOnes asks for a request while small ones that are due earlier keep coming, and one of those that run
+// ends at each step.
+func (b *batchLane) runBesideSmallOnes(large Ask) {
+	next := uint64(1000)
+	addSmall := func() {
+		b.ask(Ask{ID: next, MemoryTokens: 200, DueIn: time.Second})
+		next++
+	}
+	for range 10 {
+		addSmall()
+	}
+	b.run(laneStep)
+	b.ask(large)
+	for range besideSmallOnes / laneStep {
+		b.run(laneStep)
+		addSmall()
+		if running := b.state.Held; len(running) > 0 {
+			b.end(running[0].ID)
+		}
+	}
+}
+
 const engineMemory = 1000 // tokens
 
 // Guards against requests larger than every engine's memory that keep the engines from the requests behind
@@ -117,25 +142,9 @@
 func TestLargeRequestIsNotStarvedBySmallOnes(t *testing.T) {
 	for name, late := range map[string]bool{"in time": false, "late": true} {
 		b := newBatchLane(sizedEntries(2, engineMemory))
-		next := uint64(1000)
-		addSmall := func() {
-			b.ask(Ask{ID: next, MemoryTokens: 200, DueIn: time.Second})
-			next++
-		}
-		for range 10 {
-			addSmall()
-		}
-		b.run(laneStep)
-		b.ask(Ask{ID: 1, MemoryTokens: 600, DueIn: time.Minute, Late: late})
-		for range 50 {
-			b.run(laneStep)
-			addSmall()
-			if running := b.state.Held; len(running) > 0 {
-				b.end(running[0].ID)
-			}
-		}
+		b.runBesideSmallOnes(Ask{ID: 1, MemoryTokens: 600, DueIn: time.Minute, Late: late})
 		if !b.hasBegun(1) {
-			t.Errorf("%s: the large request has no engine after %v", name, 50*laneStep)
+			t.Errorf("%s: the large request has no engine after %v", name, besideSmallOnes)
 		}
 		if small := len(b.begun) - 1; small < 25 {
 			t.Errorf("%s: %d small requests have begun beside the large one, want 25 or more", name, small)
--- a/internal/core/grant/suspect_test.go
+++ b/internal/core/grant/suspect_test.go
@@ -185,25 +185,9 @@
 func TestLargeSuspectItemIsNotStarvedBySmallOnes(t *testing.T) {
 	for crashes := 1; crashes <= isolationCrashes+1; crashes++ {
 		b := newBatchLane(sizedEntries(2, engineMemory))
-		next := uint64(1000)
-		addSmall := func() {
-			b.ask(Ask{ID: next, MemoryTokens: 200, DueIn: time.Second})
-			next++
-		}
-		for range 10 {
-			addSmall()
-		}
-		b.run(laneStep)
-		b.ask(Ask{ID: 1, MemoryTokens: 900, DueIn: time.Minute, Suspect: Suspect{Content: 1, Crashes: crashes}})
-		for range 50 {
-			b.run(laneStep)
-			addSmall()
-			if running := b.state.Held; len(running) > 0 {
-				b.end(running[0].ID)
-			}
-		}
+		b.runBesideSmallOnes(Ask{ID: 1, MemoryTokens: 900, DueIn: time.Minute, Suspect: Suspect{Content: 1, Crashes: crashes}})
 		if !b.hasBegun(1) {
-			t.Errorf("after %d crashes: no engine within %v", crashes, 50*laneStep)
+			t.Errorf("after %d crashes: no engine within %v", crashes, besideSmallOnes)
 		}
 		if small := len(b.begun) - 1; small < 25 {
 			t.Errorf("after %d crashes: %d small requests have begun beside it, want 25 or more", crashes, small)
--- a/internal/gateway/keyed.go
+++ b/internal/gateway/keyed.go
@@ -103,7 +103,8 @@
 // digest under the same key is refused.
 func digestOf(request *onlineRequest) string {
 	digest := sha256.New()
-	_, _ = digest.Write([]byte(request.path)) // writing to a hash never fails
+	// Writing to a hash never fails.
+	_, _ = digest.Write([]byte(request.path))
 	_, _ = digest.Write([]byte{0})
 	_, _ = digest.Write(request.body)
 	return hex.EncodeToString(digest.Sum(nil))
--- a/internal/passthrough/answerend/answerend_test.go
+++ b/internal/passthrough/answerend/answerend_test.go
@@ -12,6 +12,7 @@
 
 	"ringstream.example/ringstream/internal/core/enginechoice"
 	"ringstream.example/ringstream/internal/core/passroute"
+	"ringstream.example/ringstream/internal/loopbacktest"
 	"ringstream.example/ringstream/internal/passthrough"
 	"ringstream.example/ringstream/internal/passthrough/engineconn"
 )
@@ -43,26 +44,11 @@
 // startEngine answers each connection to the returned address with handle, once a request is read.
 func startEngine(t *testing.T, handle handler) (address string, stop func()) {
 	t.Helper()
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	t.Cleanup(func() { _ = listener.Close() })
-	go func() {
-		for {
-			connection, err := listener.Accept()
-			if err != nil {
-				return
-			}
-			t.Cleanup(func() { _ = connection.Close() })
-			go func() {
-				if request, err := http.ReadRequest(bufio.NewReader(connection)); err == nil {
-					handle(request.URL.Path, connection.(*net.TCPConn))
-				}
-			}()
+	return loopbacktest.Serve(t, func(connection *net.TCPConn) {
+		if request, err := http.ReadRequest(bufio.NewReader(connection)); err == nil {
+			handle(request.URL.Path, connection)
 		}
-	}()
-	return listener.Addr().String(), func() { _ = listener.Close() }
+	})
 }
 
 // write answers both the call for a report and the health check with a text.
--- a/internal/passthrough/batch/claims.go
+++ b/internal/passthrough/batch/claims.go
@@ -24,8 +24,7 @@
 )
 
 // A node that has just started paces its claims. Machines that start together become ready some
-// seconds apart when they are busy, and the first one knows no other node: in 15 of 48 starts of
-// three nodes on a busy machine it took 17 to 24 of 24 jobs.
+// seconds apart when they are busy, and the first one, which knows no other node, would claim all jobs.
 const (
 	startupClaimPeriod = 4 * time.Second        // after StartupDelay
 	startupClaimPause  = 150 * time.Millisecond // between two claims
--- a/internal/passthrough/batch/progress_test.go
+++ b/internal/passthrough/batch/progress_test.go
@@ -86,6 +86,20 @@
 	}
 }
 
+// forget makes the owner begin with no text.
+func (o textOwner) forget() {
+	work := &o.job.work[0]
+	work.text, work.savedEvents = progress{}, 0
+}
+
+// checkThirdOwner checks the text that an owner loads after two others.
+func checkThirdOwner(t *testing.T, rows map[string][]byte, want string) {
+	t.Helper()
+	if got := newTextOwner(rows, 3).runsOfText(); got != want {
+		t.Errorf("the third owner has %s, want %s", got, want)
+	}
+}
+
 // runsOfText tells how many events the text has, the runs that they are of in order, and the last event.
 func (o textOwner) runsOfText() string {
 	text := o.job.work[0].text
@@ -107,9 +121,7 @@
 	second := newTextOwner(rows, 2)
 	second.run("b", "v1", 130)
 	second.save()
-	if got, want := newTextOwner(rows, 3).runsOfText(), `130 of [a b] after "130"`; got != want {
-		t.Errorf("the third owner has %s, want %s", got, want)
-	}
+	checkThirdOwner(t, rows, `130 of [a b] after "130"`)
 }
 
 // Guards against a text that is joined from two owners' runs which both began anew after the same text.
@@ -128,9 +140,7 @@
 	second.startAnew()
 	second.run("c", "v2", 60)
 	second.save()
-	if got, want := newTextOwner(rows, 3).runsOfText(), `60 of [c] after "60"`; got != want {
-		t.Errorf("the third owner has %s, want %s", got, want)
-	}
+	checkThirdOwner(t, rows, `60 of [c] after "60"`)
 }
 
 // Guards against a text that is joined after the end of a row without the id of its last event, which the next
@@ -144,12 +154,10 @@
 	first.job.work[0].text.lastEvent = ""
 	first.save()
 	second := newTextOwner(rows, 2)
-	second.job.work[0].text, second.job.work[0].savedEvents = progress{}, 0
+	second.forget()
 	second.run("b", "v1", 60)
 	second.save()
-	if got, want := newTextOwner(rows, 3).runsOfText(), `60 of [b] after "60"`; got != want {
-		t.Errorf("the third owner has %s, want %s", got, want)
-	}
+	checkThirdOwner(t, rows, `60 of [b] after "60"`)
 }
 
 // Guards against an owner of a text that is split over rows which goes on in the middle of it.
@@ -189,14 +197,12 @@
 	first.run("a", "v1", 130)
 	first.save()
 	second := newTextOwner(rows, 2)
-	second.job.work[0].text, second.job.work[0].savedEvents = progress{}, 0
+	second.forget()
 	second.run("b", "v1", 60)
 	for _, row := range second.unsaved() {
 		second.land([]passthrough.Row{withoutOwner(t, row)})
 	}
-	if got, want := newTextOwner(rows, 3).runsOfText(), `60 of [b] after "60"`; got != want {
-		t.Errorf("the third owner has %s, want %s", got, want)
-	}
+	checkThirdOwner(t, rows, `60 of [b] after "60"`)
 }
 
 // Guards against text that is lost after an owner of an earlier build: the next one's rows go on behind rows
@@ -211,7 +217,5 @@
 	second := newTextOwner(rows, 2)
 	second.run("b", "v1", 130)
 	second.save()
-	if got, want := newTextOwner(rows, 3).runsOfText(), `130 of [a b] after "130"`; got != want {
-		t.Errorf("the third owner has %s, want %s", got, want)
-	}
+	checkThirdOwner(t, rows, `130 of [a b] after "130"`)
 }
--- a/internal/passthrough/engineconn/limits.go
+++ b/internal/passthrough/engineconn/limits.go
@@ -145,7 +145,8 @@
 	return at
 }
 
-// limitReads sets the deadline of the connection's reads; none if it is zero.
+// limitReads sets the deadline of the connection's reads; none if it is zero. It fails only if the connection is
+// closed, which the next read tells.
 func (c *conn) limitReads(at time.Time) { _ = c.raw.SetReadDeadline(at) }
 
 // discard reads a body of no use to its end. It fails if the body exceeds maxDiscardedBytes or takes
--- a/internal/passthrough/engineconn/limits_test.go
+++ b/internal/passthrough/engineconn/limits_test.go
@@ -11,6 +11,7 @@
 	"testing"
 
 	"ringstream.example/ringstream/internal/core/enginechoice"
+	"ringstream.example/ringstream/internal/loopbacktest"
 )
 
 // newRequest returns a request that accepts the responses with its id.
@@ -30,28 +31,14 @@
 // then keeps the connection open.
 func respond(t *testing.T, texts ...string) Key {
 	t.Helper()
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	t.Cleanup(func() { _ = listener.Close() })
-	go func() {
-		for {
-			connection, err := listener.Accept()
-			if err != nil {
-				return
-			}
-			t.Cleanup(func() { _ = connection.Close() })
-			go func() {
-				buffer := make([]byte, 4<<10)
-				for _, text := range texts {
-					_, _ = connection.Read(buffer)
-					_, _ = io.WriteString(connection, text)
-				}
-			}()
+	address, _ := loopbacktest.Serve(t, func(connection *net.TCPConn) {
+		buffer := make([]byte, 4<<10)
+		for _, text := range texts {
+			_, _ = connection.Read(buffer)
+			_, _ = io.WriteString(connection, text)
 		}
-	}()
-	return keyOf(listener.Addr().String())
+	})
+	return keyOf(address)
 }
 
 // TestHeadAtItsLimit guards against a limit that a long sound head exceeds, alone or behind surplus responses
--- a/internal/passthrough/ingress/idle.go
+++ b/internal/passthrough/ingress/idle.go
@@ -57,7 +57,7 @@
 		_ = tcp.SetLinger(0) // fails only if the connection is closed
 		return
 	}
-	_ = tcp.SetLinger(-1)
+	_ = tcp.SetLinger(-1) // likewise
 }
 
 // connectionKey is the key of a request's connection in its context.
--- a/internal/passthrough/relay/attempt.go
+++ b/internal/passthrough/relay/attempt.go
@@ -112,8 +112,8 @@
 	return e.identity
 }
 
-// maxLoggedTries limits how many tries that no engine ran are logged for one call. With all
-// engines of a pool down, calls made up to 53 tries, and their lines were 90% of a node's log.
+// maxLoggedTries limits how many tries that no engine ran are logged for one call. With all engines of a pool
+// down, the lines of further tries would fill the log.
 const maxLoggedTries = 4
 
 // request builds the request to the engine and starts the timer that calls cancel, which closes
--- a/internal/passthrough/relay/relay.go
+++ b/internal/passthrough/relay/relay.go
@@ -350,8 +350,7 @@
 }
 
 // logUnserved logs why no engine accepts the request, once as long as the reason stays the same. It
-// is called every slotRetryDelay: while a fleet's nodes did not know their engines, unfiltered
-// logging wrote 167,714 lines in 6.1 s, 29 per request on average and 49 at most.
+// is called every slotRetryDelay.
 func (e *exchange) logUnserved(why error) {
 	if e.lastUnserved != nil && e.lastUnserved.Error() == why.Error() {
 		return
