batch: the status of a failure or rejection counts whatever its body

Cause: since the bodies of an item's failures are bounded, one whose body exceeded its bound, or broke off, counted as an interrupted run. Neither the 422 nor the 500 was counted then, so that the item reached engines again and again. Change: the status tells the outcome, as before; what is wrong with the body is logged. Why it works: the status and the engine's signature come in the head, which has come whole. Measured: TestFailureOfAnItemCountsWhateverItsBody failed in both cases before (not listed after 20 s), and passes: one run of a rejection, three of a failure where three are allowed. TestEndlessAnswerToAnItemIsBounded passes.

--- a/internal/passthrough/batch/run.go
+++ b/internal/passthrough/batch/run.go
@@ -276,25 +276,16 @@
 		}
 		return runNotStarted, answerend.None, err
 	case response.StatusCode == http.StatusUnprocessableEntity && headers.Signed:
-		return outcomeAfter(answer, runRejected)
+		return runRejected, answerend.None, answer.Discard() // the status tells the outcome
 	case response.StatusCode == http.StatusOK && headers.Signed:
 		return s.readEvents(ctx, r, answer)
 	case response.StatusCode >= http.StatusInternalServerError && headers.Signed:
-		return outcomeAfter(answer, runFailed)
+		return runFailed, answerend.None, answer.Discard()
 	default:
 		return runInterrupted, answerend.None, fmt.Errorf("%w: status %d, signed: %t", errUnexpectedResponse, response.StatusCode, headers.Signed)
 	}
 }
 
-// outcomeAfter reads the rest of a response that ends a run, and returns the outcome. A response that does not
-// end interrupts the run.
-func outcomeAfter(answer *engineconn.Exchange, outcome runOutcome) (runOutcome, answerend.Evidence, error) {
-	if err := answer.Discard(); err != nil {
-		return runInterrupted, answerend.None, err
-	}
-	return outcome, answerend.None, nil
-}
-
 var errUnexpectedResponse = errors.New("the response is neither a result nor a failure reported by the engine")
 
 // readEvents keeps each complete event. A response that ends within an event interrupts the run.
