--- a/review/standins-2/client.go
+++ b/review/standins-2/client.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"cmp"
 	"context"
 	"crypto/rand"
 	"encoding/hex"
@@ -25,6 +26,8 @@
 	id, host, path, prompt, body string
 	lastEvent, resumes           string
 	expectVersion                string // of the weights; empty if the client does not name one
+	key                          string // of a tenant; empty if there are none
+	events                       int    // of the answer; 0 for streamEvents
 }
 
 // try sends a request on a new connection and reads its answer.
@@ -37,9 +40,12 @@
 	request.Host = call.host
 	request.Header.Set("X-Request-Id", call.id)
 	request.Header.Set("X-Model", "m")
-	request.Header.Set("X-Token-Count", fmt.Sprintf("646,%d", streamEvents))
+	request.Header.Set("X-Token-Count", fmt.Sprintf("646,%d", cmp.Or(call.events, streamEvents)))
 	request.Header.Set("X-Prompt-Prefix", call.prompt)
 	request.Header.Set("X-Deadline-Ms", fmt.Sprint(time.Until(deadline).Milliseconds()))
+	if call.key != "" {
+		request.Header.Set("X-Credential", call.key)
+	}
 	if call.expectVersion != "" {
 		request.Header.Set("X-Expect-Version", call.expectVersion)
 	}
--- a/review/standins-2/drain.go
+++ b/review/standins-2/drain.go
@@ -25,7 +25,7 @@
 // playDrain lets an engine join whose clock is ahead. The clock is set right, the engine crashes and starts again, and
 // some seconds later it leaves as planned. It returns whether the engine got no request later than drain_ms after that.
 func playDrain(ctx context.Context, folder string, trouble bool) (held bool, err error) {
-	made, err := newFleet(ctx, folder, drainNodes, drainEngines)
+	made, err := newFleet(ctx, folder, fleetSize{nodes: drainNodes, engines: drainEngines})
 	if err != nil {
 		return false, err
 	}
--- a/review/standins-2/fleet.go
+++ b/review/standins-2/fleet.go
@@ -100,12 +100,31 @@
 	return made, nil
 }
 
-// writeSettings writes the node's settings as deploy/node.yaml gives them, for a deployment without tenants.
-func (n *node) writeSettings(folder, store string, seeds []string) error {
+// The parts of the settings that deploy/node.yaml adds where a deployment has tenants with limits.
+const (
+	tenantLimits = `  keys:
+    strict: false
+    confirm_within: 5000ms
+  limits:
+    window: 5s
+    overrun: 0.1
+    slack_requests: 20
+`
+	tenantShares = `    fair_shares: true
+    keep_limits: true
+`
+)
+
+// writeSettings writes the node's settings as deploy/node.yaml gives them.
+func (n *node) writeSettings(folder, store string, seeds []string, tenants bool) error {
 	quoted, err := json.Marshal(seeds)
 	if err != nil {
 		return err
 	}
+	limits, shares := "", ""
+	if tenants {
+		limits, shares = tenantLimits, tenantShares
+	}
 	settings := fmt.Sprintf(`node:
   id: %q
   zone: %q
@@ -123,10 +142,10 @@
   seeds: %s
   capacity: 0.8
   memory_mb: 314
-  scheduling:
+%s  scheduling:
     refuse_overload: true
     engine_speeds: true
-`, n.name, n.zone, n.front, n.ready, n.control, n.metrics, store, quoted)
+%s`, n.name, n.zone, n.front, n.ready, n.control, n.metrics, store, quoted, limits, shares)
 	return os.WriteFile(filepath.Join(folder, n.name+".yaml"), []byte(settings), 0o600)
 }
 
@@ -153,9 +172,15 @@
 
 var zones = []string{"galway-hall", "athlone-hall", "limerick-hall"}
 
+// fleetSize is the size of a fleet, and whether it has tenants.
+type fleetSize struct {
+	nodes, engines int
+	tenants        bool
+}
+
 // newFleet starts the store and the engines, and writes the settings of the nodes. The file "nodes" names the nodes
 // to the script that starts them.
-func newFleet(ctx context.Context, folder string, nodes, engines int) (*fleet, error) {
+func newFleet(ctx context.Context, folder string, size fleetSize) (*fleet, error) {
 	account, err := openRecord(folder)
 	if err != nil {
 		return nil, err
@@ -163,7 +188,7 @@
 	made := &fleet{record: account, store: platformtest.NewStore()}
 	endpoint := made.store.Open()
 	var names, seeds []string
-	for i := range nodes {
+	for i := range size.nodes {
 		next, err := newNode(fmt.Sprintf("front-%d", i+1), zones[i%len(zones)])
 		if err != nil {
 			return nil, err
@@ -171,11 +196,11 @@
 		made.nodes, names, seeds = append(made.nodes, next), append(names, next.name), append(seeds, next.control)
 	}
 	for _, next := range made.nodes {
-		if err := next.writeSettings(folder, endpoint.Address(), seeds); err != nil {
+		if err := next.writeSettings(folder, endpoint.Address(), seeds, size.tenants); err != nil {
 			return nil, err
 		}
 	}
-	for i := range engines {
+	for i := range size.engines {
 		next, err := newEngine(fmt.Sprintf("i-%02d", i+1), zones[i%len(zones)], made.store, account)
 		if err != nil {
 			return nil, err
@@ -225,10 +250,13 @@
 // batchPrefix is the path prefix of the route for batch jobs.
 const batchPrefix = "/pule252/"
 
-// configure writes a configuration with the given routes.
-func (f *fleet) configure(routes ...route) error {
+// configure writes a configuration with the given routes and no tenants.
+func (f *fleet) configure(routes ...route) error { return f.configureTenants(nil, routes...) }
+
+// configureTenants writes a configuration with the given tenants and routes.
+func (f *fleet) configureTenants(tenants []map[string]any, routes ...route) error {
 	document, err := json.Marshal(map[string]any{
-		"version": 3, "routes": routes,
+		"version": 3, "routes": routes, "tenants": tenants,
 		"services": []map[string]any{{"name": service, "health_path": healthPath, "max_conns": 370, "engine": map[string]any{"slots": engineSlots, "kv_capacity_tokens": engineMemory}}},
 		"limits":   map[string]any{"max_header_bytes": 16384, "max_body_bytes": 2000000, "header_timeout_ms": 5000, "idle_timeout_ms": 30000},
 	})
--- a/review/standins-2/main.go
+++ b/review/standins-2/main.go
@@ -35,6 +35,7 @@
 		"poison":  playPoison,
 		"part":    playPoisonPart,
 		"drain":   playDrain,
+		"quota":   playQuota,
 	}
 	ctx, cancel := context.WithTimeout(context.Background(), playTime)
 	defer cancel()
--- a/review/standins-2/poison.go
+++ b/review/standins-2/poison.go
@@ -104,7 +104,7 @@
 // playPoison sends a request that crashes engines again and again, with the same path and body. SAME_QUERY=1 lets its
 // query stay the same, too.
 func playPoison(ctx context.Context, folder string, trouble bool) (held bool, err error) {
-	made, err := newFleet(ctx, folder, poisonNodes, poisonEngines)
+	made, err := newFleet(ctx, folder, fleetSize{nodes: poisonNodes, engines: poisonEngines})
 	if err != nil {
 		return false, err
 	}
@@ -147,7 +147,7 @@
 // playPoisonPart sends requests with a part of a prompt that crashes engines, no two alike, first on one route and then
 // on another one. SAME_HOST=1 lets all of them go to the first route.
 func playPoisonPart(ctx context.Context, folder string, trouble bool) (held bool, err error) {
-	made, err := newFleet(ctx, folder, poisonNodes, poisonEngines)
+	made, err := newFleet(ctx, folder, fleetSize{nodes: poisonNodes, engines: poisonEngines})
 	if err != nil {
 		return false, err
 	}
--- a/review/standins-2/upgrade.go
+++ b/review/standins-2/upgrade.go
@@ -36,7 +36,7 @@
 // playUpgrade upgrades the engines one after the other while clients read streams. Each engine starts again under
 // its id. It returns whether the rule held.
 func playUpgrade(ctx context.Context, folder string, trouble bool) (held bool, err error) {
-	made, err := newFleet(ctx, folder, upgradeNodes, upgradeEngines)
+	made, err := newFleet(ctx, folder, fleetSize{nodes: upgradeNodes, engines: upgradeEngines})
 	if err != nil {
 		return false, err
 	}
--- a/review/standins-2/weights.go
+++ b/review/standins-2/weights.go
@@ -29,7 +29,7 @@
 // playWeights lets a client send a few requests that name the version of the weights which the engines had until a
 // moment before, and hands in batch jobs after that. It returns whether all items were listed.
 func playWeights(ctx context.Context, folder string, trouble bool) (held bool, err error) {
-	made, err := newFleet(ctx, folder, weightsNodes, weightsEngines)
+	made, err := newFleet(ctx, folder, fleetSize{nodes: weightsNodes, engines: weightsEngines})
 	if err != nil {
 		return false, err
 	}
