liveness: the loss of most nodes is detected at once, not three nodes at a time

Cause: callers saw the items of an accepted job open 18 s after the loss of 20 of 21 nodes, beside idle engines. A node watches three predecessors on the ring. The silence of the next three counted only from the removal of those before them, some 3 s a step, so the owner's death was known after 18 s and the job was claimed after that. Change: a node that hears none of the nodes that it watches pings the members before them, twice as many at each tick, until one answers. A node that answers no ping is suspected in a row of the store; a live one refutes that by writing its heartbeat row again, so a node that only receives nothing removes no fleet. Nodes of earlier builds, which refute nothing, are left to the former way. A node that reaches the store and receives nothing still removes the three nodes that it watches, as before.

--- a/internal/core/liveness/liveness_test.go
+++ b/internal/core/liveness/liveness_test.go
@@ -69,14 +69,14 @@
 	for range 200 {
 		now = now.Add(step)
 		watch.RecordHeartbeat("c", now)
-		suspicions, found := watch.Tick(now)
-		for _, suspicion := range suspicions {
+		findings := watch.Tick(now)
+		for _, suspicion := range findings.Suspicions {
 			if !slices.Equal(suspicion.Others, []string{"c"}) {
 				t.Errorf("suspicion of %s names the watchers %v, want c", suspicion.ID, suspicion.Others)
 			}
 			watch.Vouch(suspicion.ID, 100*time.Millisecond, now)
 		}
-		dead = append(dead, found...)
+		dead = append(dead, findings.Dead...)
 	}
 	if len(dead) > 0 {
 		t.Errorf("presumed dead: %v", dead)
--- a/internal/core/liveness/message.go
+++ b/internal/core/liveness/message.go
@@ -8,8 +8,8 @@
 // The kinds of messages.
 const (
 	Heartbeat Kind = iota + 1
-	Question       // asks whether the receiver has received a heartbeat of a node
-	Voucher        // answers that it has
+	Question       // asks whether the receiver has received a heartbeat of a node, or is the node
+	Voucher        // answers that it has, or is
 )
 
 // Message is a message of failure detection between two nodes.
--- a/internal/core/liveness/simulation_test.go
+++ b/internal/core/liveness/simulation_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math"
 	"math/rand/v2"
 	"testing"
 	"time"
@@ -13,7 +14,7 @@
 // lose some nodes at one moment. Each loss must be detected within 4 s when one node in twenty
 // dies, no live node may be removed, and the message rate of a node must not grow with the fleet.
 
-var testConfig = Config{HeartbeatEvery: 500 * time.Millisecond, NodeTimeout: 2500 * time.Millisecond, ConfirmTimeout: 400 * time.Millisecond}
+var testConfig = Config{HeartbeatEvery: 500 * time.Millisecond, NodeTimeout: 2500 * time.Millisecond, ConfirmTimeout: 400 * time.Millisecond, RefuteTimeout: 1250 * time.Millisecond}
 
 const (
 	step             = 50 * time.Millisecond
@@ -31,15 +32,18 @@
 	removed       map[string]time.Time
 	inbox         map[string][]Message
 	sent          int
-	frozen        map[string]bool // nodes that neither receive nor send
-	knownRemovals int             // number of removals that all nodes know of
-	upToDate      map[string]bool // nodes that have the current member list
+	frozen        map[string]bool                 // nodes that neither receive nor send
+	deaf          map[string]bool                 // nodes that receive no messages, and reach the store
+	accused       map[string]map[string]time.Time // by accuser and suspected node: when the store accepted the suspicion
+	knownRemovals int                             // number of removals that all nodes know of
+	upToDate      map[string]bool                 // nodes that have the current member list
 }
 
 func newSimulation(nodes int, seed uint64) *simulation {
 	s := &simulation{
 		now: time.Unix(1_700_000_000, 0), random: rand.New(rand.NewPCG(seed, 1)), watches: make(map[string]*Watch), alive: make(map[string]bool),
 		removed: make(map[string]time.Time), inbox: make(map[string][]Message), frozen: make(map[string]bool), upToDate: make(map[string]bool),
+		deaf: make(map[string]bool), accused: make(map[string]map[string]time.Time),
 	}
 	for i := range nodes {
 		id := fmt.Sprintf("node-%d", i)
@@ -88,8 +92,11 @@
 			watch.SetMembers(known, s.now)
 		}
 		for _, message := range arrived[id] {
-			s.deliver(id, watch, message)
+			if !s.deaf[id] {
+				s.deliver(id, watch, message)
+			}
 		}
+		s.refute(id, watch)
 		if s.now.UnixMilli()%1000 == 0 {
 			watch.RecordContact(s.now) // the store answers nodes that receive no messages, too
 		}
@@ -98,16 +105,46 @@
 				s.send(watcher, Message{Kind: Heartbeat, From: id})
 			}
 		}
-		suspicions, dead := watch.Tick(s.now)
-		for _, suspicion := range suspicions {
-			for _, other := range suspicion.Others {
-				s.send(other, Message{Kind: Question, From: id, Node: suspicion.ID})
-			}
+		if s.now.UnixMilli()%(testConfig.HeartbeatEvery.Milliseconds()/2) == 0 {
+			s.act(id, watch.Tick(s.now))
 		}
-		for _, gone := range dead {
-			if _, already := s.removed[gone]; !already {
-				s.removed[gone] = s.now
-			}
+	}
+}
+
+// act carries out what a node's watch has found.
+func (s *simulation) act(id string, findings Findings) {
+	for _, suspicion := range findings.Suspicions {
+		for _, other := range suspicion.Others {
+			s.send(other, Message{Kind: Question, From: id, Node: suspicion.ID})
+		}
+	}
+	for _, other := range findings.Pings {
+		s.send(other, Message{Kind: Question, From: id, Node: other})
+	}
+	for _, other := range findings.Unreachable {
+		if s.accused[id] == nil {
+			s.accused[id] = make(map[string]time.Time)
+		}
+		s.accused[id][other] = s.now
+		s.watches[id].RecordSuspected(other, s.now)
+	}
+	for _, gone := range findings.Dead {
+		if _, already := s.removed[gone]; !already {
+			s.removed[gone] = s.now
+		}
+	}
+}
+
+// refute lets a node learn through the store which of the nodes that it suspects are alive: each sees
+// the suspicion after propagationDelay, and its answer takes as long.
+func (s *simulation) refute(id string, watch *Watch) {
+	for other, at := range s.accused[id] {
+		if s.now.Sub(at) < 2*propagationDelay {
+			continue
+		}
+		delete(s.accused[id], other)
+		if s.alive[other] && !s.frozen[other] {
+			watch.Vouch(other, propagationDelay, s.now)
 		}
 	}
 }
@@ -118,6 +155,10 @@
 		watch.RecordHeartbeat(message.From, s.now)
 	case Question:
 		watch.RecordContact(s.now)
+		if message.Node == id {
+			s.send(message.From, Message{Kind: Voucher, From: id, Node: id})
+			return
+		}
 		if ago, heard := watch.HeartbeatAge(message.Node, s.now); heard {
 			s.send(message.From, Message{Kind: Voucher, From: id, Node: message.Node, Ago: ago})
 		}
@@ -132,11 +173,11 @@
 	}
 }
 
-// kill ends a share of the nodes and returns their ids.
+// kill ends a share of the nodes, but not all, and returns their ids.
 func (s *simulation) kill(share float64) []string {
 	var killed []string
-	for _, id := range s.members {
-		if s.random.Float64() < share {
+	for _, id := range s.members[1:] {
+		if s.alive[id] && s.random.Float64() < share {
 			s.alive[id] = false
 			killed = append(killed, id)
 		}
@@ -144,11 +185,21 @@
 	return killed
 }
 
+// lossTime is the time within which a loss is detected: that of a single node, and one interval of the
+// heartbeats for each doubling of the nodes that may have died in a row on the ring.
+func lossTime(nodes int, share float64) time.Duration {
+	const single = 4 * time.Second
+	if share < 0.1 {
+		return single
+	}
+	return single + time.Duration(math.Log2(float64(nodes)/WatchersPerNode)*float64(testConfig.HeartbeatEvery))
+}
+
+// TestLossIsCertainInTheSameTimeAtAnySize also guards against a detection time that grows with the
+// number of nodes lost at once: 21 s for 20 of 21, when the silence of a node counted only from the
+// removal of those between it and its next live watcher.
 func TestLossIsCertainInTheSameTimeAtAnySize(t *testing.T) {
-	for _, test := range []struct {
-		share  float64
-		within time.Duration
-	}{{0.05, 4 * time.Second}, {0.55, 20 * time.Second}} {
+	for _, share := range []float64{0.05, 0.55, 0.95, 1} {
 		for _, nodes := range []int{20, 100, 985, 2000} {
 			s := newSimulation(nodes, uint64(nodes))
 			s.run(10 * time.Second)
@@ -161,28 +212,59 @@
 				t.Errorf("%d nodes: each sends %.1f messages a second", nodes, perNode)
 			}
 			lostAt := s.now
-			killed := s.kill(test.share)
-			s.run(test.within + 2*step)
-			worst := time.Duration(0)
-			for _, id := range killed {
-				at, gone := s.removed[id]
-				if !gone {
-					t.Errorf("%d nodes, %v lost: the loss of %s was not detected", nodes, test.share, id)
-					continue
-				}
-				worst = max(worst, at.Sub(lostAt))
-			}
-			for id := range s.removed {
-				if s.alive[id] {
-					t.Errorf("%d nodes: %s is alive and was removed", nodes, id)
-				}
-			}
-			t.Logf("%d nodes, %v lost: the last of %d losses was detected after %v", nodes, test.share, len(killed), worst)
-			if worst > test.within {
-				t.Errorf("%d nodes, %v lost: the last loss was detected after %v", nodes, test.share, worst)
-			}
+			killed := s.kill(share)
+			worst := s.checkDetected(t, killed, lostAt, lossTime(nodes, share))
+			t.Logf("%d nodes, %v lost: the last of %d losses was detected after %v", nodes, share, len(killed), worst)
+		}
+	}
+}
+
+// TestLossInTwoWavesIsDetected guards against a second loss that hides the first: the nodes that were
+// looking for the nodes lost first are lost as well.
+func TestLossInTwoWavesIsDetected(t *testing.T) {
+	for seed := range uint64(4) {
+		s := newSimulation(40, seed)
+		s.run(5 * time.Second)
+		killed := s.kill(0.6)
+		s.run(2 * time.Second)
+		killed = append(killed, s.kill(0.9)...)
+		s.checkDetected(t, killed, s.now, lossTime(40, 1))
+	}
+}
+
+// checkDetected runs the simulation until the killed nodes must be removed, and checks that they are
+// and no live node is. It returns the time after which the last one was.
+func (s *simulation) checkDetected(t *testing.T, killed []string, lostAt time.Time, within time.Duration) time.Duration {
+	t.Helper()
+	s.run(within + 2*step)
+	worst := time.Duration(0)
+	for _, id := range killed {
+		at, gone := s.removed[id]
+		if !gone {
+			t.Errorf("%d nodes, %d lost: the loss of %s was not detected within %v", len(s.members), len(killed), id, within)
+			continue
+		}
+		worst = max(worst, at.Sub(lostAt))
+	}
+	for id := range s.removed {
+		if s.alive[id] {
+			t.Errorf("%d nodes, %d lost: %s is alive and was removed", len(s.members), len(killed), id)
 		}
 	}
+	return worst
+}
+
+// TestNodeThatReceivesNothingRemovesFewNodes guards against the removal of a whole fleet by a node that
+// receives no messages while it reaches the store: the others refute its suspicions there.
+func TestNodeThatReceivesNothingRemovesFewNodes(t *testing.T) {
+	s := newSimulation(60, 5)
+	s.run(5 * time.Second)
+	s.deaf[s.members[0]] = true
+	const rounds = 2
+	s.run(rounds * testConfig.NodeTimeout)
+	if len(s.removed) > rounds*WatchersPerNode {
+		t.Errorf("%d live nodes were removed: %v", len(s.removed), s.removed)
+	}
 }
 
 // A node that was paused for some seconds, or whose network was down, has missed the heartbeats
--- a/internal/events/passthrough.go
+++ b/internal/events/passthrough.go
@@ -96,6 +96,7 @@
 	NodeSuspected         = Define(Event{Number: 8332, Name: "node suspected", Level: zapcore.InfoLevel, Fields: []string{"peer", "asked"}})
 	NodeRemoved           = Define(Event{Number: 8333, Name: "node removed", Level: zapcore.InfoLevel, Fields: []string{"peer", "applied", "sign_version", "error"}})
 	ServedVersionsWritten = Define(Event{Number: 8334, Name: "software versions of a pool written", Level: zapcore.InfoLevel, Fields: []string{"pool", "versions", "applied", "expected_version", "outcome_unknown", "error"}})
+	NodesSuspected        = Define(Event{Number: 8335, Name: "nodes suspected through the store", Level: zapcore.InfoLevel, Fields: []string{"nodes", "first", "version", "error"}})
 	ReplicaChosen         = Define(Event{Number: 8340, Name: "way to the store's tables chosen", Level: zapcore.InfoLevel, Fields: []string{"mode", "before", "holder", "slot"}})
 	ReplicaClaimed        = Define(Event{Number: 8341, Name: "slot of a reader of the store claimed", Level: zapcore.InfoLevel, Fields: []string{"slot", "won", "former", "error"}})
 	ReplicaLeft           = Define(Event{Number: 8342, Name: "reader of the store left", Level: zapcore.WarnLevel, Fields: []string{"holder", "error"}, Action: "This node asks the store itself until it has found another node of its zone to follow, or is one. Look at the node that it followed."})
--- a/internal/passthrough/batch/config.go
+++ b/internal/passthrough/batch/config.go
@@ -35,15 +35,21 @@
 
 // heartbeatsPerTimeout is the number of heartbeat messages that a node sends within DeadAfter.
 // DeadAfter divided by confirmDivisor is how long one watcher that no longer receives a node's
-// messages waits for other watchers to report the node as alive.
+// messages waits for other watchers to report the node as alive, and DeadAfter divided by
+// refuteDivisor how long a node has to refute a suspicion through the store: one write and one
+// change of the feed each way.
 const (
 	heartbeatsPerTimeout = 4
 	confirmDivisor       = 6
+	refuteDivisor        = 2
 )
 
 // liveness returns the configuration of the failure detector for watched nodes.
 func (c Config) liveness() liveness.Config {
-	return liveness.Config{HeartbeatEvery: c.DeadAfter / heartbeatsPerTimeout, NodeTimeout: c.DeadAfter, ConfirmTimeout: c.DeadAfter / confirmDivisor}
+	return liveness.Config{
+		HeartbeatEvery: c.DeadAfter / heartbeatsPerTimeout, NodeTimeout: c.DeadAfter,
+		ConfirmTimeout: c.DeadAfter / confirmDivisor, RefuteTimeout: c.DeadAfter / refuteDivisor,
+	}
 }
 
 // Validate checks that the values are within their bounds.
--- a/internal/passthrough/batch/nodes.go
+++ b/internal/passthrough/batch/nodes.go
@@ -15,7 +15,7 @@
 )
 
 // writeHeartbeats writes this node's heartbeat row: once when the node starts, when it is about to
-// leave and when it was considered dead, and periodically while there are nodes that are judged by
+// leave and when it was considered or suspected to be dead, and periodically while there are nodes that are judged by
 // their heartbeat rows.
 func (s *Service) writeHeartbeats(ctx context.Context) error {
 	started := time.Now().UnixNano()
@@ -26,7 +26,7 @@
 		s.mu.Unlock()
 		heartbeat := heartbeatRow{
 			Name: s.Name, Zone: s.Zone, Peer: s.Peer, Capacity: s.Capacity, Started: started, Count: count, Leaving: leaving,
-			Slowness: s.writeLatency.slowness(), Watched: s.canBeWatched(),
+			Slowness: s.writeLatency.slowness(), Watched: s.canBeWatched(), Refutes: s.canBeWatched(),
 		}
 		failures++
 		if s.writeHeartbeat(ctx, heartbeat) {
@@ -47,7 +47,7 @@
 	if failures > 0 {
 		pause = s.heartbeatRetryPause(failures)
 	}
-	for written := time.Now(); !s.heartbeatDue(last); {
+	for written := time.Now(); !s.heartbeatDue(last) && (failures > 0 || !s.isSuspected()); {
 		left := pause - time.Since(written)
 		next := heartbeatCheckInterval
 		if left > 0 {
@@ -55,8 +55,14 @@
 		} else if failures > 0 || !s.currentFleet(time.Now()).allWatched {
 			break // nodes are judged by heartbeat rows, or the last write failed
 		}
-		if !wait.For(ctx, next) {
+		timer := time.NewTimer(next)
+		select {
+		case <-ctx.Done():
+			timer.Stop()
 			return false
+		case <-timer.C:
+		case <-s.view.suspected:
+			timer.Stop()
 		}
 	}
 	return ctx.Err() == nil
@@ -141,7 +147,7 @@
 	result, err := s.commit(ctx, passthrough.Transaction{Put: []passthrough.Row{row}})
 	if err == nil {
 		s.mu.Lock()
-		s.heartbeatWrittenAt = time.Now()
+		s.heartbeatWrittenAt, s.heartbeatVersion = time.Now(), result.Version
 		s.mu.Unlock()
 		row.Version = result.Version
 		s.view.rejoin(row)
--- a/internal/passthrough/batch/service.go
+++ b/internal/passthrough/batch/service.go
@@ -9,7 +9,6 @@
 	"github.com/prometheus/client_golang/prometheus"
 	"go.uber.org/zap"
 
-	"ringstream.example/ringstream/internal/core/liveness"
 	"ringstream.example/ringstream/internal/passthrough"
 	"ringstream.example/ringstream/internal/passthrough/answerend"
 	"ringstream.example/ringstream/internal/passthrough/catalog"
@@ -88,6 +87,7 @@
 	heartbeatFailedAt time.Time
 	// heartbeatWrittenAt is when the store last accepted a heartbeat row of this node.
 	heartbeatWrittenAt time.Time
+	heartbeatVersion   int64         // of that row
 	storeClockValue    time.Duration // the store's clock at storeClockAt
 	storeClockAt       time.Time     // zero: the store's clock is not known yet
 }
@@ -104,7 +104,7 @@
 		service.Reader = func() (string, bool) { return "", false }
 	}
 	service.confirmer = newConfirmer(service.readRecordWithRetry)
-	service.nodeLiveness.detector = liveness.New(config.liveness(), dependencies.Self, time.Now())
+	service.nodeLiveness = newLivenessState(config, dependencies.Self)
 	service.follower = catalog.NewFollower(dependencies.Follow, dependencies.Store, tableJobs, config.parts(), service.view, dependencies.Logger)
 	service.follower.OnStoreClock(service.setStoreClock)
 	service.follower.Copy().Hide(isPulse)
--- a/internal/passthrough/batch/view.go
+++ b/internal/passthrough/batch/view.go
@@ -34,6 +34,8 @@
 	// Watched is true if the node sends heartbeat messages to its watchers, which remove its row
 	// when it dies.
 	Watched bool `json:"watched,omitempty"`
+	// Refutes is true if the node answers pings, and refutes suspicions in the store.
+	Refutes bool `json:"refutes,omitempty"`
 }
 
 // sameExceptPeriodic reports whether two rows differ only in the fields that change with each
@@ -64,13 +66,15 @@
 	nodes           map[string]*nodeView
 	// generation counts the changes of nodes, except for periodic heartbeat rows.
 	generation     uint64
-	removedNodes   map[string]int64         // by incarnation id: the version at which the heartbeat row was removed
-	quotaVersions  map[string]int64         // versions of the quota rows, by key
-	served         map[string]servedState   // software versions of pools, by row key
-	crashes        map[string]crashRowState // by row key
-	pendingCrashes []pendingCrash           // from rows, not passed to the guard yet
-	jobWatchers    map[string]chan struct{} // by id of jobs that are not known yet
-	wake           chan struct{}            // holds one token after a change
+	removedNodes   map[string]int64          // by incarnation id: the version at which the heartbeat row was removed
+	quotaVersions  map[string]int64          // versions of the quota rows, by key
+	served         map[string]servedState    // software versions of pools, by row key
+	crashes        map[string]crashRowState  // by row key
+	pendingCrashes []pendingCrash            // from rows, not passed to the guard yet
+	jobWatchers    map[string]chan struct{}  // by id of jobs that are not known yet
+	wake           chan struct{}             // holds one token after a change
+	suspicions     map[string]suspicionState // by row key
+	suspected      chan struct{}             // holds one token after a change of suspicions
 }
 
 func newView(config Config, logger *zap.Logger) *view {
@@ -78,6 +82,7 @@
 		config: config, logger: events.RateLimited(logger), jobs: make(map[string]*jobEntry), deletedVersions: make(map[string]int64),
 		nodes: make(map[string]*nodeView), removedNodes: make(map[string]int64), quotaVersions: make(map[string]int64), served: make(map[string]servedState), crashes: make(map[string]crashRowState),
 		jobWatchers: make(map[string]chan struct{}), wake: make(chan struct{}, 1),
+		suspicions: make(map[string]suspicionState), suspected: make(chan struct{}, 1),
 	}
 }
 
@@ -135,6 +140,10 @@
 			v.applyServed(row)
 			return
 		}
+		if isSuspicion(row) {
+			v.applySuspicion(row)
+			return
+		}
 		v.quotaVersions[row.Key] = max(v.quotaVersions[row.Key], row.Version)
 	case partCrashes:
 		v.applyCrashes(row)
--- a/internal/passthrough/batch/watchers.go
+++ b/internal/passthrough/batch/watchers.go
@@ -20,13 +20,28 @@
 // livenessState is the state of the failure detector for watched nodes.
 type livenessState struct {
 	transport LivenessTransport // nil: other nodes do not watch this one
+	removals  chan struct{}     // holds one token for each removal in flight
 
 	mu         sync.Mutex // guards the fields below; must not be locked while another lock is held
 	detector   *liveness.Watch
 	generation uint64          // of the nodes that the detector knows
 	removing   map[string]bool // nodes whose removal is in flight
+	// suspected holds the version of the suspicion row, by node that has not refuted it.
+	suspected  map[string]int64
+	suspecting bool // a suspicion row is being written
 }
 
+// newLivenessState returns the state of a node that has started.
+func newLivenessState(config Config, self string) livenessState {
+	return livenessState{
+		detector: liveness.New(config.liveness(), self, time.Now()), removing: make(map[string]bool), suspected: make(map[string]int64),
+		removals: make(chan struct{}, maxRemovals),
+	}
+}
+
+// maxRemovals bounds the removals of nodes that are in flight.
+const maxRemovals = 16
+
 // UseTransport sets the transport for liveness messages. It must be called before Run.
 func (s *Service) UseTransport(transport LivenessTransport) { s.nodeLiveness.transport = transport }
 
@@ -79,24 +94,29 @@
 		detector.SetMembers(fleet.members, now)
 	}
 	detector.RecordContact(asOf)
+	s.recordRefutations(now)
 	if beat {
 		for _, watcher := range detector.Watchers() {
 			sends = append(sends, outgoingMessage{to: watcher, message: liveness.Message{Kind: liveness.Heartbeat, From: s.Self}})
 		}
 	}
-	suspicions, dead := detector.Tick(now)
+	findings := detector.Tick(now)
 	s.nodeLiveness.mu.Unlock()
-	for _, suspicion := range suspicions {
+	for _, suspicion := range findings.Suspicions {
 		events.NodeSuspected.Log(s.Logger, zap.String("peer", suspicion.ID), zap.Strings("asked", suspicion.Others))
 		for _, other := range suspicion.Others {
 			sends = append(sends, outgoingMessage{to: other, message: liveness.Message{Kind: liveness.Question, From: s.Self, Node: suspicion.ID}})
 		}
 	}
+	for _, id := range findings.Pings {
+		sends = append(sends, outgoingMessage{to: id, message: liveness.Message{Kind: liveness.Question, From: s.Self, Node: id}})
+	}
 	s.sendAll(sends)
 	if !fleet.allWatched || s.stale() {
 		return // dead nodes are detected by heartbeat rows, or the copy is stale
 	}
-	for _, id := range dead {
+	s.suspect(ctx, findings.Unreachable)
+	for _, id := range findings.Dead {
 		s.removeDead(ctx, id)
 	}
 }
@@ -126,6 +146,10 @@
 		watch.Vouch(message.Node, message.Ago, now)
 	case liveness.Question:
 		watch.RecordContact(now)
+		if message.Node == s.Self {
+			go s.nodeLiveness.transport.SendLiveness(from, liveness.Message{Kind: liveness.Voucher, From: s.Self, Node: s.Self})
+			return
+		}
 		if ago, heard := watch.HeartbeatAge(message.Node, now); heard {
 			go s.nodeLiveness.transport.SendLiveness(from, liveness.Message{Kind: liveness.Voucher, From: s.Self, Node: message.Node, Ago: ago})
 		}
@@ -143,11 +167,10 @@
 	if node == nil || s.nodeLiveness.removing[id] {
 		return
 	}
-	if s.nodeLiveness.removing == nil {
-		s.nodeLiveness.removing = make(map[string]bool)
-	}
 	s.nodeLiveness.removing[id] = true
 	go func() {
+		s.nodeLiveness.removals <- struct{}{}
+		defer func() { <-s.nodeLiveness.removals }()
 		result, err := s.commit(ctx, passthrough.Transaction{
 			Expected: []passthrough.Expectation{{Table: tableJobs, Part: partNodes, Key: id, Version: node.version}},
 			Remove:   []passthrough.Row{{Table: tableJobs, Part: partNodes, Key: id}},
