origins: a version begins streams once the store tells that it serves

Cause: callers who took streams up after all nodes had ended at once got answers whose first part was of one software version and whose rest was of another. The row of the versions that have served was written after the first use: while the store took no writes, engines of a second version came, began streams and left, and the next nodes found one version in the row and in the list (only_version). Change: a stream that clients can take up begins at a version that the store tells of, as long as an engine of one accepts work. The set of engines counts its software versions, so that the check does not read all engines for each request. A version that is the only one to serve while the store takes no writes still begins streams.

--- a/internal/core/enginechoice/enginechoice.go
+++ b/internal/core/enginechoice/enginechoice.go
@@ -112,7 +112,8 @@
 	engines      map[Incarnation]*engine
 	incarnations map[string]incarnationHistory // by engine ID
 	pools        map[string]map[Incarnation]*engine
-	peaks        map[string]onlinePeak // by pool
+	software     map[string]map[string]int // number of engines by pool and software version
+	peaks        map[string]onlinePeak     // by pool
 	changes      changeLog
 	// unlisted holds the engines that may be in the state Unlisted, so that
 	// ExpireUnlisted need not scan all engines.
@@ -125,7 +126,7 @@
 func NewSet(node string) *Set {
 	return &Set{
 		node: xxhash.Sum64String(node), peaks: make(map[string]onlinePeak), engines: make(map[Incarnation]*engine), incarnations: make(map[string]incarnationHistory),
-		pools: make(map[string]map[Incarnation]*engine), unlisted: make(map[Incarnation]bool),
+		pools: make(map[string]map[Incarnation]*engine), software: make(map[string]map[string]int), unlisted: make(map[Incarnation]bool),
 	}
 }
 
@@ -150,7 +151,9 @@
 	if changed || known.entry != entry {
 		s.changes.record(engine)
 	}
+	s.countSoftware(known.entry, -1)
 	known.entry = entry
+	s.countSoftware(entry, 1)
 	if !changed {
 		return Unchanged
 	}
@@ -172,9 +175,22 @@
 		s.pools[entry.Pool] = pool
 	}
 	pool[incarnation] = added
+	s.countSoftware(entry, 1)
 	s.changes.record(incarnation)
 }
 
+// countSoftware adds a number to the engines of an entry's pool and software version.
+func (s *Set) countSoftware(entry Entry, number int) {
+	versions := s.software[entry.Pool]
+	if versions == nil {
+		versions = make(map[string]int)
+		s.software[entry.Pool] = versions
+	}
+	if versions[entry.Software] += number; versions[entry.Software] == 0 {
+		delete(versions, entry.Software)
+	}
+}
+
 // Remove applies the removal of an engine's entry from the list. If the list cannot be
 // trusted, keepInUse leaves a usable engine in use until ExpireUnlisted.
 func (s *Set) Remove(engine Incarnation, keepInUse bool, now time.Time) {
@@ -251,6 +267,7 @@
 		}
 		delete(s.engines, id)
 		delete(s.pools[known.entry.Pool], id)
+		s.countSoftware(known.entry, -1)
 		s.changes.record(id)
 		s.releaseIncarnation(id.ID)
 	}
@@ -295,11 +312,17 @@
 // SoftwareVersions returns the software versions of a pool's engines, sorted, including those of
 // engines that accept no work any longer but may still run requests.
 func (s *Set) SoftwareVersions(pool string) []string {
-	versions := make(map[string]bool)
-	for _, known := range s.pools[pool] {
-		versions[known.entry.Software] = true
+	return slices.Sorted(maps.Keys(s.software[pool]))
+}
+
+// RunsOnly reports whether all engines of a pool run one of the given software versions.
+func (s *Set) RunsOnly(pool string, versions []string) bool {
+	for software := range s.software[pool] {
+		if !slices.Contains(versions, software) {
+			return false
+		}
 	}
-	return slices.Sorted(maps.Keys(versions))
+	return true
 }
 
 // Serving returns the number of engines of a pool that accept new work.
--- a/internal/core/enginechoice/pick.go
+++ b/internal/core/enginechoice/pick.go
@@ -29,6 +29,8 @@
 	Reserved Incarnation
 	// Software is the only software version whose engines may be picked; empty if any will do.
 	Software string
+	// SoftwareAmong holds the only software versions whose engines may be picked; nil if any will do.
+	SoftwareAmong []string
 	// Zone is the zone of the node that sends the request; empty if any will do.
 	Zone string
 	// PreviousEngine is an engine that may have the whole prompt cached; the zero value if none.
@@ -57,9 +59,17 @@
 	if q.Batch && id == q.Reserved {
 		return false
 	}
-	return known.usable() && !q.Exclude[id] && (q.Software == "" || q.Software == known.entry.Software)
+	return known.usable() && !q.Exclude[id] && q.AllowsSoftware(known.entry.Software)
 }
 
+// AllowsSoftware reports whether engines of a software version may be picked.
+func (q Query) AllowsSoftware(software string) bool {
+	return (q.Software == "" || q.Software == software) && (q.SoftwareAmong == nil || slices.Contains(q.SoftwareAmong, software))
+}
+
+// RestrictsSoftware reports whether engines of some software versions may not be picked.
+func (q Query) RestrictsSoftware() bool { return q.Software != "" || q.SoftwareAmong != nil }
+
 // Choice is the picked engine and the reasons for it.
 type Choice struct {
 	Entry         Entry
--- a/internal/core/streamorigin/served.go
+++ b/internal/core/streamorigin/served.go
@@ -33,6 +33,17 @@
 	return versions
 }
 
+// Serving returns the versions that are listed as having engines.
+func (s Served) Serving() []string {
+	var versions []string
+	for _, version := range s {
+		if version.LeftAt == 0 {
+			versions = append(versions, version.Software)
+		}
+	}
+	return versions
+}
+
 // mayHaveBegun reports whether engines of the version served within Retention.
 func (v ServedVersion) mayHaveBegun(now time.Duration) bool {
 	return v.LeftAt == 0 || now-v.LeftAt <= Retention
--- a/internal/passthrough/batch/served.go
+++ b/internal/passthrough/batch/served.go
@@ -133,6 +133,13 @@
 	return kept.served.Within(now), !kept.unreadable
 }
 
+// RecordedVersions returns the software versions of which the store tells that they have engines of a
+// pool. It returns nil until this node has read the pool's row.
+func (s *Service) RecordedVersions(pool string) []string {
+	kept, _ := s.view.servedState(pool)
+	return kept.served.Serving()
+}
+
 const (
 	servedInterval = 100 * time.Millisecond
 	// departureDelay is how long a version must have had no engine before it counts as having left.
--- a/internal/passthrough/edge/edge.go
+++ b/internal/passthrough/edge/edge.go
@@ -123,7 +123,8 @@
 	})
 	node.origins = origins.New(origins.Dependencies{
 		Engines: node.engines, Logger: node.logger, Peers: node.originPeers, Seeds: node.seeds, PeersKnown: node.hasNodeList, EnginesAge: node.engines.Age,
-		Served: func(pool string) ([]string, bool) { return node.batch.ServedVersions(pool) },
+		Served:   func(pool string) ([]string, bool) { return node.batch.ServedVersions(pool) },
+		Recorded: func(pool string) []string { return node.batch.RecordedVersions(pool) },
 	})
 	node.slots = slots.New(slots.Config{Limits: config.Limits, Scheduling: config.Scheduling}, slots.Dependencies{
 		Engines: node.engines, Logger: node.logger, Metrics: slots.NewMetrics(node.registry),
--- a/internal/passthrough/edge/inspect.go
+++ b/internal/passthrough/edge/inspect.go
@@ -17,6 +17,10 @@
 	return count
 }
 
+// RecordedSoftware returns the software versions of which this node has read in the store that they
+// serve a pool.
+func (n *Node) RecordedSoftware(pool string) []string { return n.batch.RecordedVersions(pool) }
+
 // ServingEngines returns the number of engines of a pool that accept new work.
 func (n *Node) ServingEngines(pool string) int {
 	count := 0
--- a/internal/passthrough/origins/origins.go
+++ b/internal/passthrough/origins/origins.go
@@ -41,6 +41,9 @@
 	// streamorigin.Retention, as nodes have kept them in the store. It returns false until they are
 	// read.
 	Served func(pool string) (versions []string, known bool)
+	// Recorded returns the versions of which the store tells that they serve a pool; nil if that is
+	// not known.
+	Recorded func(pool string) []string
 }
 
 const (
@@ -148,6 +151,27 @@
 	}
 }
 
+// BeginsAmong returns the software versions at whose engines a stream that clients can take up should
+// begin, or nil if any will do. A version that has just come is left out until the store tells that it
+// serves: if all nodes ended, the next ones would not know that it began streams. It is not left out if no
+// engine of another version accepts the request.
+func (s *Service) BeginsAmong(query enginechoice.Query) (versions []string) {
+	recorded := s.Recorded(query.Pool)
+	if len(recorded) == 0 {
+		return nil
+	}
+	s.Engines.Use(func(set *enginechoice.Set, now time.Time) {
+		if set.RunsOnly(query.Pool, recorded) {
+			return
+		}
+		query.SoftwareAmong = recorded
+		if set.CanPick(query, now) {
+			versions = recorded
+		}
+	})
+	return versions
+}
+
 // tellHolders sends records to the nodes that hold them.
 func (s *Service) tellHolders(records []streamorigin.Record) {
 	if s.transport == nil || len(records) == 0 {
--- a/internal/passthrough/relay/move.go
+++ b/internal/passthrough/relay/move.go
@@ -174,7 +174,7 @@
 		return false
 	}
 	query := e.query()
-	query.Exclude = maps.Clone(e.excluded)
+	query.Exclude = maps.Clone(query.Exclude)
 	query.Exclude[e.pace.decision.Choice.Entry.Incarnation()] = true
 	e.engines.Use(func(set *enginechoice.Set, now time.Time) { e.pace.freeElsewhere = set.CanPickFree(query, now) })
 	return e.pace.freeElsewhere
--- a/internal/passthrough/relay/relay.go
+++ b/internal/passthrough/relay/relay.go
@@ -103,6 +103,9 @@
 type Origins interface {
 	// Began records the version whose engine wrote a stream's first event.
 	Began(pool, requestID, software string)
+	// BeginsAmong returns the versions at which a stream that clients can take up should begin; nil
+	// if any will do.
+	BeginsAmong(query enginechoice.Query) []string
 	// Find returns the version at which a stream may be resumed, or origins.ErrNotFound.
 	Find(ctx context.Context, stream origins.Stream) (software string, err error)
 }
@@ -320,7 +323,6 @@
 // that the request is placed at an engine, however many requests are queued there.
 func (e *exchange) acquireSlot(deadlineCtx context.Context, slotDeadline time.Time) (slots.Decision, error) {
 	query := e.query()
-	query.Exclude = e.excluded
 	request := slots.Request{
 		ID: e.call.Demand.RequestID, Query: query, Rank: e.call.Route.Priority, PlacementDeadline: slotDeadline, EndsAt: e.clock.currentDeadline(),
 		TenantRank: e.call.tenantRank(), Owner: e.call.TenantName(), Content: e.identity.Content.Hash(), MayHaveRun: e.mayHaveRun, Suspect: e.guard.Suspect(e.identity),
--- a/internal/passthrough/relay/resume.go
+++ b/internal/passthrough/relay/resume.go
@@ -20,13 +20,21 @@
 // query returns the query for an engine that may run the request, or the rest of its stream.
 func (e *exchange) query() enginechoice.Query {
 	query := Query(e.call.Pool, e.call.Demand)
-	query.Software = e.software
+	query.Software, query.Exclude = e.software, e.excluded
+	if e.software == "" && e.call.Route.Kind == passroute.KindStream && e.mayBeTakenUp() {
+		query.SoftwareAmong = e.origins.BeginsAmong(query)
+	}
 	return query
 }
 
+// mayBeTakenUp reports whether clients may take the stream up.
+func (e *exchange) mayBeTakenUp() bool {
+	return e.call.Route.Repeatable() && e.call.Demand.RequestID != ""
+}
+
 // recordOrigin makes known which version began the stream, if clients may take it up.
 func (e *exchange) recordOrigin() {
-	if e.call.Route.Repeatable() && e.call.Demand.RequestID != "" {
+	if e.mayBeTakenUp() {
 		e.origins.Began(e.call.Pool, e.call.Demand.RequestID, e.software)
 	}
 }
@@ -62,11 +70,11 @@
 // awaitSoftware reports whether an engine of the stream's version accepts work. It waits for one for
 // softwareListingTime if this node has listed none of the version yet.
 func (e *exchange) awaitSoftware(ctx context.Context) (usable bool) {
-	deadline := time.Now().Add(softwareListingTime)
+	deadline, query := time.Now().Add(softwareListingTime), e.query()
 	for {
 		listed := false
 		e.engines.Use(func(set *enginechoice.Set, now time.Time) {
-			usable = set.CanPick(e.query(), now)
+			usable = set.CanPick(query, now)
 			listed = slices.Contains(set.SoftwareVersions(e.call.Pool), e.software)
 		})
 		if usable || listed || time.Now().After(deadline) || !wait.For(ctx, softwareListingCheck) {
--- a/internal/passthrough/slots/acquire.go
+++ b/internal/passthrough/slots/acquire.go
@@ -293,7 +293,7 @@
 
 // laneForLocked returns the lane to which an ask is sent. Requests that share prompt parts use the
 // same lane, and so do requests with the same content if engines have ended while they ran it. If
-// the query names a software version, the lane has an engine of it if any lane has. The caller holds mu.
+// the query names software versions, the lane has an engine of one if any lane has. The caller holds mu.
 func (s *Service) laneForLocked(query enginechoice.Query, ask grant.Ask) grant.Lane {
 	lane := grant.Lane{Pool: query.Pool, Parts: s.engines.laneCount(query.Pool)}
 	key := grant.LifeHash(s.Incarnation) + ask.ID
@@ -303,8 +303,8 @@
 		key = grant.PartHash(ask.Shared[len(ask.Shared)-1].ID)
 	}
 	lane.Part = uint32(key) & (lane.Parts - 1) //nolint:gosec // the low bits are meant
-	if query.Software != "" {
-		lane = s.engines.laneWithSoftware(lane, query.Software)
+	if query.RestrictsSoftware() {
+		lane = s.engines.laneWithSoftware(lane, query)
 	}
 	return lane
 }
@@ -317,14 +317,14 @@
 }
 
 // excludeOtherSoftware adds the lane's engines of other software versions to those that the ask
-// excludes, if the query names a version. Dispatchers of all builds understand such an ask.
+// excludes, if the query names versions. Dispatchers of all builds understand such an ask.
 func (s *Service) excludeOtherSoftware(ask *grant.Ask, lane grant.Lane, query enginechoice.Query) {
-	if query.Software == "" {
+	if !query.RestrictsSoftware() {
 		return
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	ask.Exclude = append(ask.Exclude, s.engines.otherSoftware(lane, query.Software)...)
+	ask.Exclude = append(ask.Exclude, s.engines.otherSoftware(lane, query)...)
 }
 
 // submitAsk adds an ask to the lane's requester and sends it.
@@ -432,7 +432,7 @@
 	var listed enginechoice.Listed
 	found := false
 	s.Engines.Use(func(set *enginechoice.Set, _ time.Time) { listed, found = set.Find(engine) })
-	if !found || !listed.State.Usable() || query.Exclude[engine] || (query.Software != "" && listed.Entry.Software != query.Software) {
+	if !found || !listed.State.Usable() || query.Exclude[engine] || !query.AllowsSoftware(listed.Entry.Software) {
 		events.GrantDeclined.Log(s.Logger, zap.Uint64("ask", received.grant.ID), zap.Stringer("engine", engine), zap.String("dispatcher", received.from), zap.Bool("known", found), zap.Stringer("state", listed.State))
 		return Decision{}, false
 	}
--- a/internal/passthrough/slots/engines.go
+++ b/internal/passthrough/slots/engines.go
@@ -79,12 +79,12 @@
 	return v.listed[hash].Entry.Incarnation()
 }
 
-// laneWithSoftware returns the lane if it has a usable engine of a software version, or else another
-// lane of the pool that has one, or else the lane itself.
-func (v *engineView) laneWithSoftware(lane grant.Lane, software string) grant.Lane {
+// laneWithSoftware returns the lane if it has a usable engine of a software version that the query
+// allows, or else another lane of the pool that has one, or else the lane itself.
+func (v *engineView) laneWithSoftware(lane grant.Lane, query enginechoice.Query) grant.Lane {
 	other := lane
 	for hash, known := range v.listed {
-		if known.Entry.Pool != lane.Pool || known.Entry.Software != software || !known.State.Usable() {
+		if known.Entry.Pool != lane.Pool || !query.AllowsSoftware(known.Entry.Software) || !known.State.Usable() {
 			continue
 		}
 		if lane.Holds(hash) {
@@ -95,11 +95,12 @@
 	return other
 }
 
-// otherSoftware returns the hashes of a lane's usable engines of other software versions.
-func (v *engineView) otherSoftware(lane grant.Lane, software string) []uint64 {
+// otherSoftware returns the hashes of a lane's usable engines of software versions that the query does
+// not allow.
+func (v *engineView) otherSoftware(lane grant.Lane, query enginechoice.Query) []uint64 {
 	var hashes []uint64
 	for hash, known := range v.listed {
-		if known.Entry.Pool == lane.Pool && known.Entry.Software != software && known.State.Usable() && lane.Holds(hash) {
+		if known.Entry.Pool == lane.Pool && !query.AllowsSoftware(known.Entry.Software) && known.State.Usable() && lane.Holds(hash) {
 			hashes = append(hashes, hash)
 		}
 	}
