answerend: an answer whose connection was reset is not whole

Cause: a client got a part of an answer as complete when an engine answered a long upload at once, without a length, and reset the connection while the upload was still being written; an item ended as succeeded with a part of its text. A reset is reported once, to the first call on the connection. That is the write of the request, and the read then returns an end of file, while the engine, which still runs, answers the probe. Change: the end of such an answer counts only if the kernel shows the connection as closed by its peer, not as reset, and the write of the request has not failed.

--- a/internal/passthrough/answerend/answerend.go
+++ b/internal/passthrough/answerend/answerend.go
@@ -1,7 +1,8 @@
 // Package answerend decides whether an engine's answer is known to have ended. The end of an answer
 // without a length or chunks is the end of its connection, and a connection ends in the same way when
-// the engine's process does. Such an answer counts as whole if it has content and the process that wrote it
-// still runs after the end. This assumes that a running engine closes a connection only after its whole answer.
+// the engine's process does. Such an answer counts as whole if it has content, its connection was closed in
+// an orderly manner, and the process that wrote it still runs after the end. This assumes that a running
+// engine which breaks an answer off resets the connection.
 package answerend
 
 import (
@@ -45,9 +46,15 @@
 	errNoHealthCheck = errors.New("the engine has no report, and the pool no health check")
 )
 
+// Exchange is the exchange that an answer belongs to, an engineconn.Exchange.
+type Exchange interface {
+	Framing() engineconn.Framing
+	ClosedInOrder() error
+}
+
 // Answer is an answer that was read up to an end of file.
 type Answer struct {
-	Exchange *engineconn.Exchange
+	Exchange Exchange
 	Engine   engineconn.Key
 	Pool     string
 	Empty    bool // nothing of it has come
@@ -78,6 +85,9 @@
 	case answer.Empty:
 		return None, errEmpty
 	}
+	if err := answer.Exchange.ClosedInOrder(); err != nil {
+		return None, fmt.Errorf("%w: %s", io.ErrUnexpectedEOF, err.Error())
+	}
 	if err := c.askEngine(ctx, answer); err != nil {
 		// The check's own error is not wrapped: a timeout of the check is none of the answer.
 		return None, fmt.Errorf("%w: the connection ended, and the engine is not known to run: %s", io.ErrUnexpectedEOF, err.Error())
--- a/internal/passthrough/answerend/answerend_test.go
+++ b/internal/passthrough/answerend/answerend_test.go
@@ -7,6 +7,7 @@
 	"io"
 	"net"
 	"net/http"
+	"syscall"
 	"testing"
 	"time"
 
@@ -80,6 +81,26 @@
 	return fmt.Sprintf("HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s", len(text), text)
 }
 
+// untilClose is an exchange whose answer has ended with its connection, and the error of that end.
+type untilClose struct{ end error }
+
+// Framing implements Exchange.
+func (untilClose) Framing() engineconn.Framing { return engineconn.FramedByConnection }
+
+// ClosedInOrder implements Exchange.
+func (u untilClose) ClosedInOrder() error { return u.end }
+
+// TestResetIsNoEnd guards against an answer that counts as whole though its connection was reset, while its
+// engine still runs.
+func TestResetIsNoEnd(t *testing.T) {
+	address, _ := startEngine(t, write(answered(200, "")))
+	checker := NewChecker(engineconn.New(engineconn.DefaultConfig()), headers{}, reports{}, func(string) passroute.Pool { return passroute.Pool{} })
+	got, err := checker.Check(t.Context(), Answer{Exchange: untilClose{end: syscall.ECONNRESET}, Engine: engineconn.Key{Engine: enginechoice.Incarnation{ID: "e1"}, Address: address}})
+	if got != None || !engineconn.BrokenByEngine(err) {
+		t.Errorf("evidence %q, error %v; want none, and an error by which the engine broke the answer off", got, err)
+	}
+}
+
 // TestWhatShowsThatAnEngineStillRuns guards against an answer that counts as whole though the engine that
 // wrote it has ended, and against one that counts as broken off though its engine runs.
 func TestWhatShowsThatAnEngineStillRuns(t *testing.T) {
@@ -132,7 +153,7 @@
 			}
 			checker := NewChecker(engineconn.New(engineconn.DefaultConfig()), headers{}, reports{}, func(string) passroute.Pool { return pool })
 			got, err := checker.Check(t.Context(), Answer{
-				Exchange: &engineconn.Exchange{Response: &http.Response{ContentLength: -1, Body: io.NopCloser(nil)}},
+				Exchange: untilClose{},
 				Engine:   engineconn.Key{Engine: enginechoice.Incarnation{ID: "e1", Born: test.born}, Address: address}, Pool: "p",
 			})
 			if got != test.want {
--- a/internal/passthrough/engineconn/conn.go
+++ b/internal/passthrough/engineconn/conn.go
@@ -164,6 +164,41 @@
 	}
 }
 
+// errReset means that an engine has reset a connection, or closed it while the request was written.
+var errReset = errors.New("the connection was reset")
+
+// ClosedInOrder returns an error unless the engine has closed the connection in an orderly manner. It is
+// called after the end of the body. The end of file alone does not show it: a reset is reported once, which
+// may be to the write of the request.
+func (e *Exchange) ClosedInOrder() error {
+	select {
+	case err := <-e.written:
+		e.written <- err
+		if err != nil {
+			return fmt.Errorf("%w: the request was not written: %s", errReset, err.Error())
+		}
+	default:
+	}
+	raw, err := e.conn.raw.SyscallConn()
+	if err != nil {
+		return err
+	}
+	var info *unix.TCPInfo
+	var failed error
+	if err := raw.Control(func(descriptor uintptr) {
+		info, failed = unix.GetsockoptTCPInfo(int(descriptor), unix.IPPROTO_TCP, unix.TCP_INFO)
+	}); err != nil {
+		return err
+	}
+	if failed != nil {
+		return fmt.Errorf("state of the connection: %w", failed)
+	}
+	if info.State != unix.BPF_TCP_CLOSE_WAIT {
+		return errReset
+	}
+	return nil
+}
+
 // Framing is how the end of a response's body is marked.
 type Framing uint8
 
