engineconn: a status outside 100 to 599 is no response

Cause: a client got the status 600 or 999 of an engine in trouble as its answer. A status below 100 passed for an interim response, so that the request waited for another one until its deadline. Change: a head with a status that RFC 9110 does not allow is malformed, like one that cannot be read: the request fails over where it may, and the client gets 502 otherwise. Measured: TestInvalidStatusIsNoResponse: before, 600 and 999 were responses, and 000, 001 and 099 ended with the deadline.

--- a/internal/passthrough/engineconn/limits.go
+++ b/internal/passthrough/engineconn/limits.go
@@ -49,6 +49,12 @@
 	Milliseconds = "ms"
 )
 
+// The range of valid status codes (RFC 9110, section 15).
+const (
+	minStatus = 100
+	maxStatus = 599
+)
+
 // errMalformed means that an engine has sent bytes that form no response, or more chunk extensions or
 // trailers than net/http accepts.
 var errMalformed = errors.New("malformed response")
@@ -118,6 +124,8 @@
 	allowance.bytes = c.limited.left + c.reader.Buffered()
 	allowance.time -= time.Since(began)
 	switch {
+	case err == nil && (response.StatusCode < minStatus || response.StatusCode > maxStatus):
+		return nil, fmt.Errorf("%w: status %03d", errMalformed, response.StatusCode) //nolint:bodyclose // the connection is closed
 	case err == nil:
 		return response, nil
 	case c.limited.exceeded: // net/http may return the error of a line that it has read in part
