relay: a node that stops passes no further requests on

Cause: callers whose request was read late in a planned stop, or waited for a slot then, had it passed on and cut without an answer at the end of the grace; requests that may not be repeated were lost so. A node that had closed its listener treated the requests that it had begun to read like any other. Change: once the listener is closed, a request that no engine has run is refused as not run (503, code node_stopping), also while it waits for a slot, and a job is not accepted. What an engine runs, or may have run, goes on to the end of the grace, at another engine too. A request that is passed on before and runs longer than the grace is cut at its end, as before.

--- a/internal/passthrough/edge/inspect.go
+++ b/internal/passthrough/edge/inspect.go
@@ -21,6 +21,9 @@
 // serve a pool.
 func (n *Node) RecordedSoftware(pool string) []string { return n.batch.RecordedVersions(pool) }
 
+// RefusesStarts reports whether this node stops and passes on no further requests.
+func (n *Node) RefusesStarts() bool { return n.ingress.Relay.Stopping() }
+
 // ServingEngines returns the number of engines of a pool that accept new work.
 func (n *Node) ServingEngines(pool string) int {
 	count := 0
--- a/internal/passthrough/ingress/ingress.go
+++ b/internal/passthrough/ingress/ingress.go
@@ -56,6 +56,7 @@
 	headerTimeout       = 15 * time.Second
 	defaultMaxBodyBytes = 64 << 20
 	defaultIdleTimeout  = time.Minute
+	stoppingRetryAfter  = 100 * time.Millisecond // Retry-After of a job that another node may accept at once
 	noRoutesRetryAfter  = 300 * time.Millisecond // Retry-After while the node knows no routes
 )
 
@@ -94,8 +95,9 @@
 func (s *Server) CloseConnections() { s.closeConnections.Store(true) }
 
 // Stop closes the listener and waits for the requests in flight. When ctx ends first, it closes
-// their connections.
+// their connections. Requests that no engine has run yet are refused, since they might not end in time.
 func (s *Server) Stop(ctx context.Context) {
+	s.Relay.StopStarts()
 	if s.http.Shutdown(ctx) != nil {
 		_ = s.http.Close() // aborts the remaining requests
 	}
@@ -200,6 +202,10 @@
 	events.RequestAccepted.Log(s.Logger, zap.String("request", call.Demand.RequestID), zap.String("route", call.Route.Name), zap.String("tenant", call.TenantName()),
 		zap.Int64("routes_version", call.Version), zap.Duration("left", call.Demand.TimeLeft))
 	if call.Route.Kind == passroute.KindBatch && call.Request.Method == http.MethodPost {
+		if s.Relay.Stopping() {
+			relay.RefuseNotRun(to, s.Headers, stoppingRetryAfter, "node_stopping", "this node is stopping; the job was not accepted")
+			return
+		}
 		s.Batch.Submit(to, call)
 		return
 	}
--- a/internal/passthrough/relay/outcome.go
+++ b/internal/passthrough/relay/outcome.go
@@ -50,6 +50,8 @@
 	timedOut     reason = "timed_out"
 	noEngine     reason = "no_engine_has_room"
 	attemptsUsed reason = "attempts_used"
+	// nodeStopping means that this node stops before an engine would have run the request.
+	nodeStopping reason = "node_stopping"
 	// limitNotKnown means that no node that counts the tenant's requests answers.
 	limitNotKnown reason = "limit_not_known"
 	// overloaded means that the engines cannot serve the request in its time.
--- a/internal/passthrough/relay/relay.go
+++ b/internal/passthrough/relay/relay.go
@@ -89,10 +89,13 @@
 	metrics *Metrics
 	active  *activeCalls
 	usual   *usualTimes
-	moves   *recentMoves
-	watch   *suspension.Watch
-	held    *memorybudget.Budget // counts what is read ahead of slow clients
-	origins Origins
+	// starts ends when requests are passed on no longer.
+	starts     context.Context //nolint:containedctx // of the relay, not of a call
+	stopStarts context.CancelFunc
+	moves      *recentMoves
+	watch      *suspension.Watch
+	held       *memorybudget.Budget // counts what is read ahead of slow clients
+	origins    Origins
 }
 
 // SetMemoryBudget sets the budget of what is read ahead of slow clients. It must be called before the first
@@ -122,9 +125,17 @@
 
 // New returns a relay.
 func New(headers passthrough.Headers, engines *catalog.Engines, slots *slots.Service, pool *engineconn.Pool, ends *answerend.Checker, guard *guard.Service, logger *zap.Logger, metrics *Metrics) *Relay {
-	return &Relay{headers: headers, engines: engines, slots: slots, pool: pool, ends: ends, guard: guard, logger: logger, metrics: metrics, active: newActiveCalls(), usual: newUsualTimes(), moves: &recentMoves{}, held: memorybudget.New(0)}
+	starts, stopStarts := context.WithCancel(context.Background())
+	return &Relay{starts: starts, stopStarts: stopStarts, headers: headers, engines: engines, slots: slots, pool: pool, ends: ends, guard: guard, logger: logger, metrics: metrics, active: newActiveCalls(), usual: newUsualTimes(), moves: &recentMoves{}, held: memorybudget.New(0)}
 }
 
+// StopStarts makes the relay refuse the requests that no engine has run yet, those that wait for a slot
+// included. The node stops before they would end, and other nodes serve them.
+func (r *Relay) StopStarts() { r.stopStarts() }
+
+// Stopping reports whether StopStarts was called.
+func (r *Relay) Stopping() bool { return r.starts.Err() != nil }
+
 // exchange is the state of one call across its attempts.
 type exchange struct {
 	*Relay
@@ -211,6 +222,9 @@
 // run makes attempts until one succeeds or no further attempt is allowed.
 func (e *exchange) run(clientCtx, deadlineCtx context.Context) Outcome {
 	slotDeadline := e.call.Received.Add(slotWaitOf(e.call))
+	startCtx, cancelStart := context.WithCancel(deadlineCtx)
+	defer cancelStart()
+	defer context.AfterFunc(e.starts, cancelStart)()
 	if outcome, resumable := e.findOrigin(deadlineCtx); !resumable {
 		return outcome
 	}
@@ -225,7 +239,17 @@
 		if verdict, on := e.guard.Verdict(e.identity); verdict.Blocked {
 			return e.refuseBlocked(verdict, on)
 		}
-		decision, err := e.acquireSlot(deadlineCtx, slotDeadline)
+		waitCtx := startCtx
+		if e.mayHaveRun {
+			waitCtx = deadlineCtx
+		}
+		decision, err := e.acquireSlot(waitCtx, slotDeadline)
+		if e.Stopping() && !e.mayHaveRun {
+			if err == nil {
+				decision.Slot.End(enginechoice.Abandoned, false)
+			}
+			return e.giveUp(nodeStopping)
+		}
 		if overLimit := (*slots.OverLimitError)(nil); errors.As(err, &overLimit) {
 			return e.refuseOverLimit(overLimit)
 		}
