grant: a part of a limit counts at one dispatcher at a time

Cause: a tenant's burst was admitted twice, up to 1,453 requests in 5 s of 1,340 allowed, when the dispatcher that counts it stood still for some tenths of a second. Nodes turn to the next dispatcher after some 32 ms; the first one counted them for 0.6 s and spent their part of the burst as well. A cut in both directions, or of what the dispatcher receives, has the same effect without a pause. Change: a dispatcher asks its nodes whether they are attached before a tenant spends more than a quarter of the margin of its burst, and relies on the answers for 50 ms (0.5 ms a node where that is more). A node that does not answer gives its part up; one that turns back brings its part as the other dispatcher has left it, once that one has told. Requests wait for the answers; they are not refused. A burst through both sides within the time for which answers are relied on can still be admitted twice.

--- a/internal/core/grant/dispatcher.go
+++ b/internal/core/grant/dispatcher.go
@@ -80,11 +80,21 @@
 	zone           string
 	connected      map[enginechoice.Incarnation]bool
 	attached       bool
-	inFlight       map[uint64]*inFlightRequest
-	queued         map[uint64]*queuedAsk
-	refused        map[uint64]*sentRefusal
-	refilled       bool // the time since its process started has been credited to the limits
-	counted        bool // Reply.Counted
+	attachedAt     time.Time // when it was last counted as newly attached
+	// creditedAt is when its part of what is left was last added to the limits.
+	creditedAt  time.Time
+	asked       bool  // it was asked whether it is attached, since it was counted
+	confirms    bool  // it answers that question; nodes of earlier builds do not
+	unconfirmed bool  // it has not answered in the current round
+	unadmitted  []Ask // requests that wait for the round to be completed, or for a use
+	// turnedAt is when the node turned back from another dispatcher, whose use is not known yet;
+	// zero if it has brought its credit.
+	turnedAt time.Time
+	inFlight map[uint64]*inFlightRequest
+	queued   map[uint64]*queuedAsk
+	refused  map[uint64]*sentRefusal
+	refilled bool // the time since its process started has been credited to the limits
+	counted  bool // Reply.Counted
 }
 
 // Dispatcher grants the slots of one lane.
@@ -118,7 +128,9 @@
 	countingSince time.Time
 	exchange      *UseExchange // nil: the use of the limits is not kept
 	notNewFleet   bool         // refillNewFleet has credited its time, or may not
+	lastUse       *quota.Use   // to be told of the nodes that have all left; nil if none
 	limitReturns  limitReturns
+	confirmation  confirmation
 	// suspects holds the in-flight requests whose content is suspected of crashing
 	// engines.
 	suspects map[*inFlightRequest]bool
@@ -316,9 +328,7 @@
 		known = &nodeState{life: state.Life, inFlight: make(map[uint64]*inFlightRequest), queued: make(map[uint64]*queuedAsk), refused: make(map[uint64]*sentRefusal)}
 		d.nodes[from] = known
 	}
-	joined := state.Attached && !d.isAttached(known, now)
-	known.sequence, known.lastStateAt, known.zone, known.attached = state.Sequence, now, state.Zone, state.Attached
-	d.joinLimits(known, state, joined, now)
+	d.updateAttachment(known, state, now)
 	known.connected = make(map[enginechoice.Incarnation]bool, len(state.Connected))
 	for _, engine := range state.Connected {
 		known.connected[d.engineByHash[engine]] = true
@@ -330,7 +340,8 @@
 	reply := d.reply(from)
 	reply.Life, reply.Sequence = state.Life, state.Sequence
 	known.counted = d.keepsLimits() && state.Attached && d.liveNodes > 0
-	if len(state.Held)+len(state.Waiting) == 0 && len(known.inFlight) == 0 && !state.Attached {
+	idle := len(state.Held)+len(state.Waiting) == 0 && len(known.inFlight) == 0 && !state.Attached
+	if idle && known.attachedAt.IsZero() { // one that was counted is kept for NodeTimeout, see reattach
 		delete(d.nodes, from)
 	}
 }
@@ -438,6 +449,8 @@
 func (d *Dispatcher) Tick(now time.Time) {
 	d.advanceLimits(now)
 	d.limitReturns.expire(now)
+	d.retryConfirmation(now)
+	d.addToldCredit(now)
 	for address, known := range d.nodes {
 		if now.Sub(known.lastStateAt) > d.config.NodeTimeout {
 			d.removeNode(address, now)
@@ -467,6 +480,7 @@
 // reports by gap, so that nodes that have switched to another dispatcher meanwhile are
 // removed.
 func (d *Dispatcher) AdjustForSuspension(gap time.Duration, now time.Time) {
+	d.confirmation = confirmation{suspendedAt: now}
 	for _, known := range d.nodes {
 		known.lastStateAt = known.lastStateAt.Add(-gap)
 		for _, request := range known.inFlight {
--- a/internal/core/grant/limitreturns.go
+++ b/internal/core/grant/limitreturns.go
@@ -97,6 +97,11 @@
 	if d.awaitsNodes(verdict, now) {
 		return
 	}
+	if d.awaitsUse() {
+		known := d.nodes[from]
+		known.unadmitted = append(known.unadmitted, ask)
+		return
+	}
 	if d.keepsLimits() && ask.Content != 0 && verdict.Share > 0 {
 		verdict.RetryAfter = d.bookReturn(ask, verdict, now)
 	}
--- a/internal/core/grant/limituse.go
+++ b/internal/core/grant/limituse.go
@@ -19,6 +19,9 @@
 	// fullUseInterval is the same while all bursts are left. One message may be lost before
 	// the use counts as unknown.
 	fullUseInterval = 250 * time.Millisecond
+	// maxUseAge is the age of a use up to which the nodes that join a new dispatcher bring what it
+	// leaves.
+	maxUseAge = 2 * fullUseInterval
 	// minUseInterval bounds the messages that large requests of tenants call for.
 	minUseInterval = 10 * time.Millisecond
 	// maxJoinTime is the time in which the nodes turn to a dispatcher that ranks before theirs
@@ -42,6 +45,10 @@
 
 // TakeLimitUse returns the message about the use of the limits that is due, if any.
 func (d *Dispatcher) TakeLimitUse(now time.Time) (LimitUse, bool) {
+	if last := d.lastUse; last != nil {
+		d.lastUse = nil
+		return d.exchange.message(*last, now), true
+	}
 	if !d.keepsLimits() || d.limitShare == 0 {
 		return LimitUse{}, false
 	}
@@ -58,6 +65,41 @@
 	return d.exchange.message(d.limits.Use(maxToldTenants), now), true
 }
 
+// tellBeforeLeave has the use told when a node turns to another dispatcher, which waits for it. The last
+// node takes the dispatcher's part with it, so the use is read before.
+func (d *Dispatcher) tellBeforeLeave(now time.Time) {
+	if !d.keepsLimits() || d.limitShare == 0 {
+		return
+	}
+	d.limits.Tell()
+	if d.Attached(now) == 1 {
+		use := d.limits.Use(maxToldTenants)
+		d.lastUse = &use
+	}
+}
+
+// updateAttachment records a node's State, and updates the dispatcher's part of the limits with it.
+func (d *Dispatcher) updateAttachment(known *nodeState, state State, now time.Time) {
+	wasAttached := d.isAttached(known, now)
+	joined := state.Attached && !wasAttached
+	returns := joined && d.keepsLimits() && known.confirms && !known.attachedAt.IsZero()
+	if wasAttached && !state.Attached && d.keepsLimits() {
+		d.tellBeforeLeave(now)
+		d.detach(known, now)
+	}
+	if joined {
+		d.advanceLimits(now)
+		known.attachedAt, known.turnedAt, known.asked = now, time.Time{}, false
+	}
+	known.sequence, known.lastStateAt, known.zone, known.attached = state.Sequence, now, state.Zone, state.Attached
+	if returns {
+		d.reattach(known, now, now)
+	} else if joined {
+		known.creditedAt = now
+	}
+	d.joinLimits(known, state, joined && !returns, now)
+}
+
 // joinLimits updates the dispatcher's part of the limits with a node's State, whose arrival
 // is recorded already. Joined reports that the node was not attached before.
 func (d *Dispatcher) joinLimits(known *nodeState, state State, joined bool, now time.Time) {
@@ -67,7 +109,7 @@
 	}
 	isNew := state.UnusedFor > 0
 	if joined && !isNew {
-		d.limits.SetKnown(d.exchange.fresh(now, d.config.AttachmentTimeout))
+		d.limits.SetKnown(d.exchange.fresh(now, maxUseAge))
 	}
 	d.advanceLimits(now)
 	d.limits.SetKnown(nil)
@@ -130,6 +172,7 @@
 	startedAt   time.Time
 	sequence    uint64
 	toldAt      time.Time
+	own         quota.KnownUse          // what this node's dispatcher has told last
 	toldPartial bool                    // some tenant had less than its burst left when last told
 	bySender    map[uint64]*heardSender // keyed by LimitUse.Life
 }
@@ -161,7 +204,7 @@
 // message returns the next message of this node's dispatcher.
 func (e *UseExchange) message(use quota.Use, now time.Time) LimitUse {
 	e.sequence++
-	e.toldAt, e.toldPartial = now, len(use.Tenants) > 0
+	e.toldAt, e.toldPartial, e.own = now, len(use.Tenants) > 0, quota.NewKnownUse(use, now)
 	return LimitUse{Life: e.life, Sequence: e.sequence, Elapsed: now.Sub(e.startedAt), Use: use}
 }
 
@@ -197,6 +240,26 @@
 	return s.offset.Add(elapsed)
 }
 
+// withOwn adds what this node's dispatcher has told within an age. Nodes that come back to it may have
+// left it for a dispatcher that does not know what it had admitted.
+func (e *UseExchange) withOwn(told []quota.KnownUse, now time.Time, age time.Duration) []quota.KnownUse {
+	if len(told) > 0 && now.Sub(e.own.At) <= age {
+		return append(told, e.own)
+	}
+	return told
+}
+
+// since returns the use that others told at a time or later.
+func (e *UseExchange) since(at time.Time) []quota.KnownUse {
+	var list []quota.KnownUse
+	for _, sender := range e.bySender {
+		if !sender.use.At.Before(at) {
+			list = append(list, sender.use)
+		}
+	}
+	return list
+}
+
 // forgetSilent forgets the dispatchers that have been silent for heardRetention.
 func (e *UseExchange) forgetSilent(now time.Time) {
 	for life, sender := range e.bySender {
@@ -209,6 +272,7 @@
 // AdjustForSuspension ages what was heard by the time for which this node's machine was
 // suspended.
 func (e *UseExchange) AdjustForSuspension(gap time.Duration) {
+	e.own.At = e.own.At.Add(-gap)
 	for _, sender := range e.bySender {
 		sender.heardAt = sender.heardAt.Add(-gap)
 		sender.use.At = sender.use.At.Add(-gap)
--- a/internal/core/grant/network_test.go
+++ b/internal/core/grant/network_test.go
@@ -48,6 +48,8 @@
 	state    *State
 	reply    *Reply
 	use      *LimitUse
+	question *AttachmentQuestion
+	answer   *AttachmentAnswer
 }
 
 // network simulates nodes that exchange datagrams with delay and loss, on a virtual clock.
@@ -164,6 +166,10 @@
 	for to, reply := range node.dispatcher.Replies() {
 		n.send(node.address, to, nil, &reply)
 	}
+	to, question := node.dispatcher.AttachmentQuestions(n.now)
+	for _, address := range to {
+		n.sendMessage(datagram{from: node.address, to: address, question: &question})
+	}
 }
 
 func (n *network) deliverDue() {
@@ -187,6 +193,16 @@
 			node.dispatcher.exchange.Record(*message.use, n.now)
 			continue
 		}
+		if message.question != nil {
+			answer := node.requester.AnswerAttachment(message.from, *message.question, n.now)
+			n.sendMessage(datagram{from: node.address, to: message.from, answer: &answer})
+			continue
+		}
+		if message.answer != nil {
+			node.dispatcher.ApplyAttachment(message.from, *message.answer, n.now)
+			n.replies(node)
+			continue
+		}
 		if message.state != nil {
 			node.dispatcher.ApplyState(message.from, *message.state, n.now)
 			n.replies(node)
--- a/internal/core/grant/queue.go
+++ b/internal/core/grant/queue.go
@@ -10,6 +10,7 @@
 // updateQueue updates the node's requests in the queue from its State.
 func (d *Dispatcher) updateQueue(from string, known *nodeState, state State, now time.Time) {
 	asked := make(map[uint64]bool, len(state.Waiting))
+	known.unadmitted = nil
 	for _, ask := range state.Waiting {
 		if known.inFlight[ask.ID] != nil {
 			continue // granted already; the reply is still in transit
@@ -96,6 +97,10 @@
 func (d *Dispatcher) admit(from string, known *nodeState, ask Ask, now time.Time) *queuedAsk {
 	entry := newEntry(from, ask, now)
 	if ask.Tenant != 0 && d.limits != nil {
+		if d.awaitsConfirmation(ask.Tenant, now) {
+			known.unadmitted = append(known.unadmitted, ask)
+			return nil
+		}
 		verdict := d.reserve(ask, now)
 		if !verdict.Admitted {
 			d.refuseByLimit(from, ask, verdict, now)
--- a/internal/core/grant/requester.go
+++ b/internal/core/grant/requester.go
@@ -120,7 +120,9 @@
 	nextSendAt time.Time   // when to send the next message; zero if nothing has changed
 	roundTrip  time.Duration
 	attached   bool
-	queued     int // Reply.Queued of the newest reply
+	// attachedSince is when the node became attached to current.
+	attachedSince time.Time
+	queued        int // Reply.Queued of the newest reply
 	// unusedSince is State.UnusedFor as a time; zero if it is not told, or no longer.
 	unusedSince time.Time
 	// suspendedSequence is the newest sequence from before the machine was suspended. The
@@ -175,7 +177,7 @@
 	if told := len(r.unanswered); told > 0 {
 		r.DelayUnusedSince(r.unanswered[told-1].at) // the former dispatcher may count the time until then
 	}
-	r.previous, r.current = r.current, address
+	r.previous, r.current, r.attachedSince = r.current, address, now
 	r.unanswered, r.resent = nil, false
 	for _, pending := range r.asks {
 		if pending.acknowledged {
@@ -192,6 +194,7 @@
 // in the lane, and reports it there.
 func (r *Requester) SetAttached(attached bool, now time.Time) {
 	if attached && !r.attached {
+		r.attachedSince = now
 		r.scheduleSend(now)
 	}
 	r.attached = attached
--- a/internal/core/quota/kept.go
+++ b/internal/core/quota/kept.go
@@ -60,8 +60,12 @@
 type keptUse struct {
 	enabled bool
 	known   []KnownUse // of the counters that the joining nodes may have left
-	tellNow bool       // a tenant has used untoldMargin since Use
-	start   Start
+	tellNow bool       // a tenant has used untoldMargin since Use, or Tell was called
+	// withoutCredit reports that the nodes which join or leave have no credit (MoveWithoutCredit), and
+	// uncredited is the part of all nodes that are counted without it.
+	withoutCredit bool
+	uncredited    float64
+	start         Start
 	// The nodes that have left and not come back, as a part of all nodes, and when the last
 	// of them left.
 	leftShare float64
@@ -91,10 +95,11 @@
 //     known use. Use of which nothing was heard for the time in which nodes count at two
 //     counters is not taken over.
 //   - K, for each counter that goes on while nodes have left it unnoticed, because it was cut
-//     off or paused: what the nodes that stay admit there, beyond their part, until it notices
-//     (grant.DispatcherConfig.AttachmentTimeout). They may use all of the credit, so K is at most the
-//     left burst. It is reached only by a tenant that was quiet before, sends its burst through the side that was cut off
-//     in that time, and sends it again through the other side in the same window.
+//     off or paused: a*unconfirmedMargin, which takes the place of the start without known use. A
+//     tenant spends more of its burst only while the nodes have confirmed, some tens of
+//     milliseconds ago at most, that they still belong to the counter (NeedsConfirmation,
+//     grant.AttachmentQuestion). A tenant that sends its burst through both sides within that time
+//     can have it admitted twice.
 //
 // A node whose process has just started has admitted nothing through any counter since then.
 // Its part is refilled for that time (Refill). Nodes that left and come back within returnTime,
@@ -119,6 +124,10 @@
 // that of the nodes that have joined.
 func (p *RateCounter) moveCredit(former float64) {
 	kept := &p.keptUse
+	if kept.withoutCredit {
+		kept.uncredited = min(max(kept.uncredited+p.share-former, 0), p.share)
+		return
+	}
 	if kept.enabled && p.share < former {
 		p.forgetLeft()
 		for _, known := range p.tenants {
@@ -126,12 +135,10 @@
 		}
 		kept.leftShare += former - p.share
 		kept.leftAt = p.advancedAt
+		kept.uncredited = min(kept.uncredited, p.share)
 		return
 	}
-	returned := 0.0
-	if kept.leftShare > 0 {
-		returned = min((p.share-former)/kept.leftShare, 1)
-	}
+	returned := p.returnedPart(p.share - former)
 	for tenant, known := range p.tenants {
 		credit := p.startCredit(tenant, known, former, returned)
 		known.withdrawn *= 1 - returned
@@ -140,6 +147,15 @@
 	kept.leftShare = max(kept.leftShare-(p.share-former), 0)
 }
 
+// returnedPart returns which part of the credit that was given up belongs to a part of the nodes that comes
+// back.
+func (p *RateCounter) returnedPart(joined float64) float64 {
+	if p.keptUse.leftShare <= 0 {
+		return 0
+	}
+	return min(joined/p.keptUse.leftShare, 1)
+}
+
 // forgetLeft drops the credit of nodes that left longer than returnTime ago, which a later leave
 // would otherwise make returnable again.
 func (p *RateCounter) forgetLeft() {
@@ -155,8 +171,9 @@
 
 // withdraw gives up the credit of the nodes that have left since the former share.
 func (p *RateCounter) withdraw(known *counterBucket, former float64) {
-	if known.level > 0 {
-		credit := known.level * (1 - p.share/former)
+	credited := former - p.keptUse.uncredited
+	if known.level > 0 && credited > 0 {
+		credit := known.level * min((former-p.share)/credited, 1)
 		known.level -= credit
 		known.withdrawn += credit
 	}
@@ -174,17 +191,50 @@
 		}
 		return credit
 	}
-	capacity, rate := p.fullCapacity(known.limit), p.fullRate(known.limit)
-	left := capacity
 	newest := kept.known[0].At
 	for _, told := range kept.known {
-		left = min(left, told.left(tenant, capacity, rate, p.advancedAt))
 		if told.At.After(newest) {
 			newest = told.At
 		}
 	}
 	kept.start = Start{Known: true, Age: p.advancedAt.Sub(newest)}
-	return (p.share - former) * left
+	return (p.share - former) * p.toldLeft(tenant, known.limit)
+}
+
+// MoveWithoutCredit sets whether nodes that join bring their part of the refill only, and nodes that leave
+// take nothing along. Their part of what is left is added by AddCredit, once it is known.
+func (p *RateCounter) MoveWithoutCredit(without bool) { p.keptUse.withoutCredit = without }
+
+// AddCredit adds the credit of a part of the nodes, which have joined without it: their part of what the
+// told uses leave, or without a use what they left with within returnTime.
+func (p *RateCounter) AddCredit(part float64, known []KnownUse) {
+	kept := &p.keptUse
+	kept.known = known
+	kept.uncredited = max(kept.uncredited-part, 0)
+	returned := p.returnedPart(part)
+	for tenant, bucket := range p.tenants {
+		p.refill(bucket)
+		credit := 0.0
+		if len(known) > 0 {
+			credit = part * p.toldLeft(tenant, bucket.limit)
+		} else if p.advancedAt.Sub(kept.leftAt) <= returnTime {
+			credit = bucket.withdrawn * returned
+		}
+		bucket.withdrawn *= 1 - returned
+		bucket.fill(credit, p.capacity(bucket.limit))
+	}
+	kept.leftShare = max(kept.leftShare-part, 0)
+	kept.known = nil
+}
+
+// toldLeft returns what the told uses leave of a tenant's limit. At least one use must be set.
+func (p *RateCounter) toldLeft(tenant uint64, limit RateLimit) float64 {
+	capacity, rate := p.fullCapacity(limit), p.fullRate(limit)
+	left := capacity
+	for _, told := range p.keptUse.known {
+		left = min(left, told.left(tenant, capacity, rate, p.advancedAt))
+	}
+	return left
 }
 
 // Refill adds the refill of a part of the nodes for a time in which they admitted nothing
@@ -205,12 +255,15 @@
 	}
 }
 
+// Tell makes the counter tell its use at once, because nodes leave it.
+func (p *RateCounter) Tell() { p.keptUse.tellNow = true }
+
 // MustTell reports whether a tenant has used so much since Use that it must be told at once.
 func (p *RateCounter) MustTell() bool { return p.keptUse.tellNow }
 
 // Use returns the use of the limits over all nodes, with at most the given number of
 // tenants. It assumes that the nodes of other counters have used their part of each limit
-// as those of this counter have.
+// as those of this counter have. Nodes without credit count as if they had used all of theirs.
 func (p *RateCounter) Use(most int) Use {
 	p.keptUse.tellNow = false
 	if p.share == 0 {
--- a/internal/core/quota/place.go
+++ b/internal/core/quota/place.go
@@ -41,6 +41,10 @@
 	startMargin = 0.25
 	// shareMargin covers counters to which only a part of the nodes belongs.
 	shareMargin = 0.125
+	// unconfirmedMargin is what a tenant may spend of its burst while its counter does not know
+	// whether its nodes still belong to it. It is part of startMargin: the counter to which they
+	// went knows the use and has no use for that.
+	unconfirmedMargin = startMargin
 )
 
 // maxRefillInterval bounds the elapsed time by which a counter refills its buckets at once.
@@ -84,6 +88,8 @@
 	filledAt float64 // RateCounter.activeSeconds when it was last filled
 	reserved int     // requests that are admitted and not yet started
 	untold   float64 // requests started since RateCounter.Use
+	// unconfirmed is what was spent of the burst since Confirm: the requests started less the refill.
+	unconfirmed float64
 	// withdrawn is the credit that was given up with the nodes that left.
 	withdrawn float64
 }
@@ -142,7 +148,9 @@
 
 // refill adds the refill of the time since a bucket was last filled.
 func (p *RateCounter) refill(known *counterBucket) {
-	known.fill((p.activeSeconds-known.filledAt)*p.rate(known.limit), p.capacity(known.limit))
+	amount := (p.activeSeconds - known.filledAt) * p.rate(known.limit)
+	known.fill(amount, p.capacity(known.limit))
+	known.unconfirmed = max(known.unconfirmed-amount, 0)
 	known.filledAt = p.activeSeconds
 }
 
@@ -229,10 +237,29 @@
 	if known := p.tenants[tenant]; known != nil {
 		known.reserved = max(known.reserved-1, 0)
 		known.level--
+		known.unconfirmed++
 		p.recordUntold(known)
 	}
 }
 
+// NeedsConfirmation reports whether one more request of a tenant would spend more of its burst than the
+// margin covers if the nodes no longer belonged to the counter. Call Advance first.
+func (p *RateCounter) NeedsConfirmation(tenant uint64) bool {
+	known := p.tenants[tenant]
+	if known == nil {
+		return false
+	}
+	p.refill(known)
+	return known.unconfirmed+float64(known.reserved)+1 > unconfirmedMargin*p.margin.requests(known.limit)
+}
+
+// Confirm records that the nodes belonged to the counter when the tenant's burst was spent.
+func (p *RateCounter) Confirm(tenant uint64) {
+	if known := p.tenants[tenant]; known != nil {
+		known.unconfirmed = -float64(known.reserved)
+	}
+}
+
 // Drop cancels the reservation of a request that Reserve has admitted and that was
 // not started.
 func (p *RateCounter) Drop(tenant uint64) {
--- a/internal/passthrough/slots/messages.go
+++ b/internal/passthrough/slots/messages.go
@@ -22,6 +22,7 @@
 	speedChanges      []speedChange
 	batchStalls       []batchStall
 	limitUses         []outgoingLimitUse
+	attachments       []outgoingAttachment
 }
 
 type outgoingState struct {
@@ -105,6 +106,7 @@
 // collectReplies collects a dispatcher's pending replies. The caller holds mu.
 func (s *Service) collectReplies(lane grant.Lane, dispatcher *laneDispatcher, now time.Time, out *outbox) {
 	s.collectLimitUse(lane, dispatcher, now, out)
+	s.collectAttachmentQuestions(lane, dispatcher, now, out)
 	for to, reply := range dispatcher.Replies() {
 		if to == s.Self {
 			s.handleReply(s.Self, lane, reply, now, out)
@@ -158,6 +160,9 @@
 		s.logBatchStall(known)
 	}
 	s.sendLimitUses(out.limitUses)
+	for _, message := range out.attachments {
+		s.transport.SendAttachment(message.to, message.message)
+	}
 	for _, message := range out.states {
 		s.transport.SendState(message.to, message.lane, message.state)
 	}
--- a/internal/passthrough/slots/slots.go
+++ b/internal/passthrough/slots/slots.go
@@ -27,6 +27,7 @@
 	SendState(to string, lane grant.Lane, state grant.State)
 	SendReply(to string, lane grant.Lane, reply grant.Reply)
 	SendLimitUse(to string, lane grant.Lane, use grant.LimitUse)
+	SendAttachment(to string, message grant.AttachmentMessage)
 }
 
 // Dependencies are the components that the service uses.
--- a/internal/passthrough/slots/slots_test.go
+++ b/internal/passthrough/slots/slots_test.go
@@ -65,6 +65,10 @@
 	n.send(to, func(receiver *testNode) error { return receiver.HandleLimitUse(n.name, lane, use) })
 }
 
+func (n *testNode) SendAttachment(to string, message grant.AttachmentMessage) {
+	n.send(to, func(receiver *testNode) error { return receiver.HandleAttachment(n.name, message) })
+}
+
 // newFleet starts the given numbers of nodes and of engines with two slots each. All nodes ask
 // the first one as their dispatcher.
 func newFleet(ctx context.Context, nodes, engines int) *fleet {
--- a/internal/peer/sharing/datagrams.go
+++ b/internal/peer/sharing/datagrams.go
@@ -64,6 +64,12 @@
 	s.sendDatagram(s.originsCodec.Write(msg), to)
 }
 
+// SendAttachment sends a node a question or an answer about its attachment to a dispatcher. Like liveness
+// messages, it has a type of its own, and earlier builds drop it.
+func (s *Share) SendAttachment(to string, msg grant.AttachmentMessage) {
+	s.sendDatagram(s.attachmentCodec.Write(msg), to)
+}
+
 // sendReleased sends a message in the form that earlier builds read.
 func (s *Share) sendReleased(msg released.Message, to string) {
 	s.sendDatagram(s.releasedCodec.Write(msg), to)
@@ -101,7 +107,7 @@
 	}
 }
 
-// handleDatagram decodes a datagram, a message about liveness, origins, slots or crashes, and handles it.
+// handleDatagram decodes a datagram, a message about liveness, origins, attachment, slots or crashes, and handles it.
 func (s *Share) handleDatagram(from string, datagram []byte) error {
 	if livenessMsg, err := s.livenessCodec.Read(datagram); err == nil {
 		s.watchers.HandleLiveness(from, livenessMsg)
@@ -115,6 +121,9 @@
 		s.origins.HandleMessage(from, originsMsg)
 		return nil
 	}
+	if attachmentMsg, err := s.attachmentCodec.Read(datagram); err == nil {
+		return s.slots.HandleAttachment(from, attachmentMsg)
+	}
 	earlier, err := s.releasedCodec.Read(datagram)
 	if err != nil {
 		return err
--- a/internal/peer/sharing/golden_test.go
+++ b/internal/peer/sharing/golden_test.go
@@ -20,6 +20,7 @@
 	_             = newCodec[liveness.Message]()
 	currentCodec  = newCodec[message]()
 	originsCodec  = newCodec[streamorigin.Message]()
+	attachCodec   = newCodec[grant.AttachmentMessage]()
 )
 
 // During a rolling upgrade, nodes of two builds run side by side and exchange datagrams about the slots
@@ -93,3 +94,29 @@
 		}
 	}
 }
+
+// TestDatagramsAboutAttachmentsAreKept decodes datagrams about the attachment of nodes and checks that this
+// build encodes the same messages to the same bytes. A dispatcher counts the nodes of a build whose datagrams
+// it does not read as before, so that a tenant's burst can be admitted twice.
+func TestDatagramsAboutAttachmentsAreKept(t *testing.T) {
+	lane := grant.Lane{Pool: "p", Parts: 2, Part: 1}
+	for name, example := range map[string]grant.AttachmentMessage{
+		"question": {Lane: lane, Question: &grant.AttachmentQuestion{Asked: 5 * time.Second}},
+		"answer":   {Lane: lane, Answer: &grant.AttachmentAnswer{Life: 7, Asked: 5 * time.Second, Attached: true, For: time.Minute}},
+	} {
+		kept, err := os.ReadFile("testdata/attachment-" + name + ".datagram")
+		if err != nil {
+			t.Fatal(err)
+		}
+		decoded, err := attachCodec.Read(kept)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if difference := cmp.Diff(example, decoded); difference != "" {
+			t.Errorf("%s: %s", name, difference)
+		}
+		if difference := cmp.Diff(kept, attachCodec.Write(example)); difference != "" {
+			t.Errorf("%s: %s", name, difference)
+		}
+	}
+}
--- a/internal/peer/sharing/sharing.go
+++ b/internal/peer/sharing/sharing.go
@@ -89,6 +89,7 @@
 	HandleState(from string, lane grant.Lane, state grant.State) error
 	HandleReply(from string, lane grant.Lane, reply grant.Reply) error
 	HandleLimitUse(from string, lane grant.Lane, use grant.LimitUse) error
+	HandleAttachment(from string, message grant.AttachmentMessage) error
 }
 
 // Crashes receives the reports of other nodes about engines that crashed on certain contents.
@@ -144,6 +145,7 @@
 	livenessCodec     *codec[liveness.Message]
 	messageCodec      *codec[message]
 	originsCodec      *codec[streamorigin.Message]
+	attachmentCodec   *codec[grant.AttachmentMessage]
 	upgraded          upgradedPeers
 	tables            Tables // nil if this node does not answer from its copies
 	followConnections connectionPool
@@ -170,6 +172,7 @@
 	share.livenessCodec = newCodec[liveness.Message]()
 	share.messageCodec = newCodec[message]()
 	share.originsCodec = newCodec[streamorigin.Message]()
+	share.attachmentCodec = newCodec[grant.AttachmentMessage]()
 	return share
 }
 
--- a/internal/peer/sharing/sharing_test.go
+++ b/internal/peer/sharing/sharing_test.go
@@ -33,6 +33,7 @@
 	learned        chan learnedAnswer
 	received       chan message
 	alive          chan liveness.Message
+	attached       chan grant.AttachmentMessage
 	suspensions    atomic.Uint64
 	// onAnswer, if not nil, is called before a question is answered.
 	onAnswer func()
@@ -45,7 +46,7 @@
 }
 
 func newFakeNode() *fakeNode {
-	return &fakeNode{learned: make(chan learnedAnswer, 10), received: make(chan message, 10), alive: make(chan liveness.Message, 10)}
+	return &fakeNode{learned: make(chan learnedAnswer, 10), received: make(chan message, 10), alive: make(chan liveness.Message, 10), attached: make(chan grant.AttachmentMessage, 10)}
 }
 
 func (l *fakeNode) Peers() []string        { return l.peers }
@@ -69,6 +70,11 @@
 	return nil
 }
 
+func (l *fakeNode) HandleAttachment(_ string, msg grant.AttachmentMessage) error {
+	l.attached <- msg
+	return nil
+}
+
 func (l *fakeNode) AddPeerCrashes(_ string, crashes []quarantine.Crash) {
 	l.received <- message{Crashes: crashes}
 }
@@ -397,3 +403,24 @@
 		t.Errorf("node received %d messages, want 1; error %v", len(node.received), err)
 	}
 }
+
+// TestAttachmentMessageArrivesUnchanged sends a question about an attachment, which may be lost, until it
+// arrives.
+func TestAttachmentMessageArrivesUnchanged(t *testing.T) {
+	to := newFakeNode()
+	address := freeAddress(t)
+	start(t, to, address)
+	sender := start(t, newFakeNode(), freeAddress(t))
+	want := grant.AttachmentMessage{Lane: grant.Lane{Pool: "p", Parts: 1}, Question: &grant.AttachmentQuestion{Asked: 3 * time.Second}}
+	for {
+		sender.SendAttachment(address, want)
+		select {
+		case got := <-to.attached:
+			if difference := cmp.Diff(want, got); difference != "" {
+				t.Error(difference)
+			}
+			return
+		case <-time.After(20 * time.Millisecond):
+		}
+	}
+}
