--- a/internal/core/grant/attachment.go
+++ b/internal/core/grant/attachment.go
@@ -14,9 +14,9 @@
 // was attached elsewhere in the meantime brings its part back as the other dispatcher has left it.
 
 const (
-	// confirmationLifetime is how long the answers of the nodes are relied on, for a lane with few
+	// minConfirmationLifetime is how long the answers of the nodes are relied on, for a lane with few
 	// nodes. It is about the time in which a node turns to another dispatcher.
-	confirmationLifetime = 50 * time.Millisecond
+	minConfirmationLifetime = 50 * time.Millisecond
 	// confirmationLifetimePerNode bounds the questions to 2,000 a second.
 	confirmationLifetimePerNode = 500 * time.Microsecond
 	// maxConfirmationTries is the number of questions, one in each Tick, after which a node that does
@@ -57,7 +57,7 @@
 
 // confirmationLifetime is how long a round of confirmations is relied on.
 func (d *Dispatcher) confirmationLifetime() time.Duration {
-	return max(confirmationLifetime, time.Duration(len(d.nodes))*confirmationLifetimePerNode)
+	return max(minConfirmationLifetime, time.Duration(len(d.nodes))*confirmationLifetimePerNode)
 }
 
 // awaitsConfirmation reports whether a tenant's request has to wait until the nodes have confirmed that
