batch: a suspicion names those before it that are not refuted

Cause: the row with suspected nodes is replaced by the next one of the same node, some tenths of a second later. A live node behind a broken link that had not read the first row by then was removed. Found by reading the change. Change: the next row names the nodes of the former ones as well, until they refute them or are removed. Measured: TestNextSuspicionNamesTheFormerNodes.

--- a/internal/passthrough/batch/suspicions.go
+++ b/internal/passthrough/batch/suspicions.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"fmt"
+	"maps"
 	"slices"
 	"strings"
 	"time"
@@ -87,25 +88,27 @@
 }
 
 // suspect writes a row with nodes that answer no ping. Nodes of builds that do not refute suspicions
-// are left out.
+// are left out. The row replaces this node's last one, so it also names those that have not refuted that
+// one: they may not have read it yet.
 func (s *Service) suspect(ctx context.Context, ids []string) {
 	s.view.mu.Lock()
 	ids = slices.DeleteFunc(ids, func(id string) bool { node := s.view.nodes[id]; return node == nil || !node.heartbeat.Refutes })
 	s.view.mu.Unlock()
-	ids = ids[:min(len(ids), maxSuspected)]
 	s.nodeLiveness.mu.Lock()
-	busy := s.nodeLiveness.suspecting
-	s.nodeLiveness.suspecting = busy || len(ids) > 0
-	s.nodeLiveness.mu.Unlock()
-	if busy || len(ids) == 0 {
+	defer s.nodeLiveness.mu.Unlock()
+	former := slices.Sorted(maps.Keys(s.nodeLiveness.suspected))
+	ids = ids[:min(len(ids), max(maxSuspected-len(former), 0))]
+	if s.nodeLiveness.suspecting || len(ids) == 0 {
 		return
 	}
-	go s.writeSuspicion(ctx, ids)
+	s.nodeLiveness.suspecting = true
+	go s.writeSuspicion(ctx, ids, former)
 }
 
-// writeSuspicion writes a row with suspected nodes, and records when the store accepted it.
-func (s *Service) writeSuspicion(ctx context.Context, ids []string) {
-	value, err := json.Marshal(suspicionRow{By: s.Self, Nodes: ids})
+// writeSuspicion writes a row with newly suspected nodes and former ones, and records when the store accepted
+// the suspicion of the new ones.
+func (s *Service) writeSuspicion(ctx context.Context, ids, former []string) {
+	value, err := json.Marshal(suspicionRow{By: s.Self, Nodes: slices.Concat(former, ids)})
 	var result passthrough.CommitResult
 	if err == nil {
 		key := fmt.Sprintf("%s%x", suspicionPrefix, xxhash.Sum64String(s.Self)%suspicionRows)
--- a/internal/passthrough/batch/suspicions_test.go
+++ b/internal/passthrough/batch/suspicions_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"testing"
 	"time"
 
@@ -41,7 +42,7 @@
 // Guards against the removal of a node that has written its heartbeat row since it was suspected.
 func TestRefutedSuspicionIsDropped(t *testing.T) {
 	service := newWatchingService(&acceptingStore{}, map[string]bool{"n2/life": true})
-	service.writeSuspicion(t.Context(), []string{"n2/life"})
+	service.writeSuspicion(t.Context(), []string{"n2/life"}, nil)
 	now := time.Now()
 	service.recordRefutations(now)
 	if len(service.nodeLiveness.suspected) != 1 {
@@ -60,6 +61,36 @@
 	}
 }
 
+// Guards against the removal of a live node that has not read the suspicion before the next one replaces it.
+func TestNextSuspicionNamesTheFormerNodes(t *testing.T) {
+	store := &recordingStore{}
+	service := newWatchingService(store, map[string]bool{"n2/life": true, "n3/life": true})
+	for _, id := range []string{"n2/life", "n3/life"} {
+		service.suspect(t.Context(), []string{id})
+		waitFor(t, func() bool {
+			service.nodeLiveness.mu.Lock()
+			defer service.nodeLiveness.mu.Unlock()
+			return service.nodeLiveness.suspected[id] != 0
+		})
+	}
+	last, err := decodeSuspicion(store.last.Put[0].Value)
+	if err != nil || !slices.Equal(last.Nodes, []string{"n2/life", "n3/life"}) {
+		t.Errorf("the last row names %v, %v; want both nodes", last.Nodes, err)
+	}
+}
+
+// recordingStore accepts all transactions and keeps the last one.
+type recordingStore struct {
+	acceptingStore
+	last passthrough.Transaction
+}
+
+// Commit implements passthrough.Rows.
+func (s *recordingStore) Commit(ctx context.Context, transaction passthrough.Transaction) (passthrough.CommitResult, error) {
+	s.last = transaction
+	return s.acceptingStore.Commit(ctx, transaction)
+}
+
 // Guards against a node that writes its heartbeat row again and again until the feed returns the first
 // one.
 func TestSuspicionIsRefutedOnce(t *testing.T) {
