--- a/internal/core/liveness/simulation_test.go
+++ b/internal/core/liveness/simulation_test.go
@@ -246,6 +246,9 @@
 		}
 		worst = max(worst, at.Sub(lostAt))
 	}
+	if worst > within {
+		t.Errorf("%d nodes, %d lost: the last loss was detected after %v, want %v", len(s.members), len(killed), worst, within)
+	}
 	for id := range s.removed {
 		if s.alive[id] {
 			t.Errorf("%d nodes, %d lost: %s is alive and was removed", len(s.members), len(killed), id)
