--- a/internal/peer/sharing/golden_test.go
+++ b/internal/peer/sharing/golden_test.go
@@ -68,6 +68,25 @@
 	}
 }
 
+// checkKept decodes a kept datagram and encodes its message again.
+func checkKept[T any](t *testing.T, codec *codec[T], file string, example T) {
+	t.Helper()
+	kept, err := os.ReadFile(file)
+	if err != nil {
+		t.Fatal(err)
+	}
+	decoded, err := codec.Read(kept)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if difference := cmp.Diff(example, decoded); difference != "" {
+		t.Errorf("%s: %s", file, difference)
+	}
+	if difference := cmp.Diff(kept, codec.Write(example)); difference != "" {
+		t.Errorf("%s: %s", file, difference)
+	}
+}
+
 // TestDatagramsAboutOriginsAreKept decodes datagrams about the origins of streams and checks that this
 // build encodes the same messages to the same bytes. Nodes of two builds that do not read each other's
 // refuse streams that they could resume.
@@ -78,20 +97,7 @@
 		"question": {Question: &streamorigin.Question{ID: 7, Key: key, Pool: "p"}},
 		"answer":   {Answer: &streamorigin.Answer{ID: 7, Key: key, Evidence: streamorigin.Evidence{Software: "v1", Versions: []string{"v1", "v2"}}}},
 	} {
-		kept, err := os.ReadFile("testdata/origins-" + name + ".datagram")
-		if err != nil {
-			t.Fatal(err)
-		}
-		decoded, err := originsCodec.Read(kept)
-		if err != nil {
-			t.Fatal(err)
-		}
-		if difference := cmp.Diff(example, decoded); difference != "" {
-			t.Errorf("%s: %s", name, difference)
-		}
-		if difference := cmp.Diff(kept, originsCodec.Write(example)); difference != "" {
-			t.Errorf("%s: %s", name, difference)
-		}
+		checkKept(t, originsCodec, "testdata/origins-"+name+".datagram", example)
 	}
 }
 
@@ -104,19 +110,6 @@
 		"question": {Lane: lane, Question: &grant.AttachmentQuestion{Asked: 5 * time.Second}},
 		"answer":   {Lane: lane, Answer: &grant.AttachmentAnswer{Life: 7, Asked: 5 * time.Second, Attached: true, For: time.Minute}},
 	} {
-		kept, err := os.ReadFile("testdata/attachment-" + name + ".datagram")
-		if err != nil {
-			t.Fatal(err)
-		}
-		decoded, err := attachCodec.Read(kept)
-		if err != nil {
-			t.Fatal(err)
-		}
-		if difference := cmp.Diff(example, decoded); difference != "" {
-			t.Errorf("%s: %s", name, difference)
-		}
-		if difference := cmp.Diff(kept, attachCodec.Write(example)); difference != "" {
-			t.Errorf("%s: %s", name, difference)
-		}
+		checkKept(t, attachCodec, "testdata/attachment-"+name+".datagram", example)
 	}
 }
